--- /dev/null
+++ b/packages/cli/src/papayadyke_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/core/src/papayadyke_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the papayadyke scheduler, without I/O."""
--- /dev/null
+++ b/packages/core/src/papayadyke_core/resources/_resources.py
@@ -0,0 +1,88 @@
+"""Amounts of processors, memory and accelerators, in whole units."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Resources:
+    """An amount of every resource that an upstream holds and a task needs.
+
+    Whole units are used because sums of fractions drift, and a drift would let
+    an upstream be given a little more than it holds.
+
+    Parameters
+    ----------
+    cpu_millis : int
+        Processors, in thousandths of a core.
+    memory_mb : int
+        Memory, in mebibytes.
+    accelerators : int
+        Accelerators, in whole devices.
+
+    Examples
+    --------
+    >>> Resources(cpu_millis=500, memory_mb=256).fits_in(Resources(1000, 512))
+    True
+    """
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: Resources) -> Resources:
+        return Resources(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: Resources) -> Resources:
+        return Resources(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+        )
+
+    def __mul__(self, count: int) -> Resources:
+        return Resources(
+            self.cpu_millis * count,
+            self.memory_mb * count,
+            self.accelerators * count,
+        )
+
+    def fits_in(self, other: Resources) -> bool:
+        """Tell whether every dimension is at most that of `other`."""
+        return (
+            self.cpu_millis <= other.cpu_millis
+            and self.memory_mb <= other.memory_mb
+            and self.accelerators <= other.accelerators
+        )
+
+    def is_valid(self) -> bool:
+        """Tell whether no dimension is negative."""
+        return min(self.cpu_millis, self.memory_mb, self.accelerators) >= 0
+
+    def dominant_share(self, total: Resources) -> float:
+        """Return the largest fraction of `total` over the dimensions.
+
+        Parameters
+        ----------
+        total : Resources
+            What the fractions are taken of. A dimension of zero is passed over.
+
+        Returns
+        -------
+        share : float
+            Between 0 and 1 where the amount fits in `total`.
+        """
+        pairs = (
+            (self.cpu_millis, total.cpu_millis),
+            (self.memory_mb, total.memory_mb),
+            (self.accelerators, total.accelerators),
+        )
+        return max((used / of for used, of in pairs if of > 0), default=0.0)
+
+
+NOTHING = Resources()
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that every entry VM runs."""
--- /dev/null
+++ b/packages/platform/src/papayadyke_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: store, upstreams, list of VMs."""
