Add the store client and the store stand-in

The daemon needs compare-and-swap, leases and watches of the platform's key-value service, and tests need one that fails on command.

HttpStore sends each call once: a lost answer of a write is UNKNOWN, of a read UNAVAILABLE. StoreStandin serves the same protocol over HTTP in process or by `python -m papayadyke_standins.store`; MemoryStore is the same without HTTP. Faults: down, cut clients, slow, lost answer after effect, lost write, stale read, lease lapsed, rate limits; calls are counted by operation.

--- a/packages/platform/src/papayadyke_platform/store/__init__.py
+++ b/packages/platform/src/papayadyke_platform/store/__init__.py
@@ -1,6 +1,8 @@
 """The platform's key-value service, as the daemon sees it."""
 
+from papayadyke_platform.store._http import HttpStore, StoreSettings
 from papayadyke_platform.store._types import (
+    MAX_VALUE_BYTES,
     Entry,
     ErrorKind,
     Event,
@@ -8,4 +10,13 @@
     StoreError,
 )
 
-__all__ = ["Entry", "ErrorKind", "Event", "Store", "StoreError"]
+__all__ = [
+    "MAX_VALUE_BYTES",
+    "Entry",
+    "ErrorKind",
+    "Event",
+    "HttpStore",
+    "Store",
+    "StoreError",
+    "StoreSettings",
+]
--- /dev/null
+++ b/packages/platform/src/papayadyke_platform/store/_wire.py
@@ -0,0 +1,115 @@
+"""Calls and answers of the key-value service, as they go over HTTP."""
+
+from __future__ import annotations
+
+import msgspec
+
+from papayadyke_platform.store._types import Entry, ErrorKind, Event
+
+CALL_PATH = "/v1/call"
+CLIENT_HEADER = "Store-Client"
+
+
+class Read(msgspec.Struct, tag="read", frozen=True):
+    """Read one key."""
+
+    key: str
+
+
+class ReadPrefix(msgspec.Struct, tag="read_prefix", frozen=True):
+    """Read the keys under a prefix."""
+
+    prefix: str
+    after: str
+    limit: int
+
+
+class Create(msgspec.Struct, tag="create", frozen=True):
+    """Write a key that must not exist."""
+
+    key: str
+    value: bytes
+    lease: int | None
+
+
+class Replace(msgspec.Struct, tag="replace", frozen=True):
+    """Write a key that must stand at a revision."""
+
+    key: str
+    value: bytes
+    expected: int
+    lease: int | None
+
+
+class Delete(msgspec.Struct, tag="delete", frozen=True):
+    """Delete a key that must stand at a revision."""
+
+    key: str
+    expected: int
+
+
+class GrantLease(msgspec.Struct, tag="grant_lease", frozen=True):
+    """Ask for a new lease."""
+
+    ttl_s: float
+
+
+class RenewLease(msgspec.Struct, tag="renew_lease", frozen=True):
+    """Keep a lease."""
+
+    lease: int
+
+
+class Watch(msgspec.Struct, tag="watch", frozen=True):
+    """Wait for events past a revision."""
+
+    prefix: str
+    after: int
+    wait_s: float
+
+
+Call = Read | ReadPrefix | Create | Replace | Delete | GrantLease | RenewLease | Watch
+
+
+class EntryAnswer(msgspec.Struct, tag="entry", frozen=True):
+    """Answer to `Read`."""
+
+    entry: Entry | None
+
+
+class EntriesAnswer(msgspec.Struct, tag="entries", frozen=True):
+    """Answer to `ReadPrefix`."""
+
+    entries: list[Entry]
+
+
+class NumberAnswer(msgspec.Struct, tag="number", frozen=True):
+    """Answer to a write (a revision) and to `GrantLease` (a lease)."""
+
+    number: int
+
+
+class DoneAnswer(msgspec.Struct, tag="done", frozen=True):
+    """Answer to `RenewLease`."""
+
+
+class EventsAnswer(msgspec.Struct, tag="events", frozen=True):
+    """Answer to `Watch`."""
+
+    events: list[Event]
+
+
+class Failure(msgspec.Struct, tag="failure", frozen=True):
+    """Answer to a call that was refused."""
+
+    kind: ErrorKind
+    detail: str
+
+
+Answer = (
+    EntryAnswer | EntriesAnswer | NumberAnswer | DoneAnswer | EventsAnswer | Failure
+)
+
+call_decoder = msgspec.msgpack.Decoder(Call)
+answer_decoder = msgspec.msgpack.Decoder(Answer)
+encode = msgspec.msgpack.Encoder().encode
--- /dev/null
+++ b/packages/standins/src/papayadyke_standins/store/_http.py
@@ -0,0 +1,188 @@
+"""The stand-in store over HTTP."""
+
+from __future__ import annotations
+
+import errno
+import threading
+
+import msgspec
+from cheroot.server import Gateway, HTTPServer
+from result import Err, Result
+
+from papayadyke_platform.store import ErrorKind, StoreError
+from papayadyke_platform.store import _wire as wire
+from papayadyke_standins.store._faults import Faults
+from papayadyke_standins.store._memory import MemoryStore, StoreService
+
+FAULTS_PATH = "/control/v1/faults"
+COUNTS_PATH = "/control/v1/counts"
+LAPSE_PATH = "/control/v1/lapse"
+MAX_BODY_BYTES = 2_000_000
+STATUS = {
+    ErrorKind.CONFLICT: b"409 Conflict",
+    ErrorKind.INVALID: b"400 Bad Request",
+    ErrorKind.UNAVAILABLE: b"503 Service Unavailable",
+}
+OK = b"200 OK"
+
+
+class Lapse(msgspec.Struct, forbid_unknown_fields=True):
+    """Command to let a lease lapse, or all of them."""
+
+    lease: int | None = None
+
+
+class StoreStandin:
+    """The stand-in store, listening on loopback.
+
+    Parameters
+    ----------
+    service : StoreService or None, default=None
+        None makes one.
+    host : str, default="127.0.0.1"
+    port : int, default=0
+        0 takes a free one.
+    threads : int, default=48
+        Calls served at once; a waiting watch holds a thread.
+
+    Attributes
+    ----------
+    service : StoreService
+        For faults and counters without the control path.
+    """
+
+    def __init__(
+        self,
+        service: StoreService | None = None,
+        *,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        threads: int = 48,
+    ):
+        self.service = service or StoreService()
+        self.host = host
+        self.port = port
+        self.threads = threads
+        self._server: HTTPServer | None = None
+        self._thread: threading.Thread | None = None
+
+    @property
+    def address(self) -> str:
+        """IP number and port; known once started."""
+        if self._server is None:
+            raise RuntimeError("not started")
+        host, port = self._server.bind_addr[:2]
+        return f"{host}:{port}"
+
+    def start(self) -> StoreStandin:
+        """Bind the port and serve from a thread."""
+        service = self.service
+
+        class _Bound(_StoreGateway):
+            def __init__(self, req):
+                super().__init__(req, service)
+
+        server = HTTPServer(
+            (self.host, self.port), _Bound, minthreads=self.threads, maxthreads=-1
+        )
+        server.max_request_body_size = MAX_BODY_BYTES
+        server.shutdown_timeout = 1
+        server.prepare()
+        self._server = server
+        self._thread = threading.Thread(
+            target=server.serve, name="store-standin", daemon=True
+        )
+        self._thread.start()
+        return self
+
+    def stop(self) -> None:
+        """Close the port and every connection."""
+        if self._server is None or self._thread is None:
+            return
+        self.service.set_faults(Faults(down=True))
+        self._server.stop()
+        self._thread.join()
+        self._server = None
+
+
+class _StoreGateway(Gateway):
+    """Answers one HTTP request."""
+
+    def __init__(self, req, service: StoreService):
+        super().__init__(req)
+        self.service = service
+
+    def respond(self) -> None:
+        path = self.req.path.decode("ascii", "replace")
+        body = self.req.rfile.read() if self.req.method == b"POST" else b""
+        try:
+            status, answer = self._answer(path, body)
+        except msgspec.DecodeError as exc:
+            failure = wire.Failure(ErrorKind.INVALID, str(exc))
+            status, answer = STATUS[ErrorKind.INVALID], wire.encode(failure)
+        self.req.status = status
+        self.req.outheaders = [(b"Content-Length", str(len(answer)).encode())]
+        self.req.ensure_headers_sent()
+        self.req.write(answer)
+
+    def _answer(self, path: str, body: bytes) -> tuple[bytes, bytes]:
+        if path == wire.CALL_PATH:
+            return self._call(wire.call_decoder.decode(body))
+        if path == FAULTS_PATH:
+            self.service.set_faults(msgspec.json.decode(body, type=Faults))
+            return OK, b"{}"
+        if path == COUNTS_PATH:
+            return OK, msgspec.json.encode(self.service.counts())
+        if path == LAPSE_PATH:
+            self.service.lapse(msgspec.json.decode(body, type=Lapse).lease)
+            return OK, b"{}"
+        return b"404 Not Found", b""
+
+    def _call(self, call: wire.Call) -> tuple[bytes, bytes]:
+        name = self.req.inheaders.get(wire.CLIENT_HEADER.encode(), b"")
+        store = MemoryStore(self.service, client=name.decode("ascii", "replace"))
+        done = _run(store, call)
+        if isinstance(done, Err):
+            return _failure(done.err_value)
+        return OK, wire.encode(_pack(call, done.ok_value))
+
+
+def _failure(error: StoreError) -> tuple[bytes, bytes]:
+    if error.kind is ErrorKind.UNKNOWN:
+        # The server takes this for a client that went away and just closes.
+        raise ConnectionResetError(errno.ECONNRESET, error.detail)
+    return STATUS[error.kind], wire.encode(wire.Failure(error.kind, error.detail))
+
+
+def _run(store: MemoryStore, call: wire.Call) -> Result:
+    match call:
+        case wire.Read(key):
+            return store.read(key)
+        case wire.ReadPrefix(prefix, after, limit):
+            return store.read_prefix(prefix, after=after, limit=limit)
+        case wire.Create(key, value, lease):
+            return store.create(key, value, lease=lease)
+        case wire.Replace(key, value, expected, lease):
+            return store.replace(key, value, expected=expected, lease=lease)
+        case wire.Delete(key, expected):
+            return store.delete(key, expected=expected)
+        case wire.GrantLease(ttl_s):
+            return store.grant_lease(ttl_s)
+        case wire.RenewLease(lease):
+            return store.renew_lease(lease)
+        case wire.Watch(prefix, after, wait_s):
+            return store.watch(prefix, after=after, wait_s=wait_s)
+
+
+def _pack(call: wire.Call, value) -> wire.Answer:
+    match call:
+        case wire.Read():
+            return wire.EntryAnswer(value)
+        case wire.ReadPrefix():
+            return wire.EntriesAnswer(value)
+        case wire.Watch():
+            return wire.EventsAnswer(value)
+        case wire.RenewLease():
+            return wire.DoneAnswer()
+        case _:
+            return wire.NumberAnswer(value)
--- /dev/null
+++ b/packages/standins/src/papayadyke_standins/store/tests/test_store_standin.py
@@ -0,0 +1,185 @@
+import json
+import subprocess
+import sys
+import urllib.request
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from papayadyke_platform.store import ErrorKind, HttpStore, StoreSettings
+from papayadyke_standins.store import Faults, MemoryStore, StoreService
+
+KEYS = st.sampled_from(["a/1", "a/2", "a/3", "b/1"])
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+def make_store():
+    clock = Clock()
+    held: list[float] = []
+    store = MemoryStore(StoreService(clock=clock, sleep=held.append))
+    return store, clock, held
+
+
+def test_lease_lapses_with_its_keys_and_watches_see_it():
+    store, clock, _ = make_store()
+    lease = store.grant_lease(5.0).unwrap()
+    revision = store.create("a/1", b"v", lease=lease).unwrap()
+    clock.now += 4.0
+    assert store.renew_lease(lease).is_ok()
+    clock.now += 4.0
+    assert store.read("a/1").unwrap() is not None
+    clock.now += 1.1
+    assert store.read("a/1").unwrap() is None
+    events = store.watch("a/", after=revision, wait_s=0.0).unwrap()
+    assert [(event.key, event.value) for event in events] == [("a/1", None)]
+    assert store.renew_lease(lease).unwrap_err().kind is ErrorKind.CONFLICT
+
+
+def test_lease_lapses_on_command():
+    store, _, _ = make_store()
+    lease = store.grant_lease(5.0).unwrap()
+    store.create("a/1", b"v", lease=lease).unwrap()
+    store.service.lapse(lease)
+    assert store.read("a/1").unwrap() is None
+
+
+def test_stale_reads_show_the_older_state():
+    store, _, _ = make_store()
+    first = store.create("a/1", b"one").unwrap()
+    store.replace("a/1", b"two", expected=first).unwrap()
+    store.create("a/2", b"new").unwrap()
+    store.service.set_faults(Faults(stale_reads=2, stale_changes=2, prefix="a/"))
+    assert store.read("a/1").unwrap().value == b"one"
+    assert [e.value for e in store.read_prefix("a/").unwrap()] == [b"one"]
+    assert len(store.read_prefix("a/").unwrap()) == 2
+
+
+def test_rate_limits_refuse_and_recover():
+    store, clock, _ = make_store()
+    store.service.set_faults(Faults(reads_per_s=2.0, writes_per_s=1.0))
+    assert [store.read("k").is_ok() for _ in range(3)] == [True, True, False]
+    assert [store.create(k, b"").is_ok() for k in "ab"] == [True, False]
+    clock.now += 1.0
+    assert store.create("b", b"").is_ok()
+    counts = store.service.counts()
+    assert (counts.operations, counts.refused) == ({"read": 3, "create": 3}, 2)
+
+
+def test_slow_service_holds_each_call():
+    store, _, held = make_store()
+    store.service.set_faults(Faults(delay_s=3.0))
+    store.read("k")
+    store.create("k", b"")
+    assert held == [3.0, 3.0]
+
+
+def test_watch_from_before_the_history_is_invalid():
+    store, _, _ = make_store()
+    limit = store.service.state.history_limit
+    for number in range(limit + 2):
+        store.create(f"k/{number}", b"")
+    error = store.watch("k/", after=1, wait_s=0.0).unwrap_err()
+    assert error.kind is ErrorKind.INVALID
+
+
+class StoreMachine(RuleBasedStateMachine):
+    """Compares the stand-in with a plain map, lost answers included."""
+
+    def __init__(self):
+        super().__init__()
+        self.store, _, _ = make_store()
+        self.model = {}
+        self.seen = 0
+        self.replayed = {}
+
+    def write(self, lost, key, value, act):
+        before = self.store.read(key).unwrap()
+        if lost:
+            self.store.service.set_faults(Faults(lose_answers=1))
+        done = act(before)
+        self.store.service.set_faults(Faults())
+        if done.is_err() and done.unwrap_err().kind is ErrorKind.CONFLICT:
+            return
+        after = self.store.read(key).unwrap()
+        assert (None if after is None else after.value) == value
+        self.model[key] = value
+
+    @rule(key=KEYS, value=st.binary(max_size=2), lost=st.booleans())
+    def create(self, key, value, lost):
+        if self.model.get(key) is None:
+            self.write(lost, key, value, lambda _: self.store.create(key, value))
+        else:
+            error = self.store.create(key, value).unwrap_err()
+            assert error.kind is ErrorKind.CONFLICT
+
+    @rule(key=KEYS, value=st.binary(max_size=2), lost=st.booleans())
+    def replace(self, key, value, lost):
+        if self.model.get(key) is not None:
+            self.write(
+                lost,
+                key,
+                value,
+                lambda e: self.store.replace(key, value, expected=e.revision),
+            )
+
+    @rule(key=KEYS, lost=st.booleans())
+    def delete(self, key, lost):
+        if self.model.get(key) is not None:
+            self.write(
+                lost, key, None, lambda e: self.store.delete(key, expected=e.revision)
+            )
+
+    @rule()
+    def follow(self):
+        for event in self.store.watch("", after=self.seen, wait_s=0.0).unwrap():
+            assert event.revision == self.seen + 1
+            self.seen = event.revision
+            self.replayed[event.key] = event.value
+        assert {k: v for k, v in self.replayed.items() if v is not None} == {
+            k: v for k, v in self.model.items() if v is not None
+        }
+
+    @invariant()
+    def prefix_agrees(self):
+        entries = self.store.read_prefix("a/").unwrap()
+        expected = sorted(
+            (k, v) for k, v in self.model.items() if v is not None and k[0] == "a"
+        )
+        assert [(e.key, e.value) for e in entries] == expected
+
+
+TestStoreMachine = StoreMachine.TestCase
+
+
+@pytest.mark.processes
+def test_process_serves_and_takes_faults_on_command(tmp_path):
+    port_file = tmp_path / "port"
+    command = [sys.executable, "-m", "papayadyke_standins.store"]
+    process = subprocess.Popen(
+        [*command, "--port-file", str(port_file)], stdout=subprocess.PIPE, text=True
+    )
+    assert process.stdout is not None
+    try:
+        address = process.stdout.readline().strip()
+        assert port_file.read_text() == address.rpartition(":")[2]
+        store = HttpStore(StoreSettings(address=address))
+        assert store.create("k", b"v").is_ok()
+        body = json.dumps({"down": True}).encode()
+        url = f"http://{address}/control/v1/faults"
+        with urllib.request.urlopen(url, data=body) as resp:
+            assert resp.status == 200
+        assert store.read("k").unwrap_err().kind is ErrorKind.UNAVAILABLE
+        with urllib.request.urlopen(f"http://{address}/control/v1/counts") as resp:
+            assert json.load(resp)["operations"] == {"create": 1, "read": 1}
+    finally:
+        process.terminate()
+        assert process.wait(timeout=20) == 0
+        process.stdout.close()
