Add key files, signatures and replay protection

Cause: processes of a cell and operators must be known to each other, and a forged or repeated message may change nothing. Change: papayadyke_platform.keys reads and writes key files, signs by HMAC-SHA256 with a keyring that is replaced without a stop, and refuses repeated messages by sender, incarnation, sequence and time in bounded memory.

--- /dev/null
+++ b/packages/platform/src/papayadyke_platform/keys/__init__.py
@@ -0,0 +1,36 @@
+"""Shared secrets: key files, signatures and protection from replay."""
+
+from papayadyke_platform.keys._file import (
+    KeyEntry,
+    KeyFile,
+    KeyFileError,
+    generate_key_file,
+    load_key_file,
+)
+from papayadyke_platform.keys._keyring import Keyring, Signature
+from papayadyke_platform.keys._replay import ReplayGuard, ReplaySettings, Stamp
+from papayadyke_platform.keys._seal import (
+    Authenticator,
+    Seal,
+    SealFault,
+    format_seal,
+    parse_seal,
+)
+
+__all__ = [
+    "Authenticator",
+    "KeyEntry",
+    "KeyFile",
+    "KeyFileError",
+    "Keyring",
+    "ReplayGuard",
+    "ReplaySettings",
+    "Seal",
+    "SealFault",
+    "Signature",
+    "Stamp",
+    "format_seal",
+    "generate_key_file",
+    "load_key_file",
+    "parse_seal",
+]
--- /dev/null
+++ b/packages/platform/src/papayadyke_platform/keys/_file.py
@@ -0,0 +1,132 @@
+"""The key file: JSON that every process of a cell reads."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import os
+import secrets
+from dataclasses import dataclass
+from pathlib import Path
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator
+from result import Err, Ok, Result
+
+SECRET_BYTES = 32
+MIN_SECRET_BYTES = 16
+MAX_KEYS = 16
+FILE_MODE = 0o600
+
+
+class KeyEntry(BaseModel):
+    """One secret and the time in which it signs and is accepted.
+
+    Parameters
+    ----------
+    id : str
+        Name of the key; goes with every signature.
+    secret : str
+        The secret in base64, at least 16 bytes.
+    not_before : float or None, default=None
+        Unix time in seconds from which the key signs. It is accepted earlier,
+        because the clocks of the processes differ.
+    not_after : float or None, default=None
+        Unix time in seconds from which the key neither signs nor is accepted.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    id: str = Field(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9._-]+$")
+    secret: str = Field(repr=False)
+    not_before: float | None = None
+    not_after: float | None = None
+
+    @field_validator("secret")
+    @classmethod
+    def _validate_secret(cls, value: str) -> str:
+        try:
+            raw = base64.b64decode(value, validate=True)
+        except binascii.Error:
+            raise ValueError("secret is not base64") from None
+        if len(raw) < MIN_SECRET_BYTES:
+            raise ValueError(f"secret has fewer than {MIN_SECRET_BYTES} bytes")
+        return value
+
+    @property
+    def secret_bytes(self) -> bytes:
+        """The secret, decoded."""
+        return base64.b64decode(self.secret)
+
+
+class KeyFile(BaseModel):
+    """The content of a key file."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    keys: tuple[KeyEntry, ...] = Field(min_length=1, max_length=MAX_KEYS)
+
+    @field_validator("keys")
+    @classmethod
+    def _validate_ids(cls, value: tuple[KeyEntry, ...]) -> tuple[KeyEntry, ...]:
+        if len({entry.id for entry in value}) != len(value):
+            raise ValueError("two keys have the same id")
+        return value
+
+
+@dataclass(frozen=True, slots=True)
+class KeyFileError:
+    """Why a key file can't be used; holds no secret."""
+
+    path: str
+    detail: str
+
+
+def load_key_file(path: str | Path) -> Result[KeyFile, KeyFileError]:
+    """Read and check a key file.
+
+    Parameters
+    ----------
+    path : str or Path
+        A JSON file of the form `{"keys": [{"id": ..., "secret": ...}]}`.
+
+    Returns
+    -------
+    result : Result of KeyFile, KeyFileError
+    """
+    try:
+        text = Path(path).read_bytes()
+    except OSError as exc:
+        return Err(KeyFileError(str(path), exc.strerror or "cannot be read"))
+    try:
+        return Ok(KeyFile.model_validate_json(text))
+    except ValidationError as exc:
+        first = exc.errors(include_input=False, include_url=False)[0]
+        where = ".".join(str(part) for part in first["loc"])
+        return Err(KeyFileError(str(path), f"{where}: {first['msg']}"))
+
+
+def generate_key_file(path: str | Path, *, key_id: str = "k1") -> KeyFile:
+    """Write a key file with one new random secret, readable by its owner only.
+
+    Parameters
+    ----------
+    path : str or Path
+        Must not exist.
+    key_id : str, default="k1"
+
+    Returns
+    -------
+    keys : KeyFile
+
+    Raises
+    ------
+    FileExistsError
+        Where the file stands already; it is left as it is.
+    """
+    secret = base64.b64encode(secrets.token_bytes(SECRET_BYTES)).decode()
+    keys = KeyFile(keys=(KeyEntry(id=key_id, secret=secret),))
+    text = keys.model_dump_json(indent=2, exclude_none=True)
+    fd = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, FILE_MODE)
+    with os.fdopen(fd, "w") as file:
+        file.write(text + "\n")
+    return keys
--- /dev/null
+++ b/packages/platform/src/papayadyke_platform/keys/tests/test_keys.py
@@ -0,0 +1,154 @@
+import base64
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from papayadyke_platform.keys import (
+    Authenticator,
+    KeyEntry,
+    KeyFile,
+    Keyring,
+    ReplayGuard,
+    ReplaySettings,
+    Seal,
+    SealFault,
+    Signature,
+    Stamp,
+    format_seal,
+    generate_key_file,
+    load_key_file,
+    parse_seal,
+)
+
+NOW = 1_000_000.0
+
+
+def make_entry(id, **options):
+    secret = base64.b64encode(id.encode() * 16).decode()
+    return KeyEntry(id=id, secret=secret, **options)
+
+
+def make_authenticator(sender, keyring, incarnation=1, **options):
+    return Authenticator(
+        keyring,
+        sender=sender,
+        incarnation=incarnation,
+        started_unix_s=NOW - 100,
+        **options,
+    )
+
+
+def test_generated_file_is_private_and_loads(tmp_path):
+    path = tmp_path / "keys.json"
+    keys = generate_key_file(path)
+    assert path.stat().st_mode & 0o777 == 0o600
+    assert load_key_file(path).unwrap() == keys
+    with pytest.raises(FileExistsError):
+        generate_key_file(path)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "[]",
+        '{"keys": []}',
+        '{"keys": [{"id": "a", "secret": "c2hvcnQ="}]}',
+        '{"keys": [{"id": "a", "secret": "***"}]}',
+        '{"keys": [{"id": "a b", "secret": "MDEyMzQ1Njc4OTAxMjM0NQ=="}]}',
+        '{"keys": [{"id": "a", "secret": "MDEyMzQ1Njc4OTAxMjM0NQ==", "x": 1}]}',
+    ],
+)
+def test_a_wrong_file_is_an_error_without_its_secret(tmp_path, text):
+    path = tmp_path / "keys.json"
+    path.write_text(text)
+    error = load_key_file(path).unwrap_err()
+    assert "MDEy" not in error.detail
+    assert load_key_file(tmp_path / "none").is_err()
+
+
+def test_keys_are_replaced_without_a_stop():
+    old, new = make_entry("old"), make_entry("new", not_before=NOW + 60)
+    sender, receiver = Keyring(KeyFile(keys=(old,))), Keyring(KeyFile(keys=(old,)))
+    sender.replace(KeyFile(keys=(old, new)))
+    assert sender.sign(b"x", unix_s=NOW).key_id == "old"
+    receiver.replace(KeyFile(keys=(old, new)))
+    later = sender.sign(b"x", unix_s=NOW + 61)
+    assert later.key_id == "new"
+    assert receiver.verify(b"x", later, unix_s=NOW + 50)
+    receiver.replace(KeyFile(keys=(new,)))
+    early = sender.sign(b"x", unix_s=NOW)
+    assert not receiver.verify(b"x", early, unix_s=NOW)
+
+
+def test_an_expired_key_neither_signs_nor_is_accepted():
+    ring = Keyring(KeyFile(keys=(make_entry("a", not_after=NOW),)))
+    signature = ring.sign(b"x", unix_s=NOW - 1)
+    assert not ring.verify(b"x", signature, unix_s=NOW)
+    with pytest.raises(LookupError):
+        ring.sign(b"x", unix_s=NOW)
+
+
+def test_a_changed_message_or_stamp_is_forged_and_leaves_no_trace():
+    ring = Keyring(KeyFile(keys=(make_entry("a"),)))
+    one, two = make_authenticator("one", ring), make_authenticator("two", ring)
+    seal = one.seal(b"text", unix_s=NOW)
+    stamp = Stamp("one", 2, seal.stamp.sequence, NOW)
+    assert two.check(b"tex", seal, unix_s=NOW) == SealFault.FORGED
+    moved = Seal(stamp, seal.signature)
+    assert two.check(b"text", moved, unix_s=NOW) == SealFault.FORGED
+    unknown = Seal(seal.stamp, Signature("b", seal.signature.mac))
+    assert two.check(b"text", unknown, unix_s=NOW) == SealFault.FORGED
+    assert two.check(b"text", seal, unix_s=NOW) is None
+    assert two.check(b"text", seal, unix_s=NOW) == SealFault.REPLAYED
+
+
+def test_a_message_is_refused_when_old_early_or_of_an_earlier_incarnation():
+    guard = ReplayGuard(ReplaySettings(), started_unix_s=NOW)
+    assert not guard.accept(Stamp("a", 1, 1, NOW - 1), unix_s=NOW)
+    assert not guard.accept(Stamp("a", 1, 1, NOW + 31), unix_s=NOW)
+    assert guard.accept(Stamp("a", 2, 1, NOW), unix_s=NOW)
+    assert not guard.accept(Stamp("a", 1, 9, NOW), unix_s=NOW)
+    assert not guard.accept(Stamp("a", 2, 2, NOW), unix_s=NOW + 31)
+
+
+def test_memory_is_bounded_and_a_sender_is_forgotten_only_when_too_old():
+    guard = ReplayGuard(ReplaySettings(max_senders=2), started_unix_s=NOW)
+    assert guard.accept(Stamp("a", 1, 1, NOW), unix_s=NOW)
+    assert guard.accept(Stamp("b", 1, 1, NOW + 50), unix_s=NOW + 50)
+    assert not guard.accept(Stamp("c", 1, 1, NOW + 50), unix_s=NOW + 50)
+    assert guard.accept(Stamp("c", 1, 1, NOW + 61), unix_s=NOW + 61)
+    assert len(guard) == 2
+    assert not guard.accept(Stamp("a", 1, 1, NOW), unix_s=NOW + 61)
+
+
+@given(st.lists(st.integers(0, 40), max_size=80))
+def test_each_sequence_number_is_accepted_at_most_once(sequences):
+    guard = ReplayGuard(ReplaySettings(reorder=8), started_unix_s=NOW)
+    accepted: list[int] = []
+    for sequence in sequences:
+        due = sequence not in accepted and sequence > max(accepted, default=-9) - 8
+        assert guard.accept(Stamp("a", 1, sequence, NOW), unix_s=NOW) == due
+        if due:
+            accepted.append(sequence)
+
+
+def test_a_seal_survives_its_text_form():
+    ring = Keyring(KeyFile(keys=(make_entry("a"),)))
+    seal = make_authenticator("one", ring).seal(b"text", unix_s=NOW + 0.1)
+    assert parse_seal(format_seal(seal)) == seal
+
+
+@given(st.text(max_size=60))
+def test_other_text_is_no_seal(text):
+    assert parse_seal(text) is None
+
+
+@pytest.mark.parametrize("at", ["nan", "inf", "1e400"])
+def test_a_seal_with_a_time_that_is_no_number_is_refused(at):
+    ring = Keyring(KeyFile(keys=(make_entry("a"),)))
+    text = f"one;1;1;{at};a;{'00' * 32}"
+    seal = parse_seal(text)
+    receiver = make_authenticator("two", ring)
+    assert seal is None or receiver.check(b"", seal, unix_s=NOW)
