--- a/packages/platform/src/papayadyke_platform/store/_http.py
+++ b/packages/platform/src/papayadyke_platform/store/_http.py
@@ -68,6 +68,10 @@
         """Close the connections that stand idle."""
         self._pool.clear()
 
+    def revision(self) -> Result[int, StoreError]:
+        """Return the revision of the last write, as a start for a watch."""
+        return self._read(wire.Revision(), _number)
+
     def read(self, key: str) -> Result[Entry | None, StoreError]:
         """Return the entry of a key, or None."""
         return self._read(wire.Read(key), _entry)
--- a/packages/platform/src/papayadyke_platform/store/_types.py
+++ b/packages/platform/src/papayadyke_platform/store/_types.py
@@ -59,6 +59,9 @@
 class Store(Protocol):
     """The key-value service. Revisions are of the whole store and only grow."""
 
+    def revision(self) -> Result[int, StoreError]:
+        """Return the revision of the last write, as a start for a watch."""
+
     def read(self, key: str) -> Result[Entry | None, StoreError]:
         """Return the entry of a key, or None."""
 
--- a/packages/platform/src/papayadyke_platform/store/_wire.py
+++ b/packages/platform/src/papayadyke_platform/store/_wire.py
@@ -10,6 +10,10 @@
 CLIENT_HEADER = "Store-Client"
 
 
+class Revision(msgspec.Struct, tag="revision", frozen=True):
+    """Ask for the revision of the last write."""
+
+
 class Read(msgspec.Struct, tag="read", frozen=True):
     """Read one key."""
 
@@ -68,7 +72,17 @@
     wait_s: float
 
 
-Call = Read | ReadPrefix | Create | Replace | Delete | GrantLease | RenewLease | Watch
+Call = (
+    Revision
+    | Read
+    | ReadPrefix
+    | Create
+    | Replace
+    | Delete
+    | GrantLease
+    | RenewLease
+    | Watch
+)
 
 
 class EntryAnswer(msgspec.Struct, tag="entry", frozen=True):
@@ -84,7 +98,7 @@
 
 
 class NumberAnswer(msgspec.Struct, tag="number", frozen=True):
-    """Answer to a write (a revision) and to `GrantLease` (a lease)."""
+    """Answer to a write and to `Revision` (a revision), or to `GrantLease`."""
 
     number: int
 
--- a/packages/platform/src/papayadyke_platform/store/tests/test_http_store.py
+++ b/packages/platform/src/papayadyke_platform/store/tests/test_http_store.py
@@ -96,7 +96,8 @@
 def test_watch_returns_the_write_it_waited_for(standin):
     found = []
     watcher = connect(standin)
-    start = connect(standin).create("other", b"").unwrap()
+    connect(standin).create("other", b"").unwrap()
+    start = connect(standin).revision().unwrap()
 
     def wait():
         found.append(watcher.watch("log/", after=start, wait_s=10.0).unwrap())
--- a/packages/standins/src/papayadyke_standins/store/_http.py
+++ b/packages/standins/src/papayadyke_standins/store/_http.py
@@ -156,6 +156,8 @@
 
 def _run(store: MemoryStore, call: wire.Call) -> Result:
     match call:
+        case wire.Revision():
+            return store.revision()
         case wire.Read(key):
             return store.read(key)
         case wire.ReadPrefix(prefix, after, limit):
--- a/packages/standins/src/papayadyke_standins/store/_memory.py
+++ b/packages/standins/src/papayadyke_standins/store/_memory.py
@@ -173,6 +173,14 @@
         self.service = service or StoreService()
         self.client = client
 
+    def revision(self) -> Result[int, StoreError]:
+        """Return the revision of the last write, as a start for a watch."""
+        state = self.service.state
+        admitted = self.service.admit("revision", self.client, is_write=False)
+        if isinstance(admitted, Err):
+            return admitted
+        return self.service.read("", lambda behind: max(state.revision - behind, 0))
+
     def read(self, key: str) -> Result[Entry | None, StoreError]:
         """Return the entry of a key, or None."""
         state = self.service.state
