--- a/packages/core/src/papayadyke_core/configuration/_state.py
+++ b/packages/core/src/papayadyke_core/configuration/_state.py
@@ -228,7 +228,7 @@
             return stamp
         about = (
             item.stamp
-            for item in reversed(self.recent.values())
+            for item in reversed(tuple(self.recent.values()))
             if item.kind is ItemKind.CONFIG or (item.kind, item.name) == (kind, name)
         )
         return next(about, stamp)
