Add the writer and the followers of the configuration

A change must be accepted once or refused truthfully, whatever the store does, and reach every VM within seconds with few watchers.

The log stands in a ring of slots that are overwritten by compare-and-swap and never deleted: with deletion, a writer that was paused could have created an entry in the hole. ConfigWriter resolves a lost answer by reading the log on before it says anything; only Unresolved leaves it open. ConfigSync follows by a watch on a few VMs, a tree of offers between peers, and a slow poll.

--- a/packages/core/src/papayadyke_core/configuration/_changes.py
+++ b/packages/core/src/papayadyke_core/configuration/_changes.py
@@ -156,6 +156,20 @@
         return ""
 
 
+class UnknownChange(Change, tag="unknown", frozen=True, kw_only=True):
+    """A change in the log that a newer version wrote and this one can't read."""
+
+    @property
+    def kind(self) -> ItemKind:
+        """What it changed is not known, so it may be anything."""
+        return ItemKind.CONFIG
+
+    @property
+    def name(self) -> str:
+        """Empty: not known."""
+        return ""
+
+
 AnyChange = (
     PutWorkload | PutTeam | PutPreset | DeleteItem | SwitchPreset | ReplaceConfig
 )
@@ -175,7 +189,18 @@
 
     revision: int
     previous_id: str
-    change: AnyChange
+    change: AnyChange | UnknownChange
+
+
+class _Author(msgspec.Struct, frozen=True):
+    id: str
+    author: str
+
+
+class _Frame(msgspec.Struct, frozen=True):
+    revision: int
+    previous_id: str
+    change: _Author
 
 
 def encode_model(value: Any) -> Any:
@@ -194,6 +219,7 @@
 
 _encoder = msgspec.msgpack.Encoder(enc_hook=encode_model)
 _entry_decoder = msgspec.msgpack.Decoder(LogEntry, dec_hook=decode_model)
+_frame_decoder = msgspec.msgpack.Decoder(_Frame)
 _change_decoder = msgspec.json.Decoder(AnyChange, dec_hook=decode_model)
 _change_encoder = msgspec.json.Encoder(enc_hook=encode_model)
 
@@ -204,14 +230,19 @@
 
 
 def decode_entry(data: bytes) -> LogEntry:
-    """Return the entry of some bytes.
+    """Return the entry of some bytes; a change of a newer version is unknown.
 
     Raises
     ------
     msgspec.ValidationError, msgspec.DecodeError
         Where the bytes hold no valid entry.
     """
-    return _entry_decoder.decode(data)
+    try:
+        return _entry_decoder.decode(data)
+    except msgspec.ValidationError:
+        frame = _frame_decoder.decode(data)
+    change = UnknownChange(id=frame.change.id, author=frame.change.author)
+    return LogEntry(frame.revision, frame.previous_id, change)
 
 
 def encode_change(change: AnyChange) -> bytes:
--- a/packages/core/src/papayadyke_core/configuration/_log.py
+++ b/packages/core/src/papayadyke_core/configuration/_log.py
@@ -81,26 +81,9 @@
         self._waiting = {r: e for r, e in self._waiting.items() if r > state.revision}
         return True
 
-    def entries_after(self, revision: int, *, limit: int) -> list[LogEntry] | None:
-        """Return the entries that follow a revision.
-
-        Parameters
-        ----------
-        revision : int
-        limit : int
-
-        Returns
-        -------
-        entries : list of LogEntry, or None
-            None where the first of them is no longer kept: a snapshot has to
-            go in their place.
-        """
-        if revision >= self.revision:
-            return []
-        if not self._cache or self._cache[0].revision > revision + 1:
-            return None
-        start = revision + 1 - self._cache[0].revision
-        return [self._cache[i] for i in range(start, len(self._cache))][:limit]
+    def entries(self) -> tuple[LogEntry, ...]:
+        """Return the last entries up to the revision in force, in order."""
+        return tuple(self._cache)
 
     def _keep(self, entry: LogEntry) -> None:
         if entry.revision <= self.revision:
--- a/packages/core/src/papayadyke_core/configuration/_state.py
+++ b/packages/core/src/papayadyke_core/configuration/_state.py
@@ -15,6 +15,7 @@
     MAX_CHANGE_BYTES,
     MAX_ID_CHARS,
     AnyChange,
+    Change,
     DeleteItem,
     ItemKind,
     LogEntry,
@@ -23,6 +24,7 @@
     PutWorkload,
     ReplaceConfig,
     SwitchPreset,
+    UnknownChange,
     encode_change,
 )
 from papayadyke_core.workloads import (
@@ -171,6 +173,9 @@
     in_force_stamp : Stamp
     recent : mapping of str to RecentChange
         The last changes by id, oldest first.
+    is_partial : bool, default=False
+        Whether a change was passed over that this version does not know. Such
+        a state may serve, but nothing is written from it.
     """
 
     revision: int = 0
@@ -181,6 +186,7 @@
     in_force: str = "ordinary"
     in_force_stamp: Stamp = NEVER
     recent: Mapping[str, RecentChange] = field(default_factory=dict)
+    is_partial: bool = False
 
     def __post_init__(self) -> None:
         if self.in_force not in self.presets:
@@ -253,6 +259,9 @@
         `Conflict` where the item is not as the author saw it, `Invalid` where
         the configuration would contradict itself or pass a limit.
     """
+    if state.is_partial:
+        text = "a newer version has changed the configuration; use one of its VMs"
+        return Err(Invalid((Problem("", text),)))
     problems = _header_problems(change)
     if problems:
         return Err(Invalid(problems))
@@ -287,7 +296,9 @@
     change = entry.change
     stamp = _stamp(entry.revision, change)
     after = state
-    if _missing(state, change) is None:
+    if isinstance(change, UnknownChange):
+        after = replace(state, is_partial=True)
+    elif _missing(state, change) is None:
         after = _changed(state, change, stamp)
     recent = dict(state.recent)
     recent.pop(change.id, None)
@@ -308,7 +319,7 @@
     )
 
 
-def _stamp(revision: int, change: AnyChange) -> Stamp:
+def _stamp(revision: int, change: Change) -> Stamp:
     return Stamp(revision, change.author, change.id)
 
 
--- a/packages/core/src/papayadyke_core/configuration/tests/test_configuration.py
+++ b/packages/core/src/papayadyke_core/configuration/tests/test_configuration.py
@@ -215,7 +215,7 @@
     assert log.offer([one]) == [one, two, three]
     assert log.offer([one, two, three]) == []
     assert (log.revision, log.has_gap, log.contradictions) == (3, False, 0)
-    assert log.entries_after(1, limit=1) == [two]
+    assert log.entries() == (one, two, three)
 
 
 def test_follower_takes_no_entry_that_contradicts_its_past():
@@ -236,7 +236,7 @@
     assert log.install(ahead)
     assert log.offer([]) == [three]
     assert not log.install(ahead)
-    assert log.entries_after(0, limit=9) is None
+    assert log.entries() == (three,)
 
 
 def test_entry_that_cannot_be_applied_is_passed_over_alike():
@@ -245,6 +245,14 @@
     assert (state.revision, state.in_force) == (1, "ordinary")
 
 
+def test_change_of_a_newer_version_keeps_its_place_and_stops_writing():
+    entry = LogEntry(1, "", put_quick())
+    data = encode_entry(entry).replace(b"put_workload", b"put_whatever")
+    state = apply_entry(ConfigState(), decode_entry(data))
+    assert (state.revision, state.last_id, state.workloads) == (1, "c1", {})
+    assert "newer version" in problem(state, put_peak())
+
+
 def test_diff_tells_what_a_switch_would_change():
     config = accept(ConfigState(), put_quick(), put_peak()).to_config()
     found = diff_presets(config, "ordinary", "peak")
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/configuration/__init__.py
@@ -0,0 +1,45 @@
+"""The configuration between the store, the operators and the peers."""
+
+from papayadyke_daemon.configuration._messages import (
+    FAN_OUT,
+    ConfigMessage,
+    ConfigOffer,
+    ConfigRequest,
+    ConfigSnapshot,
+    children_of,
+    decode_message,
+    encode_message,
+    make_offer,
+)
+from papayadyke_daemon.configuration._repository import ConfigRepository, Tail
+from papayadyke_daemon.configuration._sync import ConfigSync, ConfigSyncSettings
+from papayadyke_daemon.configuration._writer import (
+    Accepted,
+    ConfigWriter,
+    ConfigWriterSettings,
+    SubmitError,
+    Unavailable,
+    Unresolved,
+)
+
+__all__ = [
+    "FAN_OUT",
+    "Accepted",
+    "ConfigMessage",
+    "ConfigOffer",
+    "ConfigRepository",
+    "ConfigRequest",
+    "ConfigSnapshot",
+    "ConfigSync",
+    "ConfigSyncSettings",
+    "ConfigWriter",
+    "ConfigWriterSettings",
+    "SubmitError",
+    "Tail",
+    "Unavailable",
+    "Unresolved",
+    "children_of",
+    "decode_message",
+    "encode_message",
+    "make_offer",
+]
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/configuration/tests/test_config_machine.py
@@ -0,0 +1,308 @@
+"""Racing operators, lost and late answers, stale reads, outages, restarts."""
+
+import os
+import random
+
+import msgspec
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from result import Err
+
+from papayadyke_core.configuration import (
+    ConfigLog,
+    ConfigState,
+    Conflict,
+    DeleteItem,
+    Invalid,
+    ItemKind,
+    PutPreset,
+    PutTeam,
+    SwitchPreset,
+    apply_entry,
+    decode_entry,
+)
+from papayadyke_core.workloads import PresetModel, TeamModel
+from papayadyke_daemon.configuration import (
+    Accepted,
+    ConfigRepository,
+    ConfigWriter,
+    ConfigWriterSettings,
+    Unavailable,
+    Unresolved,
+)
+from papayadyke_platform.store import ErrorKind, StoreError
+from papayadyke_standins.store import Faults, MemoryStore, StoreService
+
+VMS = st.integers(0, 2)
+SLOTS = 4
+EVERY_WRITE = 1000
+STEPS = int(os.environ.get("CONFIG_MACHINE_STEPS", "40"))
+EXAMPLES = int(os.environ.get("CONFIG_MACHINE_EXAMPLES", "200"))
+TOTALS = {"submissions": 0, "accepted": 0, "conflicts": 0, "unresolved": 0}
+
+BODIES = st.one_of(
+    st.tuples(st.just("team"), st.sampled_from(["a", "b"])),
+    st.tuples(st.just("preset"), st.sampled_from(["ordinary", "peak"])),
+    st.tuples(st.just("switch"), st.sampled_from(["ordinary", "peak"])),
+    st.tuples(st.just("delete_team"), st.sampled_from(["a", "b"])),
+    st.tuples(st.just("delete_preset"), st.sampled_from(["ordinary", "peak"])),
+)
+FAULTS = st.sampled_from(
+    [
+        Faults(),
+        Faults(),
+        Faults(down=True),
+        Faults(lose_answers=1),
+        Faults(lose_answers=2, prefix="config/log"),
+        Faults(lose_answers=1, prefix="config/snapshot"),
+        Faults(lose_writes=1),
+        Faults(lose_writes=3),
+        Faults(stale_reads=1),
+        Faults(stale_reads=3, stale_changes=2),
+        Faults(stale_reads=9, stale_changes=5),
+        Faults(lose_answers=1, stale_reads=4, stale_changes=2),
+        Faults(writes_per_s=1.0),
+    ]
+)
+
+
+def make_change(id, author, body, expected):
+    what, name = body
+    header = {"id": id, "author": author, "expected": expected}
+    match what:
+        case "team":
+            return PutTeam(team=TeamModel(name=name), **header)
+        case "preset":
+            model = PresetModel(name=name, description=id)
+            return PutPreset(preset=model, **header)
+        case "switch":
+            return SwitchPreset(preset=name, **header)
+        case "delete_team":
+            return DeleteItem(item=ItemKind.TEAM, item_name=name, **header)
+        case _:
+            return DeleteItem(item=ItemKind.PRESET, item_name=name, **header)
+
+
+class HookedStore(MemoryStore):
+    """Runs a rival's action before a write, and delays writes past their answer."""
+
+    def __init__(self, service, late):
+        super().__init__(service)
+        self.before_write = None
+        self.late_writes = 0
+        self.late = late
+
+    def create(self, key, value, *, lease=None):
+        return self._write_hooked(lambda: super(HookedStore, self).create(key, value))
+
+    def replace(self, key, value, *, expected, lease=None):
+        plain = super().replace
+        return self._write_hooked(lambda: plain(key, value, expected=expected))
+
+    def _write_hooked(self, act):
+        hook, self.before_write = self.before_write, None
+        if hook is not None:
+            hook()
+        if self.late_writes > 0:
+            self.late_writes -= 1
+            self.late.append(act)
+            return Err(StoreError(ErrorKind.UNKNOWN, "late"))
+        return act()
+
+
+class Vm:
+    def __init__(self, machine, number):
+        self.store = HookedStore(machine.service, machine.late)
+        self.repository = ConfigRepository(self.store, slots=SLOTS)
+        self.log = ConfigLog()
+        self.writer = ConfigWriter(
+            self.repository,
+            current=lambda: self.log.state,
+            publish=self.log.offer,
+            settings=ConfigWriterSettings(submit_timeout_s=3.0),
+            clock=machine.clock,
+            sleep=machine.sleep,
+            rng=random.Random(number),
+        )
+
+    def install(self, state):
+        return state is not None and self.log.install(state)
+
+    def sync(self):
+        while True:
+            found = self.repository.read_after(self.log.revision)
+            if found.is_err():
+                return
+            tail = found.unwrap()
+            if tail.is_overwritten:
+                state = self.repository.read_state()
+                if not self.install(state.unwrap_or(None)):
+                    return
+            elif not self.log.offer(tail.entries):
+                return
+
+
+class ConfigMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.service = StoreService(clock=self.clock, sleep=self.sleep)
+        self.late = []
+        self.vms = [Vm(self, number) for number in range(3)]
+        self.seen = [0, 0, 0]
+        self.cursor = 0
+        self.history = []
+        self.states = [ConfigState()]
+        self.accepted = {}
+        self.never = set()
+        self.changes = []
+
+    def clock(self):
+        return self.now
+
+    def sleep(self, seconds):
+        self.now += seconds + 0.05
+
+    @rule(faults=FAULTS)
+    def set_faults(self, faults):
+        self.service.set_faults(faults)
+
+    @rule(
+        vm=VMS,
+        body=BODIES,
+        expects=st.booleans(),
+        rival=st.none() | st.tuples(VMS, BODIES),
+        late=st.sampled_from([0, 0, 0, 1, 2, EVERY_WRITE]),
+    )
+    def submit(self, vm, body, expects, rival, late):
+        change = self.new_change(vm, body, expects)
+        writer_vm = self.vms[vm]
+        if rival is not None and rival[0] != vm:
+            other = self.new_change(rival[0], rival[1], False)
+            writer_vm.store.before_write = lambda: self.run(rival[0], other)
+        writer_vm.store.late_writes = late
+        self.run(vm, change)
+        writer_vm.store.before_write = None
+        writer_vm.store.late_writes = 0
+
+    @precondition(lambda self: self.changes)
+    @rule(vm=VMS, data=st.data())
+    def send_again(self, vm, data):
+        self.run(vm, data.draw(st.sampled_from(self.changes[-4:])), again=True)
+
+    @precondition(lambda self: self.late)
+    @rule(data=st.data())
+    def late_write_arrives(self, data):
+        self.late.pop(data.draw(st.integers(0, len(self.late) - 1)))()
+
+    @rule(vm=VMS)
+    def sync(self, vm):
+        self.vms[vm].sync()
+
+    @rule(one=VMS, other=VMS, data=st.data())
+    def peers_talk(self, one, other, data):
+        entries = list(self.vms[one].log.entries())
+        if entries:
+            drawn = data.draw(st.lists(st.sampled_from(entries), max_size=6))
+            self.vms[other].log.offer(drawn)
+
+    @rule(one=VMS, other=VMS)
+    def peer_sends_its_state(self, one, other):
+        self.vms[other].log.install(self.vms[one].log.state)
+
+    @rule(vm=VMS)
+    def restart(self, vm):
+        self.vms[vm] = Vm(self, vm)
+        self.seen[vm] = 0
+
+    def new_change(self, vm, body, expects):
+        id = f"c{len(self.changes)}"
+        change = make_change(id, f"op{vm}", body, None)
+        if expects:
+            stamp = self.vms[vm].log.state.stamp_of(change.kind, change.name)
+            change = msgspec.structs.replace(change, expected=stamp.revision)
+        self.changes.append(change)
+        return change
+
+    def run(self, vm, change, again=False):
+        TOTALS["submissions"] += 1
+        if again:
+            # What was refused before is now asked for once more.
+            self.never.discard(change.id)
+        done = self.vms[vm].writer.submit(change)
+        self.read_history()
+        if done.is_ok():
+            TOTALS["accepted"] += 1
+            revision = done.unwrap().revision
+            assert isinstance(done.unwrap(), Accepted)
+            assert self.history[revision - 1].change.id == change.id
+            assert self.accepted.setdefault(change.id, revision) == revision
+            return
+        error = done.unwrap_err()
+        if isinstance(error, Unresolved):
+            TOTALS["unresolved"] += 1
+            return
+        assert isinstance(error, Conflict | Invalid | Unavailable)
+        if isinstance(error, Conflict):
+            TOTALS["conflicts"] += 1
+            self.check_conflict(change, error)
+        if not isinstance(error, Unavailable) or not again:
+            self.never.add(change.id)
+
+    def check_conflict(self, change, error):
+        assert (error.kind, error.name) == (change.kind, change.name)
+        winner = error.winner
+        if winner.revision:
+            entry = self.history[winner.revision - 1]
+            assert entry.change.id == winner.change_id != change.id
+            assert entry.change.author == winner.author
+
+    def read_history(self):
+        """Follow the store itself, past every fault."""
+        events = self.service.state.events("config/log/", self.cursor).unwrap()
+        for event in events:
+            self.cursor = event.revision
+            assert event.value is not None
+            entry = decode_entry(event.value)
+            self.history.append(entry)
+            assert entry.revision == len(self.history)
+            self.states.append(apply_entry(self.states[-1], entry))
+
+    @invariant()
+    def log_is_one_chain_without_refused_changes(self):
+        self.read_history()
+        ids = [entry.change.id for entry in self.history]
+        assert len(set(ids)) == len(ids)
+        assert not self.never & set(ids)
+        for id, revision in self.accepted.items():
+            assert ids[revision - 1] == id
+
+    @invariant()
+    def no_vm_goes_back_or_astray(self):
+        for number, vm in enumerate(self.vms):
+            assert vm.log.revision >= self.seen[number]
+            self.seen[number] = vm.log.revision
+            assert vm.log.state == self.states[vm.log.revision]
+            assert vm.log.contradictions == 0
+            assert vm.log.state.to_model().in_force in vm.log.state.presets
+
+    def teardown(self):
+        self.service.set_faults(Faults())
+        for act in self.late:
+            act()
+        self.log_is_one_chain_without_refused_changes()
+        for number in range(3):
+            change = self.new_change(number, ("team", "last"), False)
+            self.run(number, change)
+            assert change.id in self.accepted
+        for vm in self.vms:
+            vm.sync()
+        fresh = Vm(self, 9)
+        fresh.sync()
+        for vm in [*self.vms, fresh]:
+            assert vm.log.state == self.states[-1]
+
+
+TestConfigMachine = ConfigMachine.TestCase
+TestConfigMachine.settings = settings(max_examples=EXAMPLES, stateful_step_count=STEPS)
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/configuration/tests/test_config_sync.py
@@ -0,0 +1,180 @@
+import queue
+import random
+
+import pytest
+
+from papayadyke_core.configuration import ConfigLog, PutTeam
+from papayadyke_core.workloads import TeamModel
+from papayadyke_daemon.configuration import (
+    ConfigOffer,
+    ConfigRepository,
+    ConfigRequest,
+    ConfigSnapshot,
+    ConfigSync,
+    ConfigSyncSettings,
+    ConfigWriter,
+    children_of,
+    decode_message,
+    encode_message,
+)
+from papayadyke_standins.store import Faults, MemoryStore, StoreService
+
+WAIT_S = 30.0
+
+
+def team(number):
+    return PutTeam(id=f"c{number}", author="op", team=TeamModel(name=f"t{number}"))
+
+
+def make_writer(service, slots=4096):
+    log = ConfigLog()
+    return ConfigWriter(
+        ConfigRepository(MemoryStore(service), slots=slots),
+        current=lambda: log.state,
+        publish=log.offer,
+    )
+
+
+class Vm:
+    """A follower whose messages go to the VMs of the same list."""
+
+    def __init__(self, service, name, vms, *, is_watcher, slots=4096):
+        self.name = name
+        self.vms = vms
+        self.configs: queue.Queue = queue.Queue()
+        self.sync = ConfigSync(
+            ConfigRepository(MemoryStore(service, client=name), slots=slots),
+            settings=ConfigSyncSettings(
+                vm=name, watch_wait_s=0.2, poll_s=1000.0, ask_s=0.02, retry_max_s=0.1
+            ),
+            on_config=self.configs.put,
+            is_watcher=lambda: is_watcher,
+            spread=self.spread,
+            ask_peers=self.ask,
+            rng=random.Random(name),
+        )
+        self.sync.start()
+
+    def spread(self, offer):
+        members = [vm.name for vm in self.vms]
+        children = children_of(self.name, origin=offer.origin, members=members)
+        for vm in self.vms:
+            if vm.name in children:
+                vm.sync.receive(decode_message(encode_message(offer)))
+
+    def ask(self, request):
+        for vm in self.vms:
+            answer = vm.sync.receive(request) if vm is not self else None
+            if answer is not None:
+                self.sync.receive(answer)
+
+    def wait_revision(self, revision):
+        seen = 0
+        while seen < revision:
+            config = self.configs.get(timeout=WAIT_S)
+            assert config.revision > seen
+            seen = config.revision
+
+
+@pytest.fixture
+def cell():
+    service = StoreService()
+    vms: list[Vm] = []
+    yield service, vms
+    service.set_faults(Faults(down=True))
+    for vm in vms:
+        vm.sync.stop()
+
+
+def test_one_watcher_brings_a_change_to_every_vm(cell):
+    service, vms = cell
+    for number in range(9):
+        vms.append(Vm(service, f"vm-{number}", vms, is_watcher=number == 4))
+    for vm in vms:
+        assert vm.sync.wait_loaded(WAIT_S)
+    writer = make_writer(service)
+    for number in range(3):
+        writer.submit(team(number)).unwrap()
+    for vm in vms:
+        vm.wait_revision(3)
+
+
+def test_vm_that_starts_in_an_outage_gets_all_from_its_peers(cell):
+    service, vms = cell
+    vms.append(Vm(service, "old", vms, is_watcher=True))
+    writer = make_writer(service)
+    for number in range(3):
+        writer.submit(team(number)).unwrap()
+    vms[0].wait_revision(3)
+    service.set_faults(Faults(down=True))
+    vms.append(Vm(service, "new", vms, is_watcher=True))
+    vms[1].wait_revision(3)
+    assert vms[1].sync.state == vms[0].sync.state
+
+
+def test_vm_whose_entries_are_gone_starts_from_the_snapshot(cell):
+    service, vms = cell
+    writer = make_writer(service, slots=4)
+    for number in range(10):
+        writer.submit(team(number)).unwrap()
+    vms.append(Vm(service, "new", vms, is_watcher=False, slots=4))
+    vms[0].wait_revision(10)
+    assert len(vms[0].sync.state.teams) == 10
+
+
+def test_heartbeat_of_a_peer_ahead_makes_a_vm_ask(cell):
+    service, vms = cell
+    vms.append(Vm(service, "ahead", vms, is_watcher=True))
+    vms.append(Vm(service, "behind", [vms[0]], is_watcher=False))
+    assert vms[1].sync.wait_loaded(WAIT_S)
+    vms[0].vms = []
+    make_writer(service).submit(team(0)).unwrap()
+    vms[0].wait_revision(1)
+    vms[1].sync.hear(1)
+    vms[1].wait_revision(1)
+
+
+def test_watch_goes_on_after_an_outage(cell):
+    service, vms = cell
+    vms.append(Vm(service, "vm", vms, is_watcher=True))
+    assert vms[0].sync.wait_loaded(WAIT_S)
+    service.set_faults(Faults(down=True))
+    service.set_faults(Faults())
+    make_writer(service).submit(team(0)).unwrap()
+    vms[0].wait_revision(1)
+
+
+def test_answer_to_a_vm_far_behind_is_a_snapshot(cell):
+    service, vms = cell
+    vms.append(Vm(service, "vm", vms, is_watcher=True, slots=4))
+    writer = make_writer(service, slots=4)
+    for number in range(10):
+        writer.submit(team(number)).unwrap()
+    vms[0].wait_revision(10)
+    late = Vm(service, "late", [], is_watcher=False, slots=4)
+    vms.append(late)
+    late.wait_revision(10)
+    answer = late.sync.receive(ConfigRequest(0))
+    assert isinstance(answer, ConfigSnapshot | ConfigOffer)
+    assert decode_message(encode_message(answer)) == answer
+    assert late.sync.receive(ConfigRequest(10)) is None
+
+
+def test_offer_that_is_no_entry_is_dropped(cell):
+    service, vms = cell
+    vms.append(Vm(service, "vm", vms, is_watcher=True))
+    assert vms[0].sync.receive(ConfigOffer("x", [b"\xc1", b""])) is None
+    make_writer(service).submit(team(0)).unwrap()
+    vms[0].wait_revision(1)
+
+
+@pytest.mark.parametrize("members", [1, 2, 9, 130])
+def test_tree_reaches_every_member_once(members):
+    names = [f"vm-{number}" for number in range(members)]
+    for origin in (names[0], names[-1]):
+        reached = [origin]
+        for vm in reached:
+            children = children_of(vm, origin=origin, members=names)
+            assert len(children) <= 4
+            reached += children
+        assert sorted(reached) == sorted(names)
