Add the sessions of owners at upstreams

Cause: only the upstream can keep two owners apart while the store is away. Change: SessionGate is the rule of the upstream, Session is what its owner counts on its own clock; both are pure.

--- /dev/null
+++ b/packages/core/src/papayadyke_core/ownership/tests/test_session.py
@@ -0,0 +1,154 @@
+from papayadyke_core.ownership import (
+    Granted,
+    OpenRefusal,
+    OpenRequest,
+    Refused,
+    ReleaseRequest,
+    RenewRequest,
+    Session,
+    SessionGate,
+    SessionSettings,
+    SessionState,
+    StartRefusal,
+)
+
+SETTINGS = SessionSettings(ttl_s=6.0, margin_s=0.5, max_drift=0.01)
+UPSTREAM_AHEAD_S = 1000.0
+
+
+def make_session(gate=None, now=0.0):
+    session = Session("u", vm="a", incarnation=7, settings=SETTINGS)
+    if gate is not None:
+        session.want(5)
+        exchange(session, gate, now)
+    return session
+
+
+def exchange(session, gate, now):
+    request = session.next_request(now)
+    if isinstance(request, OpenRequest):
+        answer = gate.open(
+            request.vm,
+            request.incarnation,
+            request.epoch,
+            request.ttl_s,
+            now + UPSTREAM_AHEAD_S,
+        )
+    else:
+        answer = gate.renew(request.token, now + UPSTREAM_AHEAD_S)
+    return session.apply(request, answer, now + 0.1)
+
+
+def test_nothing_is_opened_that_is_not_wanted():
+    session = make_session()
+    assert session.next_request(0.0) is None
+    assert not session.may_start(0.0)
+    assert session.next_action_s(0.0) is None
+
+
+def test_an_open_session_starts_until_the_margin_before_its_lapse():
+    session = make_session(SessionGate())
+    assert session.may_start(0.1)
+    assert session.may_start(5.43)
+    assert not session.may_start(5.44)
+
+
+def test_a_pause_is_noticed_at_the_last_moment():
+    session = make_session(SessionGate())
+    assert session.may_start(1.0)
+    assert not session.may_start(60.0)
+    assert session.permit_start(60.0) is None
+    assert isinstance(session.next_request(60.0), OpenRequest)
+    assert session.state == SessionState.CLOSED
+
+
+def test_renewals_keep_the_session_and_its_token():
+    gate = SessionGate()
+    session = make_session(gate)
+    assert session.next_request(1.9) is None
+    assert session.next_action_s(1.9) == 6.0 * 0.99 / 3
+    assert exchange(session, gate, 2.0) is False
+    assert session.may_start(7.4)
+    assert session.token == 1
+
+
+def test_a_higher_epoch_is_told_without_a_new_token():
+    gate = SessionGate()
+    session = make_session(gate)
+    session.want(6)
+    assert exchange(session, gate, 1.0) is False
+    assert (session.token, gate.epoch) == (1, 6)
+    session.want(5)
+    assert session.next_request(1.5) is None
+
+
+def test_a_start_is_refused_by_the_upstream_once_it_is_closed():
+    gate = SessionGate()
+    session = make_session(gate)
+    permit = session.permit_start(2.0)
+    slowest = UPSTREAM_AHEAD_S + permit.closed_after_s * (1 - SETTINGS.max_drift)
+    late = gate.check_start(permit.token, permit.start_before_s, slowest)
+    assert late == StartRefusal.TOO_LATE
+    soon = gate.check_start(permit.token, permit.start_before_s, UPSTREAM_AHEAD_S + 2.5)
+    assert soon is None
+
+
+def test_a_lost_answer_is_asked_for_again_and_a_late_one_is_passed_over():
+    session = make_session()
+    session.want(5)
+    first = session.next_request(0.0)
+    assert session.next_request(0.5) is None
+    second = session.next_request(1.0)
+    assert not session.apply(first, Granted(1, 5, 6.0, 0.0), 1.1)
+    assert session.state == SessionState.CLOSED
+    assert not session.apply(second, None, 1.2)
+    assert session.next_request(1.3) is None
+    third = session.next_request(1.7)
+    assert session.apply(third, Granted(1, 5, 6.0, 0.0), 1.8)
+
+
+def test_a_superseded_owner_closes():
+    gate = SessionGate()
+    session = make_session(gate)
+    gate.open("b", 1, 6, 6.0, UPSTREAM_AHEAD_S + 1)
+    exchange(session, gate, 2.0)
+    assert session.state == SessionState.CLOSED
+    assert not session.may_start(2.1)
+
+
+def test_a_refusal_that_names_another_holder_closes():
+    session = make_session()
+    session.want(5)
+    request = session.next_request(0.0)
+    session.apply(request, Refused(OpenRefusal.HELD, 5, "b", 3.0), 0.1)
+    assert session.state == SessionState.CLOSED
+    assert session.next_request(0.2) is None
+    assert isinstance(session.next_request(0.7), OpenRequest)
+
+
+def test_handover_waits_for_starts_on_their_way_and_then_releases():
+    session = make_session(SessionGate())
+    closed_s = session.permit_start(1.0).closed_after_s
+    session.hand_over()
+    assert not session.may_start(1.0)
+    assert session.state == SessionState.HANDING_OVER
+    assert session.next_request(1.0) is None
+    assert session.next_action_s(1.0) == closed_s
+    assert session.next_request(closed_s) == ReleaseRequest("u", 1)
+    assert session.next_request(closed_s) is None
+
+
+def test_a_session_granted_after_it_was_given_up_is_released():
+    session = make_session()
+    session.want(5)
+    request = session.next_request(0.0)
+    session.hand_over()
+    session.apply(request, Granted(3, 5, 6.0, 0.0), 0.1)
+    assert not session.may_start(0.1)
+    assert session.next_request(0.2) == ReleaseRequest("u", 3)
+
+
+def test_a_renewal_is_not_sent_beside_another_request():
+    session = make_session(SessionGate())
+    assert isinstance(session.next_request(2.0), RenewRequest)
+    assert session.next_request(2.1) is None
--- /dev/null
+++ b/packages/core/src/papayadyke_core/ownership/tests/test_session_gate.py
@@ -0,0 +1,91 @@
+from papayadyke_core.ownership import (
+    Granted,
+    OpenRefusal,
+    Refused,
+    SessionGate,
+    StartRefusal,
+)
+
+
+def token_of(answer):
+    assert isinstance(answer, Granted)
+    return answer.token
+
+
+def reason_of(answer):
+    assert isinstance(answer, Refused)
+    return answer.reason
+
+
+def holder_of(answer):
+    assert isinstance(answer, Refused)
+    return answer.holder
+
+
+def test_one_session_stands_at_a_time():
+    gate = SessionGate()
+    first = gate.open("a", 1, 5, 6.0, 0.0)
+    assert first == Granted(token=1, epoch=5, ttl_s=6.0, upstream_now_s=0.0)
+    refused = gate.open("b", 1, 5, 6.0, 2.0)
+    assert refused == Refused(OpenRefusal.HELD, 5, "a", 4.0)
+    assert gate.check_start(1, 9.0, 5.9) is None
+
+
+def test_a_lapsed_session_is_taken_over_at_the_same_epoch_only_or_higher():
+    gate = SessionGate()
+    gate.open("a", 1, 5, 6.0, 0.0)
+    assert gate.open("b", 1, 4, 6.0, 6.0) == Refused(OpenRefusal.STALE_EPOCH, 5)
+    assert token_of(gate.open("b", 1, 5, 6.0, 6.0)) == 2
+    assert gate.check_start(1, 99.0, 6.0) == StartRefusal.STALE_TOKEN
+    assert holder_of(gate.renew(1, 6.0)) == "b"
+
+
+def test_a_higher_epoch_takes_over_at_once():
+    gate = SessionGate()
+    gate.open("a", 1, 5, 6.0, 0.0)
+    assert token_of(gate.open("b", 1, 6, 6.0, 0.1)) == 2
+    assert reason_of(gate.open("a", 1, 5, 6.0, 0.2)) == OpenRefusal.STALE_EPOCH
+    assert gate.holder(0.2) == "b"
+
+
+def test_the_holder_keeps_its_token_when_only_the_epoch_changes():
+    gate = SessionGate()
+    gate.open("a", 1, 5, 6.0, 0.0)
+    assert token_of(gate.open("a", 1, 6, 6.0, 1.0)) == 1
+    assert reason_of(gate.open("b", 1, 5, 6.0, 99.0)) == OpenRefusal.STALE_EPOCH
+
+
+def test_a_restarted_vm_supersedes_its_earlier_process():
+    gate = SessionGate()
+    gate.open("a", 1, 5, 6.0, 0.0)
+    assert token_of(gate.open("a", 2, 5, 6.0, 1.0)) == 2
+    assert reason_of(gate.open("a", 1, 5, 6.0, 1.0)) == OpenRefusal.STALE_INCARNATION
+    assert gate.check_start(1, 9.0, 1.0) == StartRefusal.STALE_TOKEN
+
+
+def test_starts_are_refused_late_and_after_the_lapse():
+    gate = SessionGate()
+    gate.open("a", 1, 5, 6.0, 0.0)
+    assert gate.check_start(1, 2.0, 2.0) == StartRefusal.TOO_LATE
+    assert gate.check_start(1, float("nan"), 2.0) == StartRefusal.TOO_LATE
+    assert gate.check_start(1, 99.0, 6.0) == StartRefusal.LAPSED
+    assert reason_of(gate.renew(1, 6.0)) == OpenRefusal.LAPSED
+    assert token_of(gate.open("a", 1, 5, 6.0, 7.0)) == 2
+
+
+def test_renewal_and_release():
+    gate = SessionGate(first_token=40)
+    gate.open("a", 1, 5, 6.0, 0.0)
+    assert gate.renew(40, 5.0) == Granted(40, 5, 6.0, 5.0)
+    assert gate.check_start(40, 99.0, 10.9) is None
+    assert not gate.release(39)
+    assert gate.release(40)
+    assert gate.check_start(40, 99.0, 10.9) == StartRefusal.STALE_TOKEN
+    assert token_of(gate.open("b", 1, 5, 6.0, 11.0)) == 41
+
+
+def test_a_time_to_live_out_of_bounds_is_refused():
+    gate = SessionGate()
+    for ttl_s in (0.0, -1.0, float("nan"), float("inf")):
+        assert reason_of(gate.open("a", 1, 1, ttl_s, 0.0)) == OpenRefusal.BAD_TTL
+    assert gate.holder(0.0) is None
