--- a/packages/core/src/papayadyke_core/placement/__init__.py
+++ b/packages/core/src/papayadyke_core/placement/__init__.py
@@ -1,5 +1,7 @@
 """Where tasks run: the upstreams of one owner and what is reserved on them."""
 
+from papayadyke_core.placement._fleet import Fleet, PlacementError
+from papayadyke_core.placement._settings import PlacementSettings
 from papayadyke_core.placement._spec import UpstreamSpec
 
-__all__ = ["UpstreamSpec"]
+__all__ = ["Fleet", "PlacementError", "PlacementSettings", "UpstreamSpec"]
