--- a/packages/core/src/papayadyke_core/placement/_policies.py
+++ b/packages/core/src/papayadyke_core/placement/_policies.py
@@ -144,6 +144,6 @@
 ) -> FloatColumn:
     free = columns.accelerators_free[rows]
     if demand.accelerators > 0:
-        left = (free - demand.accelerators).astype(np.float64)
-        return left / np.maximum(columns.accelerator_capacity[rows], 1)
+        capacity = columns.accelerator_capacity[rows]
+        return _fraction_left(free, demand.accelerators, capacity)
     return settings.accelerator_weight * (free > 0)
