--- a/packages/core/src/papayadyke_core/placement/_policies.py
+++ b/packages/core/src/papayadyke_core/placement/_policies.py
@@ -146,4 +146,5 @@
     if demand.accelerators > 0:
         capacity = columns.accelerator_capacity[rows]
         return _fraction_left(free, demand.accelerators, capacity)
-    return settings.accelerator_weight * (free > 0)
+    spared = (free > 0).astype(np.float64)
+    return np.multiply(spared, settings.accelerator_weight, dtype=np.float64)
