Hold sessions by the ownership aggregate, and test the stand-in upstream

Cause: the owner's side of a session and the upstream's rule now exist as pure aggregates; the agent and the stand-in had copies of their own.

--- a/packages/daemon/src/papayadyke_daemon/daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/daemon.py
@@ -69,7 +69,7 @@
     def start(self) -> None:
         """Start every part; the callers' listener comes last."""
         self.loop.start()
-        self.fleet.own(self.settings.upstreams)
+        self.fleet.own(self.settings.upstreams, epoch=1)
         self.callers.start()
         LOG.info("daemon: %s takes callers at %s:%d", self.settings.vm, *self.address)
 
--- a/packages/daemon/src/papayadyke_daemon/fleet/__init__.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/__init__.py
@@ -2,6 +2,5 @@
 
 from papayadyke_daemon.fleet._agent import Holder, UpstreamAgent
 from papayadyke_daemon.fleet._fleet import Fleet
-from papayadyke_daemon.fleet._session import Session
 
-__all__ = ["Fleet", "Holder", "Session", "UpstreamAgent"]
+__all__ = ["Fleet", "Holder", "UpstreamAgent"]
--- a/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
@@ -9,12 +9,21 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from result import Ok
+from result import Err, Ok, Result
 
-from papayadyke_core.placement import UpstreamSpec
+from papayadyke_core.ownership import (
+    Granted,
+    OpenRefusal,
+    OpenRequest,
+    Refused,
+    ReleaseRequest,
+    RenewRequest,
+    Session,
+    SessionSettings,
+    StartPermit,
+)
 from papayadyke_core.resources import Resources
 from papayadyke_core.scheduling import Outcome, RunningTask
-from papayadyke_daemon.fleet._session import Session
 from papayadyke_daemon.scheduler import (
     AddUpstream,
     Adopt,
@@ -24,14 +33,18 @@
 )
 from papayadyke_daemon.settings import FleetSettings, UpstreamAddress
 from papayadyke_platform.upstream import (
-    OpenRequest,
+    OpenMessage,
     RunningTaskMessage,
-    SessionState,
+    SessionRefused,
+    SessionReport,
     UpstreamClient,
 )
 
 LOG = logging.getLogger("papayadyke.fleet")
-STOP_TIMEOUT_S = 5.0
+STOP_TIMEOUT_S = 10.0
+MAX_IDLE_S = 1.0
+MIN_IDLE_S = 0.005
+UNREACHABLE = "unreachable"
 
 SchedulerMessage = AddUpstream | Adopt | DrainUpstream | Finish | RemoveUpstream
 
@@ -55,6 +68,10 @@
 class UpstreamAgent:
     """Opens, renews and releases the session of one upstream.
 
+    The session itself is guarded by a lock, because each start asks it for a
+    permit from the thread that sends the start. All else belongs to the agent's
+    own thread.
+
     Parameters
     ----------
     upstream : UpstreamAddress
@@ -62,8 +79,6 @@
     settings : FleetSettings
     send : callable
         Takes messages to the scheduler.
-    epoch : callable
-        Returns the epoch of the zone's ownership record.
     clock : callable, default=time.monotonic
     """
 
@@ -74,47 +89,80 @@
         holder: Holder,
         settings: FleetSettings,
         send: Callable[[SchedulerMessage], None],
-        epoch: Callable[[], int],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.upstream = upstream
         self.holder = holder
         self.settings = settings
         self.send = send
-        self.epoch = epoch
         self.clock = clock
         address = upstream.address
         self.client = UpstreamClient(
             address.host, address.port, connections=settings.connections
         )
-        self.session: Session | None = None
-        self.spec: UpstreamSpec | None = None
+        self._session = Session(
+            upstream.name,
+            vm=holder.vm,
+            incarnation=holder.incarnation,
+            settings=SessionSettings(
+                ttl_s=settings.session_ttl_s, margin_s=settings.expiry_margin_s
+            ),
+        )
+        self._lock = threading.Lock()
+        self._wake = threading.Event()
+        self._announced: int | None = None
         self._adopted: set[str] = set()
         self._watched: queue.SimpleQueue[Watched] = queue.SimpleQueue()
         self._unsettled: dict[str, float] = {}
         self._draining = False
-        self._boot_id = ""
-        self._stopping = threading.Event()
+        self._stopping = False
 
-    def start(self) -> None:
-        """Hold the session in the background."""
+    def start(self, epoch: int) -> None:
+        """Hold the session in the background, under an epoch."""
+        self.want(epoch)
         self._thread = threading.Thread(
             target=self._run, name=f"fleet-{self.upstream.name}", daemon=True
         )
         self._thread.start()
 
-    def stop(self) -> None:
-        """Release the session and end the thread."""
-        self._stopping.set()
+    def want(self, epoch: int) -> None:
+        """Own the upstream by the zone record of this epoch."""
+        with self._lock:
+            self._session.want(epoch)
+        self._wake.set()
+
+    def begin_stop(self) -> None:
+        """Start nothing more and release the session."""
+        with self._lock:
+            self._session.hand_over()
+        self._stopping = True
+        self._wake.set()
+
+    def join(self) -> None:
+        """Wait until the session is released."""
         self._thread.join(timeout=STOP_TIMEOUT_S)
 
-    def may_start(self) -> Session | None:
-        """Return the session if a start may be sent at this moment."""
-        session = self.session
-        if session is None:
-            return None
-        margin_s = self.settings.expiry_margin_s
-        return session if session.is_live(self.clock(), margin_s=margin_s) else None
+    def permit_start(self, token: int) -> StartPermit | None:
+        """Return what goes with a start that is sent now.
+
+        Parameters
+        ----------
+        token : int
+            The session under which the start was decided.
+
+        Returns
+        -------
+        permit : StartPermit or None
+            None where that session has ended.
+        """
+        with self._lock:
+            permit = self._session.permit_start(self.clock())
+        return None if permit is None or permit.token != token else permit
+
+    def is_held(self) -> bool:
+        """Tell whether a start could be sent at this moment."""
+        with self._lock:
+            return self._session.may_start(self.clock())
 
     def watch(self, task_id: str, start_before_s: float) -> None:
         """Finish a task of unknown outcome once it can neither run nor start.
@@ -128,87 +176,76 @@
         self._watched.put(Watched(task_id, start_before_s))
 
     def _run(self) -> None:
-        while True:
-            self._step()
-            if self._stopping.wait(self.settings.renew_period_s):
-                break
-        self._give_up()
-
-    def _step(self) -> None:
-        session = self.session
-        if session is None:
-            self._open()
-            return
-        asked_s = self.clock()
-        result = self.client.renew(session.token)
+        while not self._is_done():
+            self._wake.clear()
+            with self._lock:
+                request = self._session.next_request(self.clock())
+            if isinstance(request, ReleaseRequest):
+                self._announce(None)
+                self.client.release(request.token)
+            elif request is not None:
+                self._ask(request)
+            self._announce_lapse()
+            self._wake.wait(self._find_idle_s())
+        self._announce(None)
+        self.client.close()
+
+    def _is_done(self) -> bool:
+        with self._lock:
+            return self._stopping and self._session.token is None
+
+    def _find_idle_s(self) -> float:
+        with self._lock:
+            now = self.clock()
+            due_s = self._session.next_action_s(now)
+        if due_s is None:
+            return MAX_IDLE_S
+        return min(max(due_s - now, MIN_IDLE_S), MAX_IDLE_S)
+
+    def _ask(self, request: OpenRequest | RenewRequest) -> None:
+        if isinstance(request, RenewRequest):
+            result = self.client.renew(request.token)
+        else:
+            result = self.client.open(_write_open(request))
+        with self._lock:
+            is_new = self._session.apply(request, _read_answer(result), self.clock())
         if isinstance(result, Ok):
-            self._take(result.ok_value, asked_s)
-            return
-        lapsed = not session.is_live(self.clock(), margin_s=0.0)
-        if result.err_value.reason == "unreachable" and not lapsed:
-            return
-        LOG.warning(
-            "fleet: lost the session at %s: %s",
-            self.upstream.name,
-            result.err_value.reason,
-        )
-        self._forget()
-
-    def _open(self) -> None:
-        asked_s = self.clock()
-        req = OpenRequest(
-            vm=self.holder.vm,
-            incarnation=self.holder.incarnation,
-            epoch=self.epoch(),
-            ttl_s=self.settings.session_ttl_s,
-        )
-        result = self.client.open(req)
-        if not isinstance(result, Ok):
-            LOG.debug(
-                "fleet: no session at %s: %s",
-                self.upstream.name,
-                result.err_value.reason,
-            )
-            return
-        state = result.ok_value
-        LOG.info("fleet: session %d at %s", state.token, self.upstream.name)
-        self.spec = state.spec.to_spec()
-        self._boot_id = state.boot_id
-        self._draining = False
-        self.send(AddUpstream(self.spec, state.token))
-        for task in state.running:
-            self._adopt(task)
-        self._take(state, asked_s)
-
-    def _take(self, state: SessionState, asked_s: float) -> None:
-        self.session = Session(
-            token=state.token,
-            asked_s=asked_s,
-            ttl_s=self.settings.session_ttl_s,
-            clock_s=state.clock_s,
-        )
-        running = {task.task_id for task in state.running}
+            self._take(result.ok_value, is_new=is_new)
+
+    def _take(self, report: SessionReport, *, is_new: bool) -> None:
+        if is_new:
+            LOG.info("fleet: session %d at %s", report.token, self.upstream.name)
+            self._announce(report)
+        running = {task.task_id for task in report.running}
         self._finish_adopted(running)
-        self._finish_unsettled(running, state.clock_s)
-        if state.leaving and not self._draining:
+        self._finish_unsettled(running, report.clock_s)
+        if report.leaving and not self._draining:
             LOG.info("fleet: %s is leaving", self.upstream.name)
             self._draining = True
             self.send(DrainUpstream(self.upstream.name))
 
-    def _adopt(self, task: RunningTaskMessage) -> None:
-        demand = Resources(task.cpu_millis, task.memory_mb, task.accelerators)
-        self._adopted.add(task.task_id)
-        self.send(
-            Adopt(
-                RunningTask(
-                    task_id=task.task_id,
-                    request_id=task.request_id,
-                    workload=task.workload,
-                    upstream=self.upstream.name,
-                    demand=demand,
-                )
-            )
-        )
+    def _announce_lapse(self) -> None:
+        with self._lock:
+            token = self._session.token
+        if token is None and self._announced is not None:
+            LOG.warning("fleet: lost the session at %s", self.upstream.name)
+            self._announce(None)
+
+    def _announce(self, report: SessionReport | None) -> None:
+        """Tell the scheduler of a new session, or of the end of the last."""
+        if self._announced is not None:
+            self._announced = None
+            self._adopted.clear()
+            self._unsettled.clear()
+            self.send(RemoveUpstream(self.upstream.name))
+        if report is None:
+            return
+        self._announced = report.token
+        self._draining = False
+        self.send(AddUpstream(report.spec.to_spec(), report.token))
+        for task in report.running:
+            self._adopted.add(task.task_id)
+            self.send(Adopt(_read_task(task, self.upstream.name)))
 
     def _finish_adopted(self, running: set[str]) -> None:
         for task_id in self._adopted - running:
@@ -224,15 +261,44 @@
                 del self._unsettled[task_id]
                 self.send(Finish(task_id, Outcome.LOST))
 
-    def _forget(self) -> None:
-        self.session = None
-        self._adopted.clear()
-        self._unsettled.clear()
-        self.send(RemoveUpstream(self.upstream.name))
-
-    def _give_up(self) -> None:
-        session = self.session
-        if session is not None:
-            self._forget()
-            self.client.release(session.token)
-        self.client.close()
+
+def _write_open(request: OpenRequest) -> OpenMessage:
+    return OpenMessage(
+        vm=request.vm,
+        incarnation=request.incarnation,
+        epoch=request.epoch,
+        ttl_s=request.ttl_s,
+    )
+
+
+def _read_answer(
+    result: Result[SessionReport, SessionRefused],
+) -> Granted | Refused | None:
+    if isinstance(result, Err):
+        return _read_refusal(result.err_value)
+    report = result.ok_value
+    return Granted(
+        token=report.token,
+        epoch=report.epoch,
+        ttl_s=report.ttl_s,
+        upstream_now_s=report.clock_s,
+    )
+
+
+def _read_refusal(refused: SessionRefused) -> Refused | None:
+    """Return the refusal, or None where the answer tells nothing."""
+    try:
+        reason = OpenRefusal(refused.reason)
+    except ValueError:
+        return None
+    return Refused(reason, refused.epoch, refused.holder, refused.remaining_s)
+
+
+def _read_task(task: RunningTaskMessage, upstream: str) -> RunningTask:
+    return RunningTask(
+        task_id=task.task_id,
+        request_id=task.request_id,
+        workload=task.workload,
+        upstream=upstream,
+        demand=Resources(task.cpu_millis, task.memory_mb, task.accelerators),
+    )
--- a/packages/daemon/src/papayadyke_daemon/fleet/_fleet.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_fleet.py
@@ -34,42 +34,53 @@
         self.settings = settings
         self.send = send
         self.clock = clock
-        self.epoch = 1
         self._agents: dict[str, UpstreamAgent] = {}
         self._lock = threading.Lock()
 
-    def own(self, upstreams: Iterable[UpstreamAddress]) -> None:
-        """Hold sessions at these upstreams and release all others."""
+    def own(self, upstreams: Iterable[UpstreamAddress], *, epoch: int) -> None:
+        """Hold sessions at these upstreams and release all others.
+
+        Parameters
+        ----------
+        upstreams : iterable of UpstreamAddress
+        epoch : int
+            Epoch of the zone record that says so.
+        """
         wanted = {upstream.name: upstream for upstream in upstreams}
         with self._lock:
             surplus = [name for name in self._agents if name not in wanted]
             leaving = [self._agents.pop(name) for name in surplus]
             for name, upstream in wanted.items():
-                if name not in self._agents:
-                    self._agents[name] = self._start_agent(upstream)
+                self._want(name, upstream, epoch)
+        for agent in leaving:
+            agent.begin_stop()
         for agent in leaving:
-            agent.stop()
+            agent.join()
 
     def find(self, name: str) -> UpstreamAgent | None:
         """Return the agent of an upstream, or None."""
         return self._agents.get(name)
 
-    def list_held(self) -> list[UpstreamAgent]:
-        """Return the agents that hold a session now."""
-        return [a for a in list(self._agents.values()) if a.may_start() is not None]
+    def list_held(self) -> list[str]:
+        """Return the names of the upstreams whose session is held now."""
+        agents = list(self._agents.items())
+        return [name for name, agent in agents if agent.is_held()]
 
     def stop(self) -> None:
         """Release every session."""
-        self.own(())
+        self.own((), epoch=0)
 
-    def _start_agent(self, upstream: UpstreamAddress) -> UpstreamAgent:
+    def _want(self, name: str, upstream: UpstreamAddress, epoch: int) -> None:
+        agent = self._agents.get(name)
+        if agent is not None:
+            agent.want(epoch)
+            return
         agent = UpstreamAgent(
             upstream,
             holder=self.holder,
             settings=self.settings,
             send=self.send,
-            epoch=lambda: self.epoch,
             clock=self.clock,
         )
-        agent.start()
-        return agent
+        agent.start(epoch)
+        self._agents[name] = agent
--- a/packages/daemon/src/papayadyke_daemon/serving/_run.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/_run.py
@@ -10,10 +10,11 @@
 
 from result import Err, Ok, Result
 
+from papayadyke_core.ownership import StartPermit
 from papayadyke_core.scheduling import Outcome, Refuse, Request, Stop
 from papayadyke_core.verdicts import Reason, Refusal, Verdict
 from papayadyke_core.workloads import Config, Workload
-from papayadyke_daemon.fleet import Fleet, Session, UpstreamAgent
+from papayadyke_daemon.fleet import Fleet, UpstreamAgent
 from papayadyke_daemon.scheduler import Finish, Placed, SchedulerLoop, Submit
 from papayadyke_daemon.serving._ids import IdSource
 from papayadyke_platform.upstream import (
@@ -177,33 +178,32 @@
         raise TypeError("a request that waits can't be stopped")
 
     def _call(self, order: RunOrder, progress: _Progress, placed: Placed) -> CallResult:
-        agent = self.fleet.find(placed.start.upstream)
-        session = None if agent is None else agent.may_start()
         remaining_s = order.deadline_s - self.clock()
-        if agent is None or session is None or session.token != placed.token:
-            return NotStarted("the session at the upstream has ended")
         if remaining_s <= 0.0:
             return NotStarted("the deadline has passed")
-        progress.attempts += 1
         limit_s = min(remaining_s, progress.workload.timeout_s)
-        call = self._make_call(order, agent, session, placed)
         until_s = self.clock() + limit_s
+        agent = self.fleet.find(placed.start.upstream)
+        permit = None if agent is None else agent.permit_start(placed.token)
+        if agent is None or permit is None:
+            return NotStarted("the session at the upstream has ended")
+        progress.attempts += 1
+        call = self._make_call(order, permit, placed)
         outcome = agent.client.run(call, timeout_s=min(limit_s, PROBE_AFTER_S))
         if isinstance(outcome, Lost):
             outcome = self._resolve(agent, call, until_s)
         return outcome
 
     def _make_call(
-        self, order: RunOrder, agent: UpstreamAgent, session: Session, placed: Placed
+        self, order: RunOrder, permit: StartPermit, placed: Placed
     ) -> TaskCall:
-        margin_s = agent.settings.expiry_margin_s
         return TaskCall(
             task_id=placed.start.task_id,
             request_id=order.request_id,
             workload=order.workload,
             demand=placed.start.demand,
-            token=session.token,
-            start_before_s=session.start_before(margin_s=margin_s),
+            token=permit.token,
+            start_before_s=permit.start_before_s,
             lease_s=self.task_lease_s,
             payload=order.payload,
             content_type=order.content_type,
--- a/packages/daemon/src/papayadyke_daemon/settings/_settings.py
+++ b/packages/daemon/src/papayadyke_daemon/settings/_settings.py
@@ -63,7 +63,6 @@
     """How sessions at upstreams are held."""
 
     session_ttl_s: float = 6.0
-    renew_period_s: float = 1.0
     expiry_margin_s: float = 0.5
     task_lease_s: float = 30.0
     connections: int = 60
--- a/packages/platform/src/papayadyke_platform/upstream/__init__.py
+++ b/packages/platform/src/papayadyke_platform/upstream/__init__.py
@@ -13,10 +13,10 @@
 )
 from papayadyke_platform.upstream._messages import (
     PROTOCOL_HEADERS,
-    OpenRefused,
-    OpenRequest,
+    OpenMessage,
     RunningTaskMessage,
-    SessionState,
+    SessionRefused,
+    SessionReport,
     SpecMessage,
     TaskEnd,
 )
@@ -28,11 +28,11 @@
     "Failed",
     "Lost",
     "NotStarted",
-    "OpenRefused",
-    "OpenRequest",
+    "OpenMessage",
     "Running",
     "RunningTaskMessage",
-    "SessionState",
+    "SessionRefused",
+    "SessionReport",
     "SpecMessage",
     "Stopped",
     "TaskCall",
--- a/packages/platform/src/papayadyke_platform/upstream/_client.py
+++ b/packages/platform/src/papayadyke_platform/upstream/_client.py
@@ -14,9 +14,9 @@
 from papayadyke_core.resources import Resources
 from papayadyke_platform.upstream._messages import (
     PROTOCOL_HEADERS,
-    OpenRefused,
-    OpenRequest,
-    SessionState,
+    OpenMessage,
+    SessionRefused,
+    SessionReport,
     TaskEnd,
 )
 
@@ -130,18 +130,18 @@
         self._tasks = self._make_pool(connections)
         self._control = self._make_pool(2)
 
-    def open(self, req: OpenRequest) -> Result[SessionState, OpenRefused]:
+    def open(self, req: OpenMessage) -> Result[SessionReport, SessionRefused]:
         """Ask for the session.
 
         Returns
         -------
-        result : Result of SessionState or OpenRefused
+        result : Result of SessionReport or SessionRefused
             The reason `unreachable` tells that no answer came.
         """
         body = msgspec.json.encode(req)
         return self._session_call("POST", "/session", body)
 
-    def renew(self, token: int) -> Result[SessionState, OpenRefused]:
+    def renew(self, token: int) -> Result[SessionReport, SessionRefused]:
         """Keep the session, and the leases of its tasks, for another time."""
         return self._session_call("PUT", f"/session/{token}", b"")
 
@@ -237,16 +237,16 @@
 
     def _session_call(
         self, method: str, path: str, body: bytes
-    ) -> Result[SessionState, OpenRefused]:
+    ) -> Result[SessionReport, SessionRefused]:
         try:
             answer = self._request(self._control, method, path, body)
         except HTTPError as exc:
             self._control.close()
             self._control = self._make_pool(2)
-            return Err(OpenRefused(reason="unreachable", holder=type(exc).__name__))
+            return Err(SessionRefused(reason="unreachable", holder=type(exc).__name__))
         if answer.status == 200:
-            return _decode(answer.data, SessionState)
-        refused = _decode(answer.data, OpenRefused)
+            return _decode(answer.data, SessionReport)
+        refused = _decode(answer.data, SessionRefused)
         return Err(refused.unwrap() if isinstance(refused, Ok) else refused.err())
 
     def _request(
@@ -279,7 +279,7 @@
     try:
         return Ok(msgspec.json.decode(data, type=message))
     except msgspec.DecodeError:
-        return Err(OpenRefused(reason="bad_answer"))
+        return Err(SessionRefused(reason="bad_answer"))
 
 
 def _start_headers(call: TaskCall) -> Mapping[str, str]:
--- a/packages/platform/src/papayadyke_platform/upstream/_messages.py
+++ b/packages/platform/src/papayadyke_platform/upstream/_messages.py
@@ -93,7 +93,7 @@
     accelerators: int
 
 
-class OpenRequest(msgspec.Struct, frozen=True):
+class OpenMessage(msgspec.Struct, frozen=True):
     """Ask for the session of an upstream."""
 
     vm: str
@@ -102,13 +102,17 @@
     ttl_s: float
 
 
-class SessionState(msgspec.Struct, frozen=True):
+class SessionReport(msgspec.Struct, frozen=True):
     """What the upstream tells the holder of its session.
 
     Parameters
     ----------
     token : int
         Fencing token: grows with each session that is granted.
+    epoch : int
+        Epoch under which it was granted last.
+    ttl_s : float
+        The session lapses when it has not been renewed for so long.
     boot_id : str
         Changes when the upstream restarts and its tasks are gone.
     clock_s : float
@@ -122,6 +126,8 @@
     """
 
     token: int
+    epoch: int
+    ttl_s: float
     boot_id: str
     clock_s: float
     spec: SpecMessage
@@ -130,9 +136,10 @@
     leaving: bool = False
 
 
-class OpenRefused(msgspec.Struct, frozen=True):
+class SessionRefused(msgspec.Struct, frozen=True):
     """Why a session was refused, who holds it and for how long."""
 
     reason: str
-    holder: str = ""
+    epoch: int = 0
+    holder: str | None = None
     remaining_s: float = 0.0
--- /dev/null
+++ b/packages/standins/src/papayadyke_standins/upstream/tests/test_upstream_standin.py
@@ -0,0 +1,173 @@
+import contextlib
+import threading
+
+import msgspec
+import pytest
+
+from papayadyke_core.placement import UpstreamSpec
+from papayadyke_core.resources import Resources
+from papayadyke_platform.upstream import (
+    Answered,
+    Failed,
+    Lost,
+    NotStarted,
+    OpenMessage,
+    Running,
+    Stopped,
+    TaskCall,
+    UpstreamClient,
+)
+from papayadyke_standins.upstream import Faults, UpstreamStandin
+
+SPEC = UpstreamSpec(
+    name="quote-1",
+    availability_zone="hobart",
+    rack="rack-1",
+    capacity=Resources(4000, 4096),
+    slots=2,
+)
+SHORT_S = 0.3
+LONG_S = 20.0
+
+
+@pytest.fixture
+def upstream():
+    standin = UpstreamStandin(SPEC)
+    standin.start()
+    yield standin
+    standin.stop()
+
+
+@pytest.fixture
+def client(upstream):
+    client = UpstreamClient(*upstream.address, connections=4)
+    yield client
+    client.close()
+
+
+def open_session(client, *, vm="vm-1", epoch=1, ttl_s=60.0):
+    return client.open(OpenMessage(vm=vm, incarnation=1, epoch=epoch, ttl_s=ttl_s))
+
+
+def make_call(report, task_id="r1/0/1", *, work_s=0.0, **changes):
+    fields = {
+        "task_id": task_id,
+        "request_id": task_id.partition("/")[0],
+        "workload": "rcd-check",
+        "demand": Resources(1000, 512),
+        "token": report.token,
+        "start_before_s": report.clock_s + 30.0,
+        "lease_s": 30.0,
+        "payload": msgspec.json.encode({"work_seconds": work_s}),
+    }
+    return TaskCall(**(fields | changes))
+
+
+@contextlib.contextmanager
+def run_in_background(client, call, timeout_s=LONG_S):
+    results = []
+    thread = threading.Thread(
+        target=lambda: results.append(client.run(call, timeout_s=timeout_s))
+    )
+    thread.start()
+    yield results
+    thread.join()
+
+
+def wait_until(condition):
+    for _ in range(2000):
+        if condition():
+            return
+        threading.Event().wait(0.005)
+    raise AssertionError("waited in vain")
+
+
+def test_answer_belongs_to_the_payload(client):
+    report = open_session(client).unwrap()
+    payload = b'{"items": [{"quantity": 2, "unit_price": 10.5}], "status": 201}'
+    answer = client.run(make_call(report, payload=payload), timeout_s=LONG_S)
+    assert isinstance(answer, Answered)
+    assert answer.status == 201
+    assert msgspec.json.decode(answer.body)["total"] == 21.0
+
+
+def test_session_is_held_by_one_vm_until_a_higher_epoch(client):
+    first = open_session(client).unwrap()
+    assert open_session(client, vm="vm-2").unwrap_err().holder == "vm-1"
+    open_session(client, vm="vm-2", epoch=2).unwrap()
+    outcome = client.run(make_call(first), timeout_s=LONG_S)
+    assert outcome == NotStarted("stale_token")
+
+
+def test_start_past_its_time_is_refused(client):
+    report = open_session(client).unwrap()
+    call = make_call(report, start_before_s=report.clock_s - 1.0)
+    assert client.run(call, timeout_s=LONG_S) == NotStarted("too_late")
+
+
+def test_task_resolved_as_never_started_can_not_start_late(client):
+    report = open_session(client).unwrap()
+    assert isinstance(client.resolve("r1/0/1"), NotStarted)
+    outcome = client.run(make_call(report), timeout_s=LONG_S)
+    assert outcome == NotStarted("resolved_before")
+
+
+def test_lost_answer_is_found_by_resolving(client, upstream):
+    report = open_session(client).unwrap()
+    upstream.order_faults(Faults(lose_answers=True))
+    assert isinstance(client.run(make_call(report), timeout_s=LONG_S), Lost)
+    assert isinstance(client.resolve("r1/0/1"), Answered)
+
+
+def test_connection_gone_silent_is_got_round_by_a_new_one(client, upstream):
+    report = open_session(client).unwrap()
+    client.run(make_call(report, "r0/0/1"), timeout_s=LONG_S)
+    upstream.order_faults(Faults(silent_old=True))
+    assert isinstance(client.run(make_call(report), timeout_s=SHORT_S), Lost)
+    assert isinstance(client.resolve("r1/0/1"), NotStarted)
+
+
+def test_running_task_is_listed_stopped_and_told_as_stopped(client, upstream):
+    report = open_session(client).unwrap()
+    with run_in_background(client, make_call(report, work_s=LONG_S)) as results:
+        wait_until(upstream.book.list_running)
+        assert isinstance(client.resolve("r1/0/1"), Running)
+        renewed = client.renew(report.token).unwrap()
+        assert [task.task_id for task in renewed.running] == ["r1/0/1"]
+        assert client.stop("r1/0/1")
+    assert results == [Stopped()]
+
+
+def test_start_over_capacity_is_refused_and_recorded(client, upstream):
+    report = open_session(client).unwrap()
+    call = make_call(report, demand=Resources(5000, 1))
+    assert client.run(call, timeout_s=LONG_S) == NotStarted("over_capacity")
+    assert upstream.book.breaches == ["r1/0/1: over_capacity"]
+
+
+def test_second_attempt_of_a_running_task_is_refused(client, upstream):
+    report = open_session(client).unwrap()
+    with run_in_background(client, make_call(report, work_s=LONG_S)):
+        wait_until(upstream.book.list_running)
+        outcome = client.run(make_call(report, "r1/0/2"), timeout_s=LONG_S)
+        assert outcome == NotStarted("runs_already")
+        client.stop("r1/0/1")
+
+
+def test_failing_upstream_says_failed(client, upstream):
+    report = open_session(client).unwrap()
+    upstream.order_faults(Faults(fail_all=True))
+    outcome = client.run(make_call(report), timeout_s=LONG_S)
+    assert isinstance(outcome, Failed)
+
+
+def test_unrenewed_task_lease_stops_the_task(client, upstream):
+    report = open_session(client).unwrap()
+    call = make_call(report, work_s=LONG_S, lease_s=SHORT_S)
+    assert client.run(call, timeout_s=LONG_S) == Stopped()
+
+
+def test_refused_connection_is_known_not_to_have_started():
+    client = UpstreamClient("127.0.0.1", 1)
+    report = type("Report", (), {"token": 1, "clock_s": 0.0})()
+    assert isinstance(client.run(make_call(report), timeout_s=SHORT_S), NotStarted)
