Count service levels by the minute and report their burn

Change: a recorder cuts a bucket a minute, buckets are merged over VMs and rolled up by the hour, the report gives burn over eight windows, alerts, percentiles, refusals by reason, floors kept, cost of control, and the gaps left by lost VMs.

--- /dev/null
+++ b/packages/core/src/papayadyke_core/slo/tests/test_slo.py
@@ -0,0 +1,160 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from papayadyke_core.slo import (
+    LoadSample,
+    Observation,
+    Recorder,
+    RecorderSettings,
+    VmUsage,
+    decode_bucket,
+    decode_rollup,
+    encode_bucket,
+    encode_rollup,
+    make_report,
+    roll_up,
+)
+from papayadyke_core.verdicts import Reason, Refusal, Verdict
+from papayadyke_core.workloads import SloTarget
+
+START = 1_800_000_000.0
+TARGET = SloTarget(wait_s=0.5, answered_share=0.9)
+FULL = Refusal(Verdict.NOT_RUN, Reason.QUEUE_FULL, "full", holders=("tally",))
+LOST = Refusal(Verdict.MAY_HAVE_RUN, Reason.UPSTREAM_LOST, "lost")
+
+
+def observe(recorder, at, *, wait_s=0.1, refusal=None, request_id="r"):
+    recorder.observe(
+        Observation(
+            request_id=request_id,
+            workload="order",
+            at=at,
+            wait_s=wait_s,
+            refusal=refusal,
+            target=TARGET,
+            preset="peak",
+            revision=7,
+        )
+    )
+
+
+def make_buckets(vm="vm-1", *, good=8, late=1, refused=1, minutes=1, is_last=True):
+    recorder = Recorder(vm, 1)
+    for minute in range(minutes):
+        at = START + 60 * minute
+        for _ in range(good):
+            observe(recorder, at)
+        for _ in range(late):
+            observe(recorder, at, wait_s=2.0)
+        for _ in range(refused):
+            observe(recorder, at, refusal=FULL)
+    return recorder.cut(START + 60 * (minutes - 1), is_last=is_last)
+
+
+def test_report_says_what_burned_the_budget():
+    report = make_report(make_buckets(), [], at=START + 30, window_s=3600)
+    burn = report.workloads[0]
+    assert (burn.total, burn.good, burn.late) == (10, 8, 1)
+    assert burn.refused == {"queue_full": 1}
+    assert burn.budget_left == pytest.approx(-1.0)
+    assert [w.burn_rate for w in burn.windows] == pytest.approx([2.0] * 8)
+    assert report.gaps == ()
+
+
+def test_alert_rings_only_while_both_windows_burn():
+    bad = make_buckets(good=0, late=0, refused=10)
+    now = make_report(bad, [], at=START + 30, window_s=3600).workloads[0]
+    later = make_report(bad, [], at=START + 1800, window_s=3600).workloads[0]
+    assert any(alert.startswith("page: over 6 ") for alert in now.alerts)
+    assert not any("300 s" in alert for alert in later.alerts)
+
+
+def test_counts_of_vms_are_merged_with_their_waits():
+    buckets = make_buckets("vm-1") + make_buckets("vm-2", late=0)
+    burn = make_report(buckets, [], at=START + 30, window_s=3600).workloads[0]
+    assert burn.total == 19
+    assert burn.wait_ms["p50"] == pytest.approx(100, rel=0.02)
+    assert burn.wait_ms["p99"] == pytest.approx(2000, rel=0.02)
+
+
+def test_lost_vm_is_said_and_a_planned_stop_is_not():
+    planned = make_buckets("vm-1", is_last=True)
+    assert make_report(planned, [], at=START + 600, window_s=3600).gaps == ()
+    recorder = Recorder("vm-2", 5)
+    observe(recorder, START)
+    observe(recorder, START + 60)
+    cut = recorder.cut(START + 60)
+    gap = make_report(cut, [], at=START + 600, window_s=3600).gaps[0]
+    assert (gap.vm, gap.is_end) == ("vm-2", True)
+
+
+def test_minute_missing_in_the_middle_is_said():
+    buckets = make_buckets(minutes=3)
+    del buckets[1]
+    gaps = make_report(buckets, [], at=START + 180, window_s=3600).gaps
+    assert [(gap.minutes, gap.is_end) for gap in gaps] == [(1, False)]
+
+
+def test_rollup_and_its_own_buckets_are_counted_once():
+    buckets = make_buckets(minutes=3)
+    hour = int(START // 3600)
+    rollup = decode_rollup(encode_rollup(roll_up(buckets + buckets, hour=hour)))
+    burn = make_report(buckets, [rollup], at=START + 180, window_s=7200)
+    assert burn.workloads[0].total == 30
+
+
+def test_may_have_run_is_counted_apart():
+    recorder = Recorder("vm-1", 1)
+    observe(recorder, START, refusal=LOST)
+    bucket = recorder.cut(START, is_last=True)[0]
+    assert bucket.workloads["order"].may_have_run == {"upstream_lost": 1}
+    assert bucket.workloads["order"].refused == {}
+
+
+def test_flood_of_refusals_keeps_counts_exact_and_ids_bounded():
+    recorder = Recorder("vm-1", 1, settings=RecorderSettings(refused_kept=10))
+    for number in range(1000):
+        observe(recorder, START, refusal=FULL, request_id=f"r{number}")
+    bucket = decode_bucket(encode_bucket(recorder.cut(START, is_last=True)[0]))
+    assert bucket.workloads["order"].refused == {"queue_full": 1000}
+    assert [item.request_id for item in bucket.refused][-1] == "r999"
+    assert len(bucket.refused) == 10
+    assert bucket.refused[0].holders == ("tally",)
+
+
+def test_clock_set_back_opens_no_earlier_minute():
+    recorder = Recorder("vm-1", 1)
+    observe(recorder, START + 120)
+    observe(recorder, START)
+    bucket = recorder.cut(START + 240)[0]
+    assert bucket.workloads["order"].answered == 2
+
+
+def test_floor_is_kept_unless_requests_wait_under_it():
+    recorder = Recorder("vm-1", 1)
+    observe(recorder, START)
+    recorder.sample(LoadSample("order", 2.0, 0.1, 0.2, queued=3), START)
+    recorder.sample(LoadSample("order", 2.0, 0.3, 0.2, queued=3), START)
+    recorder.sample(LoadSample("order", 9.0, 0.0, 0.2, queued=0), START)
+    recorder.add_usage(VmUsage(cpu_s=0.13, sampled_s=13.0), START)
+    cut = recorder.cut(START, is_last=True)
+    report = make_report(cut, [], at=START + 30, window_s=3600)
+    assert report.workloads[0].floor_kept == pytest.approx(0.5)
+    assert report.control_cpu_share == pytest.approx(0.01)
+
+
+@given(st.lists(st.integers(min_value=0, max_value=600), max_size=60))
+def test_every_observation_is_in_exactly_one_bucket(offsets):
+    recorder = Recorder("vm-1", 1)
+    buckets = []
+    for offset in offsets:
+        observe(recorder, START + offset)
+        buckets += recorder.cut(START + offset)
+    buckets += recorder.cut(START + 600, is_last=True)
+    minutes = [bucket.minute for bucket in buckets]
+    total = sum(
+        counts.answered for bucket in buckets for counts in bucket.workloads.values()
+    )
+    assert total == len(offsets)
+    assert len(set(minutes)) == len(minutes)
--- a/packages/daemon/src/papayadyke_daemon/main.py
+++ b/packages/daemon/src/papayadyke_daemon/main.py
@@ -10,6 +10,7 @@
 import typer
 from result import Err
 
+from papayadyke_core.workloads import ConfigModel
 from papayadyke_daemon._logs import set_up_logs
 from papayadyke_daemon.daemon import Daemon
 from papayadyke_daemon.embedded import Embedded
@@ -30,6 +31,12 @@
 @app.command()
 def serve(
     settings: Annotated[Path, typer.Option(help="Settings file in JSON.")],
+    config: Annotated[
+        Path | None, typer.Option(help="Configuration to start with, in JSON.")
+    ] = None,
+    port_file: Annotated[
+        Path | None, typer.Option(help="File that gets the callers' port.")
+    ] = None,
 ) -> None:
     """Run the daemon until SIGTERM or Ctrl-C, then drain."""
     loaded = load_settings(settings)
@@ -39,7 +46,12 @@
     set_up_logs(loaded.unwrap().log)
     daemon = Daemon(loaded.unwrap())
     daemon.start()
+    if config is not None:
+        model = ConfigModel.model_validate_json(config.read_bytes())
+        daemon.apply_config(model.to_config())
     host, port = daemon.address
+    if port_file is not None:
+        port_file.write_text(str(port))
     typer.echo(f"papayadyked takes callers at http://{host}:{port}")
     ending.wait()
     drained = daemon.drain()
