Schedule by fair shares, with admission, floors, gangs and refusals

Cause: nothing decided yet which request runs next. Change: the Scheduler composes admission (bounded queues, learned run times and service rates, deadlines), sharing (teams, weights, floors, ceilings, reserve for urgent work), placement and health of upstreams, stops of preemptible tasks for floors, room held for gangs, and a ledger of refusals.

--- /dev/null
+++ b/packages/core/src/papayadyke_core/admission/__init__.py
@@ -0,0 +1,18 @@
+"""Which requests are queued, for how long, and what is learned while they wait."""
+
+from papayadyke_core.admission._arrivals import ArrivalRate
+from papayadyke_core.admission._deadlines import DeadlineQueue
+from papayadyke_core.admission._queue import QueuedRequest, WorkloadQueue
+from papayadyke_core.admission._run_times import RunTimes
+from papayadyke_core.admission._service_rate import ServiceRate
+from papayadyke_core.admission._settings import AdmissionSettings
+
+__all__ = [
+    "AdmissionSettings",
+    "ArrivalRate",
+    "DeadlineQueue",
+    "QueuedRequest",
+    "RunTimes",
+    "ServiceRate",
+    "WorkloadQueue",
+]
--- a/packages/core/src/papayadyke_core/scheduling/__init__.py
+++ b/packages/core/src/papayadyke_core/scheduling/__init__.py
@@ -1,5 +1,8 @@
 """Which request runs next, where, and which is refused."""
 
+from papayadyke_core.scheduling._running import SchedulingError
+from papayadyke_core.scheduling._scheduler import Scheduler
+from papayadyke_core.scheduling._settings import SchedulerSettings
 from papayadyke_core.scheduling._types import (
     CancelResult,
     Decision,
@@ -23,7 +26,10 @@
     "Refuse",
     "Request",
     "RunningTask",
+    "Scheduler",
     "SchedulerProtocol",
+    "SchedulerSettings",
+    "SchedulingError",
     "Start",
     "Stop",
     "StopWay",
--- /dev/null
+++ b/packages/core/src/papayadyke_core/scheduling/_starts.py
@@ -0,0 +1,295 @@
+"""One pass over the waiting work: what is started, in which order, and where."""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass, field
+
+from papayadyke_core.admission import QueuedRequest
+from papayadyke_core.scheduling._book import Book
+from papayadyke_core.scheduling._room_hold import HeldRoom, RoomHold, plan_hold
+from papayadyke_core.scheduling._running import SchedulingError
+from papayadyke_core.scheduling._state import WorkloadState
+from papayadyke_core.scheduling._types import Start
+from papayadyke_core.sharing import Limit, Phase, Rank, Reserve, needed_tasks
+from papayadyke_core.workloads import Kind
+
+_LATE_GROWTH = 0.1
+_AVOID_S = 0.25
+_HOLD_EVERY_S = 0.5
+
+
+@dataclass(slots=True)
+class _Pass:
+    """What one pass over the waiting work has done so far."""
+
+    now: float
+    for_urgent: Reserve
+    for_floors: Reserve
+    hold: RoomHold | None
+    starts: list[Start] = field(default_factory=list)
+    more: bool = False
+    floors_checked: bool = False
+
+
+def start_waiting(book: Book, now: float) -> tuple[list[Start], bool]:
+    """Start what can be started.
+
+    Parameters
+    ----------
+    book : Book
+    now : float
+
+    Returns
+    -------
+    starts : list of Start
+    more : bool
+        Whether work was left only because one decision starts no more.
+    """
+    book.resize()
+    if not book.backlog:
+        return [], False
+    run = _Pass(now, *_reserves(book, now), book.live_hold())
+    heap: list[tuple[Rank, float, int, WorkloadState]] = [
+        (_rank(book, state, now), state.last_start_s, order, state)
+        for order, state in enumerate(book.backlog.values())
+    ]
+    heapq.heapify(heap)
+    blocked: list[WorkloadState] = []
+    while heap:
+        if len(run.starts) >= book.settings.max_starts:
+            run.more = True
+            break
+        rank, _, order, state = heap[0]
+        fresh = _rank(book, state, now)
+        if fresh > rank:
+            heapq.heapreplace(heap, (fresh, state.last_start_s, order, state))
+            continue
+        if fresh.phase is Phase.SHARE and not run.floors_checked:
+            _check_floors(book, blocked)
+            run.floors_checked = True
+        limit = _start_head(book, run, state, fresh.phase)
+        if limit is not None:
+            state.blocked_by = limit
+            blocked.append(state)
+            heapq.heappop(heap)
+        elif len(state.queue) == 0:
+            heapq.heappop(heap)
+        else:
+            fresh = _rank(book, state, now)
+            heapq.heapreplace(heap, (fresh, state.last_start_s, order, state))
+    _note_floors(book, blocked, now)
+    return run.starts, run.more
+
+
+def _rank(book: Book, state: WorkloadState, now: float) -> Rank:
+    head = state.queue.head()
+    overdue_s = book.settings.sharing.overdue_s
+    overdue = head is not None and state.is_overdue(head, now, overdue_s)
+    return book.shares.rank(state.account, overdue=overdue)
+
+
+def _check_floors(book: Book, blocked: list[WorkloadState]) -> None:
+    """Check that no workload under its floor is passed over by one above it.
+
+    Once is enough in a pass: a start brings no workload under its floor.
+    """
+    passed = set(map(id, blocked))
+    for state in book.backlog.values():
+        if state.account.below_floor and id(state) not in passed:
+            raise SchedulingError(f"scheduling: {state.name} is passed over")
+
+
+def _note_floors(book: Book, blocked: list[WorkloadState], now: float) -> None:
+    for state in blocked:
+        waits_for_room = state.blocked_by is not Limit.CEILING
+        if not state.account.below_floor or not waits_for_room:
+            state.below_floor_since_s = None
+        elif state.below_floor_since_s is None:
+            state.below_floor_since_s = now
+
+
+def _start_head(
+    book: Book, run: _Pass, state: WorkloadState, phase: Phase
+) -> Limit | None:
+    """Start the next task, or the next gang, of a workload.
+
+    Returns
+    -------
+    limit : Limit or None
+        What forbids it, or None where it has been started.
+    """
+    request = state.queue.head()
+    if request is None:
+        raise SchedulingError(f"scheduling: the queue of {state.name} is empty")
+    gang = state.account.kind is Kind.GANG
+    tasks = request.tasks if gang else 1
+    holds_room = run.hold is not None and run.hold.request is request
+    limit = state.account.blocked_by(tasks, book.shares.size)
+    if limit is not None:
+        if holds_room:
+            book.hold = run.hold = None
+        return limit
+    reserved = phase is Phase.SHARE and not holds_room
+    if reserved and not _leaves_reserves(book, run, state, tasks):
+        return Limit.RESERVE
+    placed = _place(book, run, state, request, tasks)
+    if isinstance(placed, Limit):
+        _consider_hold(book, run, state, request, tasks, phase)
+        return placed
+    run.starts.extend(book.start(request, placed, run.now))
+    run.for_urgent.take(state.name, state.account.demand, tasks)
+    run.for_floors.take(state.name, state.account.demand, tasks)
+    if phase is Phase.OVERDUE:
+        state.last_overdue_turn_s = run.now
+    if holds_room:
+        book.hold = run.hold = None
+        book.note_room()
+    return None
+
+
+def _place(
+    book: Book, run: _Pass, state: WorkloadState, request: QueuedRequest, tasks: int
+) -> tuple[tuple[str, str], ...] | Limit:
+    """Reserve room for tasks of a request and return them with their upstreams."""
+    fleet = book.fleet
+    account = state.account
+    if not request.avoid and state.has_no_room(tasks, book.room_version):
+        return Limit.ROOM
+    if fleet.free_slots < tasks or not account.demand.fits_in(fleet.free):
+        return Limit.ROOM
+    held = _held_upstreams(run, state, request)
+    waited_s = run.now - request.queued_at_s
+    avoid = request.avoid if waited_s < _AVOID_S else ()
+    first = request.started
+    ids = tuple(_task_id(request, first + offset) for offset in range(tasks))
+    upstreams = _reserve(book, state, ids, (*avoid, *held))
+    if upstreams is None:
+        if not held and not avoid:
+            state.note_no_room(tasks, book.room_version)
+        return Limit.GANG if held else Limit.ROOM
+    if held and any(name in held for name in upstreams):
+        for task_id in ids:
+            fleet.release(task_id)
+        return Limit.GANG
+    return tuple(zip(ids, upstreams, strict=True))
+
+
+def _reserve(
+    book: Book, state: WorkloadState, ids: tuple[str, ...], avoid: tuple[str, ...]
+) -> tuple[str, ...] | None:
+    account = state.account
+    if account.kind is Kind.GANG:
+        return book.fleet.reserve_gang(
+            ids, workload=state.name, demand=account.demand, avoid=avoid
+        )
+    upstream = book.fleet.reserve(
+        ids[0],
+        workload=state.name,
+        kind=account.kind,
+        demand=account.demand,
+        avoid=avoid,
+    )
+    return None if upstream is None else (upstream,)
+
+
+def _task_id(request: QueuedRequest, index: int) -> str:
+    return f"{request.id}.{request.attempt}.{index}"
+
+
+def _held_upstreams(
+    run: _Pass, state: WorkloadState, request: QueuedRequest
+) -> tuple[str, ...]:
+    """Return the upstreams that are held for others for as long as this runs."""
+    hold = run.hold
+    if hold is None or hold.request is request:
+        return ()
+    if run.now + state.run_times.upper_s <= hold.ready_at_s:
+        return ()
+    return tuple(hold.upstreams)
+
+
+def _consider_hold(
+    book: Book,
+    run: _Pass,
+    state: WorkloadState,
+    request: QueuedRequest,
+    tasks: int,
+    phase: Phase,
+) -> None:
+    if run.hold is not None or run.now < book.next_hold_s:
+        return
+    patience_s = book.settings.sharing.gang_patience_s
+    waited_s = run.now - request.queued_at_s
+    gang_waits = tasks > 1 and waited_s >= patience_s
+    if gang_waits or phase is Phase.OVERDUE:
+        rooms = _rooms(book, run.now)
+        demand = state.account.demand
+        run.hold = plan_hold(rooms, request, demand, tasks, run.now)
+        book.hold = run.hold
+        book.next_hold_s = run.now + _HOLD_EVERY_S
+
+
+def _rooms(book: Book, now: float) -> list[HeldRoom]:
+    rooms = []
+    for name in book.specs:
+        if name not in book.unusable:
+            free, slots = book.free_on(name)
+            ends = tuple(
+                (_expected_end_s(book, task.workload, task.started_at_s, now), held)
+                for task in book.running.on_upstream(name)
+                for held in (task.demand,)
+            )
+            rooms.append(HeldRoom(name, free, slots, ends))
+    return rooms
+
+
+def _expected_end_s(
+    book: Book, workload: str, started_at_s: float, now: float
+) -> float:
+    upper_s = book.states[workload].run_times.upper_s
+    late_s = now + _LATE_GROWTH * (now - started_at_s)
+    return max(started_at_s + upper_s, late_s)
+
+
+def _leaves_reserves(book: Book, run: _Pass, state: WorkloadState, tasks: int) -> bool:
+    fleet = book.fleet
+    demand = state.account.demand
+    if not run.for_urgent.leaves_room(
+        state.name, demand, tasks, free=fleet.free, free_slots=fleet.free_slots
+    ):
+        return False
+    return _returns_soon(book, state) or run.for_floors.leaves_room(
+        state.name, demand, tasks, free=fleet.free, free_slots=fleet.free_slots
+    )
+
+
+def _returns_soon(book: Book, state: WorkloadState) -> bool:
+    if state.workload.preemptible:
+        return True
+    return state.run_times.upper_s <= book.settings.sharing.return_s
+
+
+def _reserves(book: Book, now: float) -> tuple[Reserve, Reserve]:
+    """Return the room kept for urgent work, and the one kept for all floors."""
+    settings = book.settings.sharing
+    size = book.shares.size
+    for_urgent = Reserve(size=size, limit=settings.reserve_limit)
+    for_floors = Reserve(size=size, limit=1.0)
+    for state in book.states.values():
+        account = state.account
+        part = account.floor
+        if account.is_urgent:
+            part = max(part, settings.urgent_share)
+        if part <= 0.0 or account.kind is Kind.GANG:
+            continue
+        needed = needed_tasks(
+            state.arrivals.rate(now),
+            state.run_times.typical_s,
+            deviations=settings.reserve_deviations,
+        )
+        kept = min(needed, account.tasks_in(part, size)) - account.tasks
+        for_floors.add(state.name, account.demand, kept)
+        if account.is_urgent:
+            for_urgent.add(state.name, account.demand, kept)
+    return for_urgent, for_floors
