--- a/packages/core/src/papayadyke_core/health/tests/test_upstream_health.py
+++ b/packages/core/src/papayadyke_core/health/tests/test_upstream_health.py
@@ -152,3 +152,24 @@
     for _ in range(200):
         record(health, "u0", ANSWERED, run_s=1.0)
     assert health.limit("u0", 0.0) == 8
+
+
+def test_first_failures_halve_the_limit():
+    health = make_health()
+    run_well(health)
+    limits = []
+    for number in range(3):
+        record(health, "u0", FAILED, request=f"r{number}")
+        limits.append(health.limit("u0", 0.0))
+    assert limits == [4, 2, 0]
+
+
+def test_failures_are_taken_back_once_their_request_fails_elsewhere():
+    health = make_health()
+    run_well(health)
+    for number in range(2):
+        record(health, "u0", FAILED, request=f"poison{number}")
+    for number in range(2):
+        record(health, "u1", FAILED, request=f"poison{number}")
+    record(health, "u0", FAILED, request="other")
+    assert health.standing("u0") is Standing.GOOD
