--- /dev/null
+++ b/packages/core/src/papayadyke_core/idempotency/__init__.py
@@ -0,0 +1,23 @@
+"""Idempotency keys: who was first, and what the first answer was."""
+
+from papayadyke_core.idempotency._limits import (
+    MAX_ANSWER_BYTES,
+    body_digest,
+    storable_answer,
+)
+from papayadyke_core.idempotency._table import (
+    Claim,
+    ClaimKind,
+    KeyTable,
+    UnresolvedKey,
+)
+
+__all__ = [
+    "MAX_ANSWER_BYTES",
+    "Claim",
+    "ClaimKind",
+    "KeyTable",
+    "UnresolvedKey",
+    "body_digest",
+    "storable_answer",
+]
--- /dev/null
+++ b/packages/core/src/papayadyke_core/jobs/__init__.py
@@ -0,0 +1,30 @@
+"""Jobs: several tasks, accepted once and followed to their outcomes."""
+
+from papayadyke_core.jobs._job import Job
+from papayadyke_core.jobs._types import (
+    Authorization,
+    Permission,
+    TaskDone,
+    TaskOrder,
+    TaskResult,
+    TaskSpec,
+    UnresolvedTask,
+    parse_task_id,
+    task_id_of,
+)
+from papayadyke_core.jobs._view import job_view, refusal_view
+
+__all__ = [
+    "Authorization",
+    "Job",
+    "Permission",
+    "TaskDone",
+    "TaskOrder",
+    "TaskResult",
+    "TaskSpec",
+    "UnresolvedTask",
+    "job_view",
+    "parse_task_id",
+    "refusal_view",
+    "task_id_of",
+]
--- /dev/null
+++ b/packages/core/src/papayadyke_core/journal/_retention.py
@@ -0,0 +1,139 @@
+"""Which entries of a log still matter: what a snapshot keeps.
+
+Entries are held in groups, one for each key and each job. A group goes as a
+whole when its retention time has passed, so the state that a replay builds
+never has half a job.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+import msgspec
+
+from papayadyke_core.journal._entries import (
+    Entry,
+    JobAccepted,
+    KeyClaimed,
+    KeyRecorded,
+    KeyReleased,
+    Takeover,
+    TaskEnded,
+    TimedEntry,
+)
+
+KEY_RETENTION_S = 24 * 3600.0
+OPEN_KEY_RETENTION_S = 8 * 24 * 3600.0
+ANSWER_RETENTION_S = 3600.0
+JOB_RETENTION_S = 24 * 3600.0
+
+
+@dataclass(slots=True)
+class _Group:
+    entries: list[TimedEntry] = field(default_factory=list)
+    tasks_left: int = 0
+    opened_at_s: float = 0.0
+    ended_at_s: float | None = None
+
+
+class LiveEntries:
+    """The entries of one partition that a successor needs.
+
+    Notes
+    -----
+    A key is kept for `KEY_RETENTION_S` from the end of its request, or for
+    `OPEN_KEY_RETENTION_S` from its claim while no end is known, which is longer
+    than any timeout. The body of an answer is kept for `ANSWER_RETENTION_S`, and
+    a job for `JOB_RETENTION_S` from its last outcome. All count in log time.
+    """
+
+    def __init__(self) -> None:
+        self._keys: dict[str, _Group] = {}
+        self._jobs: dict[str, _Group] = {}
+
+    def __len__(self) -> int:
+        groups = [*self._keys.values(), *self._jobs.values()]
+        return sum(len(group.entries) for group in groups)
+
+    def apply(self, entry: Entry, at_s: float) -> None:
+        """Take in an entry that is in the log."""
+        if isinstance(entry, Takeover):
+            return
+        timed = TimedEntry(at_s, entry)
+        if isinstance(entry, KeyReleased):
+            self._keys.pop(entry.key, None)
+        elif isinstance(entry, KeyClaimed):
+            self._keys[entry.key] = _Group([timed], opened_at_s=at_s)
+        elif isinstance(entry, JobAccepted):
+            self._jobs[entry.job_id] = _Group([timed], len(entry.payloads))
+        else:
+            self._extend(entry, timed)
+
+    def _extend(self, entry: Entry, timed: TimedEntry) -> None:
+        job_id = getattr(entry, "job_id", None)
+        group = (
+            self._keys.get(getattr(entry, "key", ""))
+            if job_id is None
+            else self._jobs.get(job_id)
+        )
+        if group is None:
+            return
+        group.entries.append(timed)
+        if isinstance(entry, KeyRecorded):
+            group.ended_at_s = timed.at_s
+        elif isinstance(entry, TaskEnded):
+            group.tasks_left -= 1
+            if group.tasks_left == 0:
+                group.ended_at_s = timed.at_s
+
+    def purge(self, now_s: float) -> None:
+        """Drop what is past its retention time.
+
+        Parameters
+        ----------
+        now_s : float
+            Log time.
+        """
+        self._keys = {
+            key: group
+            for key, group in self._keys.items()
+            if not is_key_past(group.opened_at_s, group.ended_at_s, now_s)
+        }
+        self._jobs = {
+            job_id: group
+            for job_id, group in self._jobs.items()
+            if not is_past(group.ended_at_s, JOB_RETENTION_S, now_s)
+        }
+        for group in self._keys.values():
+            group.entries = [_strip(timed, now_s) for timed in group.entries]
+
+    def __iter__(self) -> Iterator[TimedEntry]:
+        for group in self._keys.values():
+            yield from group.entries
+        for group in self._jobs.values():
+            yield from group.entries
+
+
+def is_past(since_s: float | None, retention_s: float, now_s: float) -> bool:
+    """Tell whether a retention time has passed since a log time."""
+    return since_s is not None and now_s - since_s > retention_s
+
+
+def is_key_past(
+    opened_at_s: float | None, ended_at_s: float | None, now_s: float
+) -> bool:
+    """Tell whether a key may be forgotten, at a log time."""
+    if ended_at_s is not None:
+        return is_past(ended_at_s, KEY_RETENTION_S, now_s)
+    return is_past(opened_at_s, OPEN_KEY_RETENTION_S, now_s)
+
+
+def _strip(timed: TimedEntry, now_s: float) -> TimedEntry:
+    entry = timed.entry
+    if not isinstance(entry, KeyRecorded) or entry.answer is None:
+        return timed
+    if not entry.answer.kept or not is_past(timed.at_s, ANSWER_RETENTION_S, now_s):
+        return timed
+    stripped = msgspec.structs.replace(entry, answer=entry.answer.without_body())
+    return TimedEntry(timed.at_s, stripped)
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/journal/_compaction.py
@@ -0,0 +1,136 @@
+"""Compaction: write a snapshot, then delete what it covers, a call at a time."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterator
+
+import msgspec
+from papayadyke_core.journal import (
+    chunk_key,
+    chunk_prefix,
+    encode_chunks,
+    log_prefix,
+    segment_number,
+)
+from papayadyke_daemon.journal._takeover import OwnedLog, new_id, write_manifest
+from papayadyke_daemon.journal._types import JournalSettings
+from papayadyke_platform.store import Entry, ErrorKind, Store
+from result import Err, Ok
+
+TAKEOVER_RETENTION_S = 24 * 3600.0
+LEFTOVER_PAGE = 4
+
+logger = logging.getLogger(__name__)
+
+
+class LostOwnership(Exception):
+    """Another VM took the partition over."""
+
+
+def is_due(log: OwnedLog, settings: JournalSettings) -> bool:
+    """Tell whether a snapshot should be written."""
+    return (
+        log.bytes_since >= settings.compact_bytes
+        or len(log.segments) >= settings.compact_segments
+    )
+
+
+def compact(store: Store, log: OwnedLog, now_s: float) -> Iterator[None]:
+    """Write a snapshot and delete what it covers; yield after each call.
+
+    Parameters
+    ----------
+    store : Store
+    log : OwnedLog
+    now_s : float
+        Log time.
+
+    Raises
+    ------
+    LostOwnership
+        If another VM took the partition over.
+
+    Notes
+    -----
+    A segment that holds a takeover is deleted only `TAKEOVER_RETENTION_S` later:
+    an earlier writer that was paused finds it in the way of its next append. A
+    failed call ends the compaction, and the next one clears what it left.
+    """
+    log.live.purge(now_s)
+    through = log.next_number - 1
+    at_s = log.at_s
+    covered = dict(log.segments)
+    covered_bytes = log.bytes_since
+    snapshot_id = new_id()
+    chunks = list(encode_chunks(log.live))
+    for index, data in enumerate(chunks):
+        made = store.create(chunk_key(log.partition, snapshot_id, index), data)
+        yield
+        if isinstance(made, Err):
+            return
+    manifest = msgspec.structs.replace(
+        log.manifest,
+        through=through,
+        at_s=at_s,
+        snapshot_id=snapshot_id,
+        chunks=len(chunks),
+    )
+    written = write_manifest(store, log, manifest)
+    yield
+    if isinstance(written, Err):
+        if written.err_value.kind is ErrorKind.CONFLICT:
+            raise LostOwnership
+        return
+    log.segments = {n: r for n, r in log.segments.items() if n not in covered}
+    log.bytes_since -= covered_bytes
+    logger.info(
+        "journal: partition %d has a snapshot through segment %d",
+        log.partition,
+        through,
+    )
+    yield from _delete_segments(store, log, covered, now_s)
+    yield from _delete_leftovers(store, log, now_s)
+
+
+def _delete_segments(
+    store: Store, log: OwnedLog, covered: dict[int, int], now_s: float
+) -> Iterator[None]:
+    from papayadyke_core.journal import segment_key
+
+    for number, revision in covered.items():
+        if _is_retained(log, number, now_s):
+            continue
+        store.delete(segment_key(log.partition, number), expected=revision)
+        yield
+
+
+def _is_retained(log: OwnedLog, number: int, now_s: float) -> bool:
+    taken_s = log.takeovers.get(number)
+    return taken_s is not None and now_s - taken_s <= TAKEOVER_RETENTION_S
+
+
+def _delete_leftovers(store: Store, log: OwnedLog, now_s: float) -> Iterator[None]:
+    """Delete segments and chunks that an interrupted compaction left."""
+    for entry in _list_all(store, log_prefix(log.partition)):
+        number = segment_number(entry.key)
+        if number is None or number > log.manifest.through:
+            break
+        if not _is_retained(log, number, now_s):
+            store.delete(entry.key, expected=entry.revision)
+            yield
+    current = chunk_key(log.partition, log.manifest.snapshot_id, 0).rsplit("/", 1)[0]
+    for entry in _list_all(store, chunk_prefix(log.partition)):
+        if not entry.key.startswith(current + "/"):
+            store.delete(entry.key, expected=entry.revision)
+            yield
+
+
+def _list_all(store: Store, prefix: str) -> Iterator[Entry]:
+    after = ""
+    while True:
+        page = store.read_prefix(prefix, after=after, limit=LEFTOVER_PAGE)
+        if not isinstance(page, Ok) or not page.ok_value:
+            return
+        yield from page.ok_value
+        after = page.ok_value[-1].key
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/journal/_takeover.py
@@ -0,0 +1,287 @@
+"""Taking over a partition: fence the earlier writer, then replay its log."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+from papayadyke_core.journal import (
+    Entry,
+    LiveEntries,
+    Manifest,
+    Segment,
+    Takeover,
+    TimedEntry,
+    chunk_key,
+    decode_chunk,
+    decode_manifest,
+    decode_segment,
+    encode_manifest,
+    encode_segment,
+    log_prefix,
+    manifest_key,
+    segment_key,
+    segment_number,
+)
+from papayadyke_daemon.journal._certain import read_present, replace_certainly
+from papayadyke_daemon.journal._types import JournalSettings, Replay
+from papayadyke_platform.store import ErrorKind, Store, StoreError
+from result import Err, Ok, Result
+
+PAGE_SEGMENTS = 16
+MAX_ROUNDS = 20
+MAX_TAKEOVER_S = 3600.0
+
+_AGAIN = StoreError(ErrorKind.CONFLICT, "another VM takes the partition over")
+
+
+@dataclass(slots=True)
+class OwnedLog:
+    """What the owner of a partition knows of its log in the store.
+
+    Parameters
+    ----------
+    partition : int
+    manifest : Manifest
+    revision : int
+        Of the manifest.
+    next_number : int
+    at_s : float
+        Log time at `since_s`.
+    since_s : float
+        Monotonic time.
+    live : LiveEntries
+    segments : dict of int to int
+        Revisions of the segments since the snapshot, by number.
+    takeovers : dict of int to float
+        Log times of segments that fence an earlier writer, by number.
+    bytes_since : int
+        Bytes in the segments since the snapshot.
+    """
+
+    partition: int
+    manifest: Manifest
+    revision: int
+    next_number: int
+    at_s: float
+    since_s: float
+    live: LiveEntries
+    segments: dict[int, int]
+    takeovers: dict[int, float]
+    bytes_since: int
+
+    def log_time_s(self, now: float) -> float:
+        """Return the log time at a monotonic time."""
+        return self.at_s + max(0.0, now - self.since_s)
+
+
+def new_id() -> str:
+    """Return an id that no other write has."""
+    return uuid.uuid4().hex
+
+
+def take_over(
+    store: Store,
+    partition: int,
+    settings: JournalSettings,
+    clock: Callable[[], float],
+) -> Result[tuple[OwnedLog, Replay], StoreError]:
+    """Make this VM the only one that can append to a partition.
+
+    Parameters
+    ----------
+    store : Store
+    partition : int
+    settings : JournalSettings
+    clock : callable
+        Returns monotonic seconds.
+
+    Returns
+    -------
+    result : Result of (OwnedLog, Replay) or StoreError
+
+    Notes
+    -----
+    The manifest is replaced first, at the revision read: this proves that it is
+    the latest, so no segment behind it has been deleted, and a segment number
+    that can be created was never used. A takeover by another VM in between is
+    seen as its segment, and everything begins again.
+    """
+    for _ in range(MAX_ROUNDS):
+        started = clock()
+        claimed = _claim_manifest(store, partition, settings)
+        if isinstance(claimed, Err):
+            if claimed.err_value.kind in (ErrorKind.CONFLICT, ErrorKind.UNKNOWN):
+                continue
+            return claimed
+        manifest, revision = claimed.ok_value
+        log = OwnedLog(
+            partition=partition,
+            manifest=manifest,
+            revision=revision,
+            next_number=manifest.through + 1,
+            at_s=manifest.at_s,
+            since_s=started,
+            live=LiveEntries(),
+            segments={},
+            takeovers={},
+            bytes_since=0,
+        )
+        result = _replay(store, log, settings)
+        if isinstance(result, Ok) and clock() - started < MAX_TAKEOVER_S:
+            log.since_s = clock()
+            return Ok((log, result.ok_value))
+        if isinstance(result, Err) and result.err_value is not _AGAIN:
+            return result
+    return Err(StoreError(ErrorKind.UNAVAILABLE, "the partition stays contended"))
+
+
+def _claim_manifest(
+    store: Store, partition: int, settings: JournalSettings
+) -> Result[tuple[Manifest, int], StoreError]:
+    key = manifest_key(partition)
+    read = store.read(key)
+    if isinstance(read, Err):
+        return read
+    entry = read.ok_value
+    if entry is None:
+        manifest = Manifest(settings.vm, settings.incarnation, new_id())
+        made = store.create(key, encode_manifest(manifest))
+        return made.map(lambda revision: (manifest, revision))
+    claimed = msgspec.structs.replace(
+        decode_manifest(entry.value),
+        vm=settings.vm,
+        incarnation=settings.incarnation,
+        nonce=new_id(),
+    )
+    replaced = replace_certainly(
+        store, key, encode_manifest(claimed), expected=entry.revision
+    )
+    return replaced.map(lambda revision: (claimed, revision))
+
+
+def _replay(
+    store: Store, log: OwnedLog, settings: JournalSettings
+) -> Result[Replay, StoreError]:
+    loaded = _load_snapshot(store, log)
+    if isinstance(loaded, Err):
+        return loaded
+    entries = loaded.ok_value
+    segment_id = new_id()
+    takeover = Takeover(settings.vm, settings.incarnation)
+    for _ in range(MAX_ROUNDS):
+        listed = _load_segments(store, log, segment_id)
+        if isinstance(listed, Err):
+            return listed
+        entries += listed.ok_value.entries
+        if listed.ok_value.is_own:
+            return _confirm(store, log, entries)
+        made = store.create(
+            segment_key(log.partition, log.next_number),
+            encode_segment(
+                Segment(
+                    segment_id, settings.vm, settings.incarnation, log.at_s, (takeover,)
+                )
+            ),
+        )
+        if isinstance(made, Ok):
+            _count(log, log.next_number, made.ok_value, log.at_s, (takeover,))
+            return _confirm(store, log, entries)
+        if made.err_value.kind in (ErrorKind.UNAVAILABLE, ErrorKind.INVALID):
+            return made
+    return Err(_AGAIN)
+
+
+def _load_snapshot(
+    store: Store, log: OwnedLog
+) -> Result[list[TimedEntry], StoreError]:
+    entries: list[TimedEntry] = []
+    manifest = log.manifest
+    for index in range(manifest.chunks):
+        key = chunk_key(log.partition, manifest.snapshot_id, index)
+        chunk = read_present(store, key)
+        if chunk is None:
+            return Err(_AGAIN)
+        entries += decode_chunk(chunk.value)
+    for timed in entries:
+        log.live.apply(timed.entry, timed.at_s)
+    return Ok(entries)
+
+
+@dataclass(slots=True)
+class _Listed:
+    entries: list[TimedEntry]
+    is_own: bool = False
+
+
+def _load_segments(
+    store: Store, log: OwnedLog, own_id: str
+) -> Result[_Listed, StoreError]:
+    """Take in the segments that follow; stop at a gap, which a stale read shows."""
+    listed = _Listed([])
+    prefix = log_prefix(log.partition)
+    while True:
+        last = log.next_number - 1
+        after = segment_key(log.partition, last) if last >= 0 else ""
+        page = store.read_prefix(prefix, after=after, limit=PAGE_SEGMENTS)
+        if isinstance(page, Err):
+            return page
+        before = log.next_number
+        for entry in page.ok_value:
+            if segment_number(entry.key) != log.next_number:
+                break
+            segment = decode_segment(entry.value)
+            log.bytes_since += len(entry.value)
+            _count(
+                log, log.next_number, entry.revision, segment.at_s, segment.entries
+            )
+            listed.entries += [TimedEntry(segment.at_s, e) for e in segment.entries]
+            listed.is_own = segment.id == own_id
+        if log.next_number - before < PAGE_SEGMENTS:
+            return Ok(listed)
+
+
+def _count(
+    log: OwnedLog, number: int, revision: int, at_s: float, entries: tuple[Entry, ...]
+) -> None:
+    log.segments[number] = revision
+    log.at_s = max(log.at_s, at_s)
+    log.next_number = number + 1
+    for entry in entries:
+        log.live.apply(entry, at_s)
+        if isinstance(entry, Takeover):
+            log.takeovers[number] = at_s
+
+
+def _confirm(
+    store: Store, log: OwnedLog, entries: list[TimedEntry]
+) -> Result[Replay, StoreError]:
+    """Prove that nobody took the manifest while the log was read."""
+    if isinstance(confirm_owner(store, log), Err):
+        return Err(_AGAIN)
+    return Ok(Replay(log.partition, log.at_s, tuple(entries)))
+
+
+def confirm_owner(store: Store, log: OwnedLog) -> Result[None, StoreError]:
+    """Replace the manifest by itself, which fails where another VM took over."""
+    return write_manifest(store, log, log.manifest)
+
+
+def write_manifest(
+    store: Store, log: OwnedLog, manifest: Manifest
+) -> Result[None, StoreError]:
+    """Replace the manifest; `CONFLICT` says that another VM took over."""
+    fresh = msgspec.structs.replace(manifest, nonce=new_id())
+    result = replace_certainly(
+        store,
+        manifest_key(log.partition),
+        encode_manifest(fresh),
+        expected=log.revision,
+    )
+    if isinstance(result, Err):
+        return result
+    log.manifest = fresh
+    log.revision = result.ok_value
+    return Ok(None)
