--- /dev/null
+++ b/packages/core/src/papayadyke_core/health/__init__.py
@@ -0,0 +1,14 @@
+"""The health of upstreams: limits, speeds, and which are set aside."""
+
+from papayadyke_core.health._health import HealthError, UpstreamHealth
+from papayadyke_core.health._outcome import TaskOutcome
+from papayadyke_core.health._settings import HealthSettings
+from papayadyke_core.health._standing import Standing
+
+__all__ = [
+    "HealthError",
+    "HealthSettings",
+    "Standing",
+    "TaskOutcome",
+    "UpstreamHealth",
+]
