--- /dev/null
+++ b/packages/core/src/papayadyke_core/health/_retry_budget.py
@@ -0,0 +1,48 @@
+"""A budget of retries, so that they never multiply a flood."""
+
+from __future__ import annotations
+
+from papayadyke_core.health._settings import DEFAULT_BUDGET, RetryBudgetSettings
+
+
+class RetryBudget:
+    """Allows retries in proportion to first starts.
+
+    At any moment `retries <= burst + ratio * starts`, which is checked.
+
+    Parameters
+    ----------
+    settings : RetryBudgetSettings
+
+    Examples
+    --------
+    >>> budget = RetryBudget(settings=RetryBudgetSettings(ratio=0.5, burst=1.0))
+    >>> budget.take_retry(), budget.take_retry()
+    (True, False)
+    >>> budget.record_start()
+    >>> budget.record_start()
+    >>> budget.take_retry()
+    True
+    """
+
+    def __init__(self, *, settings: RetryBudgetSettings = DEFAULT_BUDGET) -> None:
+        self.settings = settings
+        self.starts = 0
+        self.retries = 0
+        self._tokens = settings.burst
+
+    def record_start(self) -> None:
+        """Count the first start of a task."""
+        self.starts += 1
+        self._tokens = min(self.settings.burst, self._tokens + self.settings.ratio)
+
+    def take_retry(self) -> bool:
+        """Take one retry out of the budget, if there is one."""
+        if self._tokens < 1.0 - 1e-9:
+            return False
+        self._tokens -= 1.0
+        self.retries += 1
+        allowed = self.settings.burst + self.settings.ratio * self.starts
+        if self.retries > allowed + 1e-6:
+            raise AssertionError("retries: more than the budget")
+        return True
--- a/packages/core/src/papayadyke_core/health/_settings.py
+++ b/packages/core/src/papayadyke_core/health/_settings.py
@@ -57,4 +57,21 @@
     max_requests: int = 10_000
 
 
+@dataclass(frozen=True, slots=True)
+class RetryBudgetSettings:
+    """How many retries are allowed.
+
+    Parameters
+    ----------
+    ratio : float, default=0.1
+        Retries that each first start allows.
+    burst : float, default=10.0
+        Retries that may be saved up; also the ones allowed at first.
+    """
+
+    ratio: float = 0.1
+    burst: float = 10.0
+
+
 DEFAULT_SETTINGS = HealthSettings()
+DEFAULT_BUDGET = RetryBudgetSettings()
--- a/packages/core/src/papayadyke_core/health/tests/test_health_machine.py
+++ b/packages/core/src/papayadyke_core/health/tests/test_health_machine.py
@@ -1,9 +1,11 @@
-from hypothesis import settings
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from papayadyke_core.health import (
     HealthSettings,
+    RetryBudget,
+    RetryBudgetSettings,
     TaskOutcome,
     UpstreamHealth,
 )
@@ -74,3 +76,19 @@
 
 TestHealthMachine = HealthMachine.TestCase
 TestHealthMachine.settings = settings(max_examples=100, stateful_step_count=40)
+
+
+@given(
+    st.lists(st.booleans(), max_size=300),
+    st.floats(0.0, 1.0),
+    st.integers(0, 5),
+)
+def test_retries_never_exceed_their_budget(starts, ratio, burst):
+    rules = RetryBudgetSettings(ratio=ratio, burst=float(burst))
+    budget = RetryBudget(settings=rules)
+    for is_start in starts:
+        if is_start:
+            budget.record_start()
+        else:
+            budget.take_retry()
+        assert budget.retries <= burst + ratio * budget.starts + 1e-6
