Add calls between daemons

Cause: daemons hand requests over, tell each other their load and spread the configuration; a lost or repeated message may change nothing unseen. Change: papayadyke_daemon.peers calls peers by pynng with signed envelopes. Each call ends as answered, surely not run or maybe run. A connection without any answer to two calls in a row is replaced, and one that breaks ends its calls.

--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/peers/_link.py
@@ -0,0 +1,184 @@
+"""The way to one peer: a connection that is replaced when it goes silent.
+
+Each call owns a context of the socket, which is how `pynng` lets several calls
+share a connection. A connection that was given up serves the calls on it until
+they end, while new calls go to its successor.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import math
+import threading
+import time
+
+import pynng
+from result import Err, Ok, Result
+
+from papayadyke_core.verdicts import Verdict
+from papayadyke_daemon.peers._messages import CallError
+from papayadyke_daemon.peers._settings import PeerSettings
+from papayadyke_daemon.peers._stats import Counters
+
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 500
+SEND_TIMEOUT_MS = 300
+NO_RESEND = -1
+NEVER_S = float("-inf")
+
+logger = logging.getLogger(__name__)
+
+
+class _Connection:
+    """One socket with the calls on it; its owner holds the lock of the link."""
+
+    def __init__(self, address: str) -> None:
+        self.users = 0
+        self.is_retired = False
+        self.opened_s = time.monotonic()
+        self.answered_s = NEVER_S
+        self.silent_calls = 0
+        self.connected = threading.Event()
+        # A request that nng sent again by itself could not be told from a
+        # repeated one, and a broken connection is to end its calls at once.
+        self.socket = pynng.Req0(
+            resend_time=NO_RESEND,
+            send_timeout=SEND_TIMEOUT_MS,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        )
+        self.socket.add_post_pipe_connect_cb(lambda _: self.connected.set())
+        self.socket.add_post_pipe_remove_cb(lambda _: self.connected.clear())
+        self.socket.dial(f"tcp://{address}", block=False)
+
+    def open_context(self, timeout_s: float) -> pynng.Context:
+        """Return a context whose calls have a timeout."""
+        # A context takes its timeouts from the socket when it is opened.
+        self.socket.recv_timeout = max(1, math.ceil(timeout_s * 1000))
+        return self.socket.new_context()
+
+
+class Link:
+    """Calls to one peer, from any thread.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port of the peer.
+    settings : PeerSettings
+    counters : Counters
+    """
+
+    def __init__(
+        self, address: str, *, settings: PeerSettings, counters: Counters
+    ) -> None:
+        self.address = address
+        self.settings = settings
+        self.counters = counters
+        self._lock = threading.Lock()
+        self._is_closed = False
+        self._connection: _Connection | None = None
+
+    def call(self, data: bytes, *, timeout_s: float) -> Result[bytes, CallError]:
+        """Send a message and wait for the reply to it."""
+        deadline_s = time.monotonic() + timeout_s
+        connection = self._acquire()
+        if connection is None:
+            return Err(CallError(Verdict.NOT_RUN, "the link is closed"))
+        try:
+            return self._call(connection, data, deadline_s)
+        finally:
+            self._release(connection)
+
+    def close(self) -> None:
+        """Make no more calls; those on their way go on to their ends."""
+        with self._lock:
+            self._is_closed = True
+            connection = self._connection
+        if connection is not None:
+            self._retire(connection)
+
+    def _call(
+        self, connection: _Connection, data: bytes, deadline_s: float
+    ) -> Result[bytes, CallError]:
+        wait_s = min(self.settings.connect_timeout_s, deadline_s - time.monotonic())
+        if not connection.connected.wait(wait_s):
+            self._check_age(connection)
+            return Err(CallError(Verdict.NOT_RUN, "no connection"))
+        try:
+            with self._lock:
+                context = connection.open_context(deadline_s - time.monotonic())
+        except pynng.NNGException as exc:
+            return Err(CallError(Verdict.NOT_RUN, str(exc)))
+        try:
+            return self._exchange(connection, context, data)
+        finally:
+            with contextlib.suppress(pynng.NNGException):
+                context.close()
+
+    def _exchange(
+        self, connection: _Connection, context: pynng.Context, data: bytes
+    ) -> Result[bytes, CallError]:
+        sent_s = time.monotonic()
+        try:
+            context.send(data)
+        except pynng.NNGException as exc:
+            # The message was never handed to a connection.
+            return Err(CallError(Verdict.NOT_RUN, f"not sent: {exc}"))
+        self.counters.add(sent_bytes=len(data))
+        try:
+            reply = context.recv()
+        except pynng.Timeout:
+            self._note_silence(connection, sent_s)
+            return Err(CallError(Verdict.MAY_HAVE_RUN, "no reply in time"))
+        except pynng.NNGException as exc:
+            return Err(CallError(Verdict.MAY_HAVE_RUN, f"no reply: {exc}"))
+        with self._lock:
+            connection.answered_s = time.monotonic()
+            connection.silent_calls = 0
+        self.counters.add(received_bytes=len(reply))
+        return Ok(reply)
+
+    def _acquire(self) -> _Connection | None:
+        with self._lock:
+            if self._is_closed:
+                return None
+            if self._connection is None:
+                self._connection = _Connection(self.address)
+            self._connection.users += 1
+            return self._connection
+
+    def _release(self, connection: _Connection) -> None:
+        with self._lock:
+            connection.users -= 1
+            is_done = connection.is_retired and connection.users == 0
+        if is_done:
+            connection.socket.close()
+
+    def _note_silence(self, connection: _Connection, sent_s: float) -> None:
+        with self._lock:
+            if connection.answered_s >= sent_s:
+                return
+            connection.silent_calls += 1
+            is_silent = connection.silent_calls >= self.settings.silent_calls
+        if is_silent:
+            logger.warning("peers: %s went silent, connecting anew", self.address)
+            self._retire(connection)
+
+    def _check_age(self, connection: _Connection) -> None:
+        """Give up an attempt to connect whose retries have become rare."""
+        if time.monotonic() - connection.opened_s >= self.settings.redial_s:
+            self._retire(connection)
+
+    def _retire(self, connection: _Connection) -> None:
+        with self._lock:
+            if connection.is_retired:
+                return
+            connection.is_retired = True
+            if self._connection is connection:
+                self._connection = None
+            is_idle = connection.users == 0
+        self.counters.add(replaced=1)
+        if is_idle:
+            connection.socket.close()
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/peers/tests/test_peers.py
@@ -0,0 +1,341 @@
+import base64
+import socket
+import threading
+import time
+
+import msgspec
+import pynng
+import pytest
+from result import Ok
+
+from papayadyke_core.verdicts import Verdict
+from papayadyke_daemon.peers import Ack, Handler, PeerEndpoint, PeerSettings
+from papayadyke_daemon.peers._envelope import seal_envelope
+from papayadyke_platform.keys import Authenticator, KeyEntry, KeyFile, Keyring
+
+TIMEOUT_S = 5.0
+
+
+class Echo(msgspec.Struct, tag="echo", frozen=True, array_like=True):
+    text: str
+
+
+class Wait(msgspec.Struct, tag="wait", frozen=True, array_like=True):
+    pass
+
+
+class Break(msgspec.Struct, tag="break", frozen=True, array_like=True):
+    pass
+
+
+def make_keyring(secret=b"0" * 16):
+    entry = KeyEntry(id="k", secret=base64.b64encode(secret).decode())
+    return Keyring(KeyFile(keys=(entry,)))
+
+
+def make_authenticator(name, secret=b"0" * 16):
+    return Authenticator(
+        make_keyring(secret),
+        sender=name,
+        incarnation=time.time_ns(),
+        started_unix_s=time.time() - 1,
+    )
+
+
+@pytest.fixture
+def make_endpoint():
+    endpoints = []
+
+    def make(name, handlers=(), secret=b"0" * 16, **options):
+        endpoint = PeerEndpoint(
+            handlers,
+            authenticator=make_authenticator(name, secret),
+            settings=PeerSettings(**options),
+        )
+        endpoint.start()
+        endpoints.append(endpoint)
+        return endpoint
+
+    yield make
+    for endpoint in endpoints:
+        endpoint.stop()
+
+
+def echo_handler(calls=None):
+    def echo(message, sender):
+        if calls is not None:
+            calls.append((sender, message.text))
+        return message
+
+    return Handler(Echo, echo)
+
+
+def call(endpoint, peer, message, timeout_s=TIMEOUT_S):
+    return endpoint.call(peer, message, type(message), timeout_s=timeout_s)
+
+
+def send_raw(address, data, timeout_ms=300):
+    with pynng.Req0(recv_timeout=timeout_ms, send_timeout=1000) as req:
+        req.dial(f"tcp://{address}", block=True)
+        req.send(data)
+        try:
+            return req.recv()
+        except pynng.NNGException:
+            return None
+
+
+def wait_until(check):
+    deadline_s = time.monotonic() + 30
+    while not check():
+        assert time.monotonic() < deadline_s
+        time.sleep(0.02)
+
+
+def test_a_call_brings_its_own_reply(make_endpoint):
+    calls: list[tuple[str, str]] = []
+    b = make_endpoint("b", [echo_handler(calls)])
+    a = make_endpoint("a")
+    a.add_peer("b", b.address)
+    results: dict[int, str] = {}
+
+    def run(i):
+        results[i] = call(a, "b", Echo(f"text-{i}")).unwrap().text
+
+    threads = [threading.Thread(target=run, args=[i]) for i in range(20)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert results == {i: f"text-{i}" for i in range(20)}
+    assert {sender for sender, _ in calls} == {"a"}
+
+
+def test_a_forged_call_is_not_served(make_endpoint):
+    calls: list[tuple[str, str]] = []
+    b = make_endpoint("b", [echo_handler(calls)])
+    stranger = make_endpoint("a", secret=b"1" * 16)
+    stranger.add_peer("b", b.address)
+    error = call(stranger, "b", Echo("x"), timeout_s=0.3).unwrap_err()
+    assert error.verdict == Verdict.MAY_HAVE_RUN
+    assert calls == []
+    assert b.stats().forged == 1
+
+
+def test_a_replayed_call_is_served_once(make_endpoint):
+    calls: list[tuple[str, str]] = []
+    b = make_endpoint("b", [echo_handler(calls)])
+    body = msgspec.msgpack.encode(Echo("x"))
+    sealed = seal_envelope(make_authenticator("a"), receiver="b", reply_to=0, body=body)
+    assert send_raw(b.address, sealed.data) is not None
+    assert send_raw(b.address, sealed.data) is None
+    assert calls == [("a", "x")]
+    assert b.stats().replayed == 1
+
+
+def test_a_call_for_another_vm_is_not_served(make_endpoint):
+    calls: list[tuple[str, str]] = []
+    b = make_endpoint("b", [echo_handler(calls)])
+    body = msgspec.msgpack.encode(Echo("x"))
+    sealed = seal_envelope(make_authenticator("a"), receiver="c", reply_to=0, body=body)
+    assert send_raw(b.address, sealed.data) is None
+    assert calls == []
+
+
+@pytest.mark.parametrize("data", [b"", b"\x00", b"\x97", b"\xc1" * 50, b"x" * 5000])
+def test_garbage_is_dropped_and_the_peer_goes_on(make_endpoint, data):
+    b = make_endpoint("b", [echo_handler()])
+    a = make_endpoint("a")
+    a.add_peer("b", b.address)
+    assert send_raw(b.address, data) is None
+    assert b.stats().malformed == 1
+    assert call(a, "b", Echo("x")).is_ok()
+
+
+def test_an_oversized_message_is_neither_sent_nor_received(make_endpoint):
+    calls: list[tuple[str, str]] = []
+    b = make_endpoint("b", [echo_handler(calls)], max_message_bytes=1000)
+    a = make_endpoint("a", max_message_bytes=1000)
+    careless = make_endpoint("c")
+    for endpoint in (a, careless):
+        endpoint.add_peer("b", b.address)
+    assert call(a, "b", Echo("x" * 1000)).unwrap_err().verdict == Verdict.NOT_RUN
+    error = call(careless, "b", Echo("x" * 1000)).unwrap_err()
+    assert error.verdict == Verdict.MAY_HAVE_RUN
+    assert calls == []
+    assert call(a, "b", Echo("x")).is_ok()
+
+
+def test_a_message_that_the_peer_does_not_serve_was_not_run(make_endpoint):
+    b = make_endpoint("b", [echo_handler()])
+    a = make_endpoint("a")
+    a.add_peer("b", b.address)
+    assert call(a, "b", Wait()).unwrap_err().verdict == Verdict.NOT_RUN
+
+
+def test_a_handler_that_raises_may_have_run(make_endpoint):
+    def fail(message, sender):
+        raise RuntimeError("broken")
+
+    b = make_endpoint("b", [Handler(Break, fail)])
+    a = make_endpoint("a")
+    a.add_peer("b", b.address)
+    assert call(a, "b", Break()).unwrap_err().verdict == Verdict.MAY_HAVE_RUN
+
+
+def test_a_peer_that_is_not_there_has_not_run(make_endpoint):
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        port = server.getsockname()[1]
+    a = make_endpoint("a")
+    a.add_peer("b", f"127.0.0.1:{port}")
+    assert call(a, "b", Echo("x")).unwrap_err().verdict == Verdict.NOT_RUN
+    assert call(a, "c", Echo("x")).unwrap_err().verdict == Verdict.NOT_RUN
+
+
+def test_a_peer_that_dies_during_a_call_may_have_run(make_endpoint):
+    a = make_endpoint("a")
+    rep = pynng.Rep0()
+    listener = rep.listen("tcp://127.0.0.1:0")
+    a.add_peer("b", str(listener.local_address))
+
+    def die():
+        rep.recv()
+        rep.close()
+
+    thread = threading.Thread(target=die)
+    thread.start()
+    error = call(a, "b", Echo("x"), timeout_s=60.0).unwrap_err()
+    thread.join()
+    assert error.verdict == Verdict.MAY_HAVE_RUN
+
+
+def test_slow_calls_are_bounded_and_do_not_hold_up_quick_ones(make_endpoint):
+    go = threading.Event()
+
+    def wait(message, sender):
+        go.wait(30)
+        return message
+
+    b = make_endpoint(
+        "b", [echo_handler(), Handler(Wait, wait, is_slow=True)], slow_calls=1
+    )
+    a = make_endpoint("a")
+    a.add_peer("b", b.address)
+    slow: list[Wait] = []
+    thread = threading.Thread(
+        target=lambda: slow.append(call(a, "b", Wait(), 30).unwrap())
+    )
+    thread.start()
+    wait_until(lambda: a.stats().sent_bytes > 0)
+    busy = call(a, "b", Wait())
+    assert busy.unwrap_err().verdict == Verdict.NOT_RUN
+    assert call(a, "b", Echo("x")).is_ok()
+    go.set()
+    thread.join()
+    assert slow == [Wait()]
+
+
+def test_a_stop_lets_a_slow_call_end(make_endpoint):
+    started, go = threading.Event(), threading.Event()
+
+    def wait(message, sender):
+        started.set()
+        go.wait(30)
+        return message
+
+    b = make_endpoint("b", [Handler(Wait, wait, is_slow=True)])
+    a = make_endpoint("a")
+    a.add_peer("b", b.address)
+    slow: list[Wait] = []
+    caller = threading.Thread(
+        target=lambda: slow.append(call(a, "b", Wait(), 30).unwrap())
+    )
+    caller.start()
+    started.wait(30)
+    stopper = threading.Thread(target=b.stop)
+    stopper.start()
+    go.set()
+    for thread in (caller, stopper):
+        thread.join()
+    assert slow == [Wait()]
+
+
+def test_posted_messages_arrive_in_order_and_tell_their_results(make_endpoint):
+    calls: list[tuple[str, str]] = []
+    b = make_endpoint("b", [echo_handler(calls)])
+    a = make_endpoint("a")
+    a.add_peer("b", b.address)
+    results: list[object] = []
+    for i in range(5):
+        a.post("b", Echo(str(i)), Echo, timeout_s=5.0, on_result=results.append)
+    wait_until(lambda: len(results) == 5)
+    assert [text for _, text in calls] == ["0", "1", "2", "3", "4"]
+    assert all(isinstance(result, Ok) for result in results)
+
+
+def test_a_handler_without_reply_acknowledges(make_endpoint):
+    b = make_endpoint("b", [Handler(Echo, lambda message, sender: None)])
+    a = make_endpoint("a")
+    a.add_peer("b", b.address)
+    assert a.call("b", Echo("x"), Ack, timeout_s=5.0).unwrap() == Ack()
+
+
+class Relay:
+    """Passes bytes on until told to swallow those of the open connections."""
+
+    def __init__(self, address):
+        host, _, port = address.rpartition(":")
+        self.target = (host, int(port))
+        self.server = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.server.getsockname()[1]}"
+        self.sockets: list[socket.socket] = []
+        self.silent: set[socket.socket] = set()
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self):
+        while True:
+            try:
+                near, _ = self.server.accept()
+            except OSError:
+                return
+            far = socket.create_connection(self.target)
+            self.sockets += [near, far]
+            for pair in ((near, far), (far, near)):
+                threading.Thread(target=self.copy, args=pair, daemon=True).start()
+
+    def copy(self, source, sink):
+        try:
+            while data := source.recv(65536):
+                if source not in self.silent:
+                    sink.sendall(data)
+        except OSError:
+            pass
+        sink.close()
+
+    def go_silent(self):
+        self.silent = set(self.sockets)
+
+    def close(self):
+        self.server.close()
+        for sock in self.sockets:
+            sock.close()
+
+
+def test_a_silent_connection_is_replaced(make_endpoint):
+    b = make_endpoint("b", [echo_handler()])
+    relay = Relay(b.address)
+    a = make_endpoint("a")
+    a.add_peer("b", relay.address)
+    assert call(a, "b", Echo("x")).is_ok()
+    relay.go_silent()
+    for _ in range(2):
+        error = call(a, "b", Echo("x"), timeout_s=0.3).unwrap_err()
+        assert error.verdict == Verdict.MAY_HAVE_RUN
+    assert call(a, "b", Echo("x")).is_ok()
+    assert a.stats().replaced == 1
+    relay.close()
+
+
+@pytest.mark.parametrize("address", ["host:70", "127.0.0.1", "127.0.0.1:0", "::1:x"])
+def test_an_address_is_an_ip_number_and_a_port(make_endpoint, address):
+    with pytest.raises(ValueError):
+        make_endpoint("a").add_peer("b", address)
--- a/packages/platform/src/papayadyke_platform/keys/_replay.py
+++ b/packages/platform/src/papayadyke_platform/keys/_replay.py
@@ -37,14 +37,14 @@
     ----------
     max_skew_s : float, default=30.0
         Most by which the time of a message may differ from that of the receiver.
-    reorder : int, default=1024
+    reorder : int, default=8192
         Messages of one sender that may overtake one another.
     max_senders : int, default=4096
         Senders that are remembered at a time.
     """
 
     max_skew_s: float = 30.0
-    reorder: int = 1024
+    reorder: int = 8192
     max_senders: int = 4096
 
 
