Accept jobs and claim keys over a partition log with group commit

Nothing that has to outlive its VM was kept. Each partition has a log in the store; a successor fences the earlier writer and replays it. Jobs are acknowledged once their append is known to have taken effect, and an attempt that must not run twice starts only after its intent is in the log.

--- a/packages/core/src/papayadyke_core/jobs/_job.py
+++ b/packages/core/src/papayadyke_core/jobs/_job.py
@@ -4,7 +4,7 @@
 
 from papayadyke_core.jobs._gang import judge_gang
 from papayadyke_core.jobs._outcome import Again, Final, judge, stopped
-from papayadyke_core.jobs._task import Live, Task, check
+from papayadyke_core.jobs._task import Live, Task, check, first_attempt
 from papayadyke_core.jobs._types import (
     Authorization,
     Permission,
@@ -36,6 +36,8 @@
     accepted : JobAccepted
     at_s : float
         When it was accepted.
+    epoch : int, default=0
+        Of the partition's owner.
 
     Notes
     -----
@@ -47,11 +49,13 @@
     in the log, and never changes.
     """
 
-    def __init__(self, accepted: JobAccepted, at_s: float) -> None:
+    def __init__(self, accepted: JobAccepted, at_s: float, *, epoch: int = 0) -> None:
         self.accepted = accepted
+        self.epoch = epoch
         self.at_s = at_s
         self.cancelled = False
         self.tasks = [Task(index) for index in range(len(accepted.payloads))]
+        self.ended_at_s: float | None = None
         self._orders = 0
 
     @property
@@ -69,19 +73,23 @@
         """Whether every task has its outcome in the log."""
         return all(task.outcome is not None for task in self.tasks)
 
-    def apply(self, entry: Entry) -> None:
-        """Take in an entry of this job that is in the log."""
+    def apply(self, entry: Entry, at_s: float) -> None:
+        """Take in an entry of this job that is in the log, at its log time."""
         if isinstance(entry, JobCancelled):
             self.cancelled = True
         elif isinstance(entry, TaskIntended):
             task = self.tasks[entry.index]
             check(entry.attempt >= task.logged_attempt, "attempts out of order")
             task.logged_attempt = entry.attempt
+            task.logged_starts += 1
             task.upstream = entry.upstream
         elif isinstance(entry, TaskEnded):
             task = self.tasks[entry.index]
             check(task.outcome in (None, entry), "an outcome changed")
             task.outcome = entry
+            if self.is_over:
+                self.ended_at_s = at_s
+                self.accepted = self.accepted.without_payloads()
 
     def mark_recovered(self, now_s: float) -> None:
         """Count each attempt that an earlier owner may have started."""
@@ -91,13 +99,11 @@
             logged = task.logged_attempt
             if logged == 0 and not self.accepted.idempotent:
                 continue
-            task.attempt = max(1, logged)
-            task.starts = task.attempt
-            task.failures = task.attempt - 1
+            task.attempt = logged or first_attempt(self.accepted.epoch)
+            task.starts = max(1, task.logged_starts)
+            task.failures = task.starts - 1
             task.live = Live.UNRESOLVED
             task.unresolved_since_s = now_s
-            if logged == 0:
-                task.upstream = None
 
     def cancel(self) -> JobCancelled | None:
         """Return the entry that cancels the job, or None where there is nothing."""
@@ -129,7 +135,7 @@
 
     def _order(self, tasks: list[Task], deadline_s: float) -> TaskOrder:
         for task in tasks:
-            task.begin_attempt()
+            task.begin_attempt(self.epoch)
         self._orders += 1
         specs = tuple(self._spec(task) for task in tasks)
         avoid = sorted({name for task in tasks for name in task.avoid})
@@ -160,9 +166,8 @@
         if task.stop_asked or self._stop_reason(now_s) is not None:
             return _REFUSED_NOW
         task.upstream = upstream
-        task.reusable = False
         entry = TaskIntended(self.id, index, attempt, upstream)
-        if self.accepted.idempotent and attempt == 1:
+        if self.accepted.idempotent and attempt == first_attempt(self.accepted.epoch):
             task.mark_started()
             return Authorization(Permission.NOW, entry)
         task.live = Live.INTENDED
--- a/packages/core/src/papayadyke_core/jobs/_task.py
+++ b/packages/core/src/papayadyke_core/jobs/_task.py
@@ -9,6 +9,7 @@
 from papayadyke_core.journal import TaskEnded, TaskState
 from papayadyke_core.verdicts import Reason
 
+ATTEMPTS_PER_EPOCH = 1_000_000_000
 PERMANENT_REASONS = frozenset(
     {
         Reason.BAD_REQUEST,
@@ -48,23 +49,22 @@
         Number of the latest attempt.
     logged_attempt : int, default=0
         Number of the latest attempt with an intent in the log.
+    logged_starts : int, default=0
+        Attempts with an intent in the log.
     live : Live
     starts : int, default=0
         Attempts that may have run.
     failures : int, default=0
         Attempts that ran and brought no answer.
-    reusable : bool, default=False
-        Whether the latest attempt never went further than the queue, so that
-        its number can be given again.
     """
 
     index: int
     attempt: int = 0
     logged_attempt: int = 0
+    logged_starts: int = 0
     live: Live = Live.NONE
     starts: int = 0
     failures: int = 0
-    reusable: bool = False
     upstream: str | None = None
     unresolved_since_s: float = 0.0
     not_before_s: float = 0.0
@@ -90,14 +90,19 @@
         """Whether an outcome is in the log or on its way there."""
         return self.outcome is not None or self.proposed is not None
 
-    def begin_attempt(self) -> None:
-        """Count a new attempt; the earlier one must have ended."""
+    def begin_attempt(self, epoch: int) -> None:
+        """Count a new attempt; the earlier one must have ended.
+
+        Parameters
+        ----------
+        epoch : int
+            Of the partition's owner. The numbers of two owners never meet, so a
+            late message about an earlier owner's attempt changes nothing.
+        """
         check(self.live is Live.NONE, "two attempts that may both run")
         check(not self.is_settled, "an attempt after the outcome")
-        if not self.reusable:
-            self.attempt += 1
+        self.attempt = max(self.attempt + 1, first_attempt(epoch))
         self.live = Live.ORDERED
-        self.reusable = True
         self.stop_asked = False
         self.done = None
         self.upstream = None
@@ -105,7 +110,6 @@
     def mark_started(self) -> None:
         """Note that the latest attempt may run from now on."""
         self.live = Live.STARTED
-        self.reusable = False
         self.starts += 1
 
     def end_attempt(self, done: TaskDone, now_s: float) -> None:
@@ -144,6 +148,11 @@
         self.not_before_s = not_before_s
 
 
+def first_attempt(epoch: int) -> int:
+    """Return the number of the first attempt that an owner may begin."""
+    return epoch * ATTEMPTS_PER_EPOCH + 1
+
+
 def check(condition: bool, what: str) -> None:
     """Stop on a breach of an invariant."""
     if not condition:
--- a/packages/core/src/papayadyke_core/journal/_commit.py
+++ b/packages/core/src/papayadyke_core/journal/_commit.py
@@ -48,10 +48,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Settled:
-    """News of a ticket."""
+    """News of a ticket; after a final one it is forgotten."""
 
     ticket: int
     result: AppendResult
+    is_final: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -250,7 +251,7 @@
             for item in state.in_flight:
                 if _is_late(item, now) and not item.told_unknown:
                     item.told_unknown = True
-                    settled.append(Settled(item.ticket, AppendResult.UNKNOWN))
+                    settled.append(Settled(item.ticket, AppendResult.UNKNOWN, False))
         return settled
 
     def _expire_pending(self, state: _Partition, now: float) -> list[Settled]:
@@ -261,6 +262,11 @@
         state.pending_bytes -= sum(item.size for item in late)
         return [Settled(item.ticket, AppendResult.DROPPED) for item in late]
 
+    def has_pending(self, partition: int) -> bool:
+        """Tell whether anything of a partition waits to be appended."""
+        state = self._partitions.get(partition)
+        return state is not None and bool(state.in_flight or state.pending)
+
     def next_due_s(self, now: float) -> float | None:
         """Return the time at which `next_flush` or `expire` has something to do."""
         if not any(s.in_flight or s.pending for s in self._partitions.values()):
--- a/packages/core/src/papayadyke_core/journal/_entries.py
+++ b/packages/core/src/papayadyke_core/journal/_entries.py
@@ -124,6 +124,8 @@
         Seconds after acceptance by which the last task has to have started.
     idempotent : bool
     max_attempts : int
+    epoch : int, default=0
+        Number of the segment by which the accepting VM took the partition over.
     key : str, default=""
         Idempotency key; empty where the caller gave none.
     digest : bytes, default=b""
@@ -136,9 +138,15 @@
     deadline_s: float
     idempotent: bool
     max_attempts: int
+    epoch: int = 0
     key: str = ""
     digest: bytes = b""
 
+    def without_payloads(self) -> JobAccepted:
+        """Return the record of a job that needs its payloads no longer."""
+        empty = (b"",) * len(self.payloads)
+        return msgspec.structs.replace(self, payloads=empty)
+
 
 class TaskIntended(_Record, frozen=True, tag="intent"):
     """An attempt of a task may run on an upstream from now on."""
--- a/packages/core/src/papayadyke_core/journal/_retention.py
+++ b/packages/core/src/papayadyke_core/journal/_retention.py
@@ -86,6 +86,7 @@
             group.tasks_left -= 1
             if group.tasks_left == 0:
                 group.ended_at_s = timed.at_s
+                group.entries = [_without_payloads(item) for item in group.entries]
 
     def purge(self, now_s: float) -> None:
         """Drop what is past its retention time.
@@ -129,6 +130,12 @@
     return is_past(opened_at_s, OPEN_KEY_RETENTION_S, now_s)
 
 
+def _without_payloads(timed: TimedEntry) -> TimedEntry:
+    if not isinstance(timed.entry, JobAccepted):
+        return timed
+    return TimedEntry(timed.at_s, timed.entry.without_payloads())
+
+
 def _strip(timed: TimedEntry, now_s: float) -> TimedEntry:
     entry = timed.entry
     if not isinstance(entry, KeyRecorded) or entry.answer is None:
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/jobs/_book.py
@@ -0,0 +1,110 @@
+"""The jobs of this VM's partitions, by id and by idempotency key."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from papayadyke_core.jobs import Job
+from papayadyke_core.journal import (
+    JOB_RETENTION_S,
+    JobAccepted,
+    JobCancelled,
+    TaskEnded,
+    TaskIntended,
+    is_past,
+)
+from papayadyke_daemon.journal import Replay
+
+
+@dataclass(slots=True)
+class JobPartition:
+    """The jobs of one partition.
+
+    Parameters
+    ----------
+    epoch : int
+        Of this owner.
+    at_s : float
+        Log time at `since_s`.
+    since_s : float
+        Monotonic time.
+    jobs : dict of str to Job
+    keys : dict of str to str
+        Job ids by idempotency key.
+    open_ids : set of str
+        Jobs that are not over.
+    """
+
+    epoch: int
+    at_s: float
+    since_s: float
+    jobs: dict[str, Job] = field(default_factory=dict)
+    keys: dict[str, str] = field(default_factory=dict)
+    open_ids: set[str] = field(default_factory=set)
+
+    def log_time_s(self, now: float) -> float:
+        """Return the log time at a monotonic time."""
+        return self.at_s + now - self.since_s
+
+    def accept(self, accepted: JobAccepted, at_s: float) -> Job:
+        """Take in a job that is in the log."""
+        job = Job(accepted, at_s, epoch=self.epoch)
+        self.jobs[job.id] = job
+        self.open_ids.add(job.id)
+        if accepted.key:
+            self.keys[accepted.key] = job.id
+        return job
+
+    def apply(
+        self, entry: JobCancelled | TaskIntended | TaskEnded, at_s: float
+    ) -> None:
+        """Take in an entry of a job that is in the log."""
+        job = self.jobs.get(entry.job_id)
+        if job is None:
+            return
+        job.apply(entry, at_s)
+        if job.is_over:
+            self.open_ids.discard(job.id)
+
+    def purge(self, now_s: float) -> None:
+        """Forget jobs past their retention time, at a log time."""
+        past = [
+            job
+            for job in self.jobs.values()
+            if is_past(job.ended_at_s, JOB_RETENTION_S, now_s)
+        ]
+        for job in past:
+            del self.jobs[job.id]
+            self.keys.pop(job.accepted.key, None)
+
+
+def rebuild(replay: Replay, now: float) -> JobPartition:
+    """Return the jobs that a replayed log holds.
+
+    Parameters
+    ----------
+    replay : Replay
+    now : float
+        Monotonic time in seconds.
+    """
+    part = JobPartition(replay.epoch, replay.at_s, now)
+    for timed in replay.entries:
+        entry = timed.entry
+        if isinstance(entry, JobAccepted):
+            part.accept(entry, timed.at_s)
+        elif isinstance(entry, TaskIntended | TaskEnded | JobCancelled):
+            part.apply(entry, timed.at_s)
+    for job in part.jobs.values():
+        job.mark_recovered(replay.at_s)
+    return part
+
+
+def job_partition(job_id: str) -> int | None:
+    """Return the partition that a job id names, or None for another id."""
+    head = job_id.split("-", 1)[0]
+    return int(head) if len(head) == 4 and head.isdigit() else None
+
+
+def new_job_id(partition: int, unique: str) -> str:
+    """Return the id of a new job of a partition."""
+    return f"{partition:04d}-{unique}"
--- a/packages/daemon/src/papayadyke_daemon/journal/_certain.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/_certain.py
@@ -2,14 +2,25 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
 from papayadyke_core.journal import CallResult, decode_segment
 from papayadyke_platform.store import Entry, ErrorKind, Store, StoreError
-from result import Err, Ok, Result
 
 MAX_TRIES = 8
 
 
-def append_once(store: Store, key: str, value: bytes, segment_id: str) -> CallResult:
+@dataclass(frozen=True, slots=True)
+class Appended:
+    """What is known of a segment, and its revision once it is written."""
+
+    result: CallResult
+    revision: int = 0
+
+
+def append_once(store: Store, key: str, value: bytes, segment_id: str) -> Appended:
     """Try once to create a segment, and say what is known of it.
 
     Parameters
@@ -27,17 +38,18 @@
     """
     result = store.create(key, value)
     if isinstance(result, Ok):
-        return CallResult.WRITTEN
+        return Appended(CallResult.WRITTEN, result.ok_value)
     kind = result.err_value.kind
     if kind is ErrorKind.UNKNOWN:
-        return CallResult.AMBIGUOUS
+        return Appended(CallResult.AMBIGUOUS)
     if kind is not ErrorKind.CONFLICT:
-        return CallResult.NOT_WRITTEN
+        return Appended(CallResult.NOT_WRITTEN)
     entry = read_present(store, key)
     if entry is None:
-        return CallResult.AMBIGUOUS
-    is_own = decode_segment(entry.value).id == segment_id
-    return CallResult.WRITTEN if is_own else CallResult.TAKEN
+        return Appended(CallResult.AMBIGUOUS)
+    if decode_segment(entry.value).id == segment_id:
+        return Appended(CallResult.WRITTEN, entry.revision)
+    return Appended(CallResult.TAKEN)
 
 
 def read_present(store: Store, key: str, *, above: int = -1) -> Entry | None:
--- a/packages/daemon/src/papayadyke_daemon/journal/_compaction.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/_compaction.py
@@ -6,17 +6,19 @@
 from collections.abc import Iterator
 
 import msgspec
+from result import Err, Ok
+
 from papayadyke_core.journal import (
     chunk_key,
     chunk_prefix,
     encode_chunks,
     log_prefix,
+    segment_key,
     segment_number,
 )
 from papayadyke_daemon.journal._takeover import OwnedLog, new_id, write_manifest
 from papayadyke_daemon.journal._types import JournalSettings
 from papayadyke_platform.store import Entry, ErrorKind, Store
-from result import Err, Ok
 
 TAKEOVER_RETENTION_S = 24 * 3600.0
 LEFTOVER_PAGE = 4
@@ -96,8 +98,6 @@
 def _delete_segments(
     store: Store, log: OwnedLog, covered: dict[int, int], now_s: float
 ) -> Iterator[None]:
-    from papayadyke_core.journal import segment_key
-
     for number, revision in covered.items():
         if _is_retained(log, number, now_s):
             continue
--- a/packages/daemon/src/papayadyke_daemon/journal/_takeover.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/_takeover.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 
 import msgspec
+from result import Err, Ok, Result
+
 from papayadyke_core.journal import (
     Entry,
     LiveEntries,
@@ -28,9 +30,8 @@
 from papayadyke_daemon.journal._certain import read_present, replace_certainly
 from papayadyke_daemon.journal._types import JournalSettings, Replay
 from papayadyke_platform.store import ErrorKind, Store, StoreError
-from result import Err, Ok, Result
 
-PAGE_SEGMENTS = 16
+PAGE_SEGMENTS = 8
 MAX_ROUNDS = 20
 MAX_TAKEOVER_S = 3600.0
 
@@ -194,9 +195,7 @@
     return Err(_AGAIN)
 
 
-def _load_snapshot(
-    store: Store, log: OwnedLog
-) -> Result[list[TimedEntry], StoreError]:
+def _load_snapshot(store: Store, log: OwnedLog) -> Result[list[TimedEntry], StoreError]:
     entries: list[TimedEntry] = []
     manifest = log.manifest
     for index in range(manifest.chunks):
@@ -234,9 +233,7 @@
                 break
             segment = decode_segment(entry.value)
             log.bytes_since += len(entry.value)
-            _count(
-                log, log.next_number, entry.revision, segment.at_s, segment.entries
-            )
+            _count(log, log.next_number, entry.revision, segment.at_s, segment.entries)
             listed.entries += [TimedEntry(segment.at_s, e) for e in segment.entries]
             listed.is_own = segment.id == own_id
         if log.next_number - before < PAGE_SEGMENTS:
@@ -261,7 +258,8 @@
     """Prove that nobody took the manifest while the log was read."""
     if isinstance(confirm_owner(store, log), Err):
         return Err(_AGAIN)
-    return Ok(Replay(log.partition, log.at_s, tuple(entries)))
+    epoch = log.next_number - 1
+    return Ok(Replay(log.partition, epoch, log.at_s, tuple(entries)))
 
 
 def confirm_owner(store: Store, log: OwnedLog) -> Result[None, StoreError]:
--- a/packages/daemon/src/papayadyke_daemon/journal/_types.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/_types.py
@@ -39,6 +39,8 @@
     Parameters
     ----------
     partition : int
+    epoch : int
+        Number of the segment by which it was taken over; grows with each owner.
     at_s : float
         Log time at which the log ends.
     entries : tuple of TimedEntry
@@ -46,5 +48,6 @@
     """
 
     partition: int
+    epoch: int
     at_s: float
     entries: tuple[TimedEntry, ...]
--- a/packages/daemon/src/papayadyke_daemon/journal/_writer.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/_writer.py
@@ -7,10 +7,11 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
+from result import Err, Ok, Result
+
 from papayadyke_core.journal import (
     AppendResult,
     CallResult,
@@ -33,7 +34,6 @@
 )
 from papayadyke_daemon.journal._types import JournalSettings, Replay
 from papayadyke_platform.store import ErrorKind, Store, StoreError
-from result import Err, Ok, Result
 
 FENCE_HORIZON_S = 3600.0
 COMPACTION_RETRY_S = 30.0
@@ -47,6 +47,13 @@
 class _InFlight:
     segment: Segment
     data: bytes
+    made_s: float
+
+
+@dataclass(slots=True)
+class _Compaction:
+    partition: int
+    steps: Iterator[None]
 
 
 class LogWriter:
@@ -79,9 +86,9 @@
         self._confirmed_s: dict[int, float] = {}
         self._in_flight: dict[int, _InFlight] = {}
         self._on_settled: dict[int, OnSettled] = {}
-        self._compactions: dict[int, Iterator[None]] = {}
+        self._compaction: _Compaction | None = None
         self._compact_after_s = 0.0
-        self._appended_last = False
+        self._compacts_next = False
 
     @property
     def partitions(self) -> tuple[int, ...]:
@@ -155,21 +162,24 @@
         """Make at most one store call that is due; return when to call again."""
         now = self._clock()
         self._settle(self._commit.expire(now), 0.0)
-        if not (self._appended_last and self._compact_step(now)):
-            flush = self._commit.next_flush(now)
-            if flush is not None:
-                self._appended_last = True
-                self._flush(flush)
-            elif not self._appended_last:
-                self._compact_step(now)
-            else:
-                self._appended_last = False
+        self._begin_compaction(now)
+        if not self._commit.pace.may_call(now):
+            return self._next_due_s()
+        if self._compacts_next and self._compaction is not None:
+            self._compact_step(now)
+            return self._next_due_s()
+        flush = self._commit.next_flush(now)
+        if flush is not None:
+            self._compacts_next = True
+            self._flush(flush)
+        elif self._compaction is not None:
+            self._compact_step(now)
         return self._next_due_s()
 
     def _next_due_s(self) -> float | None:
         now = self._clock()
         due = self._commit.next_due_s(now)
-        if not self._compactions:
+        if self._compaction is None:
             return due
         next_s = self._commit.pace.next_call_s(now)
         return next_s if due is None else min(due, next_s)
@@ -184,17 +194,20 @@
         if flown is None or not flush.is_retry:
             flown = self._make_segment(log, flush.entries, started)
             self._in_flight[partition] = flown
-        result = append_once(
+        appended = append_once(
             self._store,
             segment_key(partition, flush.number),
             flown.data,
             flown.segment.id,
         )
+        result = appended.result
         now = self._clock()
         if result is CallResult.WRITTEN and self._is_old(partition, now):
             result = CallResult.AMBIGUOUS
         if result is CallResult.WRITTEN:
-            self._count(partition, log, flown, flush.number, now)
+            del self._in_flight[partition]
+            self._confirmed_s[partition] = now
+            _count(log, flown, appended.revision)
         settled = self._commit.report(partition, result, now, call_s=now - started)
         self._settle(settled, flown.segment.at_s)
         if result is CallResult.TAKEN:
@@ -210,18 +223,7 @@
             log.log_time_s(now),
             entries,
         )
-        return _InFlight(segment, encode_segment(segment))
-
-    def _count(
-        self, partition: int, log: OwnedLog, flown: _InFlight, number: int, now: float
-    ) -> None:
-        del self._in_flight[partition]
-        self._confirmed_s[partition] = now
-        log.next_number = number + 1
-        log.segments[number] = 0
-        log.bytes_since += len(flown.data)
-        for entry in flown.segment.entries:
-            log.live.apply(entry, flown.segment.at_s)
+        return _InFlight(segment, encode_segment(segment), now)
 
     def _is_old(self, partition: int, now: float) -> bool:
         return now - self._confirmed_s[partition] > FENCE_HORIZON_S
@@ -249,50 +251,43 @@
             self._lose(partition)
         return False
 
-    def _compact_step(self, now: float) -> bool:
-        """Make one call of a compaction, if one is due."""
-        self._appended_last = False
-        self._begin_compactions(now)
-        if not self._compactions or not self._commit.pace.may_call(now):
-            return False
-        partition, steps = next(iter(self._compactions.items()))
+    def _begin_compaction(self, now: float) -> None:
+        if self._compaction is not None or now < self._compact_after_s:
+            return
+        for partition, log in self._logs.items():
+            if is_due(log, self._settings):
+                self._compact_after_s = now + COMPACTION_RETRY_S
+                steps = compact(self._store, log, log.log_time_s(now))
+                self._compaction = _Compaction(partition, steps)
+                return
+
+    def _compact_step(self, now: float) -> None:
+        """Make one call of the compaction under way."""
+        compaction = self._compaction
+        assert compaction is not None
+        self._compacts_next = False
         self._commit.pace.called(now)
         try:
-            next(steps)
+            next(compaction.steps)
         except StopIteration:
-            del self._compactions[partition]
+            self._compaction = None
         except LostOwnership:
+            partition = compaction.partition
             settled = self._commit.remove_partition(
                 partition, result=AppendResult.FENCED
             )
             self._settle(settled, 0.0)
             self._lose(partition)
-        return True
-
-    def _begin_compactions(self, now: float) -> None:
-        if self._compactions or now < self._compact_after_s:
-            return
-        for partition, log in self._logs.items():
-            if is_due(log, self._settings):
-                self._compact_after_s = now + COMPACTION_RETRY_S
-                steps = compact(self._store, log, log.log_time_s(now))
-                self._compactions[partition] = steps
-                return
 
     def _settle(self, settled: list[Settled], at_s: float) -> None:
         for item in settled:
-            is_final = item.result is not AppendResult.UNKNOWN
-            on_settled = (
-                self._on_settled.pop(item.ticket)
-                if is_final
-                else self._on_settled[item.ticket]
-            )
+            on_settled = self._on_settled[item.ticket]
+            if item.is_final:
+                del self._on_settled[item.ticket]
             on_settled(item.result, at_s)
 
     def _lose(self, partition: int) -> None:
-        logger.warning(
-            "journal: partition %d was taken over by another VM", partition
-        )
+        logger.warning("journal: partition %d was taken over by another VM", partition)
         self._forget(partition)
         self._on_fenced(partition)
 
@@ -300,9 +295,15 @@
         self._logs.pop(partition, None)
         self._confirmed_s.pop(partition, None)
         self._in_flight.pop(partition, None)
-        self._compactions.pop(partition, None)
-
-
-def monotonic_s() -> float:
-    """Return the monotonic time in seconds."""
-    return time.monotonic()
+        if self._compaction is not None and self._compaction.partition == partition:
+            self._compaction = None
+
+
+def _count(log: OwnedLog, flown: _InFlight, revision: int) -> None:
+    log.segments[log.next_number] = revision
+    log.next_number += 1
+    log.bytes_since += len(flown.data)
+    log.at_s = flown.segment.at_s
+    log.since_s = flown.made_s
+    for entry in flown.segment.entries:
+        log.live.apply(entry, flown.segment.at_s)
