--- a/packages/core/src/papayadyke_core/scheduling/_starts.py
+++ b/packages/core/src/papayadyke_core/scheduling/_starts.py
@@ -194,7 +194,7 @@
 
 
 def _task_id(request: QueuedRequest, index: int) -> str:
-    return f"{request.id}.{request.attempt}.{index}"
+    return f"{request.id}.{index}.{request.attempt}"
 
 
 def _held_upstreams(
--- a/packages/core/src/papayadyke_core/verdicts/_verdict.py
+++ b/packages/core/src/papayadyke_core/verdicts/_verdict.py
@@ -20,6 +20,7 @@
     UNKNOWN_REQUEST = "unknown_request"
     KEY_CONFLICT = "key_conflict"
     KEY_IN_PROGRESS = "key_in_progress"
+    ANSWER_NOT_KEPT = "answer_not_kept"
     TOO_LARGE = "too_large"
     CAN_NEVER_RUN = "can_never_run"
     NOT_ADMITTED = "not_admitted"
@@ -45,6 +46,7 @@
     Reason.UNKNOWN_REQUEST: 404,
     Reason.KEY_CONFLICT: 409,
     Reason.KEY_IN_PROGRESS: 409,
+    Reason.ANSWER_NOT_KEPT: 410,
     Reason.TOO_LARGE: 413,
     Reason.CAN_NEVER_RUN: 422,
     Reason.FAILS_EVERYWHERE: 422,
--- a/packages/daemon/src/papayadyke_daemon/_logs.py
+++ b/packages/daemon/src/papayadyke_daemon/_logs.py
@@ -8,6 +8,13 @@
 
 from papayadyke_daemon.settings import LogSettings
 
+LOGGERS = (
+    "papayadyke",
+    "papayadyke_core",
+    "papayadyke_daemon",
+    "papayadyke_platform",
+    "papayadyke_standins",
+)
 PLAIN_FORMAT = "%(asctime)s %(levelname)s %(message)s"
 JSON_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
 
@@ -22,10 +29,11 @@
     """
     handler = logging.StreamHandler()
     handler.setFormatter(_make_formatter(settings.format))
-    root = logging.getLogger("papayadyke")
-    root.handlers[:] = [handler]
-    root.setLevel(settings.level)
-    root.propagate = False
+    for name in LOGGERS:
+        logger = logging.getLogger(name)
+        logger.handlers[:] = [handler]
+        logger.setLevel(settings.level)
+        logger.propagate = False
 
 
 def _make_formatter(name: str) -> logging.Formatter:
--- a/packages/daemon/src/papayadyke_daemon/callers/_app.py
+++ b/packages/daemon/src/papayadyke_daemon/callers/_app.py
@@ -7,13 +7,20 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import cast
 
 import msgspec
 from result import Err, Ok, Result
 
 from papayadyke_core.verdicts import Reason, Refusal, Verdict
 from papayadyke_daemon.callers._headers import read_headers, read_request_id
-from papayadyke_daemon.callers._problem import make_bad_request, make_problem
+from papayadyke_daemon.callers._jobs import JobHome, JobRoutes
+from papayadyke_daemon.callers._problem import (
+    make_bad_request,
+    make_problem,
+    refuse_method,
+)
+from papayadyke_daemon.keyed import KeyedRuns, Replayed
 from papayadyke_daemon.serving import (
     Answer,
     IdSource,
@@ -52,6 +59,8 @@
     Parameters
     ----------
     runs : RunService
+    keyed : KeyedRuns
+    jobs : JobHome
     history : RequestHistory
     ids : IdSource
     settings : CallersSettings
@@ -65,6 +74,8 @@
         self,
         *,
         runs: RunService,
+        keyed: KeyedRuns,
+        jobs: JobHome,
         history: RequestHistory,
         ids: IdSource,
         settings: CallersSettings,
@@ -72,6 +83,8 @@
         on_record: Callable[[RequestRecord], None] = lambda record: None,
     ) -> None:
         self.runs = runs
+        self.keyed = keyed
+        self.jobs = JobRoutes(jobs)
         self.history = history
         self.ids = ids
         self.settings = settings
@@ -101,7 +114,17 @@
         match = _REQUEST_PATH.fullmatch(req.path)
         if match:
             return self._tell_request(req, match.group(1))
-        return make_bad_request("There is no such path.", request_id, status=404)
+        return self._route_job(req, request_id)
+
+    def _route_job(self, req: HttpRequest, request_id: str) -> HttpAnswer:
+        if req.body_error is not None:
+            return _refuse_body(req.body_error, request_id, self.settings)
+        if req.method == "POST" and not self.readiness().ready:
+            return make_problem(_refuse_draining(), request_id)
+        answer = self.jobs.handle(req, request_id)
+        if answer is None:
+            return make_bad_request("There is no such path.", request_id, status=404)
+        return answer
 
     def _tell_readiness(self) -> HttpAnswer:
         readiness = self.readiness()
@@ -111,7 +134,7 @@
 
     def _run(self, req: HttpRequest, request_id: str, workload: str) -> HttpAnswer:
         if req.method != "POST":
-            return _refuse_method(request_id, "POST")
+            return refuse_method(request_id, "POST")
         if req.body_error is not None:
             return _refuse_body(req.body_error, request_id, self.settings)
         checked = read_headers(req.headers, settings=self.settings)
@@ -128,11 +151,16 @@
             content_type=headers.content_type,
             deadline_s=self.runs.clock() + headers.timeout_s,
         )
-        result = self.runs.run(order)
-        self._record(order, result, received_at)
+        if headers.idempotency_key is None:
+            result: Result[Answer | Replayed, Refusal] = self.runs.run(order)
+        else:
+            result = self.keyed.run(order, headers.idempotency_key)
+        if isinstance(result, Ok) and isinstance(result.ok_value, Replayed):
+            return _pass_replay(result.ok_value, request_id)
+        self._record(order, cast("Result[Answer, Refusal]", result), received_at)
         if isinstance(result, Err):
             return make_problem(result.err_value, request_id)
-        return _pass_answer(result.ok_value, request_id)
+        return _pass_answer(cast("Answer", result.ok_value), request_id)
 
     def _record(
         self,
@@ -146,7 +174,7 @@
 
     def _tell_request(self, req: HttpRequest, wanted: str) -> HttpAnswer:
         if req.method != "GET":
-            return _refuse_method(wanted, "GET")
+            return refuse_method(wanted, "GET")
         record = self.history.find(wanted)
         if record is None:
             refusal = Refusal(
@@ -191,12 +219,14 @@
     return HttpAnswer(answer.status, answer.body, answer.content_type, headers)
 
 
-def _answer_health(status: int, health: Health) -> HttpAnswer:
-    return HttpAnswer(status, msgspec.json.encode(health))
+def _pass_replay(replayed: Replayed, request_id: str) -> HttpAnswer:
+    answer = replayed.answer
+    headers = {"Request-Id": request_id, "Idempotent-Replay": "true"}
+    return HttpAnswer(answer.status, answer.body, answer.content_type, headers)
 
 
-def _refuse_method(request_id: str, allowed: str) -> HttpAnswer:
-    return make_bad_request(f"This path takes {allowed} alone.", request_id, status=405)
+def _answer_health(status: int, health: Health) -> HttpAnswer:
+    return HttpAnswer(status, msgspec.json.encode(health))
 
 
 def _refuse_draining() -> Refusal:
--- a/packages/daemon/src/papayadyke_daemon/callers/_problem.py
+++ b/packages/daemon/src/papayadyke_daemon/callers/_problem.py
@@ -65,3 +65,8 @@
     """Return the HTTP answer to a request that is not understood."""
     refusal = Refusal(Verdict.NOT_RUN, Reason.BAD_REQUEST, detail)
     return make_problem(refusal, request_id, status=status)
+
+
+def refuse_method(request_id: str, allowed: str) -> HttpAnswer:
+    """Return the HTTP answer to a method that a path does not take."""
+    return make_bad_request(f"This path takes {allowed} alone.", request_id, status=405)
--- a/packages/daemon/src/papayadyke_daemon/daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/daemon.py
@@ -6,19 +6,24 @@
 import threading
 import time
 
+from papayadyke_core.journal import PARTITIONS
 from papayadyke_core.scheduling import Scheduler
 from papayadyke_core.workloads import Config
 from papayadyke_daemon._metrics import Metrics
 from papayadyke_daemon.callers import CallersApp, Readiness
+from papayadyke_daemon.durable import DurableParts
 from papayadyke_daemon.fleet import Fleet, Holder
+from papayadyke_daemon.keyed import KeyedRuns
 from papayadyke_daemon.scheduler import ApplyConfig, SchedulerLoop
 from papayadyke_daemon.serving import IdSource, RequestHistory, RunService
 from papayadyke_daemon.settings import Settings
 from papayadyke_platform.http import HttpAnswer, HttpLimits, HttpRequest, HttpServer
+from papayadyke_platform.store import HttpStore, NoStore, Store, StoreSettings
 
 LOG = logging.getLogger("papayadyke.daemon")
 DRAIN_POLL_S = 0.02
 NS_PER_MS = 1_000_000
+ALL_PARTITIONS = frozenset(range(PARTITIONS))
 
 
 class Daemon:
@@ -27,9 +32,11 @@
     Parameters
     ----------
     settings : Settings
+    store : Store or None, default=None
+        None connects to the address in the settings.
     """
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, *, store: Store | None = None) -> None:
         self.settings = settings
         self.config = Config()
         self._draining = threading.Event()
@@ -38,10 +45,14 @@
         self.ids = IdSource(settings.vm, incarnation)
         self.metrics = Metrics(settings.statsd)
         self.history = RequestHistory()
-        self.loop = SchedulerLoop(Scheduler())
+        self.loop = SchedulerLoop(
+            Scheduler(), on_stop=lambda stop: self.durable.tasks.give_way(stop)
+        )
+        self.store = store or _connect_store(settings)
         self.fleet = Fleet(
             holder=Holder(settings.vm, incarnation),
             settings=settings.fleet,
+            upstreams=settings.upstreams,
             send=self.loop.send,
         )
         self.runs = RunService(
@@ -51,8 +62,21 @@
             config=lambda: self.config,
             task_lease_s=settings.fleet.task_lease_s,
         )
+        self.durable = DurableParts(
+            store=self.store,
+            vm=settings.vm,
+            incarnation=incarnation,
+            loop=self.loop,
+            fleet=self.fleet,
+            find_workload=lambda name: self.config.workloads.get(name),
+            plan=lambda: ALL_PARTITIONS,
+            covers_cell=lambda: True,
+            task_lease_s=settings.fleet.task_lease_s,
+        )
         self.app = CallersApp(
             runs=self.runs,
+            keyed=KeyedRuns(runs=self.runs, home=self.durable.keys, vm=settings.vm),
+            jobs=self.durable.jobs,
             history=self.history,
             ids=self.ids,
             settings=settings.callers,
@@ -69,7 +93,8 @@
     def start(self) -> None:
         """Start every part; the callers' listener comes last."""
         self.loop.start()
-        self.fleet.own(self.settings.upstreams, epoch=1)
+        self.durable.start()
+        self.fleet.own(self.fleet.list_names(), epoch=1)
         self.callers.start()
         LOG.info("daemon: %s takes callers at %s:%d", self.settings.vm, *self.address)
 
@@ -110,6 +135,7 @@
         """Close every part; call `drain` first for a graceful stop."""
         self._draining.set()
         self.callers.stop()
+        self.durable.stop()
         self.fleet.stop()
         self.loop.stop()
         LOG.info("daemon: stopped")
@@ -135,6 +161,19 @@
             return self.app.handle(req)
 
 
+def _connect_store(settings: Settings) -> Store:
+    if settings.store is None:
+        return NoStore()
+    address = settings.store.address
+    return HttpStore(
+        StoreSettings(
+            address=f"{address.host}:{address.port}",
+            client=f"{settings.availability_zone}/{settings.vm}",
+            answer_timeout_s=settings.store.timeout_s,
+        )
+    )
+
+
 class _InFlight:
     """Counts the requests that are being answered."""
 
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/durable.py
@@ -0,0 +1,135 @@
+"""The parts that keep jobs and keys in the store: journal, jobs, keys, keeper."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+
+from papayadyke_core.idempotency import UnresolvedKey
+from papayadyke_core.jobs import TaskDone, TaskResult, task_id_of
+from papayadyke_core.workloads import Workload
+from papayadyke_daemon.fleet import Fleet
+from papayadyke_daemon.idempotency import KeyService, KeyServiceSettings
+from papayadyke_daemon.jobs import JobHooks, JobService, JobSettings
+from papayadyke_daemon.journal import JournalSettings, JournalWriter, Replay
+from papayadyke_daemon.partitions import PartitionKeeper
+from papayadyke_daemon.scheduler import SchedulerLoop
+from papayadyke_daemon.serving import MAX_ATTEMPTS, TaskRunner
+from papayadyke_platform.store import Store
+
+LEASE_MARGIN = 2.0
+
+
+class DurableParts:
+    """Journal, jobs, keys and the keeper of partitions of one daemon.
+
+    Parameters
+    ----------
+    store : Store
+    vm : str
+    incarnation : int
+    loop : SchedulerLoop
+    fleet : Fleet
+    find_workload : callable
+    plan : callable
+        Returns the partitions that are this VM's.
+    covers_cell : callable
+        Tells whether the upstreams of this zone are all of the cell.
+    task_lease_s : float
+    """
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        vm: str,
+        incarnation: int,
+        loop: SchedulerLoop,
+        fleet: Fleet,
+        find_workload: Callable[[str], Workload | None],
+        plan: Callable[[], frozenset[int]],
+        covers_cell: Callable[[], bool],
+        task_lease_s: float,
+    ) -> None:
+        self.journal = JournalWriter(
+            store, JournalSettings(vm=vm, incarnation=f"{incarnation:x}")
+        )
+        self.tasks = TaskRunner(
+            loop=loop,
+            fleet=fleet,
+            authorize=lambda *args: self.jobs.authorize_start(*args),
+            task_lease_s=task_lease_s,
+            covers_cell=covers_cell,
+        )
+        self.jobs = JobService(
+            self.journal,
+            JobSettings(lease_run_out_s=LEASE_MARGIN * task_lease_s),
+            JobHooks(
+                find_workload=find_workload,
+                submit_task=self.tasks.submit,
+                stop_task=self.tasks.cancel,
+                resolve_task=self.tasks.resolve,
+            ),
+        )
+        self._resolver = _KeyResolver(self.tasks)
+        self.keys = KeyService(
+            self.journal, KeyServiceSettings(), self._resolver.resolve
+        )
+        self.keeper = PartitionKeeper(
+            self.journal, plan=plan, on_adopt=self._adopt, on_drop=self._drop
+        )
+
+    def start(self) -> None:
+        """Start the threads; the keeper, which feeds the others, comes last."""
+        self.journal.start()
+        self.tasks.start()
+        self.jobs.start()
+        self.keys.start()
+        self.keeper.start()
+
+    def stop(self) -> None:
+        """Release the partitions and end the threads."""
+        self.keeper.stop()
+        self.jobs.stop()
+        self.keys.stop()
+        self.tasks.stop()
+        self.journal.stop()
+        self._resolver.stop()
+
+    def _adopt(self, replay: Replay) -> None:
+        self.jobs.adopt(replay)
+        self.keys.adopt(replay)
+
+    def _drop(self, partition: int) -> None:
+        self.jobs.drop(partition)
+        self.keys.drop(partition)
+
+
+class _KeyResolver:
+    """Finds out how the request of a key ended whose VM was lost."""
+
+    def __init__(self, tasks: TaskRunner) -> None:
+        self.tasks = tasks
+        self._calls = ThreadPoolExecutor(1, thread_name_prefix="keys")
+
+    def resolve(self, key: UnresolvedKey, on_done: Callable[[TaskDone], None]) -> None:
+        """Ask about every attempt that the request may have made."""
+        self._ask(key, 1, on_done)
+
+    def stop(self) -> None:
+        """End the thread."""
+        self._calls.shutdown(wait=False, cancel_futures=True)
+
+    def _ask(
+        self, key: UnresolvedKey, attempt: int, on_done: Callable[[TaskDone], None]
+    ) -> None:
+        def took(done: TaskDone) -> None:
+            never = done.result is TaskResult.NOT_STARTED
+            if never and attempt < MAX_ATTEMPTS:
+                self._calls.submit(self._ask, key, attempt + 1, on_done)
+            else:
+                on_done(done)
+
+        task_id = task_id_of(key.request_id, 0, attempt)
+        # An earlier attempt may have gone to another upstream than the last.
+        self.tasks.resolve(task_id, None, took)
--- a/packages/daemon/src/papayadyke_daemon/embedded.py
+++ b/packages/daemon/src/papayadyke_daemon/embedded.py
@@ -11,8 +11,10 @@
     CallersSettings,
     LogSettings,
     Settings,
+    StoreAddress,
     UpstreamAddress,
 )
+from papayadyke_standins.store import StoreStandin
 from papayadyke_standins.upstream import UpstreamStandin
 
 UPSTREAMS = 6
@@ -99,10 +101,12 @@
 
     def __init__(self, *, port: int = 0) -> None:
         self.port = port
+        self.store = StoreStandin()
         self.upstreams = [_make_upstream(number) for number in range(UPSTREAMS)]
 
     def start(self) -> None:
         """Start the stand-ins, then the daemon."""
+        self.store.start()
         for upstream in self.upstreams:
             upstream.start()
         self.daemon = Daemon(self._make_settings())
@@ -117,6 +121,7 @@
         self.daemon.stop()
         for upstream in self.upstreams:
             upstream.stop()
+        self.store.stop()
         return drained
 
     def _make_settings(self) -> Settings:
@@ -128,10 +133,16 @@
                 UpstreamAddress(item.spec.name, Address(*item.address))
                 for item in self.upstreams
             ),
+            store=StoreAddress(_parse_address(self.store.address)),
             log=LogSettings(),
         )
 
 
+def _parse_address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return Address(host, int(port))
+
+
 def _make_upstream(number: int) -> UpstreamStandin:
     spec = UpstreamSpec(
         name=f"upstream-{number}",
--- a/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
@@ -6,6 +6,7 @@
 import queue
 import threading
 import time
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -44,6 +45,8 @@
 STOP_TIMEOUT_S = 10.0
 MAX_IDLE_S = 1.0
 MIN_IDLE_S = 0.005
+MAX_ENDS_WAIT_S = 0.5
+RECENT_ENDS = 256
 UNREACHABLE = "unreachable"
 
 SchedulerMessage = AddUpstream | Adopt | DrainUpstream | Finish | RemoveUpstream
@@ -65,6 +68,14 @@
     start_before_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Followed:
+    """A running task whose end is told once."""
+
+    task_id: str
+    on_end: Callable[[str], None]
+
+
 class UpstreamAgent:
     """Opens, renews and releases the session of one upstream.
 
@@ -114,6 +125,11 @@
         self._adopted: set[str] = set()
         self._watched: queue.SimpleQueue[Watched] = queue.SimpleQueue()
         self._unsettled: dict[str, float] = {}
+        self._new_followed: queue.SimpleQueue[Followed] = queue.SimpleQueue()
+        self._followed: dict[str, Followed] = {}
+        self._ends_seen = 0
+        # A task may end before it is followed.
+        self._recent_ends: deque[str] = deque(maxlen=RECENT_ENDS)
         self._draining = False
         self._stopping = False
 
@@ -175,6 +191,19 @@
         """
         self._watched.put(Watched(task_id, start_before_s))
 
+    def follow(self, task_id: str, on_end: Callable[[str], None]) -> None:
+        """Tell the end of a task that was seen running, once.
+
+        Parameters
+        ----------
+        task_id : str
+        on_end : callable
+            Takes the task id in the agent's thread and must not block. It is
+            called as well where the session ends and the task may run on.
+        """
+        self._new_followed.put(Followed(task_id, on_end))
+        self._wake.set()
+
     def _run(self) -> None:
         while not self._is_done():
             self._wake.clear()
@@ -186,7 +215,7 @@
             elif request is not None:
                 self._ask(request)
             self._announce_lapse()
-            self._wake.wait(self._find_idle_s())
+            self._idle()
         self._announce(None)
         self.client.close()
 
@@ -202,6 +231,39 @@
             return MAX_IDLE_S
         return min(max(due_s - now, MIN_IDLE_S), MAX_IDLE_S)
 
+    def _idle(self) -> None:
+        """Wait for the next thing to do, at the upstream while tasks run there."""
+        idle_s = self._find_idle_s()
+        self._take_followed()
+        token = self._announced
+        if token is None or not self._followed or self._stopping:
+            self._wake.wait(idle_s)
+            return
+        report = self.client.wait_for_ends(
+            token, after=self._ends_seen, wait_s=min(idle_s, MAX_ENDS_WAIT_S)
+        )
+        if report is None:
+            self._wake.wait(idle_s)
+            return
+        self._ends_seen = report.sequence
+        self._take_followed()
+        for task_id in report.ended:
+            self._recent_ends.append(task_id)
+            self._tell_end(task_id)
+
+    def _take_followed(self) -> None:
+        while not self._new_followed.empty():
+            followed = self._new_followed.get()
+            if followed.task_id in self._recent_ends:
+                followed.on_end(followed.task_id)
+            else:
+                self._followed[followed.task_id] = followed
+
+    def _tell_end(self, task_id: str) -> None:
+        followed = self._followed.pop(task_id, None)
+        if followed is not None:
+            followed.on_end(task_id)
+
     def _ask(self, request: OpenRequest | RenewRequest) -> None:
         if isinstance(request, RenewRequest):
             result = self.client.renew(request.token)
@@ -217,6 +279,8 @@
             LOG.info("fleet: session %d at %s", report.token, self.upstream.name)
             self._announce(report)
         running = {task.task_id for task in report.running}
+        for task_id in [name for name in self._followed if name not in running]:
+            self._tell_end(task_id)
         self._finish_adopted(running)
         self._finish_unsettled(running, report.clock_s)
         if report.leaving and not self._draining:
@@ -235,6 +299,9 @@
         """Tell the scheduler of a new session, or of the end of the last."""
         if self._announced is not None:
             self._announced = None
+            self._take_followed()
+            for task_id in list(self._followed):
+                self._tell_end(task_id)
             self._adopted.clear()
             self._unsettled.clear()
             self.send(RemoveUpstream(self.upstream.name))
--- a/packages/daemon/src/papayadyke_daemon/fleet/_fleet.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_fleet.py
@@ -8,6 +8,7 @@
 
 from papayadyke_daemon.fleet._agent import Holder, SchedulerMessage, UpstreamAgent
 from papayadyke_daemon.settings import FleetSettings, UpstreamAddress
+from papayadyke_platform.upstream import CallResult, Lost, UpstreamClient
 
 
 class Fleet:
@@ -17,6 +18,8 @@
     ----------
     holder : Holder
     settings : FleetSettings
+    upstreams : iterable of UpstreamAddress
+        Every upstream of the zone, owned or not.
     send : callable
         Takes messages to the scheduler.
     clock : callable, default=time.monotonic
@@ -27,26 +30,28 @@
         *,
         holder: Holder,
         settings: FleetSettings,
+        upstreams: Iterable[UpstreamAddress],
         send: Callable[[SchedulerMessage], None],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.holder = holder
         self.settings = settings
+        self.upstreams = {upstream.name: upstream for upstream in upstreams}
         self.send = send
         self.clock = clock
         self._agents: dict[str, UpstreamAgent] = {}
         self._lock = threading.Lock()
 
-    def own(self, upstreams: Iterable[UpstreamAddress], *, epoch: int) -> None:
+    def own(self, names: Iterable[str], *, epoch: int) -> None:
         """Hold sessions at these upstreams and release all others.
 
         Parameters
         ----------
-        upstreams : iterable of UpstreamAddress
+        names : iterable of str
         epoch : int
             Epoch of the zone record that says so.
         """
-        wanted = {upstream.name: upstream for upstream in upstreams}
+        wanted = {name: self.upstreams[name] for name in names}
         with self._lock:
             surplus = [name for name in self._agents if name not in wanted]
             leaving = [self._agents.pop(name) for name in surplus]
@@ -61,6 +66,22 @@
         """Return the agent of an upstream, or None."""
         return self._agents.get(name)
 
+    def list_names(self) -> list[str]:
+        """Return the names of all upstreams of the zone."""
+        return list(self.upstreams)
+
+    def resolve(self, name: str, task_id: str) -> CallResult:
+        """Ask any upstream of the zone what became of a task."""
+        upstream = self.upstreams.get(name)
+        if upstream is None:
+            return Lost(f"no upstream {name} in this zone")
+        address = upstream.address
+        client = UpstreamClient(address.host, address.port, connections=1)
+        try:
+            return client.resolve(task_id)
+        finally:
+            client.close()
+
     def list_held(self) -> list[str]:
         """Return the names of the upstreams whose session is held now."""
         agents = list(self._agents.items())
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/keyed/__init__.py
@@ -0,0 +1,6 @@
+"""Synchronous requests with an idempotency key."""
+
+from papayadyke_daemon.keyed._runs import KeyedRuns, Replayed
+from papayadyke_daemon.keyed._types import KeyHome
+
+__all__ = ["KeyHome", "KeyedRuns", "Replayed"]
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/keyed/_runs.py
@@ -0,0 +1,133 @@
+"""Running a keyed request once, and telling repeats how it ended."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from result import Err, Ok, Result
+
+from papayadyke_core.idempotency import Claim, ClaimKind
+from papayadyke_core.journal import Answer as KeptAnswer
+from papayadyke_core.verdicts import Reason, Refusal, Verdict
+from papayadyke_daemon.keyed._types import KeyHome
+from papayadyke_daemon.serving import Answer, RunOrder, RunService
+
+RETRY_AFTER_S = 1.0
+OUTCOME_WAIT_S = 5.0
+FIRST_PAUSE_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Replayed:
+    """The answer that an earlier request with the same key got."""
+
+    answer: KeptAnswer
+    request_id: str
+
+
+class KeyedRuns:
+    """Runs requests that carry an idempotency key.
+
+    Parameters
+    ----------
+    runs : RunService
+    home : KeyHome
+    vm : str
+        Name of this VM.
+    """
+
+    def __init__(self, *, runs: RunService, home: KeyHome, vm: str) -> None:
+        self.runs = runs
+        self.home = home
+        self.vm = vm
+
+    def run(self, order: RunOrder, key: str) -> Result[Answer | Replayed, Refusal]:
+        """Run a request unless one with the same key has been.
+
+        Parameters
+        ----------
+        order : RunOrder
+        key : str
+
+        Returns
+        -------
+        result : Result of Answer, Replayed or Refusal
+        """
+        base_id = self.runs.ids.make()
+        claimed = self._claim(order, key, base_id)
+        if isinstance(claimed, Err):
+            return claimed
+        claim = claimed.ok_value
+        if claim.kind is not ClaimKind.FIRST:
+            return _tell_repeat(claim)
+        result = self.runs.run(
+            replace(order, base_id=base_id, on_placed=self._note(key, base_id))
+        )
+        self._record(key, base_id, result)
+        return result
+
+    def _claim(self, order: RunOrder, key: str, base_id: str) -> Result[Claim, Refusal]:
+        """Claim the key, waiting a while for the outcome of an earlier request."""
+        until_s = min(order.deadline_s, self.runs.clock() + OUTCOME_WAIT_S)
+        pause_s = FIRST_PAUSE_S
+        while True:
+            claimed = self.home.claim(
+                key, order.workload, order.payload, base_id, holder=self.vm
+            )
+            if isinstance(claimed, Err):
+                return claimed
+            waits = claimed.ok_value.kind is ClaimKind.IN_PROGRESS
+            if not waits or self.runs.clock() + pause_s >= until_s:
+                return claimed
+            time.sleep(pause_s)
+            pause_s *= 2
+
+    def _note(self, key: str, base_id: str) -> Callable[[str], None]:
+        def note(upstream: str) -> None:
+            self.home.place(key, base_id, upstream)
+
+        return note
+
+    def _record(self, key: str, base_id: str, result: Result[Answer, Refusal]) -> None:
+        if isinstance(result, Err):
+            self.home.record(key, base_id, refusal=result.err_value)
+            return
+        answer = result.ok_value
+        kept = KeptAnswer(answer.status, answer.content_type, answer.body)
+        self.home.record(key, base_id, answer=kept)
+
+
+def _tell_repeat(claim: Claim) -> Result[Answer | Replayed, Refusal]:
+    if claim.kind is ClaimKind.CONFLICT:
+        return Err(
+            Refusal(
+                Verdict.NOT_RUN,
+                Reason.KEY_CONFLICT,
+                "The idempotency key was used with another workload or body.",
+            )
+        )
+    if claim.kind is not ClaimKind.ENDED:
+        return Err(_refuse_in_progress(claim))
+    if claim.refusal is not None:
+        return Err(claim.refusal)
+    if claim.answer is None or not claim.answer.kept:
+        return Err(
+            Refusal(
+                Verdict.MAY_HAVE_RUN,
+                Reason.ANSWER_NOT_KEPT,
+                f"Request {claim.request_id} with this key was answered; "
+                "its answer is not kept.",
+            )
+        )
+    return Ok(Replayed(claim.answer, claim.request_id))
+
+
+def _refuse_in_progress(claim: Claim) -> Refusal:
+    return Refusal(
+        Verdict.MAY_HAVE_RUN,
+        Reason.KEY_IN_PROGRESS,
+        f"Request {claim.request_id} with this key has no outcome yet.",
+        retry_after_s=RETRY_AFTER_S,
+    )
--- a/packages/daemon/src/papayadyke_daemon/scheduler/_loop.py
+++ b/packages/daemon/src/papayadyke_daemon/scheduler/_loop.py
@@ -7,7 +7,6 @@
 import threading
 import time
 from collections.abc import Callable
-from functools import singledispatchmethod
 from typing import Any
 
 from papayadyke_core.scheduling import (
@@ -15,7 +14,6 @@
     Decision,
     Refuse,
     SchedulerProtocol,
-    Start,
     Stop,
 )
 from papayadyke_daemon.scheduler._messages import (
@@ -29,6 +27,7 @@
     Message,
     Placed,
     RemoveUpstream,
+    Reply,
     Submit,
 )
 
@@ -37,8 +36,6 @@
 ASK_TIMEOUT_S = 5.0
 MAX_BATCH = 256
 
-Replies = queue.SimpleQueue[Placed | Refuse | Stop]
-
 
 class SchedulerLoop:
     """Owns a scheduler in a thread; others send messages.
@@ -47,9 +44,8 @@
     ----------
     scheduler : SchedulerProtocol
         Used by this thread alone once `start` was called.
-    on_orphan : callable, optional
-        Takes a decision whose sender is not known, such as the stop of an
-        adopted task.
+    on_stop : callable, optional
+        Takes each `Stop`; it must not block.
     clock : callable, default=time.monotonic
     """
 
@@ -57,16 +53,27 @@
         self,
         scheduler: SchedulerProtocol,
         *,
-        on_orphan: Callable[[Decision], None] | None = None,
+        on_stop: Callable[[Stop], None] = lambda stop: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.scheduler = scheduler
-        self.on_orphan = on_orphan
+        self.on_stop = on_stop
         self.clock = clock
         self._mailbox: queue.SimpleQueue[Message | None] = queue.SimpleQueue()
-        self._replies: dict[str, Replies] = {}
+        self._replies: dict[str, Reply] = {}
         self._request_of: dict[str, str] = {}
         self._tokens: dict[str, int] = {}
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            Submit: self._submit,
+            Finish: self._finish,
+            Cancel: self._cancel,
+            AddUpstream: self._add_upstream,
+            DrainUpstream: self._drain_upstream,
+            RemoveUpstream: self._remove_upstream,
+            Adopt: self._adopt,
+            ApplyConfig: self._apply_config,
+            Ask: self._answer,
+        }
 
     def start(self) -> None:
         """Decide in the background."""
@@ -106,7 +113,7 @@
                 return True
             if message is _STOP:
                 return False
-            self._handle(message)
+            self._handlers[type(message)](message)
             message = self._poll()
         return True
 
@@ -129,75 +136,58 @@
         return _STOP if message is None else message
 
     def _deliver(self, decision: Decision) -> None:
-        replies = self._replies.get(self._find_request(decision))
-        if replies is None:
-            if self.on_orphan is not None:
-                self.on_orphan(decision)
-            return
-        if isinstance(decision, Start):
-            self._request_of[decision.task_id] = decision.request_id
-            replies.put(Placed(decision, self._tokens[decision.upstream]))
+        if isinstance(decision, Stop):
+            self.on_stop(decision)
             return
+        reply = self._replies.get(decision.request_id)
         if isinstance(decision, Refuse):
-            del self._replies[decision.request_id]
-        replies.put(decision)
-
-    def _find_request(self, decision: Decision) -> str:
-        if isinstance(decision, Stop):
-            return self._request_of.get(decision.task_id, "")
-        return decision.request_id
-
-    @singledispatchmethod
-    def _handle(self, message: Any) -> None:
-        raise TypeError(f"no such message: {type(message).__name__}")
+            self._replies.pop(decision.request_id, None)
+            if reply is not None:
+                reply(decision)
+            return
+        if reply is None:
+            raise AssertionError(f"a start without a sender: {decision.task_id}")
+        self._request_of[decision.task_id] = decision.request_id
+        reply(Placed(decision, self._tokens[decision.upstream]))
 
-    @_handle.register
-    def _(self, message: Submit) -> None:
+    def _submit(self, message: Submit) -> None:
         req = message.req
-        self._replies[req.id] = message.replies
         refusal = self.scheduler.submit(req, self.clock())
         if refusal is not None:
-            del self._replies[req.id]
-            message.replies.put(Refuse(req.id, refusal))
+            message.reply(Refuse(req.id, refusal))
+            return
+        self._replies[req.id] = message.reply
 
-    @_handle.register
-    def _(self, message: Finish) -> None:
+    def _finish(self, message: Finish) -> None:
         request_id = self._request_of.pop(message.task_id, "")
         self._replies.pop(request_id, None)
         self.scheduler.finish(
             message.task_id, message.outcome, self.clock(), run_s=message.run_s
         )
 
-    @_handle.register
-    def _(self, message: Cancel) -> None:
+    def _cancel(self, message: Cancel) -> None:
         found = self.scheduler.cancel(message.request_id, self.clock())
         if found.was_queued:
             self._replies.pop(message.request_id, None)
         message.replies.put(found)
 
-    @_handle.register
-    def _(self, message: AddUpstream) -> None:
+    def _add_upstream(self, message: AddUpstream) -> None:
         self._tokens[message.spec.name] = message.token
         self.scheduler.add_upstream(message.spec, self.clock())
 
-    @_handle.register
-    def _(self, message: DrainUpstream) -> None:
+    def _drain_upstream(self, message: DrainUpstream) -> None:
         self.scheduler.drain_upstream(message.name, self.clock())
 
-    @_handle.register
-    def _(self, message: RemoveUpstream) -> None:
+    def _remove_upstream(self, message: RemoveUpstream) -> None:
         self.scheduler.remove_upstream(message.name, self.clock())
 
-    @_handle.register
-    def _(self, message: Adopt) -> None:
+    def _adopt(self, message: Adopt) -> None:
         self.scheduler.adopt(message.task, self.clock())
 
-    @_handle.register
-    def _(self, message: ApplyConfig) -> None:
+    def _apply_config(self, message: ApplyConfig) -> None:
         self.scheduler.apply_config(message.config, self.clock())
 
-    @_handle.register
-    def _(self, message: Ask) -> None:
+    def _answer(self, message: Ask) -> None:
         message.replies.put(message.question(self.scheduler, self.clock()))
 
 
--- a/packages/daemon/src/papayadyke_daemon/scheduler/_messages.py
+++ b/packages/daemon/src/papayadyke_daemon/scheduler/_messages.py
@@ -16,7 +16,6 @@
     RunningTask,
     SchedulerProtocol,
     Start,
-    Stop,
 )
 from papayadyke_core.workloads import Config
 
@@ -33,12 +32,15 @@
     token: int
 
 
+Reply = Callable[[Placed | Refuse], None]
+
+
 @dataclass(frozen=True, slots=True)
 class Submit:
-    """Queue a request; each decision on it is put on `replies`."""
+    """Queue a request; `reply` takes each decision on it and must not block."""
 
     req: Request
-    replies: queue.SimpleQueue[Placed | Refuse | Stop]
+    reply: Reply
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/papayadyke_daemon/serving/__init__.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/__init__.py
@@ -2,13 +2,21 @@
 
 from papayadyke_daemon.serving._history import RequestHistory, RequestRecord
 from papayadyke_daemon.serving._ids import IdSource
-from papayadyke_daemon.serving._run import Answer, RunOrder, RunService
+from papayadyke_daemon.serving._run import (
+    MAX_ATTEMPTS,
+    Answer,
+    RunOrder,
+    RunService,
+)
+from papayadyke_daemon.serving._tasks import TaskRunner
 
 __all__ = [
+    "MAX_ATTEMPTS",
     "Answer",
     "IdSource",
     "RequestHistory",
     "RequestRecord",
     "RunOrder",
     "RunService",
+    "TaskRunner",
 ]
--- a/packages/daemon/src/papayadyke_daemon/serving/_run.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/_run.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 
 from papayadyke_core.ownership import StartPermit
-from papayadyke_core.scheduling import Outcome, Refuse, Request, Stop
+from papayadyke_core.scheduling import Outcome, Refuse, Request
 from papayadyke_core.verdicts import Reason, Refusal, Verdict
 from papayadyke_core.workloads import Config, Workload
 from papayadyke_daemon.fleet import Fleet, UpstreamAgent
@@ -30,11 +30,16 @@
 
 LOG = logging.getLogger("papayadyke.serving")
 PROBE_AFTER_S = 2.0
+MAX_ATTEMPTS = 8
 RESOLVE_WAIT_S = 5.0
 RESOLVE_GRACE_S = 2.0
 RESOLVE_PAUSE_S = 0.1
 
 
+def _ignore(upstream: str) -> None:
+    """Take no notice."""
+
+
 @dataclass(frozen=True, slots=True)
 class RunOrder:
     """One synchronous request, checked.
@@ -48,6 +53,11 @@
     content_type : str
     deadline_s : float
         Own monotonic time by which the caller wants its answer.
+    base_id : str, default=""
+        Unique id from which the ids of the attempts are made; one is made where
+        it is empty.
+    on_placed : callable, optional
+        Takes the name of the upstream before each start is sent.
     """
 
     request_id: str
@@ -55,6 +65,8 @@
     payload: bytes
     content_type: str
     deadline_s: float
+    base_id: str = ""
+    on_placed: Callable[[str], None] = _ignore
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +93,7 @@
     may_have_run: bool = False
     upstream: str = ""
     run_s: float = 0.0
+    limit_s: float = 0.0
     avoid: tuple[str, ...] = ()
 
 
@@ -133,7 +146,9 @@
         if workload is None:
             return Err(_refuse_unknown(order.workload))
         req = Request(
-            id=self.ids.make(), workload=order.workload, deadline_s=order.deadline_s
+            id=order.base_id or self.ids.make(),
+            workload=order.workload,
+            deadline_s=order.deadline_s,
         )
         progress = _Progress(req=req, workload=workload, started_s=self.clock())
         while True:
@@ -162,8 +177,8 @@
 
     def _wait_for_place(self, progress: _Progress) -> Placed | Refusal:
         req = progress.req
-        replies: queue.SimpleQueue[Placed | Refuse | Stop] = queue.SimpleQueue()
-        self.loop.send(Submit(req, replies))
+        replies: queue.SimpleQueue[Placed | Refuse] = queue.SimpleQueue()
+        self.loop.send(Submit(req, replies.put))
         try:
             reply = replies.get(timeout=max(req.deadline_s - self.clock(), 0.0))
         except queue.Empty:
@@ -171,23 +186,21 @@
             if found.was_queued:
                 return _refuse_expired()
             reply = replies.get()
-        if isinstance(reply, Refuse):
-            return reply.refusal
-        if isinstance(reply, Placed):
-            return reply
-        raise TypeError("a request that waits can't be stopped")
+        return reply.refusal if isinstance(reply, Refuse) else reply
 
     def _call(self, order: RunOrder, progress: _Progress, placed: Placed) -> CallResult:
         remaining_s = order.deadline_s - self.clock()
         if remaining_s <= 0.0:
             return NotStarted("the deadline has passed")
         limit_s = min(remaining_s, progress.workload.timeout_s)
+        progress.limit_s = limit_s
         until_s = self.clock() + limit_s
         agent = self.fleet.find(placed.start.upstream)
         permit = None if agent is None else agent.permit_start(placed.token)
         if agent is None or permit is None:
             return NotStarted("the session at the upstream has ended")
         progress.attempts += 1
+        order.on_placed(placed.start.upstream)
         call = self._make_call(order, permit, placed)
         outcome = agent.client.run(call, timeout_s=min(limit_s, PROBE_AFTER_S))
         if isinstance(outcome, Lost):
@@ -248,7 +261,7 @@
         progress.may_have_run = True
         if isinstance(outcome, Stopped):
             self.loop.send(Finish(task_id, Outcome.STOPPED, progress.run_s))
-            return Err(_refuse_timed_out(progress))
+            return self._conclude_stopped(progress)
         self.loop.send(Finish(task_id, Outcome.FAILED, progress.run_s))
         progress.avoid = (*progress.avoid, progress.upstream)
         assert isinstance(outcome, Failed)
@@ -257,10 +270,21 @@
             return Err(refusal)
         return self._retry_or(progress, refusal)
 
+    def _conclude_stopped(self, progress: _Progress) -> Result[Answer, Refusal] | None:
+        if progress.run_s >= progress.limit_s:
+            return Err(_refuse_timed_out(progress))
+        refusal = _refuse_stopped(progress)
+        if not progress.workload.idempotent:
+            return Err(refusal)
+        return self._retry_or(progress, refusal)
+
     def _retry_or(
         self, progress: _Progress, refusal: Refusal
     ) -> Result[Answer, Refusal] | None:
-        spent = progress.attempts >= progress.workload.max_attempts
+        spent = (
+            progress.attempts >= progress.workload.max_attempts
+            or progress.req.attempt >= MAX_ATTEMPTS
+        )
         if spent or self.clock() >= progress.req.deadline_s:
             return Err(_mark(refusal, progress))
         return None
@@ -325,6 +349,14 @@
     )
 
 
+def _refuse_stopped(progress: _Progress) -> Refusal:
+    return Refusal(
+        Verdict.MAY_HAVE_RUN,
+        Reason.STOPPED,
+        f"The request was stopped at {progress.upstream} for other work.",
+    )
+
+
 def _refuse_failed(progress: _Progress, detail: str) -> Refusal:
     return Refusal(
         Verdict.MAY_HAVE_RUN,
--- a/packages/platform/src/papayadyke_platform/store/__init__.py
+++ b/packages/platform/src/papayadyke_platform/store/__init__.py
@@ -1,6 +1,7 @@
 """The platform's key-value service, as the daemon sees it."""
 
 from papayadyke_platform.store._http import HttpStore, StoreSettings
+from papayadyke_platform.store._none import NoStore
 from papayadyke_platform.store._types import (
     MAX_VALUE_BYTES,
     Entry,
@@ -16,6 +17,7 @@
     "ErrorKind",
     "Event",
     "HttpStore",
+    "NoStore",
     "Store",
     "StoreError",
     "StoreSettings",
--- a/packages/platform/src/papayadyke_platform/upstream/__init__.py
+++ b/packages/platform/src/papayadyke_platform/upstream/__init__.py
@@ -13,6 +13,8 @@
 )
 from papayadyke_platform.upstream._messages import (
     PROTOCOL_HEADERS,
+    RESPOND_ASYNC,
+    EndsReport,
     OpenMessage,
     RunningTaskMessage,
     SessionRefused,
@@ -23,8 +25,10 @@
 
 __all__ = [
     "PROTOCOL_HEADERS",
+    "RESPOND_ASYNC",
     "Answered",
     "CallResult",
+    "EndsReport",
     "Failed",
     "Lost",
     "NotStarted",
--- a/packages/platform/src/papayadyke_platform/upstream/_client.py
+++ b/packages/platform/src/papayadyke_platform/upstream/_client.py
@@ -14,6 +14,8 @@
 from papayadyke_core.resources import Resources
 from papayadyke_platform.upstream._messages import (
     PROTOCOL_HEADERS,
+    RESPOND_ASYNC,
+    EndsReport,
     OpenMessage,
     SessionRefused,
     SessionReport,
@@ -168,7 +170,23 @@
             `Lost` where the start may have reached the upstream and no answer
             came.
         """
-        headers = _start_headers(call)
+        return self._send_start(call, _start_headers(call), timeout_s)
+
+    def start(self, call: TaskCall) -> CallResult:
+        """Start a task and return without waiting for its end.
+
+        Returns
+        -------
+        result : CallResult
+            `Running` where it was started; its end is told by `wait_for_ends`
+            and its answer fetched by `resolve`.
+        """
+        headers = _start_headers(call) | {PROTOCOL_HEADERS.prefer: RESPOND_ASYNC}
+        return self._send_start(call, headers, CONTROL_TIMEOUT_S)
+
+    def _send_start(
+        self, call: TaskCall, headers: Mapping[str, str], timeout_s: float
+    ) -> CallResult:
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
         try:
             answer = self._tasks.request(
@@ -186,6 +204,37 @@
             return Lost(type(exc).__name__)
         return _read_answer(answer)
 
+    def wait_for_ends(
+        self, token: int, *, after: int, wait_s: float
+    ) -> EndsReport | None:
+        """Wait until a task ends, and return which have.
+
+        Parameters
+        ----------
+        token : int
+        after : int
+            Sequence number of the last report; 0 at first.
+        wait_s : float
+
+        Returns
+        -------
+        report : EndsReport or None
+            None where no answer came.
+        """
+        timeout = urllib3.Timeout(
+            connect=CONNECT_TIMEOUT_S, read=CONTROL_TIMEOUT_S + wait_s
+        )
+        path = f"/session/{token}/ends?after={after}&wait_s={wait_s:.3f}"
+        try:
+            answer = self._control.request(
+                "GET", path, timeout=timeout, retries=False, redirect=False
+            )
+        except HTTPError:
+            return None
+        if answer.status != 200:
+            return None
+        return _decode(answer.data, EndsReport).ok()
+
     def resolve(self, task_id: str, *, wait_s: float = 0.0) -> CallResult:
         """Find out what became of a start, on a fresh connection.
 
@@ -282,7 +331,7 @@
         return Err(SessionRefused(reason="bad_answer"))
 
 
-def _start_headers(call: TaskCall) -> Mapping[str, str]:
+def _start_headers(call: TaskCall) -> dict[str, str]:
     names = PROTOCOL_HEADERS
     demand = call.demand
     return {
--- a/packages/platform/src/papayadyke_platform/upstream/_messages.py
+++ b/packages/platform/src/papayadyke_platform/upstream/_messages.py
@@ -35,6 +35,10 @@
     workload: str = "Workload"
     request_id: str = "Request-Id"
     outcome: str = "Task-Outcome"
+    prefer: str = "Prefer"
+
+
+RESPOND_ASYNC = "respond-async"
 
 
 PROTOCOL_HEADERS = ProtocolHeaders()
@@ -143,3 +147,19 @@
     epoch: int = 0
     holder: str | None = None
     remaining_s: float = 0.0
+
+
+class EndsReport(msgspec.Struct, frozen=True):
+    """Tasks that have ended, oldest first.
+
+    Parameters
+    ----------
+    sequence : int
+        Number of the last end; goes with the next question.
+    ended : tuple of str
+        Task ids; where some were dropped, the running tasks that a renewal
+        lists tell as well.
+    """
+
+    sequence: int
+    ended: tuple[str, ...] = ()
--- a/packages/standins/src/papayadyke_standins/upstream/_server.py
+++ b/packages/standins/src/papayadyke_standins/upstream/_server.py
@@ -22,6 +22,7 @@
 )
 from papayadyke_platform.upstream import (
     PROTOCOL_HEADERS,
+    RESPOND_ASYNC,
     OpenMessage,
     RunningTaskMessage,
     SessionRefused,
@@ -146,6 +147,11 @@
         return HttpAnswer(404)
 
     def _handle_session(self, req: HttpRequest, parts: list[str]) -> HttpAnswer:
+        if parts[2:] == ["ends"]:
+            after = int(_read_number(req.query, "after"))
+            wait_s = min(_read_number(req.query, "wait_s"), MAX_RESOLVE_WAIT_S)
+            report = self.book.wait_for_ends(after, wait_s)
+            return HttpAnswer(200, msgspec.json.encode(report))
         with self._gate_lock:
             now = self.clock()
             if req.method == "DELETE":
@@ -181,7 +187,7 @@
     def _handle_task(self, req: HttpRequest, rest: str) -> HttpAnswer:
         task_id, _, action = rest.rpartition("/")
         if action == "resolve":
-            return self._resolve(task_id, _read_wait(req.query))
+            return self._resolve(task_id, _read_number(req.query, "wait_s"))
         if action in ("stop", "checkpoint"):
             task = self.book.find(task_id)
             if task is not None:
@@ -195,7 +201,7 @@
         task = self.book.resolve(task_id, self.clock())
         if task is None:
             return _answer_end(TaskEnd.NOT_STARTED, b"resolved as never started")
-        task.ended.wait(wait_s)
+        task.ended.wait(min(wait_s, MAX_RESOLVE_WAIT_S))
         return self._tell_end(task)
 
     def _start(self, req: HttpRequest, task_id: str) -> HttpAnswer:
@@ -208,6 +214,11 @@
                 reason = self.book.start(task)
         if reason is not None:
             return _answer_end(TaskEnd.NOT_STARTED, reason.encode())
+        if req.headers.get(PROTOCOL_HEADERS.prefer.lower()) == RESPOND_ASYNC:
+            threading.Thread(
+                target=self._run, args=(task, req.body), daemon=True
+            ).start()
+            return _answer_end(TaskEnd.RUNNING, b"started")
         self._run(task, req.body)
         if self.faults.late_answer_s:
             self._closing.wait(self.faults.late_answer_s)
@@ -291,6 +302,6 @@
     return HttpAnswer(409, msgspec.json.encode(refused))
 
 
-def _read_wait(query: str) -> float:
-    values = urllib.parse.parse_qs(query).get("wait_s", ["0"])
-    return min(max(float(values[0]), 0.0), MAX_RESOLVE_WAIT_S)
+def _read_number(query: str, name: str) -> float:
+    values = urllib.parse.parse_qs(query).get(name, ["0"])
+    return max(float(values[0]), 0.0)
--- a/packages/standins/src/papayadyke_standins/upstream/_tasks.py
+++ b/packages/standins/src/papayadyke_standins/upstream/_tasks.py
@@ -2,16 +2,22 @@
 
 from __future__ import annotations
 
+import re
 import threading
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 from enum import StrEnum
 
 from papayadyke_core.placement import UpstreamSpec
 from papayadyke_core.resources import NOTHING, Resources
+from papayadyke_platform.upstream import EndsReport
 
 FINISHED_KEPT = 20_000
 TOMBSTONES_KEPT = 20_000
+ENDS_KEPT = 1000
+
+# A task id ends in the number of the attempt.
+_ATTEMPT = re.compile(r"[./]\d+$")
 
 
 class TaskState(StrEnum):
@@ -75,6 +81,9 @@
         self._finished: OrderedDict[str, Task] = OrderedDict()
         self._tombstones: OrderedDict[str, float] = OrderedDict()
         self._records: list[RunRecord] = []
+        self._ends: deque[str] = deque(maxlen=ENDS_KEPT)
+        self._ends_total = 0
+        self._changed = threading.Condition()
         self._lock = threading.Lock()
 
     def start(self, task: Task) -> str | None:
@@ -105,6 +114,18 @@
                 RunRecord(task.id, task.request_id, task.started_s, now, state)
             )
         task.ended.set()
+        with self._changed:
+            self._ends.append(task.id)
+            self._ends_total += 1
+            self._changed.notify_all()
+
+    def wait_for_ends(self, after: int, wait_s: float) -> EndsReport:
+        """Wait for an end past the number `after`, and return those kept."""
+        with self._changed:
+            self._changed.wait_for(lambda: self._ends_total > after, wait_s)
+            count = min(max(self._ends_total - after, 0), len(self._ends))
+            ended = list(self._ends)[len(self._ends) - count :]
+            return EndsReport(self._ends_total, tuple(ended))
 
     def resolve(self, task_id: str, now: float) -> Task | None:
         """Return the task, or None and refuse its start for good."""
@@ -157,8 +178,8 @@
             return "over_slots"
         if not (self._used() + task.demand).fits_in(self.spec.capacity):
             return "over_capacity"
-        attempt_of = task.id.rpartition("/")[0]
-        for other in self._running.values():
-            if other.id.rpartition("/")[0] == attempt_of:
+        name = _ATTEMPT.sub("", task.id)
+        for other in self._running:
+            if _ATTEMPT.sub("", other) == name:
                 return "runs_already"
         return None
