--- a/packages/daemon/src/papayadyke_daemon/daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/daemon.py
@@ -7,15 +7,22 @@
 import time
 
 from papayadyke_core.journal import PARTITIONS
-from papayadyke_core.scheduling import Scheduler
-from papayadyke_core.workloads import Config
+from papayadyke_core.scheduling import LoadSummary, Scheduler
+from papayadyke_core.slo import Observation
+from papayadyke_core.workloads import Config, SloTarget
 from papayadyke_daemon._metrics import Metrics
 from papayadyke_daemon.callers import CallersApp, Readiness
 from papayadyke_daemon.durable import DurableParts
 from papayadyke_daemon.fleet import Fleet, Holder
 from papayadyke_daemon.keyed import KeyedRuns
+from papayadyke_daemon.levels import LevelArchive, LevelKeeper
 from papayadyke_daemon.scheduler import ApplyConfig, SchedulerLoop
-from papayadyke_daemon.serving import IdSource, RequestHistory, RunService
+from papayadyke_daemon.serving import (
+    IdSource,
+    RequestHistory,
+    RequestRecord,
+    RunService,
+)
 from papayadyke_daemon.settings import Settings
 from papayadyke_platform.http import HttpAnswer, HttpLimits, HttpRequest, HttpServer
 from papayadyke_platform.store import HttpStore, NoStore, Store, StoreSettings
@@ -23,6 +30,7 @@
 LOG = logging.getLogger("papayadyke.daemon")
 DRAIN_POLL_S = 0.02
 NS_PER_MS = 1_000_000
+UNKNOWN_WORKLOAD = "(unknown)"
 ALL_PARTITIONS = frozenset(range(PARTITIONS))
 
 
@@ -43,12 +51,20 @@
         self._in_flight = _InFlight()
         incarnation = time.time_ns() // NS_PER_MS
         self.ids = IdSource(settings.vm, incarnation)
+        self.store = store or _connect_store(settings)
         self.metrics = Metrics(settings.statsd)
         self.history = RequestHistory()
+        self.levels = LevelKeeper(
+            LevelArchive(self.store),
+            vm=settings.vm,
+            incarnation=incarnation,
+            load=self._read_load,
+            config=lambda: self.config,
+            rolls_up=lambda hour: True,
+        )
         self.loop = SchedulerLoop(
             Scheduler(), on_stop=lambda stop: self.durable.tasks.give_way(stop)
         )
-        self.store = store or _connect_store(settings)
         self.fleet = Fleet(
             holder=Holder(settings.vm, incarnation),
             settings=settings.fleet,
@@ -81,7 +97,7 @@
             ids=self.ids,
             settings=settings.callers,
             readiness=self.tell_readiness,
-            on_record=self.metrics.record,
+            on_record=self._record,
         )
         self.callers = self._make_listener()
 
@@ -94,6 +110,7 @@
         """Start every part; the callers' listener comes last."""
         self.loop.start()
         self.durable.start()
+        self.levels.start()
         self.fleet.own(self.fleet.list_names(), epoch=1)
         self.callers.start()
         LOG.info("daemon: %s takes callers at %s:%d", self.settings.vm, *self.address)
@@ -137,9 +154,17 @@
         self.callers.stop()
         self.durable.stop()
         self.fleet.stop()
+        self.levels.stop()
         self.loop.stop()
         LOG.info("daemon: stopped")
 
+    def _read_load(self) -> LoadSummary:
+        return self.loop.ask(lambda scheduler, now: scheduler.summary(now))
+
+    def _record(self, record: RequestRecord) -> None:
+        self.metrics.record(record)
+        self.levels.observe(_observe(record, self.config))
+
     def _make_listener(self) -> HttpServer:
         callers = self.settings.callers
         tls = callers.tls
@@ -161,6 +186,20 @@
             return self.app.handle(req)
 
 
+def _observe(record: RequestRecord, config: Config) -> Observation:
+    workload = config.workloads.get(record.workload)
+    return Observation(
+        request_id=record.request_id,
+        workload=record.workload if workload else UNKNOWN_WORKLOAD,
+        at=time.time(),
+        wait_s=record.wait_s,
+        refusal=record.refusal,
+        target=workload.slo if workload else SloTarget(),
+        preset=config.in_force,
+        revision=config.revision,
+    )
+
+
 def _connect_store(settings: Settings) -> Store:
     if settings.store is None:
         return NoStore()
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/levels/_usage.py
@@ -0,0 +1,28 @@
+"""What control costs this process: processor time and memory."""
+
+from __future__ import annotations
+
+import os
+import time
+from pathlib import Path
+
+from papayadyke_core.slo import VmUsage
+
+_STATM = Path("/proc/self/statm")
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+_RESIDENT_FIELD = 1
+
+
+class UsageMeter:
+    """Measures the process since the last reading."""
+
+    def __init__(self) -> None:
+        self._cpu_s = time.process_time()
+
+    def read(self) -> VmUsage:
+        """Return processor time since the last call, and memory now."""
+        cpu_s = time.process_time()
+        spent_s = cpu_s - self._cpu_s
+        self._cpu_s = cpu_s
+        pages = int(_STATM.read_text().split()[_RESIDENT_FIELD])
+        return VmUsage(cpu_s=spent_s, memory_bytes=pages * _PAGE_BYTES)
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/levels/tests/test_levels.py
@@ -0,0 +1,125 @@
+import pytest
+from result import Ok
+
+from papayadyke_core.slo import Bucket, Observation, Recorder
+from papayadyke_core.verdicts import Reason, Refusal, Verdict
+from papayadyke_core.workloads import Config, SloTarget
+from papayadyke_daemon.levels import LevelArchive, LevelKeeper
+from papayadyke_standins.store import Faults, MemoryStore
+
+START = 1_800_000_000.0
+HOUR = int(START // 3600)
+FULL = Refusal(Verdict.NOT_RUN, Reason.QUEUE_FULL, "full", holders=("tally",))
+
+
+class WallClock:
+    def __init__(self):
+        self.now = START
+
+    def __call__(self):
+        return self.now
+
+
+def make_observation(at, *, refusal=None, request_id="r1"):
+    return Observation(
+        request_id=request_id,
+        workload="order",
+        at=at,
+        wait_s=0.1,
+        refusal=refusal,
+        target=SloTarget(),
+        preset="peak",
+        revision=7,
+    )
+
+
+@pytest.fixture
+def store():
+    return MemoryStore()
+
+
+@pytest.fixture
+def clock():
+    return WallClock()
+
+
+def make_keeper(store, clock, *, vm="vm-1", rolls_up=True):
+    return LevelKeeper(
+        LevelArchive(store),
+        vm=vm,
+        incarnation=1,
+        load=lambda: None,
+        config=Config,
+        rolls_up=lambda hour: rolls_up,
+        clock=clock,
+    )
+
+
+def run_minutes(keeper, clock, minutes, *, each=10):
+    for _ in range(minutes):
+        for _ in range(each):
+            keeper.observe(make_observation(clock.now))
+        keeper.step(clock.now)
+        clock.now += 60
+
+
+def read_total(store, at, window_s=7200):
+    report = LevelArchive(store).read_report(at, window_s).unwrap()
+    return sum(burn.total for burn in report.workloads)
+
+
+def test_buckets_of_two_vms_make_one_report(store, clock):
+    keepers = [make_keeper(store, clock, vm=f"vm-{n}") for n in (1, 2)]
+    for keeper in keepers:
+        keeper.observe(make_observation(START))
+        keeper.step(START)
+        keeper.step(START + 60)
+    assert read_total(store, START + 90) == 2
+
+
+def test_outage_delays_buckets_and_loses_none(store, clock):
+    keeper = make_keeper(store, clock)
+    run_minutes(keeper, clock, 2)
+    store.service.set_faults(Faults(down=True))
+    run_minutes(keeper, clock, 5)
+    store.service.set_faults(Faults())
+    run_minutes(keeper, clock, 1)
+    keeper.step(clock.now)
+    assert read_total(store, clock.now) == 80
+
+
+def test_hour_is_summed_and_its_minutes_deleted(store, clock):
+    keeper = make_keeper(store, clock)
+    run_minutes(keeper, clock, 70)
+    before = read_total(store, clock.now, 24 * 3600)
+    left = store.read_prefix("slo/minute/").unwrap()
+    minutes = {int(entry.key.split("/")[2]) for entry in left}
+    assert min(minutes) >= (HOUR + 1) * 60
+    assert before == 69 * 10
+
+
+def test_hour_is_summed_once_by_two_that_race(store, clock):
+    recorder = Recorder("vm-1", 1)
+    recorder.observe(make_observation(START))
+    archive = LevelArchive(store)
+    for bucket in recorder.cut(START, is_last=True):
+        assert archive.write(bucket) == Ok(None)
+        assert archive.write(bucket) == Ok(None)
+    assert archive.roll_up(HOUR) == Ok(1)
+    late = Bucket(vm="vm-2", incarnation=1, minute=HOUR * 60)
+    archive.write(late)
+    assert archive.roll_up(HOUR) == Ok(0)
+    assert read_total(store, START + 90) == 1
+
+
+def test_refused_request_is_told_after_its_vm_is_gone(store, clock):
+    keeper = make_keeper(store, clock)
+    keeper.observe(make_observation(START, refusal=FULL, request_id="r9"))
+    keeper.step(START)
+    keeper.step(START + 60)
+    archive = LevelArchive(store)
+    found = archive.read_refused(START - 60, workload="order").unwrap()
+    assert [(item.request_id, item.holders) for item in found] == [("r9", ("tally",))]
+    assert (found[0].preset, found[0].revision) == ("peak", 7)
+    assert archive.read_refused(START + 30).unwrap() == []
+    assert archive.read_refused(START - 60, workload="other").unwrap() == []
