Add the membership of a cell

Cause: VMs have to know who is live, who leaves and where there is room, at few bytes a second. Change: papayadyke_core.membership exchanges heartbeats as ages with two members a round, suspects silent ones with hysteresis, notices its own pauses and takes the platform's list for what it is. Delegates exchange one digest for each zone.

--- /dev/null
+++ b/packages/core/src/papayadyke_core/membership/__init__.py
@@ -0,0 +1,43 @@
+"""Who is there: the members of a zone and the state of other zones."""
+
+from papayadyke_core.membership._membership import Membership
+from papayadyke_core.membership._messages import (
+    Beat,
+    Contact,
+    Exchange,
+    Load,
+    Record,
+    ZoneDigest,
+    ZoneExchange,
+)
+from papayadyke_core.membership._types import (
+    Identity,
+    ListedState,
+    ListedVm,
+    Member,
+    MembershipSettings,
+    MemberState,
+    Outgoing,
+    Snapshot,
+    Zone,
+)
+
+__all__ = [
+    "Beat",
+    "Contact",
+    "Exchange",
+    "Identity",
+    "ListedState",
+    "ListedVm",
+    "Load",
+    "Member",
+    "MemberState",
+    "Membership",
+    "MembershipSettings",
+    "Outgoing",
+    "Record",
+    "Snapshot",
+    "Zone",
+    "ZoneDigest",
+    "ZoneExchange",
+]
