Share out the upstreams of a zone by weighted rendezvous

Cause: each upstream needs one owner that every VM works out alike, without a call for each upstream. Change: the zone record, the assignment with a bound on each share, stand-ins for owners that are not available, and the rule when the record is to change: stable, not too often, in turns, slowly where the VM may itself be cut off and ever more slowly while VMs undo each other. Delegates answer with the digests that are new only.

--- a/packages/core/src/papayadyke_core/membership/_membership.py
+++ b/packages/core/src/papayadyke_core/membership/_membership.py
@@ -17,6 +17,7 @@
     Exchange,
     Load,
     Record,
+    ZoneDigest,
     ZoneExchange,
 )
 from papayadyke_core.membership._partners import PartnerRing
@@ -107,7 +108,7 @@
     def apply_zone_exchange(self, message: ZoneExchange, now: float) -> ZoneExchange:
         """Take an exchange of a delegate, and return the other half."""
         self._zones.apply(message.zones, now)
-        return self._zone_message(now)
+        return self._zone_message(now, known=message.zones)
 
     def apply_zone_reply(self, message: ZoneExchange, now: float) -> None:
         """Take the other half of an exchange between delegates."""
@@ -169,6 +170,8 @@
         message = self._zone_message(now)
         return [Outgoing(item.vm, item.address, message) for item in contacts]
 
-    def _zone_message(self, now: float) -> ZoneExchange:
+    def _zone_message(
+        self, now: float, *, known: tuple[ZoneDigest, ...] = ()
+    ) -> ZoneExchange:
         own = self._delegate.digest(self._table.members(now))
-        return ZoneExchange((own, *self._zones.digests(now)))
+        return ZoneExchange((own, *self._zones.newer_digests(now, known=known)))
--- a/packages/core/src/papayadyke_core/membership/_types.py
+++ b/packages/core/src/papayadyke_core/membership/_types.py
@@ -65,7 +65,7 @@
         Rounds between two calls to a dead or unheard member.
     delegates : int, default=2
         Members of a zone that exchange with other zones.
-    zone_period_s : float, default=2.0
+    zone_period_s : float, default=3.0
         Time between two exchanges with another zone of the region.
     region_period_s : float, default=5.0
         Time between two exchanges with a zone of another region.
@@ -89,7 +89,7 @@
     forget_s: float = 60.0
     retry_every: int = 5
     delegates: int = 2
-    zone_period_s: float = 2.0
+    zone_period_s: float = 3.0
     region_period_s: float = 5.0
     zone_lost_s: float = 30.0
     zones_per_exchange: int = 1
--- a/packages/core/src/papayadyke_core/membership/_zones.py
+++ b/packages/core/src/papayadyke_core/membership/_zones.py
@@ -50,15 +50,24 @@
             if digest.availability_zone != self.availability_zone:
                 self._apply_one(digest, now - max(0, digest.age_ds) / TENTHS_PER_S)
 
-    def digests(self, now: float, limit: int | None = None) -> tuple[ZoneDigest, ...]:
-        """Return digests to send on: all, or those not sent for longest."""
-        chosen = list(self._known.values())
-        if limit is not None:
-            chosen = sorted(chosen, key=lambda known: known.sent_s)[:limit]
-            for known in chosen:
-                known.sent_s = now
+    def digests(self, now: float, limit: int) -> tuple[ZoneDigest, ...]:
+        """Return the digests that have not been sent for longest."""
+        chosen = sorted(self._known.values(), key=lambda known: known.sent_s)[:limit]
+        for known in chosen:
+            known.sent_s = now
         return tuple(_aged(known, now) for known in chosen)
 
+    def newer_digests(
+        self, now: float, *, known: Iterable[ZoneDigest] = ()
+    ) -> tuple[ZoneDigest, ...]:
+        """Return the digests that are not among those known."""
+        same = {(item.availability_zone, item.source, item.count) for item in known}
+        return tuple(
+            _aged(own, now)
+            for name, own in self._known.items()
+            if (name, own.digest.source, own.digest.count) not in same
+        )
+
     def zones(self, now: float) -> tuple[Zone, ...]:
         """Return the other zones in order of their names."""
         return tuple(self._zone(self._known[name], now) for name in sorted(self._known))
--- a/packages/core/src/papayadyke_core/ownership/__init__.py
+++ b/packages/core/src/papayadyke_core/ownership/__init__.py
@@ -7,6 +7,25 @@
     SessionGate,
     StartRefusal,
 )
+from papayadyke_core.ownership._plan import (
+    OwnershipPlan,
+    assign_upstreams,
+    plan_ownership,
+    rank_owners,
+)
+from papayadyke_core.ownership._proposal import (
+    ProposalSettings,
+    RecordProposer,
+    available_owners,
+)
+from papayadyke_core.ownership._record import (
+    Owner,
+    RecordError,
+    ZoneRecord,
+    check_record,
+    decode_record,
+    encode_record,
+)
 from papayadyke_core.ownership._session import (
     OpenRequest,
     ReleaseRequest,
@@ -22,6 +41,11 @@
     "Granted",
     "OpenRefusal",
     "OpenRequest",
+    "Owner",
+    "OwnershipPlan",
+    "ProposalSettings",
+    "RecordError",
+    "RecordProposer",
     "Refused",
     "ReleaseRequest",
     "RenewRequest",
@@ -32,4 +56,12 @@
     "SessionState",
     "StartPermit",
     "StartRefusal",
+    "ZoneRecord",
+    "assign_upstreams",
+    "available_owners",
+    "check_record",
+    "decode_record",
+    "encode_record",
+    "plan_ownership",
+    "rank_owners",
 ]
