--- a/packages/core/src/papayadyke_core/ownership/_session.py
+++ b/packages/core/src/papayadyke_core/ownership/_session.py
@@ -5,7 +5,12 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from papayadyke_core.ownership._gate import Granted, OpenRefusal, Refused
+from papayadyke_core.ownership._gate import (
+    Granted,
+    OpenRefusal,
+    Refused,
+    StartRefusal,
+)
 
 # A renewal is sent when this part of the time to live has passed.
 RENEW_FRACTION = 1 / 3
@@ -187,6 +192,12 @@
         self._starts_closed_s = max(self._starts_closed_s, closed_after_s)
         return StartPermit(lease.token, start_before_s, closed_after_s)
 
+    def note_refusal(self, token: int, reason: StartRefusal) -> None:
+        """Take a refused start: unless it was only late, the session is over."""
+        is_over = reason in (StartRefusal.STALE_TOKEN, StartRefusal.LAPSED)
+        if is_over and self.token == token:
+            self._close()
+
     def next_request(self, now: float) -> SessionRequest | None:
         """Return what to send to the upstream now, if anything.
 
--- a/packages/core/src/papayadyke_core/ownership/tests/test_session.py
+++ b/packages/core/src/papayadyke_core/ownership/tests/test_session.py
@@ -152,3 +152,12 @@
     session = make_session(SessionGate())
     assert isinstance(session.next_request(2.0), RenewRequest)
     assert session.next_request(2.1) is None
+
+
+def test_a_start_refused_as_stale_closes_the_session_it_was_of():
+    session = make_session(SessionGate())
+    session.note_refusal(1, StartRefusal.TOO_LATE)
+    session.note_refusal(0, StartRefusal.STALE_TOKEN)
+    assert session.may_start(0.1)
+    session.note_refusal(1, StartRefusal.STALE_TOKEN)
+    assert not session.may_start(0.1)
