Keep the totals of a fleet without reading the columns

A profile of a flood put most of a reservation's time into reading single values out of arrays for the totals. Where an upstream isn't overfull its part follows from the one before.

--- a/packages/core/src/papayadyke_core/placement/_fleet.py
+++ b/packages/core/src/papayadyke_core/placement/_fleet.py
@@ -335,7 +335,7 @@
         row = reservation.row
         demand = reservation.demand
         self._columns.hold(row, demand, tasks)
-        self._totals.refresh(self._columns, row)
+        self._totals.hold(self._columns, row, demand, tasks)
         used = self._used_by_workload.get(reservation.workload, NOTHING)
         used = used + demand if tasks > 0 else used - demand
         self._used_by_workload[reservation.workload] = used
--- a/packages/core/src/papayadyke_core/placement/_totals.py
+++ b/packages/core/src/papayadyke_core/placement/_totals.py
@@ -2,11 +2,24 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from papayadyke_core.placement._columns import Columns
 from papayadyke_core.resources import NOTHING, Resources
 
-_Part = tuple[Resources, Resources, int, int]
-_NO_PART: _Part = (NOTHING, NOTHING, 0, 0)
+
+@dataclass(frozen=True, slots=True)
+class _Part:
+    """What one upstream adds; `exact` where no free amount was raised to zero."""
+
+    capacity: Resources = NOTHING
+    free: Resources = NOTHING
+    slots: int = 0
+    free_slots: int = 0
+    exact: bool = False
+
+
+_NO_PART = _Part()
 
 
 class Totals:
@@ -27,11 +40,26 @@
         old = self._parts.get(row, _NO_PART)
         new = _part(columns, row)
         self._parts[row] = new
-        if new[0] != old[0]:
-            self.capacity = self.capacity - old[0] + new[0]
-        self.free = self.free - old[1] + new[1]
-        self.slots += new[2] - old[2]
-        self.free_slots += new[3] - old[3]
+        self.capacity = self.capacity - old.capacity + new.capacity
+        self.free = self.free - old.free + new.free
+        self.slots += new.slots - old.slots
+        self.free_slots += new.free_slots - old.free_slots
+
+    def hold(self, columns: Columns, row: int, demand: Resources, tasks: int) -> None:
+        """Count a task that was added to a row (1) or taken from it (-1).
+
+        Reading columns one by one is slow, so it is left out where the row's part
+        follows from the one before.
+        """
+        old = self._parts[row]
+        free = old.free - demand if tasks > 0 else old.free + demand
+        free_slots = old.free_slots - tasks
+        if not old.exact or free_slots < 0 or not free.is_valid():
+            self.refresh(columns, row)
+            return
+        self._parts[row] = _Part(old.capacity, free, old.slots, free_slots, True)
+        self.free = self.free - demand if tasks > 0 else self.free + demand
+        self.free_slots -= tasks
 
     def check(self, columns: Columns) -> None:
         """Compare the sums with ones counted anew.
@@ -59,9 +87,14 @@
         int(columns.accelerator_capacity[row]),
     )
     free = Resources(
-        max(int(columns.cpu_free[row]), 0),
-        max(int(columns.memory_free[row]), 0),
-        max(int(columns.accelerators_free[row]), 0),
+        int(columns.cpu_free[row]),
+        int(columns.memory_free[row]),
+        int(columns.accelerators_free[row]),
+    )
+    free_slots = limit - int(columns.running[row])
+    if free.is_valid() and free_slots >= 0:
+        return _Part(capacity, free, limit, free_slots, True)
+    raised = Resources(
+        max(free.cpu_millis, 0), max(free.memory_mb, 0), max(free.accelerators, 0)
     )
-    free_slots = max(limit - int(columns.running[row]), 0)
-    return capacity, free, limit, free_slots
+    return _Part(capacity, raised, limit, max(free_slots, 0))
