--- /dev/null
+++ b/packages/core/src/papayadyke_core/idempotency/tests/test_key_table.py
@@ -0,0 +1,82 @@
+import pytest
+
+from papayadyke_core.idempotency import (
+    MAX_ANSWER_BYTES,
+    ClaimKind,
+    KeyTable,
+    body_digest,
+    storable_answer,
+)
+from papayadyke_core.journal import Answer, KeyClaimed, KeyPlaced
+
+DIGEST = body_digest("w", b"body")
+
+
+def _claimed():
+    table = KeyTable()
+    assert table.claim("k", "w", DIGEST, "r1").kind is ClaimKind.FIRST
+    table.apply(KeyClaimed("k", "w", DIGEST, "r1"), 0.0)
+    return table
+
+
+def test_second_claim_waits_and_then_gets_the_first_answer():
+    table = _claimed()
+    assert table.claim("k", "w", DIGEST, "r2").kind is ClaimKind.IN_PROGRESS
+    answer = Answer(201, "text/plain", b"done")
+    entry = table.outcome("k", "r1", answer=answer)
+    assert table.claim("k", "w", DIGEST, "r2").kind is ClaimKind.IN_PROGRESS
+    table.apply(entry, 1.0)
+    claim = table.claim("k", "w", DIGEST, "r2")
+    assert (claim.kind, claim.request_id) == (ClaimKind.ENDED, "r1")
+    assert claim.answer == answer
+    assert table.outcome("k", "r1", answer=Answer(500)) is None
+
+
+@pytest.mark.parametrize(
+    "workload, body", [("w", b"other"), ("other", b"body"), ("wb", b"ody")]
+)
+def test_another_body_or_workload_is_a_conflict(workload, body):
+    claim = _claimed().claim("k", workload, body_digest(workload, body), "r2")
+    assert claim.kind is ClaimKind.CONFLICT
+
+
+def test_pending_claim_is_withdrawn_and_a_durable_one_is_not():
+    table = KeyTable()
+    table.claim("k", "w", DIGEST, "r1")
+    table.withdraw("k", "r2")
+    assert table.claim("k", "w", DIGEST, "r2").kind is ClaimKind.IN_PROGRESS
+    table.withdraw("k", "r1")
+    assert table.claim("k", "w", DIGEST, "r2").kind is ClaimKind.FIRST
+    with pytest.raises(AssertionError):
+        _claimed().withdraw("k", "r1")
+
+
+def test_released_key_may_be_claimed_again_but_only_by_its_holder():
+    table = _claimed()
+    assert table.release("k", "r2") is None
+    table.apply(table.release("k", "r1"), 1.0)
+    assert table.claim("k", "w", DIGEST, "r2").kind is ClaimKind.FIRST
+
+
+def test_recovered_key_without_an_outcome_is_unresolved():
+    table = _claimed()
+    table.apply(KeyPlaced("k", "r1", "u1"), 0.5)
+    (item,) = table.mark_recovered()
+    assert (item.key, item.request_id, item.upstream) == ("k", "r1", "u1")
+    assert table.claim("k", "w", DIGEST, "r2").kind is ClaimKind.UNRESOLVED
+    table.apply(table.outcome("k", "r1", answer=Answer(200)), 1.0)
+    assert table.claim("k", "w", DIGEST, "r2").kind is ClaimKind.ENDED
+
+
+def test_two_first_claims_in_a_log_are_a_breach():
+    table = _claimed()
+    with pytest.raises(AssertionError):
+        table.apply(KeyClaimed("k", "w", DIGEST, "r2"), 1.0)
+
+
+def test_answer_that_is_too_large_keeps_its_status_only():
+    answer = Answer(200, "text/plain", b"x" * (MAX_ANSWER_BYTES + 1))
+    stored = storable_answer(answer)
+    assert (stored.status, stored.kept, stored.body) == (200, False, b"")
+    whole = Answer(200, "text/plain", b"x" * MAX_ANSWER_BYTES)
+    assert storable_answer(whole) is whole
--- a/packages/daemon/src/papayadyke_daemon/jobs/_service.py
+++ b/packages/daemon/src/papayadyke_daemon/jobs/_service.py
@@ -5,7 +5,7 @@
 import queue
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from result import Err, Ok
 
@@ -21,6 +21,7 @@
 from papayadyke_core.journal import (
     MAX_ENTRIES_BYTES,
     AppendResult,
+    Entry,
     JobAccepted,
     JobCancelled,
     TaskEnded,
@@ -46,7 +47,7 @@
     make_accepted,
 )
 from papayadyke_daemon.jobs._types import JobAnswer, JobHooks, JobSettings
-from papayadyke_daemon.journal import JournalWriter, Mailbox, Replay
+from papayadyke_daemon.journal import JournalWriter, Mailbox, OnSettled, Replay
 
 PURGE_INTERVAL_S = 60.0
 REPLY_MARGIN_S = 60.0
@@ -248,13 +249,11 @@
     def _append_job(self, partition: int, accepted: JobAccepted, reply: Reply) -> None:
         submission = Submission(accepted, [reply])
         self._submissions[accepted.key or accepted.job_id] = submission
-        self._journal.append(
+        self._append(
             partition,
             (accepted,),
-            lambda result, at_s: self._mailbox.post(
-                lambda: self._job_settled(partition, submission, result, at_s)
-            ),
-            give_up_s=self._clock() + self.settings.append_wait_s,
+            lambda result, at_s: self._job_settled(partition, submission, result, at_s),
+            gives_up=True,
         )
 
     def _job_settled(
@@ -297,24 +296,45 @@
 
     def _get(self, job_id: str, wait_s: float, reply: Reply) -> None:
         found = self._find(job_id)
-        if found is None or found[1].is_over or wait_s <= 0.0:
+        if found is None:
+            self._show_unknown(job_id, reply)
+            return
+        if found[1].is_over or wait_s <= 0.0:
             reply(self._show(job_id))
             return
         self._waiters.append(Waiter(job_id, self._clock() + wait_s, reply))
 
+    def _show_unknown(self, job_id: str, reply: Reply) -> None:
+        """Say that there is no such job, once an append proves the ownership.
+
+        A successor may have accepted the job, and this VM not know of it yet.
+        """
+        partition = job_partition(job_id)
+        if partition is None or partition not in self._partitions:
+            reply(self._show(job_id))
+            return
+
+        def settled(result: AppendResult, at_s: float) -> None:
+            if result is AppendResult.DURABLE:
+                reply(self._show(job_id))
+            else:
+                reply(Err(refusals.no_home(Verdict.MAY_HAVE_RUN)))
+
+        self._append(partition, (), settled, gives_up=True)
+
     def _cancel(self, job_id: str, wait_s: float, reply: Reply) -> None:
         found = self._find(job_id)
         entry = None if found is None else found[1].cancel()
         if entry is None:
             self._get(job_id, wait_s, reply)
             return
-        self._journal.append(
+        self._append(
             job_partition(job_id) or 0,
             (entry,),
-            lambda result, at_s: self._mailbox.post(
-                lambda: self._cancel_settled(entry, wait_s, reply, result, at_s)
+            lambda result, at_s: self._cancel_settled(
+                entry, wait_s, reply, result, at_s
             ),
-            give_up_s=self._clock() + self.settings.append_wait_s,
+            gives_up=True,
         )
 
     def _cancel_settled(
@@ -375,13 +395,7 @@
                 durable = result is AppendResult.DURABLE
                 on_reply(durable and self._may_start(job, entry))
 
-        wait_s = self.settings.append_wait_s
-        self._journal.append(
-            job_partition(job.id) or 0,
-            (entry,),
-            lambda result, at_s: self._mailbox.post(lambda: settled(result, at_s)),
-            give_up_s=self._clock() + wait_s if waits else None,
-        )
+        self._append(job_partition(job.id) or 0, (entry,), settled, gives_up=waits)
 
     def _may_start(self, job: Job, entry: TaskIntended) -> bool:
         found = self._find(job.id)
@@ -414,10 +428,23 @@
                 for entry in ended:
                     self._apply(entry, at_s)
 
+        self._append(job_partition(job.id) or 0, ended, settled, gives_up=False)
+
+    def _append(
+        self,
+        partition: int,
+        entries: Sequence[Entry],
+        on_settled: OnSettled,
+        *,
+        gives_up: bool,
+    ) -> None:
+        """Append entries; `on_settled` runs on this service's thread."""
+        wait_s = self.settings.append_wait_s
         self._journal.append(
-            job_partition(job.id) or 0,
-            ended,
-            lambda result, at_s: self._mailbox.post(lambda: settled(result, at_s)),
+            partition,
+            entries,
+            lambda result, at_s: self._mailbox.post(lambda: on_settled(result, at_s)),
+            give_up_s=self._clock() + wait_s if gives_up else None,
         )
 
     def _tick(self, now: float) -> float | None:
--- a/packages/daemon/src/papayadyke_daemon/jobs/tests/test_job_service.py
+++ b/packages/daemon/src/papayadyke_daemon/jobs/tests/test_job_service.py
@@ -1,5 +1,6 @@
 import queue
 import threading
+from typing import Any
 
 import pytest
 
@@ -22,7 +23,7 @@
     """Runs each order at once, or holds it until told to."""
 
     def __init__(self):
-        self.service = None
+        self.service: Any = None
         self.held = False
         self.waiting = []
         self.started = []
@@ -133,7 +134,7 @@
 
 
 def test_started_task_that_must_run_once_is_not_started_by_the_successor(vms):
-    started = queue.SimpleQueue()
+    started: queue.SimpleQueue[bool] = queue.SimpleQueue()
     vms[0].fleet.run = lambda task, on_done: vms[0].jobs.authorize_start(
         task.task_id, "u1", lambda allowed: started.put(allowed)
     )
--- a/packages/daemon/src/papayadyke_daemon/journal/_mailbox.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/_mailbox.py
@@ -53,6 +53,18 @@
         """Have a closure run on the thread."""
         self._queue.put(message)
 
+    def pump(self) -> float | None:
+        """Run what was posted, and a tick, on the calling thread.
+
+        For owners that run without a thread of their own; `start` is not called.
+        What a message raises goes to the caller.
+        """
+        while not self._queue.empty():
+            message = self._queue.get()
+            if message is not None:
+                message()
+        return self._tick(self._clock())
+
     def _run(self) -> None:
         due: float | None = None
         while True:
