--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/idempotency/tests/test_key_service.py
@@ -0,0 +1,143 @@
+import threading
+
+import pytest
+
+from papayadyke_core.idempotency import ClaimKind
+from papayadyke_core.jobs import TaskDone, TaskResult
+from papayadyke_core.journal import Answer, partition_of
+from papayadyke_core.verdicts import Reason, Refusal, Verdict
+from papayadyke_daemon.idempotency import KeyService, KeyServiceSettings
+from papayadyke_daemon.journal import JournalSettings, JournalWriter
+from papayadyke_platform.store import ErrorKind
+from papayadyke_standins.store import Faults, MemoryStore, StoreService
+
+KEY = next(f"k{n}" for n in range(10_000) if partition_of(f"k{n}") == 0)
+FULL = Refusal(Verdict.NOT_RUN, Reason.QUEUE_FULL, "full")
+
+
+class _Vm:
+    def __init__(self, store, name):
+        self.found = TaskResult.LOST
+        self.asked = threading.Event()
+        self.journal = JournalWriter(
+            MemoryStore(store, client=name), JournalSettings(vm=name, incarnation="1")
+        )
+        settings = KeyServiceSettings(append_wait_s=0.3, resolve_interval_s=0.05)
+        self.keys = KeyService(self.journal, settings, self._resolve)
+        self.journal.start()
+        self.keys.start()
+
+    def _resolve(self, key, on_done):
+        answer = Answer(200) if self.found is TaskResult.ANSWERED else None
+        on_done(TaskDone(key.request_id, self.found, answer))
+        self.asked.set()
+
+    def take_over(self):
+        self.keys.adopt(self.journal.take_over(0).unwrap())
+
+    def claim(self, request_id, body=b"body"):
+        return self.keys.claim(KEY, "w", body, request_id, holder="vm")
+
+    def claim_until(self, kind, request_id):
+        """Claim until a kind shows; the claims before change nothing."""
+        for _ in range(2000):
+            claimed = self.claim(request_id)
+            if claimed.is_ok() and claimed.unwrap().kind is kind:
+                return claimed.unwrap()
+            threading.Event().wait(0.005)
+        raise AssertionError(f"the key never became {kind}")
+
+
+@pytest.fixture
+def store():
+    return StoreService()
+
+
+@pytest.fixture
+def vms(store):
+    made = [_Vm(store, "vm1"), _Vm(store, "vm2")]
+    made[0].take_over()
+    yield made
+    for vm in made:
+        vm.keys.stop()
+        vm.journal.stop()
+
+
+def test_repeat_gets_the_first_answer_at_the_successor_too(vms):
+    assert vms[0].claim("r1").unwrap().kind is ClaimKind.FIRST
+    assert vms[0].claim("r2").unwrap().kind is ClaimKind.IN_PROGRESS
+    assert vms[0].claim("r2", b"other").unwrap().kind is ClaimKind.CONFLICT
+    answer = Answer(201, "text/plain", b"done")
+    vms[0].keys.record(KEY, "r1", answer=answer)
+    assert vms[0].claim_until(ClaimKind.ENDED, "r2").answer == answer
+    vms[1].take_over()
+    assert vms[1].claim("r3").unwrap().answer == answer
+
+
+def test_request_that_did_not_run_frees_its_key(vms):
+    vms[0].claim("r1")
+    vms[0].keys.record(KEY, "r1", refusal=FULL)
+    assert vms[0].claim_until(ClaimKind.FIRST, "r2").request_id == "r2"
+
+
+@pytest.mark.parametrize(
+    "found, kind",
+    [
+        (TaskResult.ANSWERED, ClaimKind.ENDED),
+        (TaskResult.STOPPED, ClaimKind.ENDED),
+        (TaskResult.NOT_STARTED, ClaimKind.FIRST),
+        (TaskResult.LOST, ClaimKind.UNRESOLVED),
+    ],
+)
+def test_open_request_of_a_lost_vm_is_resolved_by_the_upstreams(vms, found, kind):
+    vms[0].claim("r1")
+    vms[1].found = found
+    vms[1].take_over()
+    assert vms[1].asked.wait(10)
+    claim = vms[1].claim_until(kind, "r2")
+    if found is TaskResult.STOPPED:
+        assert claim.refusal.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_fenced_vm_acknowledges_no_claim(vms):
+    vms[1].take_over()
+    refusal = vms[0].claim("r1").unwrap_err()
+    assert refusal.verdict is Verdict.NOT_RUN
+    assert vms[0].claim("r1").unwrap_err().reason is Reason.KEY_HOME_UNREACHABLE
+    assert vms[1].claim("r2").unwrap().kind is ClaimKind.FIRST
+
+
+def test_outage_refuses_with_not_run_and_leaves_no_claim(vms, store):
+    store.set_faults(Faults(down=True))
+    refusal = vms[0].claim("r1").unwrap_err()
+    assert (refusal.verdict, refusal.reason) == (
+        Verdict.NOT_RUN,
+        Reason.STORE_UNAVAILABLE,
+    )
+    store.set_faults(Faults())
+    assert vms[0].claim_until(ClaimKind.FIRST, "r2").request_id == "r2"
+
+
+def test_claim_that_turns_out_to_be_in_the_log_is_released(vms, store):
+    real = store.write
+
+    def write(key, act):
+        done = real(key, act)
+        if done.is_err() and done.unwrap_err().kind is ErrorKind.UNKNOWN:
+            store.set_faults(Faults(down=True))
+        return done
+
+    store.write = write
+    store.set_faults(Faults(lose_answers=1, prefix="log/"))
+    refusal = vms[0].claim("r1").unwrap_err()
+    assert refusal.verdict is Verdict.NOT_RUN
+    store.set_faults(Faults())
+    assert vms[0].claim_until(ClaimKind.FIRST, "r2").request_id == "r2"
+
+
+def test_answers_come_while_the_store_is_away(vms, store):
+    vms[0].claim("r1")
+    vms[0].keys.record(KEY, "r1", answer=Answer(200))
+    vms[0].claim_until(ClaimKind.ENDED, "r2")
+    store.set_faults(Faults(down=True))
+    assert vms[0].claim("r3").unwrap().kind is ClaimKind.ENDED
