Add a cell of processes for failure tests and benchmarks

Cause: promises are proved against real processes that are killed and paused. Change: a plan of zones is started as processes on loopback; upstreams' records, breaches and faults are read and ordered over their control paths.

--- /dev/null
+++ b/packages/standins/src/papayadyke_standins/cell/__init__.py
@@ -0,0 +1,6 @@
+"""A whole cell of processes on loopback, for failure tests and benchmarks."""
+
+from papayadyke_standins.cell._cell import Cell, CellPlan, DaemonProcess, ZonePlan
+from papayadyke_standins.cell._process import ManagedProcess
+
+__all__ = ["Cell", "CellPlan", "DaemonProcess", "ManagedProcess", "ZonePlan"]
