Put blocked workloads back into the order when held room falls free

Change: the order of turns is an object of its own that takes workloads back in; events of equal time are ordered by arrival.

--- a/packages/core/src/papayadyke_core/scheduling/_room_hold.py
+++ b/packages/core/src/papayadyke_core/scheduling/_room_hold.py
@@ -78,17 +78,18 @@
     free: dict[str, Resources] = {}
     slots: dict[str, int] = {}
     fits: dict[str, int] = {}
-    events: list[tuple[float, str, Resources]] = []
+    events: list[tuple[float, int, str, Resources]] = []
     for room in rooms:
         free[room.upstream] = room.free
         slots[room.upstream] = room.free_slots
         fits[room.upstream] = _fit(room.free, room.free_slots, demand)
-        events.extend((end_s, room.upstream, held) for end_s, held in room.ends)
+        for end_s, held in room.ends:
+            events.append((end_s, len(events), room.upstream, held))
     found = sum(fits.values())
     ready_at_s = now
     heapq.heapify(events)
     while found < tasks and events:
-        ready_at_s, name, held = heapq.heappop(events)
+        ready_at_s, _, name, held = heapq.heappop(events)
         free[name] = free[name] + held
         slots[name] += 1
         fit = _fit(free[name], slots[name], demand)
--- a/packages/core/src/papayadyke_core/scheduling/_starts.py
+++ b/packages/core/src/papayadyke_core/scheduling/_starts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
 from dataclasses import dataclass, field
 
 from papayadyke_core.admission import QueuedRequest
@@ -10,8 +9,9 @@
 from papayadyke_core.scheduling._room_hold import HeldRoom, RoomHold, plan_hold
 from papayadyke_core.scheduling._running import SchedulingError
 from papayadyke_core.scheduling._state import WorkloadState
+from papayadyke_core.scheduling._turns import TurnOrder
 from papayadyke_core.scheduling._types import Start
-from papayadyke_core.sharing import Limit, Phase, Rank, Reserve, needed_tasks
+from papayadyke_core.sharing import Limit, Phase, Reserve, needed_tasks
 from papayadyke_core.workloads import Kind
 
 _LATE_GROWTH = 0.1
@@ -28,8 +28,6 @@
     for_floors: Reserve
     hold: RoomHold | None
     starts: list[Start] = field(default_factory=list)
-    more: bool = False
-    floors_checked: bool = False
 
 
 def start_waiting(book: Book, now: float) -> tuple[list[Start], bool]:
@@ -50,63 +48,26 @@
     if not book.backlog:
         return [], False
     run = _Pass(now, *_reserves(book, now), book.live_hold())
-    heap: list[tuple[Rank, float, int, WorkloadState]] = [
-        (_rank(book, state, now), state.last_start_s, order, state)
-        for order, state in enumerate(book.backlog.values())
-    ]
-    heapq.heapify(heap)
-    blocked: list[WorkloadState] = []
-    while heap:
+    turns = TurnOrder(book, now)
+    floors_checked = False
+    while (turn := turns.next()) is not None:
         if len(run.starts) >= book.settings.max_starts:
-            run.more = True
-            break
-        rank, _, order, state = heap[0]
-        fresh = _rank(book, state, now)
-        if fresh > rank:
-            heapq.heapreplace(heap, (fresh, state.last_start_s, order, state))
-            continue
-        if fresh.phase is Phase.SHARE and not run.floors_checked:
-            _check_floors(book, blocked)
-            run.floors_checked = True
-        limit = _start_head(book, run, state, fresh.phase)
-        if limit is not None:
-            state.blocked_by = limit
-            blocked.append(state)
-            heapq.heappop(heap)
-        elif len(state.queue) == 0:
-            heapq.heappop(heap)
+            return run.starts, True
+        state, phase = turn
+        if phase is Phase.SHARE and not floors_checked:
+            # Once is enough: a start brings no workload under its floor.
+            turns.check_floors()
+            floors_checked = True
+        held = run.hold
+        limit = _start_head(book, run, state, phase)
+        if limit is None:
+            turns.end_turn()
         else:
-            fresh = _rank(book, state, now)
-            heapq.heapreplace(heap, (fresh, state.last_start_s, order, state))
-    _note_floors(book, blocked, now)
-    return run.starts, run.more
-
-
-def _rank(book: Book, state: WorkloadState, now: float) -> Rank:
-    head = state.queue.head()
-    overdue_s = book.settings.sharing.overdue_s
-    overdue = head is not None and state.is_overdue(head, now, overdue_s)
-    return book.shares.rank(state.account, overdue=overdue)
-
-
-def _check_floors(book: Book, blocked: list[WorkloadState]) -> None:
-    """Check that no workload under its floor is passed over by one above it.
-
-    Once is enough in a pass: a start brings no workload under its floor.
-    """
-    passed = set(map(id, blocked))
-    for state in book.backlog.values():
-        if state.account.below_floor and id(state) not in passed:
-            raise SchedulingError(f"scheduling: {state.name} is passed over")
-
-
-def _note_floors(book: Book, blocked: list[WorkloadState], now: float) -> None:
-    for state in blocked:
-        waits_for_room = state.blocked_by is not Limit.CEILING
-        if not state.account.below_floor or not waits_for_room:
-            state.below_floor_since_s = None
-        elif state.below_floor_since_s is None:
-            state.below_floor_since_s = now
+            turns.block(limit)
+        if held is not None and run.hold is None:
+            turns.unblock(Limit.GANG)
+    turns.note_floors()
+    return run.starts, False
 
 
 def _start_head(
