--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/fleet/__init__.py
@@ -0,0 +1,6 @@
+"""Sessions at upstreams, and the tasks that run under them."""
+
+from papayadyke_daemon.fleet._agent import Holder, UpstreamAgent
+from papayadyke_daemon.fleet._fleet import Fleet
+
+__all__ = ["Fleet", "Holder", "UpstreamAgent"]
