Add the operators' interface over HTTP

Operators need to change the configuration and ask what became of requests, on a listener of their own.

--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/operators/__init__.py
@@ -0,0 +1,9 @@
+"""The operators' interface of the daemon."""
+
+from papayadyke_daemon.operators._app import (
+    OPERATORS_LIMITS,
+    OperatorsApp,
+    OperatorsBackend,
+)
+
+__all__ = ["OPERATORS_LIMITS", "OperatorsApp", "OperatorsBackend"]
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/operators/_app.py
@@ -0,0 +1,252 @@
+"""Routes of the operators' interface."""
+
+from __future__ import annotations
+
+import logging
+import math
+import re
+import time
+from collections.abc import Callable
+from typing import Protocol
+from urllib.parse import parse_qs
+
+import msgspec
+from result import Err, Result
+
+from papayadyke_core.configuration import (
+    MAX_CHANGE_BYTES,
+    AnyChange,
+    ConfigState,
+    Conflict,
+    Invalid,
+    ItemKind,
+    decode_change,
+)
+from papayadyke_daemon.configuration import (
+    Accepted,
+    SubmitError,
+    Unresolved,
+)
+from papayadyke_platform.http import BodyError, HttpAnswer, HttpLimits, HttpRequest
+from papayadyke_platform.keys import Authenticator, parse_seal
+from papayadyke_platform.operators import (
+    CHANGES_PATH,
+    CONFIG_PATH,
+    EXPLAIN_PATH,
+    IN_FORCE_PATH,
+    PRESETS_PATH,
+    PROBLEM_STATUS,
+    REFUSED_PATH,
+    SEAL_HEADER,
+    STATUS_PATH,
+    TEAMS_PATH,
+    WORKLOADS_PATH,
+    ChangeDone,
+    Explanation,
+    FieldProblem,
+    OperatorsProblem,
+    ProblemCode,
+    RefusedView,
+    StatusView,
+    encode_json,
+    signed_bytes,
+    view_config,
+)
+
+LOG = logging.getLogger("papayadyke.operators")
+
+OPERATORS_LIMITS = HttpLimits(
+    threads=8,
+    waiting=64,
+    max_body_bytes=MAX_CHANGE_BYTES,
+    max_header_bytes=8_192,
+    receive_timeout_s=10,
+)
+MAX_QUERY_CHARS = 512
+MAX_REFUSED = 500
+
+_ITEM_PATH = re.compile(
+    f"({WORKLOADS_PATH}|{TEAMS_PATH}|{PRESETS_PATH})(?:/([a-z0-9._-]{{1,64}}))?"
+)
+_EXPLAIN_PATH = re.compile(EXPLAIN_PATH + r"/([A-Za-z0-9._:-]{1,128})")
+_KINDS = {
+    WORKLOADS_PATH: ItemKind.WORKLOAD,
+    TEAMS_PATH: ItemKind.TEAM,
+    PRESETS_PATH: ItemKind.PRESET,
+}
+
+
+class OperatorsBackend(Protocol):
+    """What the daemon answers for the rest of its parts."""
+
+    def read_status(self) -> StatusView:
+        """Return VMs, upstreams and queues."""
+
+    def explain(self, request_id: str) -> Explanation | None:
+        """Return what became of a request, or None for an unknown one."""
+
+    def list_refused(
+        self, workload: str, *, since_unix_s: float, limit: int
+    ) -> RefusedView:
+        """Return who was turned away; an empty workload stands for all."""
+
+
+class _Problem(Exception):
+    def __init__(self, problem: OperatorsProblem):
+        super().__init__(problem.detail)
+        self.problem = problem
+
+
+class OperatorsApp:
+    """Answers operators; `handle` is called from the listener's threads.
+
+    Every request carries a seal over its method, path, query and body. One that
+    is forged, old or sent twice is answered 401 before it is looked into.
+
+    Parameters
+    ----------
+    authenticator : Authenticator
+    state : callable
+        Returns the `ConfigState` in force at this VM.
+    submit : callable
+        As `ConfigWriter.submit`.
+    backend : OperatorsBackend
+    unix_clock : callable, default=time.time
+    """
+
+    def __init__(
+        self,
+        *,
+        authenticator: Authenticator,
+        state: Callable[[], ConfigState],
+        submit: Callable[[AnyChange], Result[Accepted, SubmitError]],
+        backend: OperatorsBackend,
+        unix_clock: Callable[[], float] = time.time,
+    ):
+        self.authenticator = authenticator
+        self.state = state
+        self.submit = submit
+        self.backend = backend
+        self.unix_clock = unix_clock
+
+    def handle(self, req: HttpRequest) -> HttpAnswer:
+        """Return the answer to any request; no input makes it raise."""
+        try:
+            self._check_request(req)
+            return HttpAnswer(200, encode_json(self._route(req)))
+        except _Problem as exc:
+            return _answer_problem(exc.problem)
+        except Exception:
+            LOG.exception("operators: a request failed in the daemon")
+            text = "a fault in the daemon; it has been logged"
+            return _answer_problem(
+                OperatorsProblem(code=ProblemCode.FAULT, detail=text)
+            )
+
+    def _check_request(self, req: HttpRequest) -> None:
+        if req.body_error is BodyError.TOO_LARGE:
+            text = f"the body is over {OPERATORS_LIMITS.max_body_bytes} bytes"
+            raise _refuse(ProblemCode.TOO_LARGE, text)
+        if req.body_error is not None:
+            raise _refuse(ProblemCode.BAD_REQUEST, "the body did not come whole")
+        if len(req.query) > MAX_QUERY_CHARS:
+            raise _refuse(ProblemCode.BAD_REQUEST, "the query is too long")
+        seal = parse_seal(req.headers.get(SEAL_HEADER.lower(), ""))
+        if seal is None:
+            raise _refuse(ProblemCode.NOT_AUTHENTICATED, "the seal is missing")
+        data = signed_bytes(req.method, req.path, req.query, req.body)
+        fault = self.authenticator.check(data, seal, unix_s=self.unix_clock())
+        if fault is not None:
+            LOG.warning("operators: request of %s is %s", req.remote, fault)
+            text = f"the request is {fault}, or the clocks differ too much"
+            raise _refuse(ProblemCode.NOT_AUTHENTICATED, text)
+
+    def _route(self, req: HttpRequest) -> msgspec.Struct | list:
+        if req.path == CHANGES_PATH:
+            _check_method(req, "POST")
+            return self._submit(req.body)
+        _check_method(req, "GET")
+        if req.path == CONFIG_PATH:
+            return view_config(self.state())
+        if req.path == IN_FORCE_PATH:
+            return view_config(self.state()).in_force
+        if req.path == STATUS_PATH:
+            return self.backend.read_status()
+        if req.path == REFUSED_PATH:
+            return self._list_refused(req.query)
+        if match := _EXPLAIN_PATH.fullmatch(req.path):
+            return self._explain(match.group(1))
+        if match := _ITEM_PATH.fullmatch(req.path):
+            return self._show_items(_KINDS[match.group(1)], match.group(2))
+        raise _refuse(ProblemCode.NOT_FOUND, "there is no such path")
+
+    def _submit(self, body: bytes) -> ChangeDone:
+        try:
+            change = decode_change(body)
+        except msgspec.DecodeError as exc:
+            raise _refuse(ProblemCode.INVALID, str(exc)) from None
+        done = self.submit(change)
+        if isinstance(done, Err):
+            raise _Problem(_describe(done.err_value))
+        return ChangeDone(change.id, done.ok_value.revision)
+
+    def _show_items(self, kind: ItemKind, name: str | None) -> msgspec.Struct | list:
+        views = view_config(self.state()).items_of(kind)
+        if name is None:
+            return views
+        found = [view for view in views if view.model.name == name]
+        if not found:
+            text = f"there is no {kind.value} {name}"
+            raise _refuse(ProblemCode.NOT_FOUND, text)
+        return found[0]
+
+    def _explain(self, request_id: str) -> Explanation:
+        found = self.backend.explain(request_id)
+        if found is None:
+            text = f"this VM knows nothing of request {request_id}"
+            raise _refuse(ProblemCode.NOT_FOUND, text)
+        return found
+
+    def _list_refused(self, query: str) -> RefusedView:
+        fields = parse_qs(query)
+        workload = fields.get("workload", [""])[-1]
+        try:
+            since = float(fields.get("since", ["0"])[-1])
+        except ValueError:
+            since = math.nan
+        if not math.isfinite(since) or since < 0.0:
+            raise _refuse(ProblemCode.BAD_REQUEST, "since is no time in seconds")
+        return self.backend.list_refused(
+            workload, since_unix_s=since, limit=MAX_REFUSED
+        )
+
+
+def _check_method(req: HttpRequest, method: str) -> None:
+    if req.method != method:
+        raise _refuse(ProblemCode.BAD_REQUEST, f"the path takes {method}")
+
+
+def _refuse(code: ProblemCode, detail: str) -> _Problem:
+    return _Problem(OperatorsProblem(code=code, detail=detail))
+
+
+def _describe(error: SubmitError) -> OperatorsProblem:
+    match error:
+        case Conflict(winner=winner):
+            return OperatorsProblem(
+                code=ProblemCode.CONFLICT, detail=error.detail, winner=winner
+            )
+        case Invalid(problems=problems):
+            fields = [FieldProblem(item.path, item.message) for item in problems]
+            return OperatorsProblem(
+                code=ProblemCode.INVALID, detail=error.detail, fields=fields
+            )
+        case Unresolved(detail=detail):
+            return OperatorsProblem(code=ProblemCode.UNRESOLVED, detail=detail)
+        case _:
+            return OperatorsProblem(code=ProblemCode.UNAVAILABLE, detail=error.detail)
+
+
+def _answer_problem(problem: OperatorsProblem) -> HttpAnswer:
+    status = PROBLEM_STATUS[problem.code]
+    return HttpAnswer(status, encode_json(problem), "application/problem+json")
