Route requests, keys and jobs between the daemons of a cell

Cause: a request may arrive at a VM without room, a key or a job at a VM that does not own its partition. Change: a map of partitions to zones and VMs worked out alike by every VM, a picker of peers by the load they tell, and routed runs, keys and jobs over calls between daemons; a refusal of a peer is known to be not run before another is asked.

--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/routing/__init__.py
@@ -0,0 +1,28 @@
+"""Where a request, a key or a job is served: here, at a peer, in another zone."""
+
+from papayadyke_daemon.routing._homes import HomeMap, Route, RouteKind
+from papayadyke_daemon.routing._jobs import RoutedJobs
+from papayadyke_daemon.routing._keys import RoutedKeys
+from papayadyke_daemon.routing._messages import (
+    ForwardRun,
+    RefusalMessage,
+    read_refusal,
+    write_refusal,
+)
+from papayadyke_daemon.routing._picker import PeerPicker
+from papayadyke_daemon.routing._runs import RoutedRuns, RoutingSettings
+
+__all__ = [
+    "ForwardRun",
+    "HomeMap",
+    "PeerPicker",
+    "RefusalMessage",
+    "Route",
+    "RouteKind",
+    "RoutedJobs",
+    "RoutedKeys",
+    "RoutedRuns",
+    "RoutingSettings",
+    "read_refusal",
+    "write_refusal",
+]
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/routing/_keys.py
@@ -0,0 +1,205 @@
+"""Idempotency keys: at this VM, or at the VM that owns the partition."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from papayadyke_core.idempotency import Claim, ClaimKind
+from papayadyke_core.journal import Answer, partition_of
+from papayadyke_core.verdicts import Reason, Refusal, Verdict
+from papayadyke_daemon.keyed import KeyHome
+from papayadyke_daemon.peers import Handler, PeerEndpoint
+from papayadyke_daemon.routing._homes import HomeMap, Route, RouteKind
+from papayadyke_daemon.routing._messages import (
+    ClaimKey,
+    ClaimReply,
+    KeptAnswer,
+    PlaceKey,
+    RecordKey,
+    read_refusal,
+    write_refusal,
+)
+
+CALL_TIMEOUT_S = 4.0
+MAX_HOPS = 2
+RETRY_AFTER_S = 1.0
+
+
+class RoutedKeys:
+    """Claims and records keys wherever their partition is owned.
+
+    Parameters
+    ----------
+    local : KeyHome
+    homes : HomeMap
+    endpoint : callable
+        Returns the `PeerEndpoint`.
+    """
+
+    def __init__(
+        self,
+        *,
+        local: KeyHome,
+        homes: HomeMap,
+        endpoint: Callable[[], PeerEndpoint],
+    ) -> None:
+        self.local = local
+        self.homes = homes
+        self.endpoint = endpoint
+
+    def make_handlers(self) -> list[Handler]:
+        """Return what serves the keys that peers ask for."""
+        return [
+            Handler(ClaimKey, self._serve_claim, is_slow=True),
+            Handler(PlaceKey, self._serve_place, is_slow=True),
+            Handler(RecordKey, self._serve_record, is_slow=True),
+        ]
+
+    def claim(
+        self, key: str, workload: str, body: bytes, request_id: str, *, holder: str
+    ) -> Result[Claim, Refusal]:
+        """Claim a key; a refusal is always `not_run`."""
+        message = ClaimKey(key, workload, body, request_id, holder, MAX_HOPS)
+        return self._claim(message)
+
+    def place(self, key: str, request_id: str, upstream: str) -> None:
+        """Note the upstream that a request is sent to."""
+        self._place(PlaceKey(key, request_id, upstream, MAX_HOPS))
+
+    def record(
+        self,
+        key: str,
+        request_id: str,
+        *,
+        answer: Answer | None = None,
+        refusal: Refusal | None = None,
+    ) -> None:
+        """Record how the first request of a key ended."""
+        message = RecordKey(
+            key=key,
+            request_id=request_id,
+            answer=None if answer is None else _write_answer(answer),
+            refusal=None if refusal is None else write_refusal(refusal),
+            hops=MAX_HOPS,
+        )
+        self._record(message)
+
+    def _claim(self, message: ClaimKey) -> Result[Claim, Refusal]:
+        route = self.homes.find_route(partition_of(message.key))
+        if route.kind is RouteKind.HERE:
+            return self.local.claim(
+                message.key,
+                message.workload,
+                message.body,
+                message.request_id,
+                holder=message.holder,
+            )
+        onward = ClaimKey(
+            message.key,
+            message.workload,
+            message.body,
+            message.request_id,
+            message.holder,
+            message.hops - 1,
+        )
+        for vm in _list_vms(route, message.hops):
+            reply = self.endpoint().call(
+                vm, onward, ClaimReply, timeout_s=CALL_TIMEOUT_S
+            )
+            if isinstance(reply, Ok):
+                return _read_claim(reply.ok_value)
+            if reply.err_value.verdict is Verdict.MAY_HAVE_RUN:
+                # The claim may stand, but the request is not started for it.
+                break
+        return Err(_refuse_no_home())
+
+    def _place(self, message: PlaceKey) -> None:
+        route = self.homes.find_route(partition_of(message.key))
+        if route.kind is RouteKind.HERE:
+            self.local.place(message.key, message.request_id, message.upstream)
+            return
+        onward = PlaceKey(
+            message.key, message.request_id, message.upstream, message.hops - 1
+        )
+        for vm in _list_vms(route, message.hops)[:1]:
+            self.endpoint().post(vm, onward, ClaimReply, timeout_s=CALL_TIMEOUT_S)
+
+    def _record(self, message: RecordKey) -> None:
+        route = self.homes.find_route(partition_of(message.key))
+        if route.kind is RouteKind.HERE:
+            answer = message.answer
+            refusal = message.refusal
+            self.local.record(
+                message.key,
+                message.request_id,
+                answer=None if answer is None else _read_answer(answer),
+                refusal=None if refusal is None else read_refusal(refusal),
+            )
+            return
+        onward = RecordKey(
+            message.key,
+            message.request_id,
+            message.answer,
+            message.refusal,
+            message.hops - 1,
+        )
+        for vm in _list_vms(route, message.hops):
+            reply = self.endpoint().call(
+                vm, onward, ClaimReply, timeout_s=CALL_TIMEOUT_S
+            )
+            if isinstance(reply, Ok):
+                return
+
+    def _serve_claim(self, message: ClaimKey, sender: str) -> ClaimReply:
+        return _write_claim(self._claim(message))
+
+    def _serve_place(self, message: PlaceKey, sender: str) -> ClaimReply:
+        self._place(message)
+        return ClaimReply("", message.request_id, None, None)
+
+    def _serve_record(self, message: RecordKey, sender: str) -> ClaimReply:
+        self._record(message)
+        return ClaimReply("", message.request_id, None, None)
+
+
+def _list_vms(route: Route, hops: int) -> tuple[str, ...]:
+    return route.vms if hops > 0 else ()
+
+
+def _write_answer(answer: Answer) -> KeptAnswer:
+    return KeptAnswer(answer.status, answer.content_type, answer.body, answer.kept)
+
+
+def _read_answer(message: KeptAnswer) -> Answer:
+    return Answer(message.status, message.content_type, message.body, message.kept)
+
+
+def _write_claim(result: Result[Claim, Refusal]) -> ClaimReply:
+    if isinstance(result, Err):
+        return ClaimReply("", "", None, write_refusal(result.err_value))
+    claim = result.ok_value
+    return ClaimReply(
+        kind=claim.kind,
+        request_id=claim.request_id,
+        answer=None if claim.answer is None else _write_answer(claim.answer),
+        refusal=None if claim.refusal is None else write_refusal(claim.refusal),
+    )
+
+
+def _read_claim(reply: ClaimReply) -> Result[Claim, Refusal]:
+    refusal = None if reply.refusal is None else read_refusal(reply.refusal)
+    if not reply.kind:
+        return Err(refusal or _refuse_no_home())
+    answer = None if reply.answer is None else _read_answer(reply.answer)
+    return Ok(Claim(ClaimKind(reply.kind), reply.request_id, answer, refusal))
+
+
+def _refuse_no_home() -> Refusal:
+    return Refusal(
+        Verdict.NOT_RUN,
+        Reason.KEY_HOME_UNREACHABLE,
+        "The VM that keeps this idempotency key can not be reached.",
+        retry_after_s=RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/routing/_runs.py
@@ -0,0 +1,241 @@
+"""Synchronous requests: run here, or handed to a peer with room."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from papayadyke_core.resources import Resources
+from papayadyke_core.scheduling import LoadSummary
+from papayadyke_core.verdicts import Reason, Refusal, Verdict
+from papayadyke_daemon.peers import Handler, PeerEndpoint
+from papayadyke_daemon.routing._messages import (
+    ForwardRun,
+    RunAnswered,
+    RunReply,
+    read_refusal,
+    write_refusal,
+)
+from papayadyke_daemon.routing._picker import PeerPicker
+from papayadyke_daemon.serving import Answer, RunOrder, RunService
+
+# A refusal for one of these says nothing of what a peer could do.
+FORWARDABLE = frozenset(
+    {
+        Reason.QUEUE_FULL,
+        Reason.DEADLINE_UNREACHABLE,
+        Reason.NO_CAPACITY,
+        Reason.CAN_NEVER_RUN,
+        Reason.DRAINING,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingSettings:
+    """Limits of handing requests on.
+
+    Parameters
+    ----------
+    peers_tried : int, default=2
+        Peers of the zone that are asked, one after the other.
+    zones_tried : int, default=1
+        Contacts in other zones that are asked after them.
+    reply_margin_s : float, default=1.0
+        Time past a request's deadline for which its reply is waited for.
+    """
+
+    peers_tried: int = 2
+    zones_tried: int = 1
+    reply_margin_s: float = 1.0
+
+
+class RoutedRuns:
+    """Runs requests here or at a peer, which hands them on once at most.
+
+    Parameters
+    ----------
+    runs : RunService
+    endpoint : PeerEndpoint
+    picker : PeerPicker
+    load : callable
+        Returns the latest `LoadSummary` of this VM, or None.
+    settings : RoutingSettings, default=RoutingSettings()
+    """
+
+    def __init__(
+        self,
+        *,
+        runs: RunService,
+        endpoint: PeerEndpoint,
+        picker: PeerPicker,
+        load: Callable[[], LoadSummary | None],
+        settings: RoutingSettings | None = None,
+    ) -> None:
+        self.runs = runs
+        self.ids = runs.ids
+        self.clock = runs.clock
+        self.endpoint = endpoint
+        self.picker = picker
+        self.load = load
+        self.settings = settings or RoutingSettings()
+
+    def make_handlers(self) -> list[Handler]:
+        """Return what serves the requests that peers hand over."""
+        return [Handler(ForwardRun, self._serve, is_slow=True)]
+
+    def run(self, order: RunOrder) -> Result[Answer, Refusal]:
+        """Run a request where there is room for it."""
+        return self._route(order, may_cross_zones=True)
+
+    def _serve(self, message: ForwardRun, sender: str) -> RunReply:
+        order = RunOrder(
+            request_id=message.request_id,
+            workload=message.workload,
+            payload=message.payload,
+            content_type=message.content_type,
+            deadline_s=self.clock() + message.remaining_s,
+            base_id=message.base_id,
+        )
+        if message.hops > 0:
+            result = self._route(order, may_cross_zones=False)
+        else:
+            result = self.runs.run(order)
+        return _write_reply(result)
+
+    def _route(
+        self, order: RunOrder, *, may_cross_zones: bool
+    ) -> Result[Answer, Refusal]:
+        demand = self._find_demand(order.workload)
+        if demand is None:
+            return self.runs.run(order)
+        tried: frozenset[str] = frozenset()
+        if not self._has_room(demand):
+            peer = self.picker.pick_peer(demand)
+            if peer is not None:
+                tried |= {peer}
+                result = self._forward(order, peer, hops=0)
+                if not _may_go_on(result):
+                    return result
+        result = self.runs.run(order)
+        for _ in range(self.settings.peers_tried - len(tried)):
+            if not _may_go_on(result):
+                return result
+            peer = self.picker.pick_peer(demand, tried=tried)
+            if peer is None:
+                break
+            tried |= {peer}
+            result = self._forward(order, peer, hops=0)
+        if not may_cross_zones or not _may_go_on(result):
+            return result
+        return self._cross_zones(order, demand, result)
+
+    def _cross_zones(
+        self, order: RunOrder, demand: Resources, result: Result[Answer, Refusal]
+    ) -> Result[Answer, Refusal]:
+        tried: frozenset[str] = frozenset()
+        for _ in range(self.settings.zones_tried):
+            contact = self.picker.pick_zone(demand, tried=tried)
+            if contact is None or not _may_go_on(result):
+                return result
+            tried |= {contact}
+            result = self._forward(order, contact, hops=1)
+        return result
+
+    def _forward(
+        self, order: RunOrder, peer: str, *, hops: int
+    ) -> Result[Answer, Refusal]:
+        remaining_s = order.deadline_s - self.clock()
+        if remaining_s <= 0.0:
+            return Err(_refuse_unheard(peer, "the deadline has passed"))
+        message = ForwardRun(
+            request_id=order.request_id,
+            workload=order.workload,
+            payload=order.payload,
+            content_type=order.content_type,
+            remaining_s=remaining_s,
+            base_id=order.base_id,
+            hops=hops,
+        )
+        order.on_placed(f"vm:{peer}")
+        reply = self.endpoint.call(
+            peer,
+            message,
+            RunReply,
+            timeout_s=remaining_s + self.settings.reply_margin_s,
+        )
+        if isinstance(reply, Ok):
+            return _read_reply(reply.ok_value)
+        if reply.err_value.verdict is Verdict.NOT_RUN:
+            return Err(_refuse_unheard(peer, reply.err_value.detail))
+        return Err(
+            Refusal(
+                Verdict.MAY_HAVE_RUN,
+                Reason.UPSTREAM_LOST,
+                f"The request was handed to {peer}, which gave no reply.",
+            )
+        )
+
+    def _find_demand(self, workload: str) -> Resources | None:
+        found = self.runs.config().workloads.get(workload)
+        return None if found is None else found.demand
+
+    def _has_room(self, demand: Resources) -> bool:
+        load = self.load()
+        if load is None:
+            return True
+        return load.free_slots > 0 and demand.fits_in(load.free)
+
+
+def _may_go_on(result: Result[Answer, Refusal]) -> bool:
+    """Tell whether another VM may be asked after this result."""
+    if isinstance(result, Ok):
+        return False
+    refusal = result.err_value
+    return refusal.verdict is Verdict.NOT_RUN and refusal.reason in FORWARDABLE
+
+
+def _refuse_unheard(peer: str, detail: str) -> Refusal:
+    return Refusal(
+        Verdict.NOT_RUN,
+        Reason.NO_CAPACITY,
+        f"{peer} did not take the request: {detail}.",
+        retry_after_s=1.0,
+    )
+
+
+def _write_reply(result: Result[Answer, Refusal]) -> RunReply:
+    if isinstance(result, Err):
+        return RunReply(None, write_refusal(result.err_value))
+    answer = result.ok_value
+    answered = RunAnswered(
+        status=answer.status,
+        content_type=answer.content_type,
+        body=answer.body,
+        upstream=answer.upstream,
+        attempts=answer.attempts,
+        wait_s=answer.wait_s,
+        run_s=answer.run_s,
+    )
+    return RunReply(answered, None)
+
+
+def _read_reply(reply: RunReply) -> Result[Answer, Refusal]:
+    if reply.refusal is not None:
+        return Err(read_refusal(reply.refusal))
+    answered = reply.answered
+    if answered is None:
+        raise ValueError("a reply without an answer or a refusal")
+    return Ok(
+        Answer(
+            status=answered.status,
+            content_type=answered.content_type,
+            body=answered.body,
+            upstream=answered.upstream,
+            attempts=answered.attempts,
+            wait_s=answered.wait_s,
+            run_s=answered.run_s,
+        )
+    )
