Follow the configuration in the store

Cause: a configuration was handed to the daemon by its start alone. Change: the daemon follows the log in the store and writes the first configuration if there is none. Result: the embedded mode puts its configuration in force through the store.

--- a/packages/daemon/src/papayadyke_daemon/daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/daemon.py
@@ -6,12 +6,21 @@
 import threading
 import time
 
+from result import Err
+
+from papayadyke_core.configuration import ReplaceConfig
 from papayadyke_core.journal import PARTITIONS
 from papayadyke_core.scheduling import LoadSummary, Scheduler
 from papayadyke_core.slo import Observation
-from papayadyke_core.workloads import Config, SloTarget
+from papayadyke_core.workloads import Config, ConfigModel, SloTarget
 from papayadyke_daemon._metrics import Metrics
 from papayadyke_daemon.callers import CallersApp, Readiness
+from papayadyke_daemon.configuration import (
+    ConfigRepository,
+    ConfigSync,
+    ConfigSyncSettings,
+    ConfigWriter,
+)
 from papayadyke_daemon.durable import DurableParts
 from papayadyke_daemon.fleet import Fleet, Holder
 from papayadyke_daemon.keyed import KeyedRuns
@@ -47,6 +56,7 @@
     def __init__(self, settings: Settings, *, store: Store | None = None) -> None:
         self.settings = settings
         self.config = Config()
+        self._config_in_force = threading.Event()
         self._draining = threading.Event()
         self._in_flight = _InFlight()
         incarnation = time.time_ns() // NS_PER_MS
@@ -54,6 +64,12 @@
         self.store = store or _connect_store(settings)
         self.metrics = Metrics(settings.statsd)
         self.history = RequestHistory()
+        self.config_sync = self._make_config_sync()
+        self.config_writer = ConfigWriter(
+            self.config_sync.repository,
+            current=lambda: self.config_sync.state,
+            publish=self.config_sync.offer,
+        )
         self.levels = LevelKeeper(
             LevelArchive(self.store),
             vm=settings.vm,
@@ -109,6 +125,7 @@
     def start(self) -> None:
         """Start every part; the callers' listener comes last."""
         self.loop.start()
+        self.config_sync.start()
         self.durable.start()
         self.levels.start()
         self.fleet.own(self.fleet.list_names(), epoch=1)
@@ -121,12 +138,38 @@
             return
         self.config = config
         self.loop.send(ApplyConfig(config))
+        self._config_in_force.set()
         LOG.info(
             "daemon: revision %d in force, preset %s",
             config.revision,
             config.in_force,
         )
 
+    def load_first_config(self, model: ConfigModel) -> None:
+        """Put a configuration in force if the store has none.
+
+        Parameters
+        ----------
+        model : ConfigModel
+            Without a store in the settings it is in force at once.
+        """
+        if self.settings.store is None:
+            self.apply_config(model.to_config())
+            return
+        change = ReplaceConfig(
+            id=f"first-{self.ids.make()}",
+            author=self.settings.vm,
+            expected=0,
+            config=model,
+        )
+        submitted = self.config_writer.submit(change)
+        if isinstance(submitted, Err):
+            LOG.info("daemon: the first configuration is not written: there is one")
+
+    def wait_for_config(self, timeout_s: float) -> bool:
+        """Wait until a configuration is in force; tell whether one is."""
+        return self._config_in_force.wait(timeout_s)
+
     def tell_readiness(self) -> Readiness:
         """Tell whether this VM takes requests."""
         if self._draining.is_set():
@@ -153,11 +196,19 @@
         self._draining.set()
         self.callers.stop()
         self.durable.stop()
+        self.config_sync.stop()
         self.fleet.stop()
         self.levels.stop()
         self.loop.stop()
         LOG.info("daemon: stopped")
 
+    def _make_config_sync(self) -> ConfigSync:
+        return ConfigSync(
+            ConfigRepository(self.store),
+            settings=ConfigSyncSettings(vm=self.settings.vm),
+            on_config=self.apply_config,
+        )
+
     def _read_load(self) -> LoadSummary:
         return self.loop.ask(lambda scheduler, now: scheduler.summary(now))
 
--- a/packages/daemon/src/papayadyke_daemon/embedded.py
+++ b/packages/daemon/src/papayadyke_daemon/embedded.py
@@ -23,6 +23,7 @@
 MEMORY_MB = 262_144
 ACCELERATORS = 2
 WORK_S = 0.02
+CONFIG_TIMEOUT_S = 5.0
 
 CONFIG = {
     "teams": [{"name": "quotes", "weight": 2}, {"name": "kits"}],
@@ -111,9 +112,8 @@
             upstream.start()
         self.daemon = Daemon(self._make_settings())
         self.daemon.start()
-        self.daemon.apply_config(
-            ConfigModel.model_validate(CONFIG).to_config(revision=1)
-        )
+        self.daemon.load_first_config(ConfigModel.model_validate(CONFIG))
+        self.daemon.wait_for_config(CONFIG_TIMEOUT_S)
 
     def stop(self) -> bool:
         """Drain the daemon, then stop everything; tell whether it drained."""
--- a/packages/daemon/src/papayadyke_daemon/main.py
+++ b/packages/daemon/src/papayadyke_daemon/main.py
@@ -48,7 +48,7 @@
     daemon.start()
     if config is not None:
         model = ConfigModel.model_validate_json(config.read_bytes())
-        daemon.apply_config(model.to_config())
+        daemon.load_first_config(model)
     host, port = daemon.address
     if port_file is not None:
         port_file.write_text(str(port))
