--- a/packages/daemon/src/papayadyke_daemon/levels/_archive.py
+++ b/packages/daemon/src/papayadyke_daemon/levels/_archive.py
@@ -107,6 +107,18 @@
             )
         )
 
+    def read_buckets(self, since: float) -> Result[list[Bucket], StoreError]:
+        """Return the single minutes that are kept, from a time on.
+
+        Parameters
+        ----------
+        since : float
+            Wall-clock time, in seconds since the epoch.
+        """
+        first = int(since // MINUTE_S)
+        found = self._read_all(MINUTE_PREFIX, after=_minute_prefix(first))
+        return found.map(_decode_buckets)
+
     def read_refused(
         self, since: float, *, workload: str | None = None
     ) -> Result[list[RefusedRequest], StoreError]:
@@ -119,13 +131,12 @@
         workload : str or None, default=None
             None returns those of every workload.
         """
-        first = int(since // MINUTE_S)
-        found = self._read_all(MINUTE_PREFIX, after=_minute_prefix(first))
+        found = self.read_buckets(since)
         if isinstance(found, Err):
             return found
         refused = [
             item
-            for bucket in _decode_buckets(found.ok_value)
+            for bucket in found.ok_value
             for item in bucket.refused
             if item.at >= since and workload in (None, item.workload)
         ]
--- a/packages/standins/src/papayadyke_standins/cell/_cell.py
+++ b/packages/standins/src/papayadyke_standins/cell/_cell.py
@@ -10,12 +10,14 @@
 import msgspec
 
 from papayadyke_platform.http import HttpExchange, HttpReply
+from papayadyke_standins.cell._load import Target
 from papayadyke_standins.cell._process import ManagedProcess
 from papayadyke_standins.upstream import Faults, RunRecord
 
 HOST = "127.0.0.1"
 CONNECT_TIMEOUT_S = 2.0
 CONTROL_TIMEOUT_S = 10.0
+LOWEST_BAD_STATUS = 300
 SECRET = "a-secret-of-the-tests-that-is-long-enough-0123456789"
 
 
@@ -137,6 +139,10 @@
             if hasattr(process, "_popen"):
                 process.clean_up()
 
+    def list_targets(self) -> list[Target]:
+        """Return where callers reach each daemon."""
+        return [Target(HOST, daemon.callers_port) for daemon in self.daemons.values()]
+
     def order_faults(self, upstream: str, faults: Faults) -> None:
         """Order faults from an upstream."""
         self._control(upstream, "PUT", "faults", msgspec.json.encode(faults))
@@ -169,14 +175,14 @@
     def order_store_faults(self, **faults: Any) -> None:
         """Order faults from the store; none takes them back."""
         result = _connect(self.store_port).send(
-            "PUT",
+            "POST",
             "/control/v1/faults",
             body=msgspec.json.encode(faults),
             timeout_s=CONTROL_TIMEOUT_S,
         )
         reply = result.unwrap()
-        if reply.status >= 300:
-            raise ValueError(reply.body.decode())
+        if reply.status >= LOWEST_BAD_STATUS:
+            raise ValueError(repr(reply.body))
 
     def _control(
         self, upstream: str, method: str, what: str, body: bytes = b""
--- a/packages/standins/src/papayadyke_standins/upstream/__init__.py
+++ b/packages/standins/src/papayadyke_standins/upstream/__init__.py
@@ -2,6 +2,6 @@
 
 from papayadyke_standins.upstream._faults import Faults
 from papayadyke_standins.upstream._server import UpstreamStandin
-from papayadyke_standins.upstream._tasks import RunRecord, TaskBook
+from papayadyke_standins.upstream._tasks import RunRecord, TaskBook, TaskState
 
-__all__ = ["Faults", "RunRecord", "TaskBook", "UpstreamStandin"]
+__all__ = ["Faults", "RunRecord", "TaskBook", "TaskState", "UpstreamStandin"]
