Work as a cell: membership, ownership, routing and operators wired in

Cause: one daemon is one failure; any VM has to serve any caller. Change: threads for membership and for the zone record, the parts that work with peers, operators' listener, requests forwarded and drained, configuration spread.

--- a/packages/daemon/src/papayadyke_daemon/callers/_app.py
+++ b/packages/daemon/src/papayadyke_daemon/callers/_app.py
@@ -26,8 +26,8 @@
     IdSource,
     RequestHistory,
     RequestRecord,
+    Runner,
     RunOrder,
-    RunService,
 )
 from papayadyke_daemon.settings import CallersSettings
 from papayadyke_platform.http import BodyError, HttpAnswer, HttpRequest
@@ -58,7 +58,7 @@
 
     Parameters
     ----------
-    runs : RunService
+    runs : Runner
     keyed : KeyedRuns
     jobs : JobHome
     history : RequestHistory
@@ -73,7 +73,7 @@
     def __init__(
         self,
         *,
-        runs: RunService,
+        runs: Runner,
         keyed: KeyedRuns,
         jobs: JobHome,
         history: RequestHistory,
--- a/packages/daemon/src/papayadyke_daemon/configuration/_messages.py
+++ b/packages/daemon/src/papayadyke_daemon/configuration/_messages.py
@@ -16,7 +16,7 @@
 FAN_OUT = 4
 
 
-class ConfigOffer(msgspec.Struct, tag="config_offer", frozen=True):
+class ConfigOffer(msgspec.Struct, tag="config_offer", frozen=True, array_like=True):
     """Entries that others may not have yet.
 
     Parameters
@@ -41,13 +41,15 @@
         return [decode_entry(data) for data in self.entries]
 
 
-class ConfigRequest(msgspec.Struct, tag="config_request", frozen=True):
+class ConfigRequest(msgspec.Struct, tag="config_request", frozen=True, array_like=True):
     """Asks a peer for the entries that follow a revision."""
 
     after: int
 
 
-class ConfigSnapshot(msgspec.Struct, tag="config_snapshot", frozen=True):
+class ConfigSnapshot(
+    msgspec.Struct, tag="config_snapshot", frozen=True, array_like=True
+):
     """A whole configuration, for a VM that is too far behind for entries."""
 
     head: SnapshotHead
--- a/packages/daemon/src/papayadyke_daemon/daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/daemon.py
@@ -5,16 +5,17 @@
 import logging
 import threading
 import time
+from contextlib import AbstractContextManager
 
 from result import Err
 
 from papayadyke_core.configuration import ReplaceConfig
-from papayadyke_core.journal import PARTITIONS
 from papayadyke_core.scheduling import LoadSummary, Scheduler
 from papayadyke_core.slo import Observation
 from papayadyke_core.workloads import Config, ConfigModel, SloTarget
 from papayadyke_daemon._metrics import Metrics
-from papayadyke_daemon.callers import CallersApp, Readiness
+from papayadyke_daemon.backend import DaemonBackend
+from papayadyke_daemon.callers import CallersApp, JobHome, Readiness
 from papayadyke_daemon.configuration import (
     ConfigRepository,
     ConfigSync,
@@ -23,24 +24,28 @@
 )
 from papayadyke_daemon.durable import DurableParts
 from papayadyke_daemon.fleet import Fleet, Holder
-from papayadyke_daemon.keyed import KeyedRuns
+from papayadyke_daemon.keyed import KeyedRuns, KeyHome
 from papayadyke_daemon.levels import LevelArchive, LevelKeeper
+from papayadyke_daemon.operators import OPERATORS_LIMITS, OperatorsApp
+from papayadyke_daemon.peering import PeerParts, load_authenticator
+from papayadyke_daemon.peers import Handler
+from papayadyke_daemon.routing import RoutedJobs, RoutedKeys, RoutedRuns
 from papayadyke_daemon.scheduler import ApplyConfig, SchedulerLoop
 from papayadyke_daemon.serving import (
     IdSource,
     RequestHistory,
     RequestRecord,
+    Runner,
     RunService,
 )
 from papayadyke_daemon.settings import Settings
 from papayadyke_platform.http import HttpAnswer, HttpLimits, HttpRequest, HttpServer
 from papayadyke_platform.store import HttpStore, NoStore, Store, StoreSettings
 
-LOG = logging.getLogger("papayadyke.daemon")
+LOG = logging.getLogger(__name__)
 DRAIN_POLL_S = 0.02
 NS_PER_MS = 1_000_000
 UNKNOWN_WORKLOAD = "(unknown)"
-ALL_PARTITIONS = frozenset(range(PARTITIONS))
 
 
 class Daemon:
@@ -55,67 +60,19 @@
 
     def __init__(self, settings: Settings, *, store: Store | None = None) -> None:
         self.settings = settings
+        self.store = store or _connect_store(settings)
         self.config = Config()
+        self.incarnation = time.time_ns() // NS_PER_MS
+        self.ids = IdSource(settings.vm, self.incarnation)
+        self.metrics = Metrics(settings.statsd)
+        self.history = RequestHistory()
         self._config_in_force = threading.Event()
         self._draining = threading.Event()
         self._in_flight = _InFlight()
-        incarnation = time.time_ns() // NS_PER_MS
-        self.ids = IdSource(settings.vm, incarnation)
-        self.store = store or _connect_store(settings)
-        self.metrics = Metrics(settings.statsd)
-        self.history = RequestHistory()
-        self.config_sync = self._make_config_sync()
-        self.config_writer = ConfigWriter(
-            self.config_sync.repository,
-            current=lambda: self.config_sync.state,
-            publish=self.config_sync.offer,
-        )
-        self.levels = LevelKeeper(
-            LevelArchive(self.store),
-            vm=settings.vm,
-            incarnation=incarnation,
-            load=self._read_load,
-            config=lambda: self.config,
-            rolls_up=lambda hour: True,
-        )
-        self.loop = SchedulerLoop(
-            Scheduler(), on_stop=lambda stop: self.durable.tasks.give_way(stop)
-        )
-        self.fleet = Fleet(
-            holder=Holder(settings.vm, incarnation),
-            settings=settings.fleet,
-            upstreams=settings.upstreams,
-            send=self.loop.send,
-        )
-        self.runs = RunService(
-            loop=self.loop,
-            fleet=self.fleet,
-            ids=self.ids,
-            config=lambda: self.config,
-            task_lease_s=settings.fleet.task_lease_s,
-        )
-        self.durable = DurableParts(
-            store=self.store,
-            vm=settings.vm,
-            incarnation=incarnation,
-            loop=self.loop,
-            fleet=self.fleet,
-            find_workload=lambda name: self.config.workloads.get(name),
-            plan=lambda: ALL_PARTITIONS,
-            covers_cell=lambda: True,
-            task_lease_s=settings.fleet.task_lease_s,
-        )
-        self.app = CallersApp(
-            runs=self.runs,
-            keyed=KeyedRuns(runs=self.runs, home=self.durable.keys, vm=settings.vm),
-            jobs=self.durable.jobs,
-            history=self.history,
-            ids=self.ids,
-            settings=settings.callers,
-            readiness=self.tell_readiness,
-            on_record=self._record,
-        )
-        self.callers = self._make_listener()
+        self._make_core()
+        self._make_config()
+        self._make_levels()
+        self._make_serving()
 
     @property
     def address(self) -> tuple[str, int]:
@@ -128,7 +85,9 @@
         self.config_sync.start()
         self.durable.start()
         self.levels.start()
-        self.fleet.own(self.fleet.list_names(), epoch=1)
+        self.peering.start(self._handlers)
+        if self.operators is not None:
+            self.operators.start()
         self.callers.start()
         LOG.info("daemon: %s takes callers at %s:%d", self.settings.vm, *self.address)
 
@@ -186,6 +145,7 @@
         """
         LOG.info("daemon: draining")
         self._draining.set()
+        self.peering.leave()
         until_s = time.monotonic() + self.settings.drain_timeout_s
         while self._in_flight.count and time.monotonic() < until_s:
             time.sleep(DRAIN_POLL_S)
@@ -196,18 +156,120 @@
         self._draining.set()
         self.callers.stop()
         self.durable.stop()
+        self.peering.release()
         self.config_sync.stop()
-        self.fleet.stop()
         self.levels.stop()
+        if self.operators is not None:
+            self.operators.stop()
+        self.peering.stop()
         self.loop.stop()
         LOG.info("daemon: stopped")
 
-    def _make_config_sync(self) -> ConfigSync:
-        return ConfigSync(
+    def _make_core(self) -> None:
+        settings = self.settings
+        self.loop = SchedulerLoop(
+            Scheduler(), on_stop=lambda stop: self.durable.tasks.give_way(stop)
+        )
+        self.fleet = Fleet(
+            holder=Holder(settings.vm, self.incarnation),
+            settings=settings.fleet,
+            upstreams=settings.upstreams,
+            send=self.loop.send,
+        )
+        self.peering = PeerParts(
+            settings,
+            incarnation=self.incarnation,
+            store=self.store,
+            fleet=self.fleet,
+            load=self.loop.read_load,
+            history=self.history,
+            config_sync=lambda: self.config_sync,
+        )
+
+    def _make_config(self) -> None:
+        self.config_sync = ConfigSync(
             ConfigRepository(self.store),
             settings=ConfigSyncSettings(vm=self.settings.vm),
             on_config=self.apply_config,
+            is_watcher=self.peering.is_watcher,
+            spread=self.peering.spread_config,
+            ask_peers=self.peering.ask_for_config,
+        )
+        self.config_writer = ConfigWriter(
+            self.config_sync.repository,
+            current=lambda: self.config_sync.state,
+            publish=self.config_sync.offer,
+        )
+
+    def _make_levels(self) -> None:
+        self.archive = LevelArchive(self.store)
+        self.levels = LevelKeeper(
+            self.archive,
+            vm=self.settings.vm,
+            incarnation=self.incarnation,
+            load=self.loop.read_load,
+            config=lambda: self.config,
+            rolls_up=self.peering.rolls_up,
+            add_usage=self.peering.read_usage,
+        )
+
+    def _make_serving(self) -> None:
+        settings = self.settings
+        local = RunService(
+            loop=self.loop,
+            fleet=self.fleet,
+            ids=self.ids,
+            config=lambda: self.config,
+            task_lease_s=settings.fleet.task_lease_s,
+        )
+        self.durable = DurableParts(
+            store=self.store,
+            vm=settings.vm,
+            incarnation=self.incarnation,
+            loop=self.loop,
+            fleet=self.fleet,
+            find_workload=lambda name: self.config.workloads.get(name),
+            plan=self.peering.plan_partitions,
+            covers_cell=self.peering.covers_cell,
+            task_lease_s=settings.fleet.task_lease_s,
+        )
+        self._route(local)
+        self.app = CallersApp(
+            runs=self.runs,
+            keyed=KeyedRuns(runs=self.runs, home=self.keys, vm=settings.vm),
+            jobs=self.jobs,
+            history=self.history,
+            ids=self.ids,
+            settings=settings.callers,
+            readiness=self.tell_readiness,
+            on_record=self._record,
         )
+        self.callers = self._make_listener()
+        self.operators = self._make_operators()
+
+    def _route(self, local: RunService) -> None:
+        """Serve here alone, or here and at peers."""
+        self.runs: Runner = local
+        self.keys: KeyHome = self.durable.keys
+        self.jobs: JobHome = self.durable.jobs
+        self._handlers: list[Handler] = []
+        if self.peering.is_alone:
+            return
+        endpoint = self.peering.get_endpoint
+        runs = RoutedRuns(
+            runs=local,
+            endpoint=endpoint,
+            picker=self.peering.picker,
+            load=self.loop.read_load,
+            guard=self._in_flight,
+            is_draining=self._draining.is_set,
+        )
+        homes = self.peering.homes
+        keys = RoutedKeys(local=self.durable.keys, homes=homes, endpoint=endpoint)
+        jobs = RoutedJobs(local=self.durable.jobs, homes=homes, endpoint=endpoint)
+        self.runs, self.keys, self.jobs = runs, keys, jobs
+        for routed in (runs, keys, jobs):
+            self._handlers += routed.make_handlers()
 
     def _read_load(self) -> LoadSummary:
         return self.loop.ask(lambda scheduler, now: scheduler.summary(now))
@@ -232,6 +294,36 @@
             tls_files=None if tls is None else (tls.certificate_file, tls.key_file),
         )
 
+    def _make_operators(self) -> HttpServer | None:
+        listener = self.settings.operators
+        if listener is None:
+            return None
+        backend = DaemonBackend(
+            vm=self.settings.vm,
+            availability_zone=self.settings.availability_zone,
+            config=lambda: self.config,
+            load=self._read_load,
+            fleet=self.fleet,
+            snapshot=self.peering.read_snapshot,
+            history=self.history,
+            ask_peers=self.peering.find_request,
+            archive=self.archive,
+        )
+        app = OperatorsApp(
+            authenticator=load_authenticator(
+                self.settings, sender=self.settings.vm, incarnation=self.incarnation
+            ),
+            state=lambda: self.config_sync.state,
+            submit=self.config_writer.submit,
+            backend=backend,
+        )
+        return HttpServer(
+            app.handle,
+            host=listener.address.host,
+            port=listener.address.port,
+            limits=OPERATORS_LIMITS,
+        )
+
     def _handle(self, req: HttpRequest) -> HttpAnswer:
         with self._in_flight:
             return self.app.handle(req)
@@ -264,7 +356,7 @@
     )
 
 
-class _InFlight:
+class _InFlight(AbstractContextManager[None]):
     """Counts the requests that are being answered."""
 
     def __init__(self) -> None:
--- a/packages/daemon/src/papayadyke_daemon/durable.py
+++ b/packages/daemon/src/papayadyke_daemon/durable.py
@@ -71,7 +71,7 @@
                 resolve_task=self.tasks.resolve,
             ),
         )
-        self._resolver = _KeyResolver(self.tasks)
+        self._resolver = _KeyResolver(self.tasks, covers_cell)
         self.keys = KeyService(
             self.journal, KeyServiceSettings(), self._resolver.resolve
         )
@@ -108,8 +108,9 @@
 class _KeyResolver:
     """Finds out how the request of a key ended whose VM was lost."""
 
-    def __init__(self, tasks: TaskRunner) -> None:
+    def __init__(self, tasks: TaskRunner, covers_cell: Callable[[], bool]) -> None:
         self.tasks = tasks
+        self.covers_cell = covers_cell
         self._calls = ThreadPoolExecutor(1, thread_name_prefix="keys")
 
     def resolve(self, key: UnresolvedKey, on_done: Callable[[TaskDone], None]) -> None:
@@ -127,9 +128,13 @@
             never = done.result is TaskResult.NOT_STARTED
             if never and attempt < MAX_ATTEMPTS:
                 self._calls.submit(self._ask, key, attempt + 1, on_done)
+            elif never and not self.covers_cell():
+                on_done(TaskDone(done.task_id, TaskResult.LOST))
             else:
                 on_done(done)
 
         task_id = task_id_of(key.request_id, 0, attempt)
-        # An earlier attempt may have gone to another upstream than the last.
-        self.tasks.resolve(task_id, None, took)
+        # An earlier attempt may have gone to another upstream than the last, so
+        # all are asked where that is possible.
+        upstream = None if self.covers_cell() else key.upstream
+        self.tasks.resolve(task_id, upstream, took)
--- a/packages/daemon/src/papayadyke_daemon/keyed/_runs.py
+++ b/packages/daemon/src/papayadyke_daemon/keyed/_runs.py
@@ -12,7 +12,7 @@
 from papayadyke_core.journal import Answer as KeptAnswer
 from papayadyke_core.verdicts import Reason, Refusal, Verdict
 from papayadyke_daemon.keyed._types import KeyHome
-from papayadyke_daemon.serving import Answer, RunOrder, RunService
+from papayadyke_daemon.serving import Answer, Runner, RunOrder
 
 RETRY_AFTER_S = 1.0
 OUTCOME_WAIT_S = 5.0
@@ -32,13 +32,13 @@
 
     Parameters
     ----------
-    runs : RunService
+    runs : Runner
     home : KeyHome
     vm : str
         Name of this VM.
     """
 
-    def __init__(self, *, runs: RunService, home: KeyHome, vm: str) -> None:
+    def __init__(self, *, runs: Runner, home: KeyHome, vm: str) -> None:
         self.runs = runs
         self.home = home
         self.vm = vm
--- a/packages/daemon/src/papayadyke_daemon/main.py
+++ b/packages/daemon/src/papayadyke_daemon/main.py
@@ -5,7 +5,7 @@
 import signal
 import threading
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, NoReturn
 
 import typer
 from result import Err
@@ -14,13 +14,16 @@
 from papayadyke_daemon._logs import set_up_logs
 from papayadyke_daemon.daemon import Daemon
 from papayadyke_daemon.embedded import Embedded
+from papayadyke_daemon.peering import KeysError
 from papayadyke_daemon.settings import LogSettings, load_settings
 
 EXIT_BAD_SETTINGS = 2
 EXIT_NOT_DRAINED = 3
 DEFAULT_PORT = 8080
 
-app = typer.Typer(no_args_is_help=True, add_completion=True)
+app = typer.Typer(
+    no_args_is_help=True, add_completion=True, pretty_exceptions_enable=False
+)
 
 
 @app.callback()
@@ -44,7 +47,10 @@
         _tell_faults(loaded.err_value.lines)
     ending = _catch_signals()
     set_up_logs(loaded.unwrap().log)
-    daemon = Daemon(loaded.unwrap())
+    try:
+        daemon = Daemon(loaded.unwrap())
+    except KeysError as exc:
+        _tell_faults((f"keys_file: {exc}",))
     daemon.start()
     if config is not None:
         model = ConfigModel.model_validate_json(config.read_bytes())
@@ -93,7 +99,7 @@
     return ending
 
 
-def _tell_faults(lines: tuple[str, ...]) -> None:
+def _tell_faults(lines: tuple[str, ...]) -> NoReturn:
     for line in lines:
         typer.echo(line, err=True)
     raise typer.Exit(EXIT_BAD_SETTINGS)
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/peering.py
@@ -0,0 +1,371 @@
+"""The parts by which a daemon works with its peers, or alone."""
+
+from __future__ import annotations
+
+import logging
+import random
+import time
+from collections.abc import Callable
+from functools import reduce
+from operator import add
+
+import msgspec
+from msgspec import Struct
+from result import Err, Ok
+
+from papayadyke_core.journal import PARTITIONS
+from papayadyke_core.membership import (
+    Identity,
+    ListedState,
+    ListedVm,
+    Load,
+    MembershipSettings,
+    Snapshot,
+)
+from papayadyke_core.ownership import Owner, available_owners, rank_owners
+from papayadyke_core.scheduling import LoadSummary
+from papayadyke_core.slo import VmUsage
+from papayadyke_daemon.configuration import (
+    ConfigOffer,
+    ConfigRequest,
+    ConfigSnapshot,
+    ConfigSync,
+    children_of,
+)
+from papayadyke_daemon.fleet import Fleet
+from papayadyke_daemon.membership import MembershipService, OwnersThread
+from papayadyke_daemon.peers import Ack, Handler, PeerEndpoint, PeerSettings
+from papayadyke_daemon.routing import HomeMap, PeerPicker
+from papayadyke_daemon.serving import RequestHistory, RequestRecord
+from papayadyke_daemon.settings import Settings
+from papayadyke_platform.keys import Authenticator, Keyring, load_key_file
+from papayadyke_platform.store import Store
+from papayadyke_platform.vm_list import VmListClient, VmListSettings
+
+LOG = logging.getLogger(__name__)
+CONFIG_WATCHERS = 2
+CONFIG_TIMEOUT_S = 1.0
+FIND_TIMEOUT_S = 1.0
+WEIGHT_UNIT = 100
+ALL_PARTITIONS = frozenset(range(PARTITIONS))
+
+
+class KeysError(Exception):
+    """The key file can not be used."""
+
+
+class FindRequest(Struct, tag="find_request", frozen=True, array_like=True):
+    """Ask a peer what became of a request."""
+
+    request_id: str
+
+
+class FoundRequest(Struct, tag="found_request", frozen=True, array_like=True):
+    """The record of a request in JSON; empty where there is none."""
+
+    record: bytes
+
+
+def load_authenticator(
+    settings: Settings, *, sender: str, incarnation: int
+) -> Authenticator:
+    """Return what signs and checks messages, by the key file of the settings.
+
+    Raises
+    ------
+    KeysError
+        If the settings name no key file, or it can not be used.
+    """
+    if settings.keys_file is None:
+        raise KeysError("the settings name no keys_file")
+    loaded = load_key_file(settings.keys_file)
+    if isinstance(loaded, Err):
+        raise KeysError(f"{loaded.err_value.path}: {loaded.err_value.detail}")
+    return Authenticator(
+        Keyring(loaded.ok_value),
+        sender=sender,
+        incarnation=incarnation,
+        started_unix_s=time.time(),
+    )
+
+
+class PeerParts:
+    """Endpoint, membership and ownership of one daemon.
+
+    Without an address for peers in the settings the daemon works alone: it owns
+    every upstream and partition.
+
+    Parameters
+    ----------
+    settings : Settings
+    incarnation : int
+    store : Store
+    fleet : Fleet
+    load : callable
+        Returns the latest `LoadSummary`, or None.
+    history : RequestHistory
+    config_sync : callable
+        Returns the `ConfigSync`.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        incarnation: int,
+        store: Store,
+        fleet: Fleet,
+        load: Callable[[], LoadSummary | None],
+        history: RequestHistory,
+        config_sync: Callable[[], ConfigSync],
+    ) -> None:
+        self.settings = settings
+        self.incarnation = incarnation
+        self.fleet = fleet
+        self.load = load
+        self.history = history
+        self.config_sync = config_sync
+        self.rng = random.Random(f"{settings.vm}/{incarnation}")
+        self.homes = HomeMap(
+            vm=settings.vm,
+            availability_zone=settings.availability_zone,
+            zones=settings.availability_zones,
+            snapshot=self.read_snapshot,
+        )
+        self.picker = PeerPicker(
+            vm=settings.vm, snapshot=self.read_snapshot, rng=self.rng
+        )
+        self.membership = self._make_membership()
+        self.owners = OwnersThread(
+            vm=settings.vm,
+            availability_zone=settings.availability_zone,
+            upstreams=fleet.list_names(),
+            store=store,
+            snapshot=self.read_snapshot,
+            follow=lambda names, epoch: fleet.own(names, epoch=epoch),
+        )
+        self.endpoint: PeerEndpoint | None = None
+        self._counted_bytes = 0
+
+    @property
+    def is_alone(self) -> bool:
+        """Tell whether the settings give no address for peers."""
+        return self.settings.peers is None
+
+    def start(self, handlers: list[Handler]) -> None:
+        """Serve peers with these handlers and those of the parts here."""
+        peers = self.settings.peers
+        if peers is None:
+            self.fleet.own(self.fleet.list_names(), epoch=1)
+            return
+        self.endpoint = PeerEndpoint(
+            [
+                *handlers,
+                *self.membership.make_handlers(),
+                *self.owners.make_handlers(),
+                *self._make_handlers(),
+            ],
+            authenticator=load_authenticator(
+                self.settings, sender=self.settings.vm, incarnation=self.incarnation
+            ),
+            settings=PeerSettings(host=peers.address.host, port=peers.address.port),
+        )
+        self.endpoint.start()
+        self.membership.start(self.endpoint)
+        self.owners.start(self.endpoint)
+
+    def leave(self) -> None:
+        """Tell the peers, and start nothing new on the upstreams."""
+        if not self.is_alone:
+            self.membership.leave()
+
+    def release(self) -> None:
+        """Give up every upstream."""
+        if not self.is_alone:
+            self.owners.leave()
+            self.owners.stop()
+        self.fleet.stop()
+
+    def stop(self) -> None:
+        """End the threads and close the endpoint."""
+        if self.endpoint is not None:
+            self.membership.stop()
+            self.endpoint.stop()
+
+    def get_endpoint(self) -> PeerEndpoint:
+        """Return the endpoint, which stands once `start` was called."""
+        if self.endpoint is None:
+            raise RuntimeError("this daemon works alone")
+        return self.endpoint
+
+    def read_snapshot(self) -> Snapshot | None:
+        """Return what is known of the members."""
+        return self.membership.read_snapshot()
+
+    def plan_partitions(self) -> frozenset[int]:
+        """Return the partitions that this VM should own."""
+        return ALL_PARTITIONS if self.is_alone else self.homes.own_partitions()
+
+    def covers_cell(self) -> bool:
+        """Tell whether this zone is the whole cell."""
+        return len(self.homes.zones) == 1
+
+    def is_watcher(self) -> bool:
+        """Tell whether this VM watches the configuration in the store."""
+        return self._ranks_first("config", CONFIG_WATCHERS)
+
+    def rolls_up(self, hour: int) -> bool:
+        """Tell whether this VM sums the service levels of an hour."""
+        return self._ranks_first(f"hour-{hour}", 1)
+
+    def spread_config(self, offer: ConfigOffer) -> None:
+        """Pass entries of the configuration on to this VM's children."""
+        snapshot = self.read_snapshot()
+        if self.endpoint is None or snapshot is None:
+            return
+        members = [member.vm for member in snapshot.live()]
+        for vm in children_of(self.settings.vm, origin=offer.origin, members=members):
+            self.endpoint.post(vm, offer, Ack, timeout_s=CONFIG_TIMEOUT_S)
+
+    def ask_for_config(self, request: ConfigRequest) -> None:
+        """Ask a peer for what this VM lacks of the configuration."""
+        vm = self._choose_ahead(request.after)
+        if self.endpoint is None or vm is None:
+            return
+        self.endpoint.post(
+            vm,
+            request,
+            ConfigOffer | ConfigSnapshot,  # type: ignore[arg-type]
+            timeout_s=CONFIG_TIMEOUT_S,
+            on_result=lambda result: self._take_config(result.ok()),
+        )
+
+    def find_request(self, request_id: str) -> RequestRecord | None:
+        """Return the record that a peer of the zone has of a request."""
+        snapshot = self.read_snapshot()
+        if self.endpoint is None or snapshot is None:
+            return None
+        for member in snapshot.members:
+            if member.vm == self.settings.vm:
+                continue
+            reply = self.endpoint.call(
+                member.vm,
+                FindRequest(request_id),
+                FoundRequest,
+                timeout_s=FIND_TIMEOUT_S,
+            )
+            if isinstance(reply, Ok) and reply.ok_value.record:
+                return msgspec.json.decode(reply.ok_value.record, type=RequestRecord)
+        return None
+
+    def read_usage(self) -> VmUsage:
+        """Return the bytes exchanged with peers since the last call."""
+        if self.endpoint is None:
+            return VmUsage()
+        stats = self.endpoint.stats()
+        total = stats.sent_bytes + stats.received_bytes
+        fresh = total - self._counted_bytes
+        self._counted_bytes = total
+        return VmUsage(peer_bytes=fresh)
+
+    def _make_membership(self) -> MembershipService:
+        settings = self.settings
+        peers = settings.peers
+        address = "" if peers is None else _join(peers.address.host, peers.address.port)
+        return MembershipService(
+            Identity(
+                vm=settings.vm,
+                availability_zone=settings.availability_zone,
+                region=settings.region,
+                incarnation=self.incarnation,
+                address=address,
+                weight=max(1, round(settings.weight * WEIGHT_UNIT)),
+            ),
+            seeds=[
+                ListedVm(
+                    vm=seed.vm,
+                    availability_zone=seed.availability_zone,
+                    region=seed.region,
+                    address=_join(seed.address.host, seed.address.port),
+                    state=ListedState.LIVE,
+                )
+                for seed in settings.seeds
+            ],
+            vm_list=_connect_vm_list(settings),
+            load=self._read_load,
+            config_revision=lambda: self.config_sync().revision,
+            hear_revision=lambda revision: self.config_sync().hear(revision),
+            settings=MembershipSettings(),
+            rng=self.rng,
+        )
+
+    def _read_load(self) -> Load:
+        load = self.load()
+        if load is None:
+            return Load()
+        free = load.free
+        return Load(
+            free_cpu_millis=free.cpu_millis,
+            free_memory_mb=free.memory_mb,
+            free_accelerators=free.accelerators,
+            free_slots=load.free_slots,
+            queued=reduce(add, (item.queued for item in load.workloads), 0),
+        )
+
+    def _make_handlers(self) -> list[Handler]:
+        return [
+            Handler(ConfigOffer, self._serve_config),
+            Handler(ConfigRequest, self._serve_config),
+            Handler(ConfigSnapshot, self._serve_config),
+            Handler(FindRequest, self._serve_find),
+        ]
+
+    def _serve_config(
+        self, message: ConfigOffer | ConfigRequest | ConfigSnapshot, sender: str
+    ) -> Struct | None:
+        return self.config_sync().receive(message)
+
+    def _serve_find(self, message: FindRequest, sender: str) -> FoundRequest:
+        record = self.history.find(message.request_id)
+        return FoundRequest(b"" if record is None else msgspec.json.encode(record))
+
+    def _take_config(self, reply: ConfigOffer | ConfigSnapshot | None) -> None:
+        if reply is not None:
+            self.config_sync().receive(reply)
+
+    def _choose_ahead(self, revision: int) -> str | None:
+        """Return a VM that is known to have a later revision."""
+        snapshot = self.read_snapshot()
+        if snapshot is None:
+            return None
+        ahead = [
+            member.vm
+            for member in snapshot.members
+            if member.vm != self.settings.vm and member.config_revision > revision
+        ]
+        if not ahead:
+            ahead = [
+                contact.vm
+                for zone in snapshot.zones
+                if zone.config_revision > revision
+                for contact in zone.contacts
+            ]
+        return self.rng.choice(ahead) if ahead else None
+
+    def _ranks_first(self, name: str, places: int) -> bool:
+        snapshot = self.read_snapshot()
+        if self.is_alone or snapshot is None:
+            return True
+        owners = [Owner(vm, 1) for vm in available_owners(snapshot)]
+        return self.settings.vm in rank_owners(name, owners)[:places]
+
+
+def _connect_vm_list(settings: Settings) -> VmListClient | None:
+    address = settings.vm_list
+    if address is None:
+        return None
+    return VmListClient(VmListSettings(url=f"http://{address.host}:{address.port}"))
+
+
+def _join(host: str, port: int) -> str:
+    return f"{host}:{port}"
--- a/packages/daemon/src/papayadyke_daemon/routing/_runs.py
+++ b/packages/daemon/src/papayadyke_daemon/routing/_runs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import AbstractContextManager
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
@@ -58,10 +59,14 @@
     Parameters
     ----------
     runs : RunService
-    endpoint : PeerEndpoint
+    endpoint : callable
+        Returns the `PeerEndpoint`.
     picker : PeerPicker
     load : callable
         Returns the latest `LoadSummary` of this VM, or None.
+    guard : context manager
+        Entered while a request of a peer is served, so that a stop waits for it.
+    is_draining : callable
     settings : RoutingSettings, default=RoutingSettings()
     """
 
@@ -69,9 +74,11 @@
         self,
         *,
         runs: RunService,
-        endpoint: PeerEndpoint,
+        endpoint: Callable[[], PeerEndpoint],
         picker: PeerPicker,
         load: Callable[[], LoadSummary | None],
+        guard: AbstractContextManager[None],
+        is_draining: Callable[[], bool],
         settings: RoutingSettings | None = None,
     ) -> None:
         self.runs = runs
@@ -80,6 +87,8 @@
         self.endpoint = endpoint
         self.picker = picker
         self.load = load
+        self.guard = guard
+        self.is_draining = is_draining
         self.settings = settings or RoutingSettings()
 
     def make_handlers(self) -> list[Handler]:
@@ -91,6 +100,12 @@
         return self._route(order, may_cross_zones=True)
 
     def _serve(self, message: ForwardRun, sender: str) -> RunReply:
+        with self.guard:
+            if self.is_draining():
+                return _write_reply(Err(_refuse_draining()))
+            return self._serve_run(message)
+
+    def _serve_run(self, message: ForwardRun) -> RunReply:
         order = RunOrder(
             request_id=message.request_id,
             workload=message.workload,
@@ -160,7 +175,7 @@
             hops=hops,
         )
         order.on_placed(f"vm:{peer}")
-        reply = self.endpoint.call(
+        reply = self.endpoint().call(
             peer,
             message,
             RunReply,
@@ -206,6 +221,10 @@
     )
 
 
+def _refuse_draining() -> Refusal:
+    return Refusal(Verdict.NOT_RUN, Reason.DRAINING, "The VM takes no new requests.")
+
+
 def _write_reply(result: Result[Answer, Refusal]) -> RunReply:
     if isinstance(result, Err):
         return RunReply(None, write_refusal(result.err_value))
--- a/packages/daemon/src/papayadyke_daemon/scheduler/_loop.py
+++ b/packages/daemon/src/papayadyke_daemon/scheduler/_loop.py
@@ -12,6 +12,7 @@
 from papayadyke_core.scheduling import (
     CancelResult,
     Decision,
+    LoadSummary,
     Refuse,
     SchedulerProtocol,
     Stop,
@@ -35,6 +36,7 @@
 IDLE_PERIOD_S = 0.05
 ASK_TIMEOUT_S = 5.0
 MAX_BATCH = 256
+LOAD_PERIOD_S = 0.1
 
 
 class SchedulerLoop:
@@ -63,6 +65,8 @@
         self._replies: dict[str, Reply] = {}
         self._request_of: dict[str, str] = {}
         self._tokens: dict[str, int] = {}
+        self._load: LoadSummary | None = None
+        self._load_due_s = float("-inf")
         self._handlers: dict[type, Callable[[Any], None]] = {
             Submit: self._submit,
             Finish: self._finish,
@@ -101,10 +105,18 @@
         self.send(Ask(question, replies))
         return replies.get(timeout=ASK_TIMEOUT_S)
 
+    def read_load(self) -> LoadSummary | None:
+        """Return the load as of a short time ago; any thread may call."""
+        return self._load
+
     def _run(self) -> None:
         while self._take_batch():
-            for decision in self.scheduler.decide(self.clock()):
+            now = self.clock()
+            for decision in self.scheduler.decide(now):
                 self._deliver(decision)
+            if now >= self._load_due_s:
+                self._load_due_s = now + LOAD_PERIOD_S
+                self._load = self.scheduler.summary(now)
 
     def _take_batch(self) -> bool:
         message = self._wait_for_message()
--- a/packages/daemon/src/papayadyke_daemon/serving/__init__.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/__init__.py
@@ -5,6 +5,7 @@
 from papayadyke_daemon.serving._run import (
     MAX_ATTEMPTS,
     Answer,
+    Runner,
     RunOrder,
     RunService,
 )
@@ -18,5 +19,6 @@
     "RequestRecord",
     "RunOrder",
     "RunService",
+    "Runner",
     "TaskRunner",
 ]
--- a/packages/daemon/src/papayadyke_daemon/serving/_run.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/_run.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from typing import Protocol
 
 from result import Err, Ok, Result
 
@@ -82,6 +83,16 @@
     run_s: float
 
 
+class Runner(Protocol):
+    """What runs a synchronous request, here or elsewhere."""
+
+    ids: IdSource
+    clock: Callable[[], float]
+
+    def run(self, order: RunOrder) -> Result[Answer, Refusal]:
+        """Run a request to its whole answer, or return a true verdict."""
+
+
 @dataclass(slots=True)
 class _Progress:
     """What has happened to a request so far."""
--- a/packages/daemon/src/papayadyke_daemon/settings/_models.py
+++ b/packages/daemon/src/papayadyke_daemon/settings/_models.py
@@ -20,6 +20,7 @@
     FleetSettings,
     ListenerSettings,
     LogSettings,
+    SeedVm,
     Settings,
     StatsdSettings,
     StoreAddress,
@@ -101,6 +102,18 @@
     name: Name
 
 
+class SeedModel(AddressModel):
+    """A VM to call before any has been heard."""
+
+    vm: Name
+    availability_zone: Name
+    region: Name = "default"
+
+    def to_seed(self) -> SeedVm:
+        """Return the data class."""
+        return SeedVm(self.vm, self.availability_zone, self.region, self.to_address())
+
+
 class StoreModel(AddressModel):
     """The platform's key-value service."""
 
@@ -167,7 +180,8 @@
     callers: CallersModel
     operators: AddressModel | None = None
     peers: AddressModel | None = None
-    seeds: tuple[AddressModel, ...] = ()
+    availability_zones: tuple[Name, ...] = Field(default=(), max_length=64)
+    seeds: tuple[SeedModel, ...] = Field(default=(), max_length=1024)
     keys_file: str | None = None
     store: StoreModel | None = None
     vm_list: AddressModel | None = None
@@ -184,6 +198,8 @@
             raise ValueError("upstreams have a name twice")
         if (self.operators or self.peers) and self.keys_file is None:
             raise ValueError("operators and peers need keys_file")
+        if self.peers is not None and self.peers.port == 0:
+            raise ValueError("peers needs a port, which is told to the others")
         return self
 
     def to_settings(self) -> Settings:
@@ -199,7 +215,8 @@
             ),
             operators=_to_listener(self.operators),
             peers=_to_listener(self.peers),
-            seeds=tuple(item.to_address() for item in self.seeds),
+            availability_zones=self.availability_zones,
+            seeds=tuple(item.to_seed() for item in self.seeds),
             keys_file=self.keys_file,
             store=None if self.store is None else self.store.to_store(),
             vm_list=None if self.vm_list is None else self.vm_list.to_address(),
--- a/packages/daemon/src/papayadyke_daemon/settings/_settings.py
+++ b/packages/daemon/src/papayadyke_daemon/settings/_settings.py
@@ -50,6 +50,16 @@
     address: Address
 
 
+@dataclass(frozen=True, slots=True)
+class SeedVm:
+    """A VM to call before any has been heard."""
+
+    vm: str
+    availability_zone: str
+    region: str
+    address: Address
+
+
 @dataclass(frozen=True, slots=True)
 class StoreAddress:
     """Where the platform's key-value service listens."""
@@ -96,7 +106,8 @@
     upstreams: tuple[UpstreamAddress, ...] = ()
     operators: ListenerSettings | None = None
     peers: ListenerSettings | None = None
-    seeds: tuple[Address, ...] = ()
+    availability_zones: tuple[str, ...] = ()
+    seeds: tuple[SeedVm, ...] = ()
     keys_file: str | None = None
     store: StoreAddress | None = None
     vm_list: Address | None = None
--- a/packages/standins/src/papayadyke_standins/cell/_cell.py
+++ b/packages/standins/src/papayadyke_standins/cell/_cell.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import socket
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -18,7 +19,7 @@
 CONNECT_TIMEOUT_S = 2.0
 CONTROL_TIMEOUT_S = 10.0
 LOWEST_BAD_STATUS = 300
-SECRET = "a-secret-of-the-tests-that-is-long-enough-0123456789"
+SECRET = base64.b64encode(b"a secret of the tests, long enough").decode()
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,7 +29,6 @@
     name: str
     daemons: int = 1
     upstreams: int = 2
-    region: str = "loopback"
 
 
 @dataclass(frozen=True, slots=True)
@@ -214,7 +214,12 @@
                 vm = f"{zone.name}-vm-{number}"
                 self.daemons[vm] = self._plan_daemon(zone, vm)
         seeds = [
-            {"host": HOST, "port": daemon.peers_port}
+            {
+                "vm": daemon.vm,
+                "availability_zone": daemon.availability_zone,
+                "host": HOST,
+                "port": daemon.peers_port,
+            }
             for daemon in self.daemons.values()
         ]
         for zone in self.plan.zones:
@@ -248,11 +253,11 @@
         return {
             "vm": daemon.vm,
             "availability_zone": zone.name,
-            "region": zone.region,
             "callers": {"port": daemon.callers_port},
             "operators": {"port": daemon.operators_port},
             "peers": own,
-            "seeds": [seed for seed in seeds if seed != own],
+            "seeds": [seed for seed in seeds if seed["vm"] != daemon.vm],
+            "availability_zones": [plan.name for plan in self.plan.zones],
             "keys_file": str(self.directory / "keys.json"),
             "store": {"port": self.store_port},
             "upstreams": upstreams,
