--- a/packages/daemon/src/papayadyke_daemon/callers/_app.py
+++ b/packages/daemon/src/papayadyke_daemon/callers/_app.py
@@ -66,6 +66,9 @@
     settings : CallersSettings
     readiness : callable
         Returns a `Readiness`.
+    refuses_runs : callable
+        Tells whether new requests are refused at once; a daemon that drains
+        and has peers hands them over instead.
     on_record : callable, optional
         Takes each finished `RequestRecord`, for metrics and reports.
     """
@@ -80,6 +83,7 @@
         ids: IdSource,
         settings: CallersSettings,
         readiness: Callable[[], Readiness],
+        refuses_runs: Callable[[], bool],
         on_record: Callable[[RequestRecord], None] = lambda record: None,
     ) -> None:
         self.runs = runs
@@ -89,6 +93,7 @@
         self.ids = ids
         self.settings = settings
         self.readiness = readiness
+        self.refuses_runs = refuses_runs
         self.on_record = on_record
 
     def handle(self, req: HttpRequest) -> HttpAnswer:
@@ -140,7 +145,7 @@
         checked = read_headers(req.headers, settings=self.settings)
         if isinstance(checked, Err):
             return make_bad_request(checked.err_value, request_id)
-        if not self.readiness().ready:
+        if self.refuses_runs():
             return make_problem(_refuse_draining(), request_id)
         headers = checked.ok_value
         received_at = time.time()
--- a/packages/daemon/src/papayadyke_daemon/daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/daemon.py
@@ -145,7 +145,10 @@
         """
         LOG.info("daemon: draining")
         self._draining.set()
+        self.callers.end_keep_alive()
         self.peering.leave()
+        # The balancer takes a while to see that this VM is not ready.
+        time.sleep(self.settings.drain_settle_s)
         until_s = time.monotonic() + self.settings.drain_timeout_s
         while self._in_flight.count and time.monotonic() < until_s:
             time.sleep(DRAIN_POLL_S)
@@ -242,6 +245,7 @@
             ids=self.ids,
             settings=settings.callers,
             readiness=self.tell_readiness,
+            refuses_runs=lambda: self.peering.is_alone and self._draining.is_set(),
             on_record=self._record,
         )
         self.callers = self._make_listener()
--- a/packages/daemon/src/papayadyke_daemon/embedded.py
+++ b/packages/daemon/src/papayadyke_daemon/embedded.py
@@ -135,6 +135,7 @@
             ),
             store=StoreAddress(_parse_address(self.store.address)),
             log=LogSettings(),
+            drain_settle_s=0.0,
         )
 
 
--- a/packages/daemon/src/papayadyke_daemon/routing/_runs.py
+++ b/packages/daemon/src/papayadyke_daemon/routing/_runs.py
@@ -134,7 +134,7 @@
                 result = self._forward(order, peer, hops=0)
                 if not _may_go_on(result):
                     return result
-        result = self.runs.run(order)
+        result = self._run_here(order)
         for _ in range(self.settings.peers_tried - len(tried)):
             if not _may_go_on(result):
                 return result
@@ -147,6 +147,11 @@
             return result
         return self._cross_zones(order, demand, result)
 
+    def _run_here(self, order: RunOrder) -> Result[Answer, Refusal]:
+        if self.is_draining():
+            return Err(_refuse_draining())
+        return self.runs.run(order)
+
     def _cross_zones(
         self, order: RunOrder, demand: Resources, result: Result[Answer, Refusal]
     ) -> Result[Answer, Refusal]:
@@ -199,6 +204,8 @@
 
     def _has_room(self, demand: Resources) -> bool:
         load = self.load()
+        if self.is_draining():
+            return False
         if load is None:
             return True
         return load.free_slots > 0 and demand.fits_in(load.free)
--- a/packages/daemon/src/papayadyke_daemon/settings/_models.py
+++ b/packages/daemon/src/papayadyke_daemon/settings/_models.py
@@ -189,6 +189,7 @@
     fleet: FleetModel = FleetModel()
     statsd: StatsdModel | None = None
     log: LogModel = LogModel()
+    drain_settle_seconds: float = Field(default=2.0, ge=0.0, le=DAY_S)
     drain_timeout_seconds: Seconds = 60.0
 
     @model_validator(mode="after")
@@ -223,6 +224,7 @@
             fleet=self.fleet.to_settings(),
             statsd=None if self.statsd is None else self.statsd.to_statsd(),
             log=LogSettings(self.log.format, self.log.level),
+            drain_settle_s=self.drain_settle_seconds,
             drain_timeout_s=self.drain_timeout_seconds,
         )
 
--- a/packages/daemon/src/papayadyke_daemon/settings/_settings.py
+++ b/packages/daemon/src/papayadyke_daemon/settings/_settings.py
@@ -114,4 +114,5 @@
     fleet: FleetSettings = field(default_factory=FleetSettings)
     statsd: StatsdSettings | None = None
     log: LogSettings = field(default_factory=LogSettings)
+    drain_settle_s: float = 2.0
     drain_timeout_s: float = 60.0
--- a/packages/platform/src/papayadyke_platform/http/_server.py
+++ b/packages/platform/src/papayadyke_platform/http/_server.py
@@ -156,6 +156,10 @@
         )
         self._thread.start()
 
+    def end_keep_alive(self) -> None:
+        """Close each connection after the answer that it gets next."""
+        self._server.keep_alive_conn_limit = 0
+
     def stop(self) -> None:
         """Close the listener and wait for its thread."""
         self._server.stop()
