--- /dev/null
+++ b/packages/cli/src/papayadyke_cli/_changes.py
@@ -0,0 +1,77 @@
+"""Sending a change, and telling what became of it."""
+
+from __future__ import annotations
+
+import uuid
+from dataclasses import dataclass
+from typing import Annotated
+
+import typer
+
+from papayadyke_cli._exits import fail_on_problem
+from papayadyke_cli._output import print_json
+from papayadyke_cli._settings import Session
+from papayadyke_core.configuration import AnyChange
+from papayadyke_platform.operators import ConfigView, OperatorsClient
+
+ChangeId = Annotated[
+    str | None,
+    typer.Option(help="Id of a change that is sent again after a lost answer."),
+]
+Expected = Annotated[
+    int | None,
+    typer.Option(
+        help="Revision that last changed the item; without it, the one just read.",
+        min=0,
+    ),
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Header:
+    """What goes with a change besides its content."""
+
+    id: str
+    author: str
+    expected: int
+
+
+def make_header(
+    session: Session, seen: int, *, expected: int | None, change_id: str | None
+) -> Header:
+    """Return the header of a new change, or of one that is sent again.
+
+    Parameters
+    ----------
+    session : Session
+    seen : int
+        Revision of the item as it was read.
+    expected : int or None
+        What the operator named in its place.
+    change_id : str or None
+    """
+    return Header(
+        id=change_id or uuid.uuid4().hex,
+        author=session.author(),
+        expected=seen if expected is None else expected,
+    )
+
+
+def read_config(client: OperatorsClient) -> ConfigView:
+    """Return the configuration, or end with the daemon's answer."""
+    found = client.read_config()
+    return found.unwrap() if found.is_ok() else fail_on_problem(found.unwrap_err())
+
+
+def send_change(
+    client: OperatorsClient, change: AnyChange, text: str, *, as_json: bool
+) -> None:
+    """Send a change and print that it was accepted, or end with why not."""
+    done = client.submit(change)
+    if done.is_err():
+        fail_on_problem(done.unwrap_err())
+    accepted = done.unwrap()
+    if as_json:
+        print_json(accepted)
+        return
+    typer.echo(f"{text}: accepted at revision {accepted.revision}")
--- /dev/null
+++ b/packages/cli/src/papayadyke_cli/_output.py
@@ -0,0 +1,35 @@
+"""Tables for people, JSON for scripts."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Annotated, Any
+
+import msgspec
+import typer
+
+from papayadyke_core.configuration import Stamp
+from papayadyke_platform.operators import encode_json
+
+JsonFlag = Annotated[bool, typer.Option("--json", help="Print JSON.")]
+
+
+def print_json(value: Any) -> None:
+    """Print a message as indented JSON."""
+    typer.echo(msgspec.json.format(encode_json(value), indent=2).decode())
+
+
+def print_table(header: Sequence[str], rows: Sequence[Sequence[object]]) -> None:
+    """Print rows in columns of even width."""
+    texts = [list(header), *([str(cell) for cell in row] for row in rows)]
+    widths = [max(map(len, column)) for column in zip(*texts, strict=True)]
+    for line in texts:
+        cells = [cell.ljust(width) for cell, width in zip(line, widths, strict=True)]
+        typer.echo("  ".join(cells).rstrip())
+
+
+def tell_stamp(stamp: Stamp) -> str:
+    """Return who last changed an item, in words."""
+    if stamp.revision == 0:
+        return "never changed"
+    return f"revision {stamp.revision} by {stamp.author}"
--- /dev/null
+++ b/packages/cli/src/papayadyke_cli/_settings.py
@@ -0,0 +1,108 @@
+"""Settings of the command: where the daemons are, and who asks."""
+
+from __future__ import annotations
+
+import getpass
+import ipaddress
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
+from result import Err
+
+from papayadyke_cli._exits import ExitCode, fail
+from papayadyke_core.configuration import problems_of
+from papayadyke_platform.keys import load_key_file
+from papayadyke_platform.operators import OperatorsClient, OperatorsSettings
+
+SETTINGS_VARIABLE = "PAPAYADYKE_SETTINGS"
+
+
+def _check_ip(value: str) -> str:
+    ipaddress.ip_address(value)
+    return value
+
+
+class AddressModel(BaseModel):
+    """An IP number and a port."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    host: Annotated[str, AfterValidator(_check_ip)] = "127.0.0.1"
+    port: int = Field(ge=1, le=65535)
+
+
+class SettingsModel(BaseModel):
+    """The settings file.
+
+    Parameters
+    ----------
+    operators : tuple of AddressModel
+        Operators' listeners of the daemons; tried in order.
+    callers : tuple of AddressModel
+        Callers' listeners, for `submit` and `job`.
+    keys_file : str or None
+        Operators' key file; a relative path starts at the settings file.
+    author : str or None
+        Goes with each change; None takes the name of the user.
+    answer_timeout_seconds : float, default=12.0
+    change_timeout_seconds : float, default=30.0
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    operators: tuple[AddressModel, ...] = ()
+    callers: tuple[AddressModel, ...] = ()
+    keys_file: str | None = None
+    author: str | None = Field(default=None, min_length=1, max_length=128)
+    answer_timeout_seconds: float = Field(default=12.0, gt=0.0, le=3600.0)
+    change_timeout_seconds: float = Field(default=30.0, gt=0.0, le=3600.0)
+
+
+class Session:
+    """What the commands of one run share.
+
+    Parameters
+    ----------
+    path : Path or None
+        The settings file.
+    """
+
+    def __init__(self, path: Path | None):
+        self.path = path
+
+    def read_settings(self) -> SettingsModel:
+        """Return the settings, or end with a message on what is wrong."""
+        if self.path is None:
+            text = f"name the settings file by --settings or {SETTINGS_VARIABLE}"
+            fail(ExitCode.USAGE, text)
+        try:
+            return SettingsModel.model_validate_json(self.path.read_bytes())
+        except OSError as exc:
+            fail(ExitCode.USAGE, f"{self.path}: {exc.strerror}")
+        except ValidationError as exc:
+            lines = [f"{item.path}: {item.message}" for item in problems_of(exc)]
+            fail(ExitCode.USAGE, f"{self.path}: " + "; ".join(lines))
+
+    def connect(self) -> OperatorsClient:
+        """Return a client of the operators' interface."""
+        settings = self.read_settings()
+        if not settings.operators or settings.keys_file is None:
+            fail(ExitCode.USAGE, f"{self.path}: operators and keys_file are needed")
+        assert self.path is not None
+        keys = load_key_file(self.path.parent / settings.keys_file)
+        if isinstance(keys, Err):
+            error = keys.err_value
+            fail(ExitCode.USAGE, f"{error.path}: {error.detail}")
+        return OperatorsClient(
+            OperatorsSettings(
+                addresses=tuple((item.host, item.port) for item in settings.operators),
+                keys=keys.ok_value,
+                answer_timeout_s=settings.answer_timeout_seconds,
+                change_timeout_s=settings.change_timeout_seconds,
+            )
+        )
+
+    def author(self) -> str:
+        """Return the name that goes with a change."""
+        return self.read_settings().author or getpass.getuser()
--- a/packages/platform/src/papayadyke_platform/operators/_client.py
+++ b/packages/platform/src/papayadyke_platform/operators/_client.py
@@ -137,9 +137,8 @@
     ) -> tuple[Result[T, m.OperatorsProblem], bool]:
         """Try the addresses; also tell whether the change may have got through."""
         lost = False
-        problem = m.OperatorsProblem(
-            code=m.ProblemCode.UNAVAILABLE, detail="no daemon can be reached"
-        )
+        problem = _unreachable([])
+        errors: list[str] = []
         for exchange in self._exchanges:
             reply = self._send(exchange, call)
             if reply.is_ok():
@@ -149,22 +148,21 @@
                 return done, lost
             error = reply.unwrap_err()
             lost = lost or error.was_sent
-            problem = msgspec.structs.replace(
-                problem, detail=f"{exchange.host}:{exchange.port}: {error.detail}"
-            )
+            errors.append(f"{exchange.host}:{exchange.port}: {error.detail}")
+            problem = _unreachable(errors)
         return Err(problem), lost
 
     def _get(
         self, kind: type[T], path: str, query: str = "", *, ask_all: bool = False
     ) -> Result[T, m.OperatorsProblem]:
-        problem = m.OperatorsProblem(
-            code=m.ProblemCode.UNAVAILABLE, detail="no daemon can be reached"
-        )
+        problem = _unreachable([])
+        errors: list[str] = []
         for exchange in self._exchanges:
             reply = self._send(exchange, _Call("GET", path, query))
             if reply.is_err():
-                text = f"{exchange.host}:{exchange.port}: {reply.unwrap_err().detail}"
-                problem = msgspec.structs.replace(problem, detail=text)
+                detail = reply.unwrap_err().detail
+                errors.append(f"{exchange.host}:{exchange.port}: {detail}")
+                problem = _unreachable(errors)
                 continue
             done = _parse(reply.unwrap(), kind)
             if done.is_ok() or not ask_all:
@@ -198,6 +196,12 @@
         return Err(m.OperatorsProblem(code=m.ProblemCode.FAULT, detail=text))
 
 
+def _unreachable(errors: list[str]) -> m.OperatorsProblem:
+    text = ": ".join(["no daemon can be reached", *errors[:1]])
+    text = "; ".join([text, *errors[1:]])
+    return m.OperatorsProblem(code=m.ProblemCode.UNAVAILABLE, detail=text)
+
+
 def _is_final(change: AnyChange, problem: m.OperatorsProblem) -> bool:
     """Tell whether a refusal also holds for what was sent and lost before.
 
