Test ownership under every fault as a state machine

Cause: two owners of one upstream, or one too few, would show only where faults come together. Change: papayadyke_standins.ownership_world wires the aggregates of membership, zone record, plan and session as the daemon does, with clocks of unlike rates, a store that fails, upstreams that check what they are told and starts that come late; the state machine injects the faults. tests/test_ownership_machine.py is also the command of long runs.

--- /dev/null
+++ b/packages/standins/src/papayadyke_standins/ownership_world/__init__.py
@@ -0,0 +1,16 @@
+"""A zone in memory in which ownership is tested under faults."""
+
+from papayadyke_standins.ownership_world._store import RecordStore, StoreMode
+from papayadyke_standins.ownership_world._upstream import WorldUpstream
+from papayadyke_standins.ownership_world._vm import Fate, WorldVm
+from papayadyke_standins.ownership_world._world import ReleasedWrongly, World
+
+__all__ = [
+    "Fate",
+    "RecordStore",
+    "ReleasedWrongly",
+    "StoreMode",
+    "World",
+    "WorldUpstream",
+    "WorldVm",
+]
--- /dev/null
+++ b/packages/standins/src/papayadyke_standins/ownership_world/_world.py
@@ -0,0 +1,228 @@
+"""The world: VMs, upstreams and a store, and what may come between them."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from dataclasses import dataclass
+
+from papayadyke_core.membership import (
+    Exchange,
+    ListedState,
+    ListedVm,
+    MemberState,
+    ZoneExchange,
+)
+from papayadyke_core.ownership import StartPermit, ZoneRecord
+from papayadyke_standins.ownership_world._clock import DriftingClock
+from papayadyke_standins.ownership_world._store import RecordStore, StoreMode
+from papayadyke_standins.ownership_world._upstream import WorldUpstream
+from papayadyke_standins.ownership_world._vm import Fate, WorldVm
+
+STEP_S = 0.5
+CAPACITY = 3
+MAX_RATE_ERROR = 0.004
+MAX_DELAY_S = 20.0
+LATE_SHARE = 0.2
+LOST_SHARE = 0.3
+START_SHARE = 0.5
+FINISH_SHARE = 0.4
+OWNED_WITHIN_S = 45.0
+
+
+class ReleasedWrongly(AssertionError):
+    """An upstream has no owner although all faults have ended long ago."""
+
+
+@dataclass(slots=True)
+class _LateStart:
+    due_s: float
+    vm: str
+    upstream: WorldUpstream
+    task: str
+    permit: StartPermit
+
+
+@dataclass(slots=True)
+class _LateExchange:
+    due_s: float
+    sender: str
+    receiver: str
+    message: Exchange
+
+
+class World:
+    """One zone. Its time moves by `advance` only.
+
+    Parameters
+    ----------
+    seed : int
+        Clocks, delays and the choices of the VMs follow from it.
+    vms, upstreams : int
+    """
+
+    def __init__(self, seed: int, *, vms: int = 4, upstreams: int = 3) -> None:
+        self.rng = random.Random(seed)
+        self.now = 1000.0
+        self.store = RecordStore(self.rng)
+        self.is_lossy = False
+        self.has_late_messages = False
+        self.cuts: set[frozenset[str]] = set()
+        self.faults: Counter[str] = Counter()
+        self.starts: Counter[str] = Counter()
+        self._late_starts: list[_LateStart] = []
+        self._late_exchanges: list[_LateExchange] = []
+        self._tasks = 0
+        names = [f"vm{i}" for i in range(vms)]
+        self.listed = tuple(
+            ListedVm(name, "zone", "region", "a", ListedState.LIVE) for name in names
+        )
+        self.upstreams = {
+            name: WorldUpstream(name, capacity=CAPACITY, clock=self._make_clock())
+            for name in (f"up{i}" for i in range(upstreams))
+        }
+        self.vms = {
+            name: WorldVm(name, world=self, clock=self._make_clock()) for name in names
+        }
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass, and check after each step."""
+        for _ in range(round(seconds / STEP_S)):
+            self.now += STEP_S
+            self._deliver_late()
+            for vm in self.vms.values():
+                if vm.is_running:
+                    vm.step()
+            self._work()
+            self.check()
+
+    def start(self, vm: WorldVm, upstream: WorldUpstream, fate: Fate) -> None:
+        """Have a VM place a new task."""
+        if not vm.is_running:
+            return
+        self._tasks += 1
+        if vm.start(upstream, f"task{self._tasks}", fate):
+            self.starts[fate.value] += 1
+
+    def finish(self, upstream: WorldUpstream) -> None:
+        """Let the oldest task of an upstream end."""
+        if upstream.running:
+            upstream.running.remove(min(upstream.running))
+
+    def settle(self) -> None:
+        """End all faults, and check that every upstream gets an owner in time."""
+        self.store.mode = StoreMode.UP
+        self.is_lossy = self.has_late_messages = False
+        self.cuts.clear()
+        for vm in self.vms.values():
+            vm.is_paused = False
+        if all(not vm.is_alive or vm.is_leaving for vm in self.vms.values()):
+            next(iter(self.vms.values())).start_daemon()
+        self.advance(OWNED_WITHIN_S)
+        for upstream in self.upstreams.values():
+            self._check_owned(upstream)
+
+    def check(self) -> None:
+        """Check what holds at any moment."""
+        for upstream in self.upstreams.values():
+            now = upstream.clock.read(self.now)
+            owners = [
+                vm
+                for vm in self.vms.values()
+                if vm.is_alive and self._is_owner(vm, upstream, now)
+            ]
+            if len(owners) > 1:
+                raise AssertionError(f"{upstream.name}: {len(owners)} owners")
+            for vm in owners:
+                if not upstream.running <= vm.holdings[upstream.name].used:
+                    raise AssertionError(f"{upstream.name}: {vm.name} misses a task")
+
+    def is_linked(self, one: str, other: str) -> bool:
+        """Tell whether two parts can reach each other."""
+        return frozenset((one, other)) not in self.cuts
+
+    def loses_message(self) -> bool:
+        """Decide whether a message to or from an upstream is lost."""
+        return self.is_lossy and self.rng.random() < LOST_SHARE
+
+    def deliver(
+        self, sender: WorldVm, receiver: str, message: Exchange | ZoneExchange
+    ) -> None:
+        """Carry an exchange between two VMs, or leave it for later."""
+        target = self.vms[receiver]
+        if not target.is_running or not self.is_linked(sender.name, receiver):
+            return
+        if not isinstance(message, Exchange):
+            return
+        if self.has_late_messages and self.rng.random() < LATE_SHARE:
+            due_s = self.now + self.rng.uniform(0, MAX_DELAY_S)
+            late = _LateExchange(due_s, sender.name, receiver, message)
+            self._late_exchanges.append(late)
+            return
+        reply = target.membership.apply_exchange(message, target.now)
+        more = sender.membership.apply_reply(reply, sender.now)
+        if more is not None:
+            target.membership.apply_exchange(more, target.now)
+
+    def pull_record(self, vm: WorldVm) -> ZoneRecord | None:
+        """Return the record of some other VM, if it can be asked."""
+        others = [
+            other
+            for other in self.vms.values()
+            if other.is_running and self.is_linked(vm.name, other.name)
+        ]
+        return self.rng.choice(others).record if others else None
+
+    def send_late(
+        self, vm: str, upstream: WorldUpstream, task: str, permit: StartPermit
+    ) -> None:
+        """Let a start arrive some time, whatever becomes of its sender."""
+        due_s = self.now + self.rng.uniform(0, MAX_DELAY_S)
+        self._late_starts.append(_LateStart(due_s, vm, upstream, task, permit))
+
+    def _work(self) -> None:
+        """Start and end tasks all the time, by whoever thinks that it may."""
+        for upstream in self.upstreams.values():
+            for vm in self.vms.values():
+                if self.rng.random() < START_SHARE:
+                    self.start(vm, upstream, self.rng.choice(list(Fate)))
+            if self.rng.random() < FINISH_SHARE:
+                self.finish(upstream)
+
+    def _make_clock(self) -> DriftingClock:
+        error = self.rng.uniform(-MAX_RATE_ERROR, MAX_RATE_ERROR)
+        return DriftingClock(1 + error, self.rng.uniform(0, 1000))
+
+    def _deliver_late(self) -> None:
+        for late in [item for item in self._late_starts if item.due_s <= self.now]:
+            self._late_starts.remove(late)
+            if self.is_linked(late.vm, late.upstream.name):
+                late.upstream.start(
+                    late.task,
+                    vm=late.vm,
+                    token=late.permit.token,
+                    start_before_s=late.permit.start_before_s,
+                    world_s=self.now,
+                )
+        for item in [item for item in self._late_exchanges if item.due_s <= self.now]:
+            self._late_exchanges.remove(item)
+            target = self.vms[item.receiver]
+            if target.is_running and self.is_linked(item.sender, item.receiver):
+                target.membership.apply_exchange(item.message, target.now)
+
+    def _is_owner(self, vm: WorldVm, upstream: WorldUpstream, now: float) -> bool:
+        session = vm.sessions[upstream.name]
+        if session.token is None or not session.may_start(vm.now):
+            return False
+        return upstream.gate.check_start(session.token, now + 1, now) is None
+
+    def _check_owned(self, upstream: WorldUpstream) -> None:
+        now = upstream.clock.read(self.now)
+        holder = upstream.gate.holder(now)
+        if holder is None:
+            raise ReleasedWrongly(f"{upstream.name} has no owner")
+        vm = self.vms[holder]
+        member = vm.membership.snapshot(vm.now).find(holder)
+        is_live = member is not None and member.state == MemberState.LIVE
+        if not (vm.is_alive and is_live and self._is_owner(vm, upstream, now)):
+            raise ReleasedWrongly(f"{upstream.name} is held by {holder} in vain")
--- /dev/null
+++ b/tests/test_ownership_machine.py
@@ -0,0 +1,191 @@
+"""Ownership under every fault, as a state machine.
+
+CI runs a fixed part. A long run prints what it did:
+
+    python tests/test_ownership_machine.py --seed 1 --examples 500 --steps 100
+"""
+
+import argparse
+import sys
+from collections import Counter
+
+from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    rule,
+    run_state_machine_as_test,
+)
+
+from papayadyke_standins.ownership_world import Fate, StoreMode, World
+
+VMS = st.integers(0, 3)
+UPSTREAMS = st.integers(0, 2)
+TOTALS: Counter[str] = Counter()
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """Each rule is a fault, its end, or work."""
+
+    @initialize(seed=st.integers(0, 2**32))
+    def make(self, seed):
+        self.world = World(seed)
+        self.world.advance(15)
+
+    def vm(self, i):
+        return self.world.vms[f"vm{i}"]
+
+    def upstream(self, i):
+        return self.world.upstreams[f"up{i}"]
+
+    def note(self, fault):
+        self.world.faults[fault] += 1
+
+    @rule(seconds=st.sampled_from([0.5, 1.0, 2.0, 5.0, 12.0]))
+    def advance(self, seconds):
+        self.world.advance(seconds)
+
+    @rule(i=VMS, j=UPSTREAMS, fate=st.sampled_from(Fate), count=st.integers(1, 4))
+    def start(self, i, j, fate, count):
+        for _ in range(count):
+            self.world.start(self.vm(i), self.upstream(j), fate)
+
+    @rule(j=UPSTREAMS, fate=st.sampled_from(Fate))
+    def start_at_every_vm(self, j, fate):
+        for vm in self.world.vms.values():
+            self.world.start(vm, self.upstream(j), fate)
+
+    @rule(j=UPSTREAMS)
+    def finish(self, j):
+        self.world.finish(self.upstream(j))
+
+    @rule(i=VMS)
+    def die(self, i):
+        self.vm(i).is_alive = False
+        self.note("die")
+
+    @rule(i=VMS)
+    def restart(self, i):
+        self.vm(i).start_daemon()
+        self.note("restart")
+
+    @rule(
+        i=VMS,
+        seconds=st.sampled_from([2.0, 5.0, 7.0, 20.0]),
+        is_clock_still=st.booleans(),
+    )
+    def pause_and_resume(self, i, seconds, is_clock_still):
+        vm = self.vm(i)
+        vm.is_paused = True
+        self.world.advance(seconds)
+        vm.is_paused = False
+        if is_clock_still:
+            vm.clock.stand_still(seconds)
+        self.note("pause with a still clock" if is_clock_still else "pause")
+
+    @rule(i=VMS)
+    def pause(self, i):
+        self.vm(i).is_paused = True
+        self.note("pause")
+
+    @rule(i=VMS)
+    def resume(self, i):
+        self.vm(i).is_paused = False
+
+    @rule(i=VMS, j=VMS)
+    def cut_vms(self, i, j):
+        if i != j:
+            self.world.cuts.add(frozenset((f"vm{i}", f"vm{j}")))
+            self.note("cut vm from vm")
+
+    @rule(i=VMS, j=UPSTREAMS)
+    def cut_upstream(self, i, j):
+        self.world.cuts.add(frozenset((f"vm{i}", f"up{j}")))
+        self.note("cut vm from upstream")
+
+    @rule(i=VMS)
+    def cut_store(self, i):
+        self.world.cuts.add(frozenset((f"vm{i}", "store")))
+        self.note("cut vm from store")
+
+    @rule()
+    def heal(self):
+        self.world.cuts.clear()
+
+    @rule(mode=st.sampled_from(StoreMode))
+    def change_store(self, mode):
+        self.world.store.mode = mode
+        self.note(f"store {mode}")
+
+    @rule(is_lossy=st.booleans())
+    def lose_messages(self, is_lossy):
+        self.world.is_lossy = is_lossy
+        self.note("lossy" if is_lossy else "not lossy")
+
+    @rule(is_late=st.booleans())
+    def delay_messages(self, is_late):
+        self.world.has_late_messages = is_late
+        self.note("late messages" if is_late else "no late messages")
+
+    @rule(i=VMS)
+    def leave(self, i):
+        if self.vm(i).is_alive:
+            self.vm(i).leave()
+            self.note("leave")
+
+    @rule(j=UPSTREAMS)
+    def restart_upstream(self, j):
+        self.upstream(j).restart_gate()
+        self.note("restart upstream")
+
+    @rule()
+    def settle(self):
+        self.world.settle()
+        self.note("settled")
+
+    def teardown(self):
+        if hasattr(self, "world"):
+            self.world.settle()
+            TOTALS.update(self.world.faults)
+            TOTALS.update({f"start {k}": n for k, n in self.world.starts.items()})
+            for upstream in self.world.upstreams.values():
+                refusals = upstream.refusals.items()
+                TOTALS.update({f"refused {k}": n for k, n in refusals})
+                TOTALS["started"] += len(upstream.started)
+                TOTALS["sessions"] += len(upstream.owner_of_token)
+
+
+def test_one_owner_at_a_time_whatever_fails():
+    options = settings(max_examples=40, stateful_step_count=40)
+    run_state_machine_as_test(OwnershipMachine, settings=options)
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--examples", type=int, default=200)
+    parser.add_argument("--steps", type=int, default=60)
+    parser.add_argument("--no-shrink", action="store_true")
+    args = parser.parse_args()
+    phases = (Phase.generate,) if args.no_shrink else tuple(Phase)
+    options = settings(
+        max_examples=args.examples,
+        stateful_step_count=args.steps,
+        deadline=None,
+        database=None,
+        print_blob=False,
+        phases=phases,
+        suppress_health_check=list(HealthCheck),
+    )
+    machine = seed(args.seed)(type("SeededMachine", (OwnershipMachine,), {}))
+    try:
+        run_state_machine_as_test(machine, settings=options)
+    finally:
+        print(f"seed={args.seed} examples={args.examples} steps={args.steps}")
+        for name, count in sorted(TOTALS.items()):
+            print(f"{name}: {count}")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
