--- a/benchmarks/journal_machine.py
+++ b/benchmarks/journal_machine.py
@@ -8,7 +8,7 @@
 import argparse
 import time
 
-from hypothesis import HealthCheck, seed, settings
+from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis.stateful import run_state_machine_as_test
 
 from papayadyke_daemon.journal.tests import test_journal_machine as machine
@@ -19,8 +19,10 @@
     parser.add_argument("--seed", type=int, default=time.time_ns() % 2**32)
     parser.add_argument("--examples", type=int, default=500)
     parser.add_argument("--steps", type=int, default=80)
+    parser.add_argument("--shrink", action="store_true", help="simplify a failure")
     args = parser.parse_args()
     print(f"seed {args.seed}, {args.examples} examples of up to {args.steps} steps")
+    phases = (Phase.generate, Phase.shrink) if args.shrink else (Phase.generate,)
     started = time.monotonic()
     try:
         run_state_machine_as_test(
@@ -29,6 +31,7 @@
                 max_examples=args.examples,
                 stateful_step_count=args.steps,
                 deadline=None,
+                phases=phases,
                 database=None,
                 derandomize=False,
                 report_multiple_bugs=False,
--- a/packages/core/src/papayadyke_core/journal/__init__.py
+++ b/packages/core/src/papayadyke_core/journal/__init__.py
@@ -29,6 +29,7 @@
 )
 from papayadyke_core.journal._layout import (
     PARTITIONS,
+    SEGMENT_DIGITS,
     chunk_key,
     chunk_prefix,
     log_prefix,
@@ -62,6 +63,7 @@
     "MAX_ENTRIES_BYTES",
     "OPEN_KEY_RETENTION_S",
     "PARTITIONS",
+    "SEGMENT_DIGITS",
     "Answer",
     "AppendResult",
     "CallResult",
--- a/packages/daemon/src/papayadyke_daemon/journal/_compaction.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/_compaction.py
@@ -9,8 +9,11 @@
 from result import Err, Ok
 
 from papayadyke_core.journal import (
+    SEGMENT_DIGITS,
+    Takeover,
     chunk_key,
     chunk_prefix,
+    decode_segment,
     encode_chunks,
     log_prefix,
     segment_key,
@@ -64,7 +67,7 @@
     at_s = log.at_s
     covered = dict(log.segments)
     covered_bytes = log.bytes_since
-    snapshot_id = new_id()
+    snapshot_id = f"{through:0{SEGMENT_DIGITS}d}-{new_id()}"
     chunks = list(encode_chunks(log.live))
     for index, data in enumerate(chunks):
         made = store.create(chunk_key(log.partition, snapshot_id, index), data)
@@ -111,19 +114,33 @@
 
 
 def _delete_leftovers(store: Store, log: OwnedLog, now_s: float) -> Iterator[None]:
-    """Delete segments and chunks that an interrupted compaction left."""
+    """Delete segments and chunks that an interrupted compaction left.
+
+    This VM may have been paused since it wrote the manifest, and a successor may
+    have written a later one; so only what is older than the own one is deleted.
+    """
     for entry in _list_all(store, log_prefix(log.partition)):
         number = segment_number(entry.key)
         if number is None or number > log.manifest.through:
             break
+        _note_takeover(log, number, entry)
         if not _is_retained(log, number, now_s):
             store.delete(entry.key, expected=entry.revision)
             yield
-    current = chunk_key(log.partition, log.manifest.snapshot_id, 0).rsplit("/", 1)[0]
+    through = f"{log.manifest.through:0{SEGMENT_DIGITS}d}"
+    oldest_kept = f"{chunk_prefix(log.partition)}{through}"
     for entry in _list_all(store, chunk_prefix(log.partition)):
-        if not entry.key.startswith(current + "/"):
-            store.delete(entry.key, expected=entry.revision)
-            yield
+        if entry.key >= oldest_kept:
+            break
+        store.delete(entry.key, expected=entry.revision)
+        yield
+
+
+def _note_takeover(log: OwnedLog, number: int, entry: Entry) -> None:
+    """Learn of the takeover of an earlier owner, which is retained as well."""
+    segment = decode_segment(entry.value)
+    if any(isinstance(item, Takeover) for item in segment.entries):
+        log.takeovers[number] = segment.at_s
 
 
 def _list_all(store: Store, prefix: str) -> Iterator[Entry]:
--- a/packages/daemon/src/papayadyke_daemon/journal/tests/journal_world.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/tests/journal_world.py
@@ -151,7 +151,7 @@
         self.incarnations = 0
         self.told_jobs: dict[str, int] = {}
         self.told_final: dict[tuple[str, int], Any] = {}
-        self.verdicts: dict[int, set[str]] = {}
+        self.verdicts: dict[int, list[str]] = {}
         self.holders: dict[str, str] = {}
         self.released: set[str] = set()
         self.told_answers: dict[str, Any] = {}
@@ -347,17 +347,20 @@
         if key:
             body["idempotency_key"] = key
         model = parse_job(json.dumps(body).encode()).unwrap()
+        verdicts = self.world.verdicts.setdefault(nonce, [])
+        index = len(verdicts)
+        verdicts.append("untold")
         self.jobs._mailbox.post(
-            lambda: self.jobs._submit(model, lambda r: self._submitted(nonce, r))
+            lambda: self.jobs._submit(model, lambda r: self._submitted(nonce, index, r))
         )
 
-    def _submitted(self, nonce, result):
+    def _submitted(self, nonce, index, result):
         world = self.world
         if result.is_err():
-            world.verdicts.setdefault(nonce, set()).add(result.unwrap_err().verdict)
+            world.verdicts[nonce][index] = result.unwrap_err().verdict
             return
         answer = result.unwrap()
-        world.verdicts.setdefault(nonce, set()).add("accepted")
+        world.verdicts[nonce][index] = "accepted"
         partition = int(answer.job_id[:4])
         if answer.is_new:
             world.check_accepted(partition, answer.job_id)
--- a/packages/daemon/src/papayadyke_daemon/journal/tests/test_journal_machine.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/tests/test_journal_machine.py
@@ -139,7 +139,7 @@
 
     @rule(name=vm_names)
     def look(self, name):
-        for job_id in self.world.told_jobs:
+        for job_id in list(self.world.told_jobs):
             self._run(name, lambda vm, job_id=job_id: vm.show(job_id))
 
     @rule(name=vm_names, partition=st.sampled_from(PARTITIONS))
@@ -248,14 +248,14 @@
                 vm.finish(lost=False, failed=False)
             if not any(part.open_ids for part in vm.jobs._partitions.values()):
                 break
-        for job_id in world.told_jobs:
+        for job_id in list(world.told_jobs):
             vm.show(job_id)
             view = vm.jobs._show(job_id).unwrap().view
             assert view["state"] in ("finished", "cancelled")
 
     def _check_verdicts(self):
         for nonce, verdicts in self.world.verdicts.items():
-            if verdicts == {"not_run"}:
+            if set(verdicts) == {"not_run"}:
                 ran = self.world.upstreams.ran_nonces
                 assert nonce not in ran, "told not_run, and it ran"
 
--- a/packages/daemon/src/papayadyke_daemon/journal/tests/test_log_writer.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/tests/test_log_writer.py
@@ -1,6 +1,6 @@
 import pytest
 
-from papayadyke_core.journal import AppendResult, KeyReleased
+from papayadyke_core.journal import AppendResult, KeyClaimed, KeyReleased
 from papayadyke_daemon.journal import JournalSettings, JournalWriter, LogWriter
 from papayadyke_standins.store import Faults, MemoryStore, StoreService
 
@@ -30,7 +30,10 @@
     def append(self, writer, name, rounds=1, **fields):
         results = []
         writer.append(
-            0, (KeyReleased(name, "r"),), lambda r, at_s: results.append(r), **fields
+            0,
+            (KeyClaimed(name, "w", b"", "r"),),
+            lambda r, at_s: results.append(r),
+            **fields,
         )
         self.run(writer, rounds)
         return results
@@ -161,6 +164,46 @@
     assert bench.writer("vm2").take_over(0).is_ok()
 
 
+def test_writer_paused_in_a_compaction_deletes_nothing_of_its_successor(bench):
+    first = bench.writer("vm1", compact_segments=3)
+    second = bench.writer("vm2", compact_segments=2)
+    first.take_over(0).unwrap()
+    real = bench.store.write
+    manifests = []
+
+    def paused(key, act):
+        """Another VM takes over and compacts once the snapshot is written."""
+        done = real(key, act)
+        manifests.append(key.endswith("/snapshot"))
+        if manifests[-1]:
+            bench.store.write = real
+            second.take_over(0).unwrap()
+            for name in "xyz":
+                bench.append(second, name, rounds=50)
+        return done
+
+    bench.store.write = paused
+    for name in "abc":
+        bench.append(first, name, rounds=50)
+    assert any(manifests)
+    bench.store.write = real
+    bench.run(first, 50)
+    replay = bench.writer("vm3").take_over(0).unwrap()
+    assert bench.names(replay) == list("abxyz")
+
+
+def test_takeover_of_an_earlier_owner_is_kept_by_a_later_one(bench):
+    first = bench.writer("vm1")
+    first.take_over(0).unwrap()
+    bench.append(first, "a")
+    for owner in range(2, 5):
+        writer = bench.writer(f"vm{owner}", compact_segments=2)
+        writer.take_over(0).unwrap()
+        for name in "bcdef":
+            bench.append(writer, name, rounds=100)
+    assert bench.append(first, "stale", rounds=5) == [AppendResult.FENCED]
+
+
 def test_release_appends_what_is_queued():
     store = StoreService()
     settings = JournalSettings(vm="vm1", incarnation="1")
