Read refused bodies to their end, and let loads wait for a ready daemon

Cause: an answer 413 was lost when the connection was closed with unread bytes; a load sent to daemons that were not ready when no other was. Change: a refused body is read and dropped up to a bound; the load waits.

--- a/packages/core/src/papayadyke_core/scheduling/tests/scheduler_machine.py
+++ b/packages/core/src/papayadyke_core/scheduling/tests/scheduler_machine.py
@@ -250,7 +250,7 @@
         assert start.task_id not in self.running
         assert start.upstream in self.specs
         assert start.upstream not in self.draining
-        request_id, attempt, _ = start.task_id.rsplit(".", 2)
+        request_id, _, attempt = start.task_id.rsplit(".", 2)
         entry = self.entries[request_id, int(attempt)]
         assert entry.state in ("queued", "started")
         assert start.index == entry.started < entry.tasks
--- a/packages/platform/src/papayadyke_platform/http/_server.py
+++ b/packages/platform/src/papayadyke_platform/http/_server.py
@@ -17,6 +17,8 @@
 LOG = logging.getLogger("papayadyke.http")
 STOP_TIMEOUT_S = 1
 WSGI_HEADER_PREFIX = "HTTP_"
+MAX_DISCARDED_BYTES = 16_000_000
+DISCARD_CHUNK_BYTES = 65_536
 
 
 class BodyError(StrEnum):
@@ -205,6 +207,7 @@
     if not declared.isdigit():
         return b"", BodyError.MALFORMED
     if int(declared) > max_body_bytes:
+        _discard_body(environ, int(declared))
         return b"", BodyError.TOO_LARGE
     wanted = max_body_bytes + 1 if chunked else int(declared)
     if not wanted:
@@ -222,6 +225,23 @@
     return body, None
 
 
+def _discard_body(environ: Mapping[str, Any], declared: int) -> None:
+    """Read a body that is refused, as far as that is cheap.
+
+    A connection that is closed with unread bytes is reset, and the sender may
+    then not get to see the answer.
+    """
+    left = min(declared, MAX_DISCARDED_BYTES)
+    try:
+        while left > 0:
+            part = environ["wsgi.input"].read(min(left, DISCARD_CHUNK_BYTES))
+            if not part:
+                return
+            left -= len(part)
+    except (OSError, ValueError):
+        return
+
+
 def _write_status(status: int) -> str:
     try:
         return f"{status} {HTTPStatus(status).phrase}"
--- a/packages/standins/src/papayadyke_standins/cell/_load.py
+++ b/packages/standins/src/papayadyke_standins/cell/_load.py
@@ -98,6 +98,10 @@
         """Return the number of requests by outcome."""
         return Counter(item.outcome for item in self.sent)
 
+    def list_unanswered(self) -> list[Sent]:
+        """Return the requests that got no whole answer."""
+        return [item for item in self.sent if item.outcome != "answered"]
+
     def find_lies(self, records: Mapping[str, Sequence[RunRecord]]) -> list[str]:
         """Return what callers were told that the upstreams' records deny.
 
@@ -202,7 +206,11 @@
         for number in itertools.count():
             if self._stopping.is_set():
                 return
-            exchange = exchanges[rng.choice(self._ready or self.targets)]
+            ready = self._ready
+            if not ready:
+                time.sleep(PAUSE_AFTER_FAULT_S)
+                continue
+            exchange = exchanges[rng.choice(ready)]
             request_id = f"s{self.seed}c{client}n{number}"
             item = self._send(exchange, mix, request_id)
             with self._lock:
--- a/tests/test_cell_faults.py
+++ b/tests/test_cell_faults.py
@@ -113,9 +113,7 @@
             time.sleep(4 * SETTLE_S)
             for upstream in cell.upstreams:
                 cell.order_faults(upstream, Faults())
-        counts = load.ledger.count()
-        assert counts["may_have_run"] == 0
-        assert counts["answered"] > 0
+        assert load.ledger.list_unanswered() == []
         check_truth(cell, load)
 
 
