Hold single slots for gangs in place of whole upstreams, and only as owed

Change: a hold keeps only the room that is needed; gangs under their floor have it at once, others after a wait, and then it binds only work that ranks no higher and leaves the reserves alone.

--- a/packages/core/src/papayadyke_core/scheduling/_book.py
+++ b/packages/core/src/papayadyke_core/scheduling/_book.py
@@ -238,13 +238,11 @@
             self.fleet.set_speed(name, self.health.speed(name))
             self.note_room()
 
-    def live_hold(self) -> RoomHold | None:
-        """Return the room that is held, unless its request is gone."""
-        hold = self.hold
-        if hold is not None and not hold.request.live:
+    def drop_stale_hold(self) -> None:
+        """Hold no room for a request that is gone."""
+        if self.hold is not None and not self.hold.request.live:
             self.hold = None
             self.note_room()
-        return self.hold
 
     def free_on(self, upstream: str) -> tuple[Resources, int]:
         """Return the free resources and slots of an upstream."""
--- a/packages/core/src/papayadyke_core/scheduling/_reserves.py
+++ b/packages/core/src/papayadyke_core/scheduling/_reserves.py
@@ -79,14 +79,16 @@
         settings = self.settings
         account = state.account
         part = account.floor
+        deviations = settings.floor_deviations
         if account.is_urgent:
             part = max(part, settings.urgent_share)
+            deviations = settings.reserve_deviations
         if part <= 0.0 or state.is_gang or state.retired:
             return
         needed = needed_tasks(
             state.arrivals.rate(now),
             state.run_times.typical_s,
-            deviations=settings.reserve_deviations,
+            deviations=deviations,
         )
         if needed == 0:
             return
--- a/packages/core/src/papayadyke_core/scheduling/_room_hold.py
+++ b/packages/core/src/papayadyke_core/scheduling/_room_hold.py
@@ -8,11 +8,12 @@
 
 from papayadyke_core.admission import QueuedRequest
 from papayadyke_core.resources import Resources
+from papayadyke_core.sharing import Phase
 
 
 @dataclass(frozen=True, slots=True)
 class RoomHold:
-    """Upstreams on which nothing else is started that may end too late.
+    """Room on upstreams that is kept from all that may end too late.
 
     There is one hold at a time, so that two gangs can't wait for each other.
 
@@ -23,17 +24,18 @@
         Tasks of the request that each of them will hold.
     ready_at_s : float
         Time at which the room is expected to be free.
-    made_at_s : float
+    phase : Phase
+        What the turn of the request is owed to.
     """
 
     request: QueuedRequest
     upstreams: Mapping[str, int]
     ready_at_s: float
-    made_at_s: float
+    phase: Phase
 
 
 @dataclass(frozen=True, slots=True)
-class HeldRoom:
+class UpstreamRoom:
     """What is free on an upstream now, and when more will be.
 
     Parameters
@@ -52,22 +54,25 @@
 
 
 def plan_hold(
-    rooms: Iterable[HeldRoom],
+    rooms: Iterable[UpstreamRoom],
     request: QueuedRequest,
     demand: Resources,
     tasks: int,
+    phase: Phase,
     now: float,
 ) -> RoomHold | None:
     """Choose the upstreams that will be free for all tasks the soonest.
 
     Parameters
     ----------
-    rooms : iterable of HeldRoom
+    rooms : iterable of UpstreamRoom
         The upstreams that may be used.
     request : QueuedRequest
     demand : Resources
         What one task needs.
     tasks : int
+    phase : Phase
+        What the turn of the request is owed to.
     now : float
 
     Returns
@@ -98,7 +103,7 @@
     if found < tasks:
         return None
     chosen = _fewest(fits, tasks)
-    return RoomHold(request, chosen, max(ready_at_s, now), now)
+    return RoomHold(request, chosen, max(ready_at_s, now), phase)
 
 
 def _fewest(fits: Mapping[str, int], tasks: int) -> dict[str, int]:
--- a/packages/core/src/papayadyke_core/scheduling/_starts.py
+++ b/packages/core/src/papayadyke_core/scheduling/_starts.py
@@ -6,16 +6,14 @@
 
 from papayadyke_core.admission import QueuedRequest
 from papayadyke_core.scheduling._book import Book
-from papayadyke_core.scheduling._room_hold import HeldRoom, RoomHold, plan_hold
+from papayadyke_core.scheduling._room_keeper import RoomKeeper
 from papayadyke_core.scheduling._running import SchedulingError
 from papayadyke_core.scheduling._state import WorkloadState
 from papayadyke_core.scheduling._turns import TurnOrder
 from papayadyke_core.scheduling._types import Start
 from papayadyke_core.sharing import Limit, Phase
 
-_LATE_GROWTH = 0.1
 _AVOID_S = 0.25
-_HOLD_EVERY_S = 0.5
 
 
 @dataclass(slots=True)
@@ -23,7 +21,7 @@
     """What one pass over the waiting work has done so far."""
 
     now: float
-    hold: RoomHold | None
+    room: RoomKeeper
     starts: list[Start] = field(default_factory=list)
 
 
@@ -45,7 +43,7 @@
     if not book.backlog:
         return [], False
     book.reserves.refresh(book.states.values(), book.shares.size, now)
-    run = _Pass(now, book.live_hold())
+    run = _Pass(now, RoomKeeper(book, now))
     turns = TurnOrder(book, now)
     floors_checked = False
     while (turn := turns.next()) is not None:
@@ -59,13 +57,13 @@
             # Once is enough: a start brings no workload under its floor.
             turns.check_floors()
             floors_checked = True
-        held = run.hold
+        held = run.room.hold
         limit = _start_head(book, run, state, phase)
         if limit is None:
             turns.end_turn()
         else:
             turns.block(limit)
-        if held is not None and run.hold is None:
+        if held is not None and run.room.hold is None:
             turns.unblock(Limit.GANG)
     turns.note_floors()
     return run.starts, False
@@ -78,7 +76,7 @@
         if request is not None and (state.is_gang or phase is Phase.OVERDUE):
             tasks = request.tasks if state.is_gang else 1
             if state.account.blocked_by(tasks, book.shares.size) is None:
-                _consider_hold(book, run, state, request, tasks, phase)
+                run.room.consider(state, request, tasks, phase)
 
 
 def _start_head(
@@ -95,31 +93,35 @@
     if request is None:
         raise SchedulingError(f"scheduling: the queue of {state.name} is empty")
     tasks = request.tasks if state.is_gang else 1
-    holds_room = run.hold is not None and run.hold.request is request
+    holds_room = run.room.is_held_for(request)
     limit = state.account.blocked_by(tasks, book.shares.size)
     if limit is not None:
         if holds_room:
-            book.hold = run.hold = None
+            run.room.release()
         return limit
-    if phase is Phase.SHARE and not holds_room:
+    if phase is Phase.SHARE and not run.room.goes_first(request):
         fleet = book.fleet
         if not book.reserves.leave_room(state, tasks, fleet.free, fleet.free_slots):
             return Limit.RESERVE
-    placed = _place(book, run, state, request, tasks)
+    placed = _place(book, run, state, request, tasks, phase)
     if isinstance(placed, Limit):
-        _consider_hold(book, run, state, request, tasks, phase)
+        run.room.consider(state, request, tasks, phase)
         return placed
     run.starts.extend(book.start(request, placed, run.now))
     if phase is Phase.OVERDUE:
         state.last_overdue_turn_s = run.now
     if holds_room:
-        book.hold = run.hold = None
-        book.note_room()
+        run.room.release()
     return None
 
 
 def _place(
-    book: Book, run: _Pass, state: WorkloadState, request: QueuedRequest, tasks: int
+    book: Book,
+    run: _Pass,
+    state: WorkloadState,
+    request: QueuedRequest,
+    tasks: int,
+    phase: Phase,
 ) -> tuple[tuple[str, str], ...] | Limit:
     """Reserve room for tasks of a request and return them with their upstreams."""
     fleet = book.fleet
@@ -128,7 +130,7 @@
         return Limit.ROOM
     if fleet.free_slots < tasks or not account.demand.fits_in(fleet.free):
         return Limit.ROOM
-    held = _held_upstreams(run, state, request)
+    held = run.room.kept_from(state, request, phase)
     waited_s = run.now - request.queued_at_s
     avoid = request.avoid if waited_s < _AVOID_S else ()
     first = request.started
@@ -142,6 +144,7 @@
         for task_id in ids:
             fleet.release(task_id)
         return Limit.GANG
+    run.room.note_started(upstreams, account.demand)
     return tuple(zip(ids, upstreams, strict=True))
 
 
@@ -165,58 +168,3 @@
 
 def _task_id(request: QueuedRequest, index: int) -> str:
     return f"{request.id}.{request.attempt}.{index}"
-
-
-def _held_upstreams(
-    run: _Pass, state: WorkloadState, request: QueuedRequest
-) -> tuple[str, ...]:
-    """Return the upstreams that are held for others for as long as this runs."""
-    hold = run.hold
-    if hold is None or hold.request is request:
-        return ()
-    if run.now + state.run_times.upper_s <= hold.ready_at_s:
-        return ()
-    return tuple(hold.upstreams)
-
-
-def _consider_hold(
-    book: Book,
-    run: _Pass,
-    state: WorkloadState,
-    request: QueuedRequest,
-    tasks: int,
-    phase: Phase,
-) -> None:
-    if run.hold is not None or run.now < book.next_hold_s:
-        return
-    patience_s = book.settings.sharing.gang_patience_s
-    waited_s = run.now - request.queued_at_s
-    gang_waits = tasks > 1 and waited_s >= patience_s
-    if gang_waits or phase is Phase.OVERDUE:
-        rooms = _rooms(book, run.now)
-        demand = state.account.demand
-        run.hold = plan_hold(rooms, request, demand, tasks, run.now)
-        book.hold = run.hold
-        book.next_hold_s = run.now + _HOLD_EVERY_S
-
-
-def _rooms(book: Book, now: float) -> list[HeldRoom]:
-    rooms = []
-    for name in book.specs:
-        if name not in book.unusable:
-            free, slots = book.free_on(name)
-            ends = tuple(
-                (_expected_end_s(book, task.workload, task.started_at_s, now), held)
-                for task in book.running.on_upstream(name)
-                for held in (task.demand,)
-            )
-            rooms.append(HeldRoom(name, free, slots, ends))
-    return rooms
-
-
-def _expected_end_s(
-    book: Book, workload: str, started_at_s: float, now: float
-) -> float:
-    upper_s = book.states[workload].run_times.upper_s
-    late_s = now + _LATE_GROWTH * (now - started_at_s)
-    return max(started_at_s + upper_s, late_s)
