Shrink a limit only once failures follow one another

With one bad request in a hundred each of its failures halved some upstream's limit, and 13% of the slots were kept out of use. The limit now shrinks from half the evidence that sets an upstream aside. The load with wrong declarations also hides the upstreams' true speeds now.

--- a/benchmarks/policy_drive.py
+++ b/benchmarks/policy_drive.py
@@ -7,7 +7,7 @@
 import random
 import time
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from policy_loads import (
     DURATION_S,
@@ -101,7 +101,8 @@
         self._next_decide_s: float | None = None
         scheduler.apply_config(deployment.config, 0.0)
         for spec in deployment.upstreams:
-            scheduler.add_upstream(spec, 0.0)
+            declared = replace(spec, speed=1.0) if scenario.hides_speeds else spec
+            scheduler.add_upstream(declared, 0.0)
         self._plan(deployment)
 
     def run(self) -> Measures:
--- a/benchmarks/policy_loads.py
+++ b/benchmarks/policy_loads.py
@@ -99,7 +99,8 @@
         True run times are multiplied by one of these.
     poison : float, default=0.0
         Part of the requests that fails wherever it runs.
-    fails, loses_rack : bool, default=False
+    fails, loses_rack, hides_speeds : bool, default=False
+        With hidden speeds every upstream is declared as an ordinary one.
     cancels_at_s : tuple of float, default=()
         When four of five requests of the least urgent workload are cancelled.
     """
@@ -111,6 +112,7 @@
     poison: float = 0.0
     fails: bool = False
     loses_rack: bool = False
+    hides_speeds: bool = False
     cancels_at_s: tuple[float, ...] = field(default=())
 
 
@@ -140,6 +142,7 @@
         lambda which, at_s: PEAK_FACTOR,
         run_factor=(0.2, 0.5, 1.0, 2.0),
         poison=0.01,
+        hides_speeds=True,
     ),
     Scenario("failing-upstream", fails=True),
     Scenario("lost-rack", loses_rack=True),
--- a/packages/core/src/papayadyke_core/health/_health.py
+++ b/packages/core/src/papayadyke_core/health/_health.py
@@ -255,7 +255,7 @@
             self._end_probe(name, state, False, now)
             return
         state.evidence += evidence
-        if evidence > 1.0:
+        if state.evidence >= self.settings.set_aside_evidence / 2.0:
             state.shrink(self.settings.limit_decrease)
         if state.evidence >= self.settings.set_aside_evidence:
             self._set_aside(name, state, now)
