Pass a change on to neighbours in place of trees by origin

The benchmark of the spread showed changes that reached some VM only with the next heartbeat: with several watchers each VM was in several trees, but passed an entry on only in the first it came by, so that children in the others missed it.

Each VM now passes a new entry on to two fixed neighbours, whatever the origin. The graph reaches everyone from any set of origins, and past any one lost VM; a test checks both on up to 130 VMs, in random order.

--- a/packages/daemon/src/papayadyke_daemon/configuration/__init__.py
+++ b/packages/daemon/src/papayadyke_daemon/configuration/__init__.py
@@ -6,10 +6,10 @@
     ConfigOffer,
     ConfigRequest,
     ConfigSnapshot,
-    children_of,
     decode_message,
     encode_message,
     make_offer,
+    neighbours_of,
 )
 from papayadyke_daemon.configuration._repository import ConfigRepository, Tail
 from papayadyke_daemon.configuration._sync import ConfigSync, ConfigSyncSettings
@@ -38,8 +38,8 @@
     "Tail",
     "Unavailable",
     "Unresolved",
-    "children_of",
     "decode_message",
     "encode_message",
     "make_offer",
+    "neighbours_of",
 ]
--- a/packages/daemon/src/papayadyke_daemon/configuration/_messages.py
+++ b/packages/daemon/src/papayadyke_daemon/configuration/_messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 
 import msgspec
@@ -13,7 +14,7 @@
     encode_entry,
 )
 
-FAN_OUT = 4
+FAN_OUT = 2
 
 
 class ConfigOffer(msgspec.Struct, tag="config_offer", frozen=True):
@@ -80,32 +81,27 @@
     return _decoder.decode(data)
 
 
-def children_of(
-    vm: str, *, origin: str, members: Sequence[str], fan_out: int = FAN_OUT
-) -> list[str]:
-    """Return the VMs to which a VM passes on an offer.
+def neighbours_of(vm: str, members: Sequence[str]) -> list[str]:
+    """Return the VMs to which a VM passes on an offer that was new to it.
 
-    The members form a tree below the origin, so that no VM sends more than
-    `fan_out` copies, however many members there are.
+    Every VM passes on to the next one in the order of names, and to the one
+    about a square root of their number further on. Whatever VMs have the offer
+    first, and however many, it reaches all the others, also when any one of
+    them is lost.
 
     Parameters
     ----------
     vm : str
-        The VM that passes on.
-    origin : str
-        The VM that had the entries from the store.
     members : sequence of str
         All VMs of the zone, in any order.
-    fan_out : int, default=FAN_OUT
 
     Returns
     -------
-    children : list of str
+    neighbours : list of str
+        At most `FAN_OUT`.
     """
-    names = sorted({*members, origin})
-    if vm not in names:
-        return []
-    turn = names.index(origin)
-    names = names[turn:] + names[:turn]
-    first = names.index(vm) * fan_out + 1
-    return names[first : first + fan_out]
+    names = sorted({*members, vm})
+    turn = names.index(vm)
+    steps = (1, max(2, math.isqrt(len(names))))
+    found = dict.fromkeys(names[(turn + step) % len(names)] for step in steps)
+    return [name for name in found if name != vm]
--- a/packages/daemon/src/papayadyke_daemon/configuration/_sync.py
+++ b/packages/daemon/src/papayadyke_daemon/configuration/_sync.py
@@ -115,7 +115,7 @@
     is_watcher : callable
         Tells whether this VM watches the store; may change at any time.
     spread : callable
-        Takes a `ConfigOffer` to pass on, see `children_of`.
+        Takes a `ConfigOffer` to pass on, see `neighbours_of`.
     ask_peers : callable
         Takes a `ConfigRequest` to send to one peer or a few.
     rng : random.Random
--- a/packages/daemon/src/papayadyke_daemon/configuration/tests/test_config_sync.py
+++ b/packages/daemon/src/papayadyke_daemon/configuration/tests/test_config_sync.py
@@ -6,6 +6,7 @@
 from papayadyke_core.configuration import ConfigLog, PutTeam
 from papayadyke_core.workloads import TeamModel
 from papayadyke_daemon.configuration import (
+    FAN_OUT,
     ConfigOffer,
     ConfigRepository,
     ConfigRequest,
@@ -13,9 +14,9 @@
     ConfigSync,
     ConfigSyncSettings,
     ConfigWriter,
-    children_of,
     decode_message,
     encode_message,
+    neighbours_of,
 )
 from papayadyke_standins.store import Faults, MemoryStore, StoreService
 
@@ -57,9 +58,9 @@
 
     def spread(self, offer):
         members = [vm.name for vm in self.vms]
-        children = children_of(self.name, origin=offer.origin, members=members)
+        neighbours = neighbours_of(self.name, members)
         for vm in self.vms:
-            if vm.name in children:
+            if vm.name in neighbours:
                 vm.sync.receive(decode_message(encode_message(offer)))
 
     def ask(self, request):
@@ -168,13 +169,19 @@
     vms[0].wait_revision(1)
 
 
-@pytest.mark.parametrize("members", [1, 2, 9, 130])
-def test_tree_reaches_every_member_once(members):
-    names = [f"vm-{number}" for number in range(members)]
-    for origin in (names[0], names[-1]):
-        reached = [origin]
-        for vm in reached:
-            children = children_of(vm, origin=origin, members=names)
-            assert len(children) <= 4
-            reached += children
-        assert sorted(reached) == sorted(names)
+@pytest.mark.parametrize("count", [1, 2, 3, 4, 9, 10, 36, 130])
+def test_offer_reaches_all_from_any_origins_past_any_lost_vm(count):
+    rng = random.Random(count)
+    names = [f"vm-{number}" for number in range(count)]
+    for lost in [None, *names]:
+        alive = [name for name in names if name != lost]
+        origins = rng.sample(alive, min(3, len(alive)))
+        reached, waiting = set(origins), list(origins)
+        while waiting:
+            # Offers of several origins arrive in any order.
+            vm = waiting.pop(rng.randrange(len(waiting)))
+            new = {*neighbours_of(vm, names)} - reached - {lost}
+            reached |= new
+            waiting += new
+        assert reached == set(alive)
+        assert all(len(neighbours_of(vm, names)) <= FAN_OUT for vm in names)
