--- a/packages/daemon/src/papayadyke_daemon/routing/_runs.py
+++ b/packages/daemon/src/papayadyke_daemon/routing/_runs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import AbstractContextManager
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
@@ -58,10 +59,14 @@
     Parameters
     ----------
     runs : RunService
-    endpoint : PeerEndpoint
+    endpoint : callable
+        Returns the `PeerEndpoint`.
     picker : PeerPicker
     load : callable
         Returns the latest `LoadSummary` of this VM, or None.
+    guard : context manager
+        Entered while a request of a peer is served, so that a stop waits for it.
+    is_draining : callable
     settings : RoutingSettings, default=RoutingSettings()
     """
 
@@ -69,9 +74,11 @@
         self,
         *,
         runs: RunService,
-        endpoint: PeerEndpoint,
+        endpoint: Callable[[], PeerEndpoint],
         picker: PeerPicker,
         load: Callable[[], LoadSummary | None],
+        guard: AbstractContextManager[None],
+        is_draining: Callable[[], bool],
         settings: RoutingSettings | None = None,
     ) -> None:
         self.runs = runs
@@ -80,6 +87,8 @@
         self.endpoint = endpoint
         self.picker = picker
         self.load = load
+        self.guard = guard
+        self.is_draining = is_draining
         self.settings = settings or RoutingSettings()
 
     def make_handlers(self) -> list[Handler]:
@@ -91,6 +100,12 @@
         return self._route(order, may_cross_zones=True)
 
     def _serve(self, message: ForwardRun, sender: str) -> RunReply:
+        with self.guard:
+            if self.is_draining():
+                return _write_reply(Err(_refuse_draining()))
+            return self._serve_run(message)
+
+    def _serve_run(self, message: ForwardRun) -> RunReply:
         order = RunOrder(
             request_id=message.request_id,
             workload=message.workload,
@@ -119,7 +134,7 @@
                 result = self._forward(order, peer, hops=0)
                 if not _may_go_on(result):
                     return result
-        result = self.runs.run(order)
+        result = self._run_here(order)
         for _ in range(self.settings.peers_tried - len(tried)):
             if not _may_go_on(result):
                 return result
@@ -132,6 +147,11 @@
             return result
         return self._cross_zones(order, demand, result)
 
+    def _run_here(self, order: RunOrder) -> Result[Answer, Refusal]:
+        if self.is_draining():
+            return Err(_refuse_draining())
+        return self.runs.run(order)
+
     def _cross_zones(
         self, order: RunOrder, demand: Resources, result: Result[Answer, Refusal]
     ) -> Result[Answer, Refusal]:
@@ -160,7 +180,7 @@
             hops=hops,
         )
         order.on_placed(f"vm:{peer}")
-        reply = self.endpoint.call(
+        reply = self.endpoint().call(
             peer,
             message,
             RunReply,
@@ -184,6 +204,8 @@
 
     def _has_room(self, demand: Resources) -> bool:
         load = self.load()
+        if self.is_draining():
+            return False
         if load is None:
             return True
         return load.free_slots > 0 and demand.fits_in(load.free)
@@ -206,6 +228,10 @@
     )
 
 
+def _refuse_draining() -> Refusal:
+    return Refusal(Verdict.NOT_RUN, Reason.DRAINING, "The VM takes no new requests.")
+
+
 def _write_reply(result: Result[Answer, Refusal]) -> RunReply:
     if isinstance(result, Err):
         return RunReply(None, write_refusal(result.err_value))
--- a/packages/standins/src/papayadyke_standins/cell/_cell.py
+++ b/packages/standins/src/papayadyke_standins/cell/_cell.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import socket
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -10,13 +11,15 @@
 import msgspec
 
 from papayadyke_platform.http import HttpExchange, HttpReply
+from papayadyke_standins.cell._load import Target
 from papayadyke_standins.cell._process import ManagedProcess
 from papayadyke_standins.upstream import Faults, RunRecord
 
 HOST = "127.0.0.1"
 CONNECT_TIMEOUT_S = 2.0
 CONTROL_TIMEOUT_S = 10.0
-SECRET = "a-secret-of-the-tests-that-is-long-enough-0123456789"
+LOWEST_BAD_STATUS = 300
+SECRET = base64.b64encode(b"a secret of the tests, long enough").decode()
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,7 +29,6 @@
     name: str
     daemons: int = 1
     upstreams: int = 2
-    region: str = "loopback"
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,6 +139,10 @@
             if hasattr(process, "_popen"):
                 process.clean_up()
 
+    def list_targets(self) -> list[Target]:
+        """Return where callers reach each daemon."""
+        return [Target(HOST, daemon.callers_port) for daemon in self.daemons.values()]
+
     def order_faults(self, upstream: str, faults: Faults) -> None:
         """Order faults from an upstream."""
         self._control(upstream, "PUT", "faults", msgspec.json.encode(faults))
@@ -169,14 +175,14 @@
     def order_store_faults(self, **faults: Any) -> None:
         """Order faults from the store; none takes them back."""
         result = _connect(self.store_port).send(
-            "PUT",
+            "POST",
             "/control/v1/faults",
             body=msgspec.json.encode(faults),
             timeout_s=CONTROL_TIMEOUT_S,
         )
         reply = result.unwrap()
-        if reply.status >= 300:
-            raise ValueError(reply.body.decode())
+        if reply.status >= LOWEST_BAD_STATUS:
+            raise ValueError(repr(reply.body))
 
     def _control(
         self, upstream: str, method: str, what: str, body: bytes = b""
@@ -208,7 +214,12 @@
                 vm = f"{zone.name}-vm-{number}"
                 self.daemons[vm] = self._plan_daemon(zone, vm)
         seeds = [
-            {"host": HOST, "port": daemon.peers_port}
+            {
+                "vm": daemon.vm,
+                "availability_zone": daemon.availability_zone,
+                "host": HOST,
+                "port": daemon.peers_port,
+            }
             for daemon in self.daemons.values()
         ]
         for zone in self.plan.zones:
@@ -242,11 +253,11 @@
         return {
             "vm": daemon.vm,
             "availability_zone": zone.name,
-            "region": zone.region,
             "callers": {"port": daemon.callers_port},
             "operators": {"port": daemon.operators_port},
             "peers": own,
-            "seeds": [seed for seed in seeds if seed != own],
+            "seeds": [seed for seed in seeds if seed["vm"] != daemon.vm],
+            "availability_zones": [plan.name for plan in self.plan.zones],
             "keys_file": str(self.directory / "keys.json"),
             "store": {"port": self.store_port},
             "upstreams": upstreams,
--- /dev/null
+++ b/tests/cell_plans.py
@@ -0,0 +1,58 @@
+"""Plans of cells that the tests of processes share."""
+
+import time
+
+from papayadyke_standins.cell import CellPlan, ZonePlan
+
+READY_TIMEOUT_S = 60.0
+
+WORKLOADS = [
+    {
+        "name": "rcd-check",
+        "kind": "service",
+        "urgency": "urgent",
+        "idempotent": True,
+        "demand": {"cpus": 1, "memory_mb": 256},
+        "timeout_seconds": 10,
+        "floor": 0.3,
+    },
+    {
+        "name": "school-order",
+        "kind": "service",
+        "demand": {"cpus": 1, "memory_mb": 256},
+        "timeout_seconds": 10,
+        "floor": 0.3,
+    },
+    {
+        "name": "season-tally",
+        "kind": "batch",
+        "idempotent": True,
+        "demand": {"cpus": 4, "memory_mb": 1024},
+        "timeout_seconds": 60,
+        "floor": 0.1,
+    },
+]
+CONFIG = {"workloads": WORKLOADS, "presets": [{"name": "ordinary"}]}
+
+
+def plan_cell(*, zones=1, daemons=1, upstreams=2, **changes):
+    names = ("hobart", "launceston", "devonport")[:zones]
+    return CellPlan(
+        zones=tuple(
+            ZonePlan(name, daemons=daemons, upstreams=upstreams) for name in names
+        ),
+        config=CONFIG,
+        **changes,
+    )
+
+
+def wait_until_answered(cell, workload="rcd-check"):
+    until_s = time.monotonic() + READY_TIMEOUT_S
+    waiting = list(cell.daemons.values())
+    while waiting and time.monotonic() < until_s:
+        reply = waiting[0].send("POST", f"/v1/run/{workload}", body=b"{}")
+        if reply is not None and reply.status == 200:
+            waiting.pop(0)
+        else:
+            time.sleep(0.05)
+    assert not waiting
