--- a/packages/daemon/src/papayadyke_daemon/peering.py
+++ b/packages/daemon/src/papayadyke_daemon/peering.py
@@ -30,7 +30,7 @@
     ConfigRequest,
     ConfigSnapshot,
     ConfigSync,
-    children_of,
+    neighbours_of,
 )
 from papayadyke_daemon.fleet import Fleet
 from papayadyke_daemon.membership import MembershipService, OwnersThread
@@ -219,12 +219,12 @@
         return self._ranks_first(f"hour-{hour}", 1)
 
     def spread_config(self, offer: ConfigOffer) -> None:
-        """Pass entries of the configuration on to this VM's children."""
+        """Pass entries of the configuration on to this VM's neighbours."""
         snapshot = self.read_snapshot()
         if self.endpoint is None or snapshot is None:
             return
         members = [member.vm for member in snapshot.live()]
-        for vm in children_of(self.settings.vm, origin=offer.origin, members=members):
+        for vm in neighbours_of(self.settings.vm, members):
             self.endpoint.post(vm, offer, Ack, timeout_s=CONFIG_TIMEOUT_S)
 
     def ask_for_config(self, request: ConfigRequest) -> None:
