Space out requests for a revision that cannot be had

A revision heard of that nobody can send would have every VM ask its peers and read the store twice a second for ever. The time between requests now doubles up to 30 s as long as nothing comes. The status tells whether the store answers.

--- a/packages/daemon/src/papayadyke_daemon/backend.py
+++ b/packages/daemon/src/papayadyke_daemon/backend.py
@@ -49,6 +49,8 @@
     ask_peers : callable
         Takes a request id and returns the first record that a peer has.
     archive : LevelArchive
+    is_store_reachable : callable, optional
+        Returns whether the store answers, or None where that is not known.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         history: RequestHistory,
         ask_peers: Callable[[str], RequestRecord | None],
         archive: LevelArchive,
+        is_store_reachable: Callable[[], bool | None] = lambda: None,
     ) -> None:
         self.vm = vm
         self.availability_zone = availability_zone
@@ -73,6 +76,7 @@
         self.history = history
         self.ask_peers = ask_peers
         self.archive = archive
+        self.is_store_reachable = is_store_reachable
 
     def read_status(self) -> StatusView:
         """Return VMs, upstreams and queues."""
@@ -82,6 +86,7 @@
             vm=self.vm,
             config_revision=config.revision,
             in_force=config.in_force,
+            store_reachable=self.is_store_reachable(),
             vms=self._list_vms(config, load),
             upstreams=self._list_upstreams(),
             queues=[_show_queue(item) for item in load.workloads],
--- a/packages/daemon/src/papayadyke_daemon/configuration/_sync.py
+++ b/packages/daemon/src/papayadyke_daemon/configuration/_sync.py
@@ -28,6 +28,7 @@
     ConfigSnapshot,
     make_offer,
 )
+from papayadyke_daemon.configuration._pacer import AskPacer
 from papayadyke_daemon.configuration._repository import (
     LOG_PREFIX,
     SNAPSHOT_EVERY,
@@ -56,8 +57,8 @@
         Longest wait of one watch.
     poll_s : float, default=60.0
         Time between two looks at the store on a VM that does not watch.
-    ask_s : float, default=0.5
-        Least time between two requests to the peers.
+    ask_s, max_ask_s : float
+        Bounds of the time between two requests to the peers.
     retry_min_s, retry_max_s : float
         Bounds of the waiting time after a failed call.
     """
@@ -66,6 +67,7 @@
     watch_wait_s: float = 10.0
     poll_s: float = 60.0
     ask_s: float = 0.5
+    max_ask_s: float = 30.0
     retry_min_s: float = 0.2
     retry_max_s: float = 5.0
 
@@ -159,6 +161,11 @@
         """Its revision, for heartbeats."""
         return self._view.state.revision
 
+    @property
+    def is_store_reachable(self) -> bool | None:
+        """Whether the last calls to the store were answered; None before any."""
+        return self._reader.is_store_reachable
+
     def start(self) -> None:
         """Start the threads."""
         for thread in self._threads:
@@ -236,7 +243,8 @@
         self.sync = sync
         self.log = ConfigLog()
         self._heard = 0
-        self._asked_at = float("-inf")
+        settings = sync.settings
+        self._pacer = AskPacer(min_s=settings.ask_s, max_s=settings.max_ask_s)
 
     def run(self) -> None:
         while True:
@@ -283,10 +291,10 @@
         return self.log.has_gap or self._heard > self.log.revision
 
     def _ask_if_behind(self) -> None:
-        now = time.monotonic()
-        if not self._is_behind() or now - self._asked_at < self.sync.settings.ask_s:
+        if not self._is_behind():
+            return
+        if not self._pacer.is_due(self.log.revision, time.monotonic()):
             return
-        self._asked_at = now
         self.sync.ask_peers(ConfigRequest(self.log.revision))
         self.sync._reader.wake.put(None)
 
@@ -298,12 +306,15 @@
         self.sync = sync
         self.stopped = threading.Event()
         self.wake: queue.SimpleQueue = queue.SimpleQueue()
+        self.is_store_reachable: bool | None = None
         self._snapshot_revision = 0
         self._wait_s = sync.settings.retry_min_s
 
     def run(self) -> None:
         while not self.stopped.is_set():
-            if not self._step():
+            done = self._step()
+            self.is_store_reachable = done
+            if not done:
                 self._back_off()
                 continue
             self._wait_s = self.sync.settings.retry_min_s
--- a/packages/daemon/src/papayadyke_daemon/configuration/tests/test_config_sync.py
+++ b/packages/daemon/src/papayadyke_daemon/configuration/tests/test_config_sync.py
@@ -1,5 +1,6 @@
 import queue
 import random
+import threading
 
 import pytest
 
@@ -18,6 +19,7 @@
     encode_message,
     neighbours_of,
 )
+from papayadyke_daemon.configuration._pacer import AskPacer
 from papayadyke_standins.store import Faults, MemoryStore, StoreService
 
 WAIT_S = 30.0
@@ -169,6 +171,36 @@
     vms[0].wait_revision(1)
 
 
+def test_revision_that_cannot_be_had_is_asked_for_ever_more_rarely():
+    pacer = AskPacer(min_s=0.5, max_s=30.0)
+    asked = [now for now in range(3600) if pacer.is_due(1, float(now))]
+    assert asked[:3] == [0, 1, 2]
+    assert len(asked) <= 3600 / 30.0 + 10
+    assert pacer.is_due(1, 4000.0)
+    assert not pacer.is_due(2, 4001.0)
+    assert pacer.is_due(2, 4030.0)
+    assert pacer.is_due(2, 4030.5)
+
+
+def test_outage_of_the_store_shows(cell):
+    service, _ = cell
+    service.set_faults(Faults(down=True))
+    asked = threading.Event()
+    sync = ConfigSync(
+        ConfigRepository(MemoryStore(service)),
+        settings=ConfigSyncSettings(vm="vm", retry_min_s=0.01),
+        on_config=lambda _: None,
+        ask_peers=lambda _: asked.set(),
+    )
+    assert sync.is_store_reachable is None
+    sync.start()
+    assert asked.wait(WAIT_S)
+    assert sync.is_store_reachable is False
+    service.set_faults(Faults())
+    assert sync.wait_loaded(WAIT_S)
+    sync.stop()
+
+
 @pytest.mark.parametrize("count", [1, 2, 3, 4, 9, 10, 36, 130])
 def test_offer_reaches_all_from_any_origins_past_any_lost_vm(count):
     rng = random.Random(count)
--- a/packages/daemon/src/papayadyke_daemon/daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/daemon.py
@@ -312,6 +312,7 @@
             history=self.history,
             ask_peers=self.peering.find_request,
             archive=self.archive,
+            is_store_reachable=lambda: self.config_sync.is_store_reachable,
         )
         app = OperatorsApp(
             authenticator=load_authenticator(
