--- a/packages/daemon/src/papayadyke_daemon/configuration/tests/test_config_sync.py
+++ b/packages/daemon/src/papayadyke_daemon/configuration/tests/test_config_sync.py
@@ -1,11 +1,13 @@
 import queue
 import random
+import threading
 
 import pytest
 
 from papayadyke_core.configuration import ConfigLog, PutTeam
 from papayadyke_core.workloads import TeamModel
 from papayadyke_daemon.configuration import (
+    FAN_OUT,
     ConfigOffer,
     ConfigRepository,
     ConfigRequest,
@@ -13,10 +15,11 @@
     ConfigSync,
     ConfigSyncSettings,
     ConfigWriter,
-    children_of,
     decode_message,
     encode_message,
+    neighbours_of,
 )
+from papayadyke_daemon.configuration._pacer import AskPacer
 from papayadyke_standins.store import Faults, MemoryStore, StoreService
 
 WAIT_S = 30.0
@@ -57,9 +60,9 @@
 
     def spread(self, offer):
         members = [vm.name for vm in self.vms]
-        children = children_of(self.name, origin=offer.origin, members=members)
+        neighbours = neighbours_of(self.name, members)
         for vm in self.vms:
-            if vm.name in children:
+            if vm.name in neighbours:
                 vm.sync.receive(decode_message(encode_message(offer)))
 
     def ask(self, request):
@@ -168,13 +171,49 @@
     vms[0].wait_revision(1)
 
 
-@pytest.mark.parametrize("members", [1, 2, 9, 130])
-def test_tree_reaches_every_member_once(members):
-    names = [f"vm-{number}" for number in range(members)]
-    for origin in (names[0], names[-1]):
-        reached = [origin]
-        for vm in reached:
-            children = children_of(vm, origin=origin, members=names)
-            assert len(children) <= 4
-            reached += children
-        assert sorted(reached) == sorted(names)
+def test_revision_that_cannot_be_had_is_asked_for_ever_more_rarely():
+    pacer = AskPacer(min_s=0.5, max_s=30.0)
+    asked = [now for now in range(3600) if pacer.is_due(1, float(now))]
+    assert asked[:3] == [0, 1, 2]
+    assert len(asked) <= 3600 / 30.0 + 10
+    assert pacer.is_due(1, 4000.0)
+    assert not pacer.is_due(2, 4001.0)
+    assert pacer.is_due(2, 4030.0)
+    assert pacer.is_due(2, 4030.5)
+
+
+def test_outage_of_the_store_shows(cell):
+    service, _ = cell
+    service.set_faults(Faults(down=True))
+    asked = threading.Event()
+    sync = ConfigSync(
+        ConfigRepository(MemoryStore(service)),
+        settings=ConfigSyncSettings(vm="vm", retry_min_s=0.01),
+        on_config=lambda _: None,
+        ask_peers=lambda _: asked.set(),
+    )
+    assert sync.is_store_reachable is None
+    sync.start()
+    assert asked.wait(WAIT_S)
+    assert sync.is_store_reachable is False
+    service.set_faults(Faults())
+    assert sync.wait_loaded(WAIT_S)
+    sync.stop()
+
+
+@pytest.mark.parametrize("count", [1, 2, 3, 4, 9, 10, 36, 130])
+def test_offer_reaches_all_from_any_origins_past_any_lost_vm(count):
+    rng = random.Random(count)
+    names = [f"vm-{number}" for number in range(count)]
+    for lost in [None, *names]:
+        alive = [name for name in names if name != lost]
+        origins = rng.sample(alive, min(3, len(alive)))
+        reached, waiting = set(origins), list(origins)
+        while waiting:
+            # Offers of several origins arrive in any order.
+            vm = waiting.pop(rng.randrange(len(waiting)))
+            new = {*neighbours_of(vm, names)} - reached - {lost}
+            reached |= new
+            waiting += new
+        assert reached == set(alive)
+        assert all(len(neighbours_of(vm, names)) <= FAN_OUT for vm in names)
