Start nothing unlogged on an ownership that may be over

An unlogged start now needs a proof of ownership within the last 600 s, and a successor that can't resolve such an attempt waits as much longer. The time limit of a start counts from before the permission is asked for.

--- a/packages/core/src/papayadyke_core/jobs/_job.py
+++ b/packages/core/src/papayadyke_core/jobs/_job.py
@@ -43,8 +43,9 @@
     -----
     An attempt that must not run twice is started only after its intent is in
     the log, so a successor knows of each such attempt that may run. The first
-    attempt of an idempotent task needs none: its acceptance stands for it, and a
-    successor counts it as one that may run anywhere. A new attempt begins only
+    attempt of an idempotent task needs none while the VM knows that it owned the
+    partition a short time ago: its acceptance stands for it, and a successor counts
+    it as one that may run anywhere, or may yet be started. A new attempt begins only
     once the earlier one has certainly ended. An outcome is told only when it is
     in the log, and never changes.
     """
@@ -157,9 +158,26 @@
         )
 
     def authorize(
-        self, index: int, attempt: int, upstream: str, now_s: float
+        self,
+        index: int,
+        attempt: int,
+        upstream: str,
+        now_s: float,
+        *,
+        is_owner: bool,
     ) -> Authorization:
-        """Say whether a placed attempt may be sent to its upstream."""
+        """Say whether a placed attempt may be sent to its upstream.
+
+        Parameters
+        ----------
+        index, attempt : int
+        upstream : str
+        now_s : float
+            Log time.
+        is_owner : bool
+            Whether this VM proved a short time ago that it owns the partition.
+            Without that proof no attempt starts before its intent is in the log.
+        """
         task = self._find(index, attempt)
         if task is None or task.live is not Live.ORDERED:
             return _REFUSED_NOW
@@ -167,7 +185,8 @@
             return _REFUSED_NOW
         task.upstream = upstream
         entry = TaskIntended(self.id, index, attempt, upstream)
-        if self.accepted.idempotent and attempt == first_attempt(self.accepted.epoch):
+        is_first = attempt == first_attempt(self.accepted.epoch)
+        if is_owner and is_first and self.accepted.idempotent:
             task.mark_started()
             return Authorization(Permission.NOW, entry)
         task.live = Live.INTENDED
@@ -279,11 +298,25 @@
             if task.live is Live.UNRESOLVED
         ]
 
-    def lapse(self, now_s: float, lease_run_out_s: float) -> list[TaskEnded]:
-        """End attempts whose lease has certainly run out; return outcomes."""
+    def lapse(
+        self, now_s: float, lease_run_out_s: float, unlogged_start_s: float
+    ) -> list[TaskEnded]:
+        """End attempts whose lease has certainly run out; return outcomes.
+
+        Parameters
+        ----------
+        now_s : float
+            Log time.
+        lease_run_out_s : float
+            Seconds after which an attempt that was started no longer runs.
+        unlogged_start_s : float
+            Seconds for which an earlier owner may still start an attempt of which
+            the log has no intent.
+        """
         ended: list[TaskEnded] = []
         for item in self.unresolved():
-            if now_s - item.since_s > lease_run_out_s:
+            still_s = unlogged_start_s if item.upstream is None else 0.0
+            if now_s - item.since_s > still_s + lease_run_out_s:
                 done = TaskDone(item.task_id, TaskResult.LAPSED)
                 ended += self.finish(item.index, item.attempt, done, now_s)
         return ended
--- a/packages/core/src/papayadyke_core/jobs/tests/test_job.py
+++ b/packages/core/src/papayadyke_core/jobs/tests/test_job.py
@@ -23,7 +23,7 @@
     """Order, authorize and start what can be; return the attempts."""
     specs = [spec for order in job.order(now, now, 100) for spec in order.tasks]
     for spec in specs:
-        found = job.authorize(spec.index, spec.attempt, "u1", now)
+        found = job.authorize(spec.index, spec.attempt, "u1", now, is_owner=True)
         job.apply(found.entry, now)
         if found.permission is Permission.WHEN_DURABLE:
             assert job.confirm_intent(spec.index, spec.attempt, now)
@@ -55,7 +55,7 @@
     job = _job(idempotent=False)
     (order,) = job.order(0.0, 0.0, 10)
     (spec,) = order.tasks
-    found = job.authorize(0, spec.attempt, "u1", 0.0)
+    found = job.authorize(0, spec.attempt, "u1", 0.0, is_owner=True)
     assert found.permission is Permission.WHEN_DURABLE
     assert job_view(job)["tasks"][0]["state"] == "starting"
     assert job.confirm_intent(0, spec.attempt, 0.0)
@@ -68,7 +68,7 @@
     _end(job, spec, TaskResult.FAILED, upstream="u1")
     (order,) = job.order(10.0, 10.0, 10)
     assert order.avoid == ("u1",)
-    found = job.authorize(0, order.tasks[0].attempt, "u2", 10.0)
+    found = job.authorize(0, order.tasks[0].attempt, "u2", 10.0, is_owner=True)
     assert found.permission is Permission.WHEN_DURABLE
 
 
@@ -100,8 +100,8 @@
     assert job.order(50.0, 50.0, 10) == []
     (item,) = job.unresolved()
     assert (item.task_id, item.upstream) == (spec.task_id, "u1")
-    assert job.lapse(90.0, 100.0) == []
-    job.lapse(102.0, 100.0)
+    assert job.lapse(90.0, 100.0, 50.0) == []
+    job.lapse(102.0, 100.0, 50.0)
     assert job.unresolved() == []
 
 
@@ -110,7 +110,7 @@
     (spec,) = _start(job)
     _end(job, spec, TaskResult.LOST)
     _end(job, spec, TaskResult.RUNNING)
-    assert job.lapse(5000.0, 100.0) == []
+    assert job.lapse(5000.0, 100.0, 50.0) == []
     (entry,) = _end(job, spec, TaskResult.ANSWERED, answer=ANSWER, now=5000.0)
     assert entry.state is TaskState.ANSWERED
 
@@ -134,14 +134,15 @@
 def test_cancel_tells_what_had_run():
     job = _job(tasks=3, idempotent=False)
     specs = [order.tasks[0] for order in job.order(0.0, 0.0, 2)]
-    found = job.authorize(0, specs[0].attempt, "u1", 0.0)
+    found = job.authorize(0, specs[0].attempt, "u1", 0.0, is_owner=True)
     job.apply(found.entry, 0.0)
     job.confirm_intent(0, specs[0].attempt, 0.0)
     job.apply(job.cancel(), 1.0)
     assert job.cancel() is None
     ended = job.settle(1.0)
     assert job.tasks_to_stop(1.0) == [spec.task_id for spec in specs]
-    assert job.authorize(1, specs[1].attempt, "u1", 1.0).permission is Permission.NEVER
+    refused = job.authorize(1, specs[1].attempt, "u1", 1.0, is_owner=True)
+    assert refused.permission is Permission.NEVER
     ended += _end(job, specs[0], TaskResult.STOPPED)
     ended += _end(job, specs[1], TaskResult.NOT_STARTED)
     _apply(job, ended)
@@ -169,7 +170,7 @@
     (order,) = job.order(0.0, 0.0, 1)
     assert len(order.tasks) == 2
     for spec in order.tasks:
-        job.authorize(spec.index, spec.attempt, "u1", 0.0)
+        job.authorize(spec.index, spec.attempt, "u1", 0.0, is_owner=True)
     assert _end(job, order.tasks[0], TaskResult.ANSWERED, answer=ANSWER) == []
     assert job.order(50.0, 50.0, 10) == []
     assert _end(job, order.tasks[1], TaskResult.FAILED) == []
@@ -217,7 +218,17 @@
     successor.mark_recovered(1.0)
     (item,) = successor.unresolved()
     assert item.upstream is None
-    assert successor.order(1.0, 1.0, 10) == []
+    successor.lapse(150.0, 100.0, 50.0)
+    assert successor.unresolved(), "an earlier owner may still start it"
+    successor.lapse(152.0, 100.0, 50.0)
+    assert successor.unresolved() == []
+
+
+def test_without_a_proof_of_ownership_every_start_waits_for_its_intent():
+    job = _job()
+    (order,) = job.order(0.0, 0.0, 10)
+    found = job.authorize(0, order.tasks[0].attempt, "u1", 0.0, is_owner=False)
+    assert found.permission is Permission.WHEN_DURABLE
 
 
 def test_breaches_are_caught():
--- a/packages/daemon/src/papayadyke_daemon/jobs/_book.py
+++ b/packages/daemon/src/papayadyke_daemon/jobs/_book.py
@@ -29,6 +29,8 @@
     since_s : float
         Monotonic time.
     jobs : dict of str to Job
+    proved_s : float
+        Latest log time at which this VM is known to have owned the partition.
     keys : dict of str to str
         Job ids by idempotency key.
     open_ids : set of str
@@ -38,6 +40,7 @@
     epoch: int
     at_s: float
     since_s: float
+    proved_s: float
     jobs: dict[str, Job] = field(default_factory=dict)
     keys: dict[str, str] = field(default_factory=dict)
     open_ids: set[str] = field(default_factory=set)
@@ -78,16 +81,14 @@
             self.keys.pop(job.accepted.key, None)
 
 
-def rebuild(replay: Replay, now: float) -> JobPartition:
+def rebuild(replay: Replay) -> JobPartition:
     """Return the jobs that a replayed log holds.
 
     Parameters
     ----------
     replay : Replay
-    now : float
-        Monotonic time in seconds.
     """
-    part = JobPartition(replay.epoch, replay.at_s, now)
+    part = JobPartition(replay.epoch, replay.at_s, replay.since_s, replay.at_s)
     for timed in replay.entries:
         entry = timed.entry
         if isinstance(entry, JobAccepted):
--- a/packages/daemon/src/papayadyke_daemon/jobs/_service.py
+++ b/packages/daemon/src/papayadyke_daemon/jobs/_service.py
@@ -102,7 +102,7 @@
 
     def adopt(self, replay: Replay) -> None:
         """Own the jobs of a partition that was taken over."""
-        part = rebuild(replay, self._clock())
+        part = rebuild(replay)
         self._mailbox.post(lambda: self._adopt(replay.partition, part))
 
     def drop(self, partition: int) -> None:
@@ -371,7 +371,10 @@
         part, job = found
         _, index, attempt = parsed
         now_s = part.log_time_s(self._clock())
-        authorization = job.authorize(index, attempt, upstream, now_s)
+        is_owner = now_s - part.proved_s < self.settings.unlogged_start_s
+        authorization = job.authorize(
+            index, attempt, upstream, now_s, is_owner=is_owner
+        )
         if authorization.entry is not None:
             self._append_intent(job, authorization, authorization.entry, on_reply)
         if authorization.permission is not Permission.WHEN_DURABLE:
@@ -440,10 +443,17 @@
     ) -> None:
         """Append entries; `on_settled` runs on this service's thread."""
         wait_s = self.settings.append_wait_s
+
+        def settled(result: AppendResult, at_s: float) -> None:
+            part = self._partitions.get(partition)
+            if result is AppendResult.DURABLE and part is not None:
+                part.proved_s = max(part.proved_s, at_s)
+            on_settled(result, at_s)
+
         self._journal.append(
             partition,
             entries,
-            lambda result, at_s: self._mailbox.post(lambda: on_settled(result, at_s)),
+            lambda result, at_s: self._mailbox.post(lambda: settled(result, at_s)),
             give_up_s=self._clock() + wait_s if gives_up else None,
         )
 
@@ -472,7 +482,10 @@
         """Do for a job whatever can be done now, and note when to come back."""
         now = self._clock()
         now_s = part.log_time_s(now)
-        ended = job.lapse(now_s, self.settings.lease_run_out_s) + job.settle(now_s)
+        ended = job.lapse(
+            now_s, self.settings.lease_run_out_s, self.settings.unlogged_start_s
+        )
+        ended += job.settle(now_s)
         self._append_outcomes(job, ended)
         for task_id in job.tasks_to_stop(now_s):
             self._hooks.stop_task(task_id)
--- a/packages/daemon/src/papayadyke_daemon/jobs/_types.py
+++ b/packages/daemon/src/papayadyke_daemon/jobs/_types.py
@@ -23,6 +23,11 @@
     lease_run_out_s : float, default=600.0
         Seconds after which a lost attempt no longer runs: the longest lease that
         an upstream holds without a renewal, with margin.
+    unlogged_start_s : float, default=600.0
+        Seconds after the last proof of ownership during which the first attempt
+        of an idempotent task starts before its intent is in the log. It is how
+        long such starts go on in an outage of the store, and how much longer a
+        successor waits for an attempt that it can't resolve. The same everywhere.
     resolve_interval_s : float, default=5.0
         Seconds between two questions about the same lost attempt.
     max_ordered : int, default=64
@@ -35,6 +40,7 @@
 
     append_wait_s: float = 2.0
     lease_run_out_s: float = 600.0
+    unlogged_start_s: float = 600.0
     resolve_interval_s: float = 5.0
     max_ordered: int = 64
     max_wait_s: float = 60.0
@@ -51,7 +57,9 @@
         Returns the workload of a name under the configuration in force, or None.
     submit_task : callable
         Has an order scheduled. Before an attempt is sent to an upstream the
-        daemon calls `JobService.authorize_start`, and sends it only on True.
+        daemon calls `JobService.authorize_start`, and sends it only on True, with
+        a time limit for the start that counts from before that call: a VM that
+        was paused in between must not start it late.
         `on_done` is called for each attempt when it ends; `NOT_STARTED` where it
         was refused, cancelled in the queue or not authorized; `LOST` where it may
         be running and nobody waits for it.
--- a/packages/daemon/src/papayadyke_daemon/journal/_takeover.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/_takeover.py
@@ -132,7 +132,6 @@
         )
         result = _replay(store, log, settings)
         if isinstance(result, Ok) and clock() - started < MAX_TAKEOVER_S:
-            log.since_s = clock()
             return Ok((log, result.ok_value))
         if isinstance(result, Err) and result.err_value is not _AGAIN:
             return result
@@ -259,7 +258,7 @@
     if isinstance(confirm_owner(store, log), Err):
         return Err(_AGAIN)
     epoch = log.next_number - 1
-    return Ok(Replay(log.partition, epoch, log.at_s, tuple(entries)))
+    return Ok(Replay(log.partition, epoch, log.at_s, log.since_s, tuple(entries)))
 
 
 def confirm_owner(store: Store, log: OwnedLog) -> Result[None, StoreError]:
--- a/packages/daemon/src/papayadyke_daemon/journal/_types.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/_types.py
@@ -43,6 +43,8 @@
         Number of the segment by which it was taken over; grows with each owner.
     at_s : float
         Log time at which the log ends.
+    since_s : float
+        Monotonic time of this process at that log time.
     entries : tuple of TimedEntry
         In the order in which they were appended.
     """
@@ -50,4 +52,5 @@
     partition: int
     epoch: int
     at_s: float
+    since_s: float
     entries: tuple[TimedEntry, ...]
--- a/packages/daemon/src/papayadyke_daemon/journal/tests/journal_world.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/tests/journal_world.py
@@ -303,10 +303,11 @@
         """Place the first queued task, and ask whether it may start."""
         task, workload, on_done = self.queued.pop(0)
         once = not WORKLOADS[workload].idempotent
+        asked_s = self.world.now
 
         def on_reply(allowed):
             if allowed:
-                sent = (task, upstream, once, on_done, self.world.now)
+                sent = (task, upstream, once, on_done, asked_s)
                 self.sending.append(sent)
             else:
                 on_done(TaskDone(task.task_id, TaskResult.NOT_STARTED))
