Split the job service into its jobs

Submissions, starts and the following of jobs are modules of their own over one book of jobs; a job whose append was never decided is forgotten when its partition is given up.

--- a/packages/daemon/src/papayadyke_daemon/jobs/_book.py
+++ b/packages/daemon/src/papayadyke_daemon/jobs/_book.py
@@ -109,3 +109,40 @@
 def new_job_id(partition: int, unique: str) -> str:
     """Return the id of a new job of a partition."""
     return f"{partition:04d}-{unique}"
+
+
+@dataclass(frozen=True, slots=True)
+class FoundJob:
+    """A job with its partition."""
+
+    part: JobPartition
+    job: Job
+
+
+class JobBook:
+    """All jobs that this VM owns, and which of them have to be looked at."""
+
+    def __init__(self) -> None:
+        self.partitions: dict[int, JobPartition] = {}
+        self.changed: set[str] = set()
+
+    @property
+    def open_count(self) -> int:
+        """Number of jobs that are not over."""
+        return sum(len(part.open_ids) for part in self.partitions.values())
+
+    def find(self, job_id: str) -> FoundJob | None:
+        """Return a job that is owned here."""
+        partition = job_partition(job_id)
+        part = None if partition is None else self.partitions.get(partition)
+        job = None if part is None else part.jobs.get(job_id)
+        return None if part is None or job is None else FoundJob(part, job)
+
+    def apply(
+        self, entry: JobCancelled | TaskIntended | TaskEnded, at_s: float
+    ) -> None:
+        """Take in an entry that is in the log."""
+        found = self.find(entry.job_id)
+        if found is not None:
+            found.part.apply(entry, at_s)
+            self.changed.add(entry.job_id)
--- a/packages/daemon/src/papayadyke_daemon/journal/tests/journal_world.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/tests/journal_world.py
@@ -352,7 +352,9 @@
         index = len(verdicts)
         verdicts.append("untold")
         self.jobs._mailbox.post(
-            lambda: self.jobs._submit(model, lambda r: self._submitted(nonce, index, r))
+            lambda: self.jobs._submissions.submit(
+                model, lambda r: self._submitted(nonce, index, r)
+            )
         )
 
     def _submitted(self, nonce, index, result):
--- a/packages/daemon/src/papayadyke_daemon/journal/tests/test_journal_machine.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/tests/test_journal_machine.py
@@ -246,7 +246,7 @@
                 vm.send()
             while vm.running:
                 vm.finish(lost=False, failed=False)
-            if not any(part.open_ids for part in vm.jobs._partitions.values()):
+            if not any(part.open_ids for part in vm.jobs._book.partitions.values()):
                 break
         for job_id in list(world.told_jobs):
             vm.show(job_id)
