Give up a take-over and a claim that come too late

A caller that stops waiting for a take-over left a partition that nobody served, and a claim could wait for ever on a service that had stopped.

--- a/packages/daemon/src/papayadyke_daemon/idempotency/_service.py
+++ b/packages/daemon/src/papayadyke_daemon/idempotency/_service.py
@@ -31,6 +31,7 @@
 
 RETRY_AFTER_S = 1.0
 PURGE_INTERVAL_S = 60.0
+REPLY_MARGIN_S = 60.0
 
 ClaimResult = Result[Claim, Refusal]
 Resolve = Callable[[UnresolvedKey, Callable[[TaskDone], None]], None]
@@ -137,7 +138,11 @@
             key, workload, body_digest(workload, body), request_id, holder
         )
         self._mailbox.post(lambda: self._claim(entry, replies.put))
-        return replies.get()
+        try:
+            return replies.get(timeout=self.settings.append_wait_s + REPLY_MARGIN_S)
+        except queue.Empty:
+            self.record(key, request_id, refusal=_store_away())
+            return Err(_store_away())
 
     def place(self, key: str, request_id: str, upstream: str) -> None:
         """Note the upstream of a request, for whoever has to resolve it."""
--- a/packages/daemon/src/papayadyke_daemon/idempotency/tests/test_key_service.py
+++ b/packages/daemon/src/papayadyke_daemon/idempotency/tests/test_key_service.py
@@ -59,8 +59,8 @@
     made[0].take_over()
     yield made
     for vm in made:
-        vm.keys.stop()
         vm.journal.stop()
+        vm.keys.stop()
 
 
 def test_repeat_gets_the_first_answer_at_the_successor_too(vms):
--- a/packages/daemon/src/papayadyke_daemon/jobs/tests/test_job_service.py
+++ b/packages/daemon/src/papayadyke_daemon/jobs/tests/test_job_service.py
@@ -83,8 +83,8 @@
         self.jobs.adopt(self.journal.take_over(partition).unwrap())
 
     def stop(self):
-        self.jobs.stop()
         self.journal.stop()
+        self.jobs.stop()
 
 
 @pytest.fixture
--- a/packages/daemon/src/papayadyke_daemon/journal/_thread.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/_thread.py
@@ -57,7 +57,10 @@
         self._mailbox.start()
 
     def stop(self, wait_s: float = 5.0) -> None:
-        """End the thread; what is still queued is settled as not appended."""
+        """End the thread; what is still queued is settled as not appended.
+
+        To be called before the services stop, so that they can tell of it.
+        """
         self._mailbox.post(self._drop_all)
         self._mailbox.stop(wait_s)
 
@@ -97,7 +100,11 @@
         """Own a partition and return its log; waits for it."""
         late = StoreError(ErrorKind.UNKNOWN, "the takeover takes too long")
         taken = self._ask(lambda: self._writer.take_over(partition), wait_s)
-        return Err(late) if taken is None else taken
+        if taken is not None:
+            return taken
+        # It may still succeed, and nobody would serve the partition.
+        self._mailbox.post(lambda: self._writer.drop(partition))
+        return Err(late)
 
     def release(self, partition: int, *, wait_s: float = 5.0) -> bool:
         """Append what is queued, then give the partition up.
--- a/packages/daemon/src/papayadyke_daemon/journal/tests/test_log_writer.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/tests/test_log_writer.py
@@ -204,6 +204,19 @@
     assert bench.append(first, "stale", rounds=5) == [AppendResult.FENCED]
 
 
+def test_takeover_that_comes_too_late_is_given_up():
+    store = StoreService()
+    store.set_faults(Faults(delay_s=0.1))
+    settings = JournalSettings(vm="vm1", incarnation="1")
+    journal = JournalWriter(MemoryStore(store), settings)
+    journal.start()
+    assert journal.take_over(3, wait_s=0.05).is_err()
+    assert journal.owned() == ()
+    store.set_faults(Faults())
+    assert journal.take_over(3).is_ok()
+    journal.stop()
+
+
 def test_release_appends_what_is_queued():
     store = StoreService()
     settings = JournalSettings(vm="vm1", incarnation="1")
