--- a/packages/daemon/src/papayadyke_daemon/peers/_endpoint.py
+++ b/packages/daemon/src/papayadyke_daemon/peers/_endpoint.py
@@ -38,7 +38,7 @@
 
     Parameters
     ----------
-    handlers : sequence of Handler
+    handlers : sequence of Handler, default=()
         One for each type of message that is served.
     authenticator : Authenticator
         Its sender is the name of this VM.
@@ -47,7 +47,7 @@
 
     def __init__(
         self,
-        handlers: Sequence[Handler],
+        handlers: Sequence[Handler] = (),
         *,
         authenticator: Authenticator,
         settings: PeerSettings,
@@ -63,6 +63,7 @@
             counters=self._counters,
         )
         self._lock = threading.Lock()
+        self._is_stopped = False
         self._links: dict[str, Link] = {}
         self._posts: dict[str, PostThread] = {}
 
@@ -71,6 +72,10 @@
         """IP number and port that peers call."""
         return self._server.address
 
+    def add_handlers(self, handlers: Sequence[Handler]) -> None:
+        """Serve further types of messages; only before the start."""
+        self._server.add_handlers(handlers)
+
     def start(self) -> None:
         """Begin to serve."""
         self._server.start()
@@ -78,6 +83,7 @@
     def stop(self) -> None:
         """Serve nothing more, and close the ways to all peers."""
         with self._lock:
+            self._is_stopped = True
             peers = list(self._links)
             posts = list(self._posts.values())
         for peer in peers:
@@ -101,7 +107,8 @@
         _validate_address(address)
         with self._lock:
             known = self._links.get(peer)
-            if known is not None and known.address == address:
+            is_known = known is not None and known.address == address
+            if is_known or self._is_stopped:
                 return
             self._links[peer] = Link(
                 address, settings=self.settings, counters=self._counters
--- a/packages/daemon/src/papayadyke_daemon/peers/_server.py
+++ b/packages/daemon/src/papayadyke_daemon/peers/_server.py
@@ -59,9 +59,8 @@
         self.authenticator = authenticator
         self.settings = settings
         self.counters = counters
-        self._handlers = {handler.message: handler for handler in handlers}
-        types = functools.reduce(operator.or_, self._handlers, Ack)
-        self._decoder = msgspec.msgpack.Decoder(types)
+        self._handlers: dict[type[Struct], Handler] = {}
+        self.add_handlers(handlers)
         self._encoder = msgspec.msgpack.Encoder()
         self._idle: queue.SimpleQueue[pynng.Context] = queue.SimpleQueue()
         self._slow = threading.BoundedSemaphore(settings.slow_calls)
@@ -78,6 +77,12 @@
         """IP number and port that peers call."""
         return str(self._listener.local_address)
 
+    def add_handlers(self, handlers: Sequence[Handler]) -> None:
+        """Serve further types of messages; only before the start."""
+        self._handlers.update({handler.message: handler for handler in handlers})
+        types = functools.reduce(operator.or_, self._handlers, Ack)
+        self._decoder = msgspec.msgpack.Decoder(types)
+
     def start(self) -> None:
         """Begin to receive."""
         self._thread.start()
--- a/packages/daemon/src/papayadyke_daemon/peers/tests/test_peers.py
+++ b/packages/daemon/src/papayadyke_daemon/peers/tests/test_peers.py
@@ -339,3 +339,11 @@
 def test_an_address_is_an_ip_number_and_a_port(make_endpoint, address):
     with pytest.raises(ValueError):
         make_endpoint("a").add_peer("b", address)
+
+
+def test_a_stopped_endpoint_calls_nobody(make_endpoint):
+    b = make_endpoint("b", [echo_handler()])
+    a = make_endpoint("a")
+    a.stop()
+    a.add_peer("b", b.address)
+    assert call(a, "b", Echo("x")).unwrap_err().verdict == Verdict.NOT_RUN
--- a/packages/standins/src/papayadyke_standins/ownership_world/_vm.py
+++ b/packages/standins/src/papayadyke_standins/ownership_world/_vm.py
@@ -83,6 +83,7 @@
         self.is_paused = False
         self.is_alive = False
         self.is_leaving = False
+        self.left_s = 0.0
         self.start_daemon()
 
     def start_daemon(self) -> None:
@@ -122,6 +123,11 @@
     def leave(self) -> None:
         """Begin a planned stop."""
         self.is_leaving = True
+        self.left_s = self.world.now
+
+    def may_start_anywhere(self) -> bool:
+        """Tell whether this VM thinks that it owns any upstream."""
+        return any(session.may_start(self.now) for session in self.sessions.values())
 
     def step(self) -> None:
         """Do what is due, as the loops of the daemon do."""
@@ -167,13 +173,7 @@
         *,
         has_answer: bool,
     ) -> None:
-        refusal = upstream.start(
-            task,
-            vm=self.name,
-            token=permit.token,
-            start_before_s=permit.start_before_s,
-            world_s=self.world.now,
-        )
+        refusal = self.world.send_start(self.name, upstream, task, permit)
         if not has_answer:
             return
         holding = self.holdings[upstream.name]
--- a/packages/standins/src/papayadyke_standins/ownership_world/_world.py
+++ b/packages/standins/src/papayadyke_standins/ownership_world/_world.py
@@ -13,7 +13,7 @@
     MemberState,
     ZoneExchange,
 )
-from papayadyke_core.ownership import StartPermit, ZoneRecord
+from papayadyke_core.ownership import StartPermit, StartRefusal, ZoneRecord
 from papayadyke_standins.ownership_world._clock import DriftingClock
 from papayadyke_standins.ownership_world._store import RecordStore, StoreMode
 from papayadyke_standins.ownership_world._upstream import WorldUpstream
@@ -27,6 +27,7 @@
 LOST_SHARE = 0.3
 START_SHARE = 0.5
 FINISH_SHARE = 0.4
+LEAVING_LIMIT_S = 3.0
 OWNED_WITHIN_S = 45.0
 
 
@@ -124,6 +125,10 @@
 
     def check(self) -> None:
         """Check what holds at any moment."""
+        for vm in self.vms.values():
+            has_left = vm.is_leaving and self.now > vm.left_s + STEP_S
+            if vm.is_running and has_left and vm.may_start_anywhere():
+                raise AssertionError(f"{vm.name} is leaving and owns")
         for upstream in self.upstreams.values():
             now = upstream.clock.read(self.now)
             owners = [
@@ -173,6 +178,23 @@
         ]
         return self.rng.choice(others).record if others else None
 
+    def send_start(
+        self, vm: str, upstream: WorldUpstream, task: str, permit: StartPermit
+    ) -> StartRefusal | None:
+        """Let a start arrive, and check that no leaving VM starts anything."""
+        refusal = upstream.start(
+            task,
+            vm=vm,
+            token=permit.token,
+            start_before_s=permit.start_before_s,
+            world_s=self.now,
+        )
+        sender = self.vms[vm]
+        left_s = self.now - sender.left_s
+        if refusal is None and sender.is_leaving and left_s > LEAVING_LIMIT_S:
+            raise AssertionError(f"{vm} is leaving and started {task}")
+        return refusal
+
     def send_late(
         self, vm: str, upstream: WorldUpstream, task: str, permit: StartPermit
     ) -> None:
@@ -197,13 +219,7 @@
         for late in [item for item in self._late_starts if item.due_s <= self.now]:
             self._late_starts.remove(late)
             if self.is_linked(late.vm, late.upstream.name):
-                late.upstream.start(
-                    late.task,
-                    vm=late.vm,
-                    token=late.permit.token,
-                    start_before_s=late.permit.start_before_s,
-                    world_s=self.now,
-                )
+                self.send_start(late.vm, late.upstream, late.task, late.permit)
         for item in [item for item in self._late_exchanges if item.due_s <= self.now]:
             self._late_exchanges.remove(item)
             target = self.vms[item.receiver]
--- a/tests/test_ownership_machine.py
+++ b/tests/test_ownership_machine.py
@@ -130,7 +130,7 @@
 
     @rule(i=VMS)
     def leave(self, i):
-        if self.vm(i).is_alive:
+        if self.vm(i).is_running and not self.vm(i).is_leaving:
             self.vm(i).leave()
             self.note("leave")
 
