Hold the ports of a cell, and say plainly when a listener can not open

Cause: two cells that ran side by side drew the same port; a daemon whose port was taken printed a traceback and hung. Change: ports are held by sockets that do not listen; a daemon binds its listeners before anything runs and exits 4 with a sentence.

--- a/packages/daemon/src/papayadyke_daemon/daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/daemon.py
@@ -80,7 +80,14 @@
         return self.callers.address
 
     def start(self) -> None:
-        """Start every part; the callers' listener comes last."""
+        """Start every part; callers are answered last.
+
+        Raises
+        ------
+        OSError
+            If the port of a listener is taken; nothing runs then.
+        """
+        self._bind()
         self.loop.start()
         self.config_sync.start()
         self.durable.start()
@@ -91,6 +98,18 @@
         self.callers.start()
         LOG.info("daemon: %s takes callers at %s:%d", self.settings.vm, *self.address)
 
+    def _bind(self) -> None:
+        listeners = [self.callers]
+        if self.operators is not None:
+            listeners.append(self.operators)
+        try:
+            for listener in listeners:
+                listener.bind()
+        except OSError:
+            for listener in listeners:
+                listener.stop()
+            raise
+
     def apply_config(self, config: Config) -> None:
         """Take a configuration into force unless a later one is."""
         if config.revision < self.config.revision:
--- a/packages/daemon/src/papayadyke_daemon/main.py
+++ b/packages/daemon/src/papayadyke_daemon/main.py
@@ -19,6 +19,7 @@
 
 EXIT_BAD_SETTINGS = 2
 EXIT_NOT_DRAINED = 3
+EXIT_NO_ADDRESS = 4
 DEFAULT_PORT = 8080
 
 app = typer.Typer(
@@ -51,7 +52,11 @@
         daemon = Daemon(loaded.unwrap())
     except KeysError as exc:
         _tell_faults((f"keys_file: {exc}",))
-    daemon.start()
+    try:
+        daemon.start()
+    except OSError as exc:
+        typer.echo(f"a listener can not be opened: {exc}", err=True)
+        raise typer.Exit(EXIT_NO_ADDRESS) from None
     if config is not None:
         model = ConfigModel.model_validate_json(config.read_bytes())
         daemon.load_first_config(model)
--- a/packages/platform/src/papayadyke_platform/http/_server.py
+++ b/packages/platform/src/papayadyke_platform/http/_server.py
@@ -127,14 +127,22 @@
         self.port = port
         self.limits = limits or HttpLimits()
         self.tls_files = tls_files
+        self._is_bound = False
+        self._thread: threading.Thread | None = None
 
     @property
     def address(self) -> tuple[str, int]:
         """Host and port."""
         return self.host, self.port
 
-    def start(self) -> None:
-        """Bind and serve in the background."""
+    def bind(self) -> None:
+        """Take the port; requests wait until `start` is called.
+
+        Raises
+        ------
+        OSError
+            If the port is taken.
+        """
         limits = self.limits
         self._server = wsgi.Server(
             (self.host, self.port),
@@ -153,6 +161,12 @@
             self._server.ssl_adapter = BuiltinSSLAdapter(*self.tls_files)
         self._server.prepare()
         self.port = self._server.bind_addr[1]
+        self._is_bound = True
+
+    def start(self) -> None:
+        """Serve in the background, binding first if `bind` was not called."""
+        if not self._is_bound:
+            self.bind()
         self._thread = threading.Thread(
             target=self._server.serve, name=f"http-{self.port}", daemon=True
         )
@@ -164,8 +178,11 @@
 
     def stop(self) -> None:
         """Close the listener and wait for its thread."""
+        if not self._is_bound:
+            return
         self._server.stop()
-        self._thread.join(timeout=2 * STOP_TIMEOUT_S)
+        if self._thread is not None:
+            self._thread.join(timeout=2 * STOP_TIMEOUT_S)
 
     def _serve(
         self, environ: Mapping[str, Any], start_response: Callable[..., Any]
--- a/packages/standins/src/papayadyke_standins/cell/_cell.py
+++ b/packages/standins/src/papayadyke_standins/cell/_cell.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import base64
+import os
+import random
 import socket
+import time
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -19,6 +22,8 @@
 CONNECT_TIMEOUT_S = 2.0
 CONTROL_TIMEOUT_S = 10.0
 LOWEST_BAD_STATUS = 300
+LOWEST_PORT = 10_240
+HIGHEST_PORT = 32_000
 SECRET = base64.b64encode(b"a secret of the tests, long enough").decode()
 
 
@@ -136,8 +141,8 @@
         for daemon in self.daemons.values():
             daemon.process.clean_up()
         for process in [*self.upstreams.values(), self.store]:
-            if hasattr(process, "_popen"):
-                process.clean_up()
+            process.clean_up()
+        self._free_ports.close()
 
     def list_targets(self) -> list[Target]:
         """Return where callers reach each daemon."""
@@ -269,20 +274,45 @@
 
 
 class _FreePorts:
-    """Ports that were free when asked, each given out once."""
+    """Ports below the range of outgoing connections, held for this cell.
+
+    A port of that range could be taken by a connection while its daemon is
+    down. Each is held by a socket that does not listen, which keeps other cells
+    away and lets in a daemon, since that sets SO_REUSEADDR as well.
+    """
 
     def __init__(self) -> None:
-        self._taken: set[int] = set()
+        # Cells that run side by side draw differently.
+        self._rng = random.Random(f"{os.getpid()}/{time.monotonic_ns()}")
+        self._held: list[socket.socket] = []
 
     def take(self) -> int:
         while True:
-            with socket.socket() as probe:
-                probe.bind((HOST, 0))
-                port = probe.getsockname()[1]
-            if port not in self._taken:
-                self._taken.add(port)
+            port = self._rng.randrange(LOWEST_PORT, HIGHEST_PORT)
+            if _is_free(port):
+                self._held.append(_hold(port))
                 return port
 
+    def close(self) -> None:
+        for held in self._held:
+            held.close()
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
+def _hold(port: int) -> socket.socket:
+    held = socket.socket()
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    held.bind((HOST, port))
+    return held
+
 
 def _connect(port: int) -> HttpExchange:
     return HttpExchange(HOST, port, kept=0, connect_timeout_s=CONNECT_TIMEOUT_S)
--- a/packages/standins/src/papayadyke_standins/cell/_process.py
+++ b/packages/standins/src/papayadyke_standins/cell/_process.py
@@ -29,6 +29,7 @@
         self.name = name
         self.command = command
         self.directory = directory
+        self._popen: subprocess.Popen | None = None
 
     @property
     def log_path(self) -> Path:
@@ -56,7 +57,7 @@
             With the end of the log, if the process does not listen in time.
         """
         until_s = time.monotonic() + START_TIMEOUT_S
-        while time.monotonic() < until_s and self._popen.poll() is None:
+        while time.monotonic() < until_s and self.is_running():
             text = self._read_port()
             if text:
                 return int(text)
@@ -66,32 +67,32 @@
     @property
     def pid(self) -> int:
         """Process id."""
-        return self._popen.pid
+        return self._started.pid
 
     def is_running(self) -> bool:
         """Tell whether the process has not ended."""
-        return self._popen.poll() is None
+        return self._popen is not None and self._popen.poll() is None
 
     def kill(self) -> None:
         """End the process at once."""
-        self._popen.send_signal(signal.SIGKILL)
-        self._popen.wait(END_TIMEOUT_S)
+        self._started.send_signal(signal.SIGKILL)
+        self._started.wait(END_TIMEOUT_S)
 
     def pause(self) -> None:
         """Stop the process where it is."""
-        self._popen.send_signal(signal.SIGSTOP)
+        self._started.send_signal(signal.SIGSTOP)
 
     def resume(self) -> None:
         """Let a paused process go on."""
-        self._popen.send_signal(signal.SIGCONT)
+        self._started.send_signal(signal.SIGCONT)
 
     def terminate(self) -> None:
         """Ask the process to end."""
-        self._popen.send_signal(signal.SIGTERM)
+        self._started.send_signal(signal.SIGTERM)
 
     def wait(self, timeout_s: float = END_TIMEOUT_S) -> int:
         """Return the exit code."""
-        return self._popen.wait(timeout_s)
+        return self._started.wait(timeout_s)
 
     def clean_up(self) -> None:
         """End the process whatever its state."""
@@ -99,6 +100,12 @@
             self.resume()
             self.kill()
 
+    @property
+    def _started(self) -> subprocess.Popen:
+        if self._popen is None:
+            raise RuntimeError(f"{self.name} was not started")
+        return self._popen
+
     def _port_file(self) -> Path:
         return self.directory / f"{self.name}.port"
 
