Keep urgent work at its ordinary waiting time during floods

Change: a flood is told from a burst by arrivals and starts in short intervals, and urgent work that can't start in it is refused at once, with a hint; run times are averaged over more tasks; work under its floor spares the reserve for 0.5 s; a turn is overdue only where nothing was started for that long.

--- a/packages/core/src/papayadyke_core/admission/__init__.py
+++ b/packages/core/src/papayadyke_core/admission/__init__.py
@@ -2,6 +2,7 @@
 
 from papayadyke_core.admission._arrivals import ArrivalRate
 from papayadyke_core.admission._deadlines import DeadlineQueue
+from papayadyke_core.admission._flood import FloodDetector
 from papayadyke_core.admission._queue import QueuedRequest, WorkloadQueue
 from papayadyke_core.admission._run_times import RunTimes
 from papayadyke_core.admission._service_rate import ServiceRate
@@ -11,6 +12,7 @@
     "AdmissionSettings",
     "ArrivalRate",
     "DeadlineQueue",
+    "FloodDetector",
     "QueuedRequest",
     "RunTimes",
     "ServiceRate",
--- a/packages/core/src/papayadyke_core/admission/_run_times.py
+++ b/packages/core/src/papayadyke_core/admission/_run_times.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-_GAIN_MEAN = 0.1
-_GAIN_DEVIATION = 0.2
+_GAIN_MEAN = 0.02
+_GAIN_DEVIATION = 0.05
 _DEVIATIONS = 4.0
 
 
@@ -43,7 +43,8 @@
         gain = max(_GAIN_MEAN, 1.0 / self._finished)
         error_s = run_s - self.mean_s_
         self.mean_s_ += gain * error_s
-        self.deviation_s_ += _GAIN_DEVIATION * (abs(error_s) - self.deviation_s_)
+        gain = max(_GAIN_DEVIATION, 1.0 / self._finished)
+        self.deviation_s_ += gain * (abs(error_s) - self.deviation_s_)
 
     @property
     def typical_s(self) -> float:
--- a/packages/core/src/papayadyke_core/admission/_settings.py
+++ b/packages/core/src/papayadyke_core/admission/_settings.py
@@ -25,6 +25,18 @@
         Window over which the rate of arrivals of a workload is learned.
     run_time_evidence : int, default=5
         Finished tasks before the declared timeout stops being the estimate.
+    flood_interval_s : float, default=0.05
+        Length of the intervals in which arrivals and starts are compared.
+    flood_intervals : int, default=3
+        Intervals in a row that tell a flood from a burst.
+    flood_ratio, flood_end_ratio : float, default=1.5 and 1.2
+        Arrivals for each start at which a flood of urgent work begins and ends;
+        during it a request that can't be started at once is refused at once.
+    flood_patience : float, default=10.0
+        Requests with a deadline further off than this many times the waiting
+        time of their service level are queued in a flood too.
+    max_retry_after_s : float, default=10.0
+        Largest hint that is given in a flood.
     lost_capacity_s : float, default=300.0
         For this long after an upstream was removed, a request that fits nowhere
         waits for it until its deadline in place of being refused for good.
@@ -36,4 +48,10 @@
     default_retry_after_s: float = 1.0
     arrival_window_s: float = 10.0
     run_time_evidence: int = 5
+    flood_interval_s: float = 0.05
+    flood_intervals: int = 3
+    flood_ratio: float = 1.5
+    flood_end_ratio: float = 1.2
+    flood_patience: float = 10.0
+    max_retry_after_s: float = 10.0
     lost_capacity_s: float = 300.0
--- a/packages/core/src/papayadyke_core/scheduling/_checks.py
+++ b/packages/core/src/papayadyke_core/scheduling/_checks.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from papayadyke_core.admission import AdmissionSettings
 from papayadyke_core.scheduling._book import Book
 from papayadyke_core.scheduling._state import WorkloadState
 from papayadyke_core.scheduling._types import Request
@@ -177,6 +178,24 @@
     return max(wait_s, _MIN_RETRY_AFTER_S)
 
 
+def flood_objection(
+    state: WorkloadState, now: float, *, settings: AdmissionSettings
+) -> Objection:
+    """Return why a request that could not start is refused during a flood.
+
+    A flood that has lasted for some time is expected to last as long again.
+    """
+    arriving = state.flood.arrival_rate
+    starting = state.flood.start_rate
+    age_s = state.flood.age_s(now)
+    return Objection(
+        Reason.QUEUE_FULL,
+        f"{arriving:.0f} requests of {state.name} arrive each second and "
+        f"{starting:.0f} can start, so none is queued",
+        min(max(age_s, _MIN_RETRY_AFTER_S), settings.max_retry_after_s),
+    )
+
+
 def to_refusal(
     objection: Objection, *, attempt: int, holders: tuple[str, ...]
 ) -> Refusal:
--- a/packages/core/src/papayadyke_core/scheduling/_reserves.py
+++ b/packages/core/src/papayadyke_core/scheduling/_reserves.py
@@ -9,6 +9,7 @@
 from papayadyke_core.scheduling._state import WorkloadState
 from papayadyke_core.sharing import (
     FleetSize,
+    Phase,
     Reserve,
     SharingSettings,
     WorkloadAccount,
@@ -21,9 +22,9 @@
 class Reserves:
     """The two reserves, refreshed from the arrivals of the last seconds.
 
-    Nothing but a workload's own tasks, and those of workloads under their floor,
-    may use the room kept for urgent ones. The room kept for floors may be used
-    by tasks that come back soon.
+    Nothing but a workload's own tasks, and those of workloads that have waited
+    under their floor, may use the room kept for urgent ones. The room kept for
+    floors may be used by tasks that come back soon.
 
     Parameters
     ----------
@@ -61,11 +62,17 @@
         self._for_floors.note_held(account.name, account.tasks)
 
     def leave_room(
-        self, state: WorkloadState, tasks: int, free: Resources, free_slots: int
+        self,
+        state: WorkloadState,
+        tasks: int,
+        phase: Phase,
+        free: Resources,
+        free_slots: int,
     ) -> bool:
         """Tell whether tasks can start without the room that is kept."""
         demand = state.account.demand
-        reserve = self._for_urgent if self._returns_soon(state) else self._for_floors
+        spares_floors = phase is Phase.SHARE and not self._returns_soon(state)
+        reserve = self._for_floors if spares_floors else self._for_urgent
         return reserve.leaves_room(
             state.name, demand, tasks, free=free, free_slots=free_slots
         )
@@ -81,7 +88,7 @@
         part = account.floor
         deviations = settings.floor_deviations
         if account.is_urgent:
-            part = max(part, settings.urgent_share)
+            part = min(part + settings.urgent_share, account.ceiling)
             deviations = settings.reserve_deviations
         if part <= 0.0 or state.is_gang or state.retired:
             return
--- a/packages/core/src/papayadyke_core/scheduling/_scheduler.py
+++ b/packages/core/src/papayadyke_core/scheduling/_scheduler.py
@@ -6,7 +6,12 @@
 from papayadyke_core.placement import UpstreamSpec
 from papayadyke_core.refusals import RefusalLedger
 from papayadyke_core.scheduling._book import Book
-from papayadyke_core.scheduling._checks import Objection, check_request, to_refusal
+from papayadyke_core.scheduling._checks import (
+    Objection,
+    check_request,
+    flood_objection,
+    to_refusal,
+)
 from papayadyke_core.scheduling._running import SchedulingError
 from papayadyke_core.scheduling._settings import DEFAULT_SETTINGS, SchedulerSettings
 from papayadyke_core.scheduling._starts import start_waiting
@@ -106,6 +111,7 @@
             )
             return self._refuse(req.id, req.workload, req.attempt, objection, now)
         state.arrivals.record(req.tasks, now)
+        state.flood.record_arrival(now)
         found = check_request(self._book, state, req, now)
         if found is not None:
             state.refused_total += 1
@@ -146,6 +152,7 @@
         self._book.follow_health(now)
         starts, self._more = start_waiting(self._book, now)
         decisions.extend(starts)
+        decisions.extend(self._refuse_floods(now))
         decisions.extend(ask_to_give_way(self._book, now))
         if self._decisions % self.settings.check_every == 0:
             self.check_invariants()
@@ -229,6 +236,23 @@
             refused.append(self._refuse_queued(request, objection, now))
         return refused
 
+    def _refuse_floods(self, now: float) -> list[Refuse]:
+        """Refuse urgent requests that could not start, where they flood in."""
+        if self._more:
+            return []
+        settings = self.settings.admission
+        refused = []
+        for state in list(self._book.backlog.values()):
+            if not state.is_flooded(now):
+                continue
+            objection = flood_objection(state, now, settings=settings)
+            patience_s = settings.flood_patience * state.workload.slo.wait_s
+            for request in list(state.queue):
+                left_s = request.deadline_s - request.queued_at_s
+                if request.started == 0 and left_s <= patience_s:
+                    refused.append(self._refuse_queued(request, objection, now))
+        return refused
+
     def _refuse_queue(self, state: WorkloadState, now: float) -> None:
         objection = Objection(
             Reason.UNKNOWN_WORKLOAD, f"the workload {state.name} was deleted"
--- a/packages/core/src/papayadyke_core/scheduling/_starts.py
+++ b/packages/core/src/papayadyke_core/scheduling/_starts.py
@@ -99,22 +99,36 @@
         if holds_room:
             run.room.release()
         return limit
-    if phase is Phase.SHARE and not run.room.goes_first(request):
+    if not run.room.goes_first(request) and _spares_reserves(book, run, state, phase):
         fleet = book.fleet
-        if not book.reserves.leave_room(state, tasks, fleet.free, fleet.free_slots):
+        if not book.reserves.leave_room(
+            state, tasks, phase, fleet.free, fleet.free_slots
+        ):
             return Limit.RESERVE
     placed = _place(book, run, state, request, tasks, phase)
     if isinstance(placed, Limit):
         run.room.consider(state, request, tasks, phase)
         return placed
     run.starts.extend(book.start(request, placed, run.now))
-    if phase is Phase.OVERDUE:
-        state.last_overdue_turn_s = run.now
     if holds_room:
         run.room.release()
     return None
 
 
+def _spares_reserves(
+    book: Book, run: _Pass, state: WorkloadState, phase: Phase
+) -> bool:
+    """Tell whether a workload leaves the room that is kept for others.
+
+    One under its floor does so for a moment only, because it has as good a claim.
+    """
+    if phase is not Phase.FLOOR:
+        return phase is Phase.SHARE
+    since_s = state.below_floor_since_s
+    after_s = book.settings.sharing.preempt_after_s
+    return since_s is None or run.now - since_s < after_s
+
+
 def _place(
     book: Book,
     run: _Pass,
--- a/packages/core/src/papayadyke_core/scheduling/_state.py
+++ b/packages/core/src/papayadyke_core/scheduling/_state.py
@@ -6,6 +6,7 @@
 
 from papayadyke_core.admission import (
     ArrivalRate,
+    FloodDetector,
     QueuedRequest,
     RunTimes,
     ServiceRate,
@@ -50,6 +51,7 @@
         self.running: dict[str, Running] = {}
         admission = settings.admission
         self.arrivals = ArrivalRate(window_s=admission.arrival_window_s)
+        self.flood = FloodDetector(settings=admission)
         self.service_rate = ServiceRate(
             window_s=admission.service_window_s,
             evidence_s=admission.service_evidence_s,
@@ -61,7 +63,6 @@
         self.started_total = 0
         self.refused_total = 0
         self.last_start_s = -math.inf
-        self.last_overdue_turn_s = -math.inf
         self.below_floor_since_s: float | None = None
         self.blocked_by: Limit = Limit.TURN
         self._no_room: tuple[int, int] | None = None
@@ -105,6 +106,7 @@
         """Count tasks of a request that have been started."""
         for _ in range(tasks):
             self.service_rate.record_start(now)
+            self.flood.record_start(now)
         self.queue.record_started(request, tasks)
         self._note_if_empty()
         self.started_total += tasks
@@ -112,11 +114,21 @@
         if request.attempt == 1:
             self.retry_budget.record_start()
 
+    def is_flooded(self, now: float) -> bool:
+        """Tell whether requests that can't start at once are to be refused."""
+        if self.is_gang or not self.account.is_urgent:
+            return False
+        running = len(self.running)
+        return self.flood.is_flooded(queued=self.queue.tasks, running=running, now=now)
+
     def is_overdue(self, request: QueuedRequest, now: float, overdue_s: float) -> bool:
-        """Tell whether the turn of the longest-waiting request has come."""
+        """Tell whether nothing was started for as long as a request has waited.
+
+        A workload of which tasks are started has a long queue, but doesn't starve.
+        """
         return (
             now - request.queued_at_s >= overdue_s
-            and now - self.last_overdue_turn_s >= overdue_s
+            and now - self.last_start_s >= overdue_s
         )
 
     def note_no_room(self, tasks: int, room_version: int) -> None:
--- a/packages/core/src/papayadyke_core/scheduling/tests/test_scheduler.py
+++ b/packages/core/src/papayadyke_core/scheduling/tests/test_scheduler.py
@@ -364,3 +364,65 @@
     assert scheduler.decide(3.0) == []
     finish_all(scheduler, starts, 4.0)
     assert [start.index for start in started(scheduler.decide(4.0))] == [8, 9]
+
+
+def flood(scheduler, name, *, per_ms, left_s, until_s=0.6, actions=None):
+    """Submit a number each millisecond and return waits of starts and refusals."""
+    waits, refused, begun = [], [], {}
+    ends: dict[str, float] = {}
+    run_s = 0.2
+    for step in range(int(until_s * 1000)):
+        now = 1.0 + step / 1000
+        if actions is not None and step in actions:
+            actions[step](now)
+        for task_id in [key for key, end_s in ends.items() if end_s <= now]:
+            del ends[task_id]
+            scheduler.finish(task_id, Outcome.ANSWERED, now, run_s=run_s)
+        for _ in range(per_ms):
+            req = Request(f"f{next(IDS)}", name, now + left_s)
+            begun[req.id] = now
+            if scheduler.submit(req, now) is not None:
+                refused.append(now)
+        for decision in scheduler.decide(now):
+            if isinstance(decision, Start):
+                waits.append((now, now - begun.get(decision.request_id, now)))
+                ends[decision.task_id] = now + run_s
+            elif isinstance(decision, Refuse):
+                refused.append(now)
+                assert decision.refusal.verdict is Verdict.NOT_RUN
+                hint_s = decision.refusal.retry_after_s
+                assert hint_s is not None
+                assert 0.0 < hint_s <= 10.0
+    return waits, refused
+
+
+def test_flood_of_urgent_work_is_refused_at_once_and_the_rest_starts_at_once():
+    checks = workload("checks", urgency=Urgency.URGENT, queue_limit=10_000)
+    scheduler = scheduler_of(checks, upstreams=6)
+    waits, refused = flood(scheduler, "checks", per_ms=2, left_s=3.0)
+    assert all(wait_s == 0.0 for now, wait_s in waits if now > 1.25)
+    assert len(waits) >= 48 * 2
+    assert len(refused) > 800
+
+
+def test_flood_of_work_that_is_not_urgent_is_queued():
+    orders = workload("orders", queue_limit=10_000)
+    _, refused = flood(
+        scheduler_of(orders, upstreams=6), "orders", per_ms=2, left_s=3.0
+    )
+    assert refused == []
+
+
+def test_flood_of_urgent_work_with_distant_deadlines_is_queued():
+    checks = workload("checks", urgency=Urgency.URGENT, queue_limit=10_000)
+    scheduler = scheduler_of(checks, upstreams=6)
+    assert flood(scheduler, "checks", per_ms=2, left_s=60.0)[1] == []
+
+
+def test_gang_within_its_floor_waits_for_room_while_singles_flood():
+    tally = workload("tally", Kind.GANG, floor=0.25, timeout_s=10.0)
+    checks = workload("checks", urgency=Urgency.URGENT, queue_limit=10_000)
+    scheduler = scheduler_of(tally, checks, upstreams=6)
+    actions = {400: lambda now: submit(scheduler, "tally", now, tasks=12)}
+    flood(scheduler, "checks", per_ms=2, left_s=60.0, until_s=0.7, actions=actions)
+    assert running(scheduler, "tally") == 12
--- a/packages/core/src/papayadyke_core/sharing/_settings.py
+++ b/packages/core/src/papayadyke_core/sharing/_settings.py
@@ -25,20 +25,20 @@
     max_stops : int, default=16
         Tasks that are asked to stop by one decision.
     overdue_s : float, default=30.0
-        A request that has waited this long goes before all others, once per
-        workload in this time.
+        A workload whose next request has waited this long, and of which nothing
+        was started meanwhile, goes before all others.
     gang_patience_s : float, default=1.0
         A gang that has waited this long for room has room held for it; at once
         where its workload is under its floor.
     urgent_share : float, default=0.05
         Part of the fleet up to which room is reserved for an urgent workload
-        without a floor.
+        above its floor.
     reserve_limit : float, default=0.25
         Part of the fleet that is reserved for urgent workloads at most.
-    reserve_deviations : float, default=2.5
+    reserve_deviations : float, default=3.0
         Standard deviations of the tasks at once that the reserve of an urgent
         workload covers.
-    floor_deviations : float, default=1.0
+    floor_deviations : float, default=0.3
         The same for the room kept for floors, which can wait for `return_s`.
     """
 
@@ -51,5 +51,5 @@
     gang_patience_s: float = 1.0
     urgent_share: float = 0.05
     reserve_limit: float = 0.25
-    reserve_deviations: float = 2.5
-    floor_deviations: float = 1.0
+    reserve_deviations: float = 3.0
+    floor_deviations: float = 0.3
--- /dev/null
+++ b/packages/core/src/papayadyke_core/sharing/tests/test_sharing.py
@@ -0,0 +1,153 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from papayadyke_core.resources import NOTHING, Resources
+from papayadyke_core.sharing import FleetSize, Limit, Phase, Reserve, ShareTree
+from papayadyke_core.workloads import Config, Kind, Team, Urgency, Workload
+
+CAPACITY = Resources(10_000, 10_000)
+DEMAND = Resources(100, 50)
+
+
+def workload(name, team="default", **options):
+    return Workload(name=name, kind=Kind.BATCH, demand=DEMAND, team=team, **options)
+
+
+def tree_of(*workloads, teams=(), slots=100):
+    tree = ShareTree()
+    config = Config(
+        workloads={item.name: item for item in workloads},
+        teams={team.name: team for team in teams},
+    )
+    tree.apply_config(config)
+    tree.resize(CAPACITY, slots)
+    return tree
+
+
+def rank(tree, name, overdue=False):
+    return tree.rank(tree.account(name), overdue=overdue)
+
+
+def test_share_is_that_of_the_dimension_of_which_most_is_held():
+    size = FleetSize(Resources(1000, 1000, 0), 10)
+    assert size.share(Resources(100, 300), 2) == 0.3
+    assert size.share(Resources(100, 100), 8) == 0.8
+    assert size.share(Resources(0, 0, 1), 0) == 1.0
+    assert size.share(NOTHING, 0) == 0.0
+
+
+def test_order_is_overdue_then_floors_then_urgency_then_team_then_workload():
+    tree = tree_of(
+        workload("overdue", urgency=Urgency.DEFERRABLE),
+        workload("floor", floor=0.1, urgency=Urgency.DEFERRABLE),
+        workload("urgent", urgency=Urgency.URGENT),
+        workload("small-team", "small"),
+        workload("large-team", "large"),
+        workload("weighty", "large", weight=4.0),
+        teams=(Team("small"), Team("large", weight=4.0)),
+    )
+    for name in ("small-team", "large-team", "weighty"):
+        tree.add(name, DEMAND, 4)
+    order = sorted(
+        ["small-team", "large-team", "weighty", "urgent", "floor"],
+        key=lambda name: rank(tree, name),
+    )
+    assert order == ["floor", "urgent", "weighty", "large-team", "small-team"]
+    assert rank(tree, "overdue", overdue=True) < rank(tree, "floor")
+    assert rank(tree, "floor").phase is Phase.FLOOR
+    tree.add("floor", DEMAND, 10)
+    assert rank(tree, "floor").phase is Phase.SHARE
+
+
+@given(
+    st.lists(st.sampled_from(["a", "b", "c"]), max_size=40),
+    st.sampled_from(["a", "b", "c"]),
+)
+def test_starts_make_no_rank_smaller(starts, watched):
+    tree = tree_of(
+        workload("a", floor=0.1),
+        workload("b", "t", urgency=Urgency.URGENT, weight=2.0),
+        workload("c", "t", floor=0.02),
+        teams=(Team("t", weight=3.0),),
+    )
+    before = rank(tree, watched)
+    for name in starts:
+        tree.add(name, DEMAND, 1)
+        after = rank(tree, watched)
+        assert after >= before
+        before = after
+    tree.check_invariants()
+
+
+def test_ceiling_and_quota_speak_but_never_forbid_a_first_task():
+    tree = tree_of(
+        workload("low", "t", ceiling=0.001),
+        workload("other", "t"),
+        teams=(Team("t", quota=0.05),),
+    )
+    size = tree.size
+    assert tree.account("low").blocked_by(1, size) is None
+    tree.add("low", DEMAND, 1)
+    assert tree.account("low").blocked_by(1, size) is Limit.CEILING
+    tree.add("other", DEMAND, 4)
+    assert tree.account("other").blocked_by(1, size) is Limit.QUOTA
+
+
+def test_accounts_move_with_their_workload_to_another_team():
+    tree = tree_of(workload("a", "t"), teams=(Team("t"), Team("u")))
+    tree.add("a", DEMAND, 3)
+    moved = Config(
+        workloads={"a": workload("a", "u")}, teams={"t": Team("t"), "u": Team("u")}
+    )
+    tree.apply_config(moved)
+    tree.check_invariants()
+    assert tree.account("a").team.tasks == 3
+
+
+def test_workload_that_holds_capacity_is_not_forgotten():
+    tree = tree_of(workload("a"))
+    tree.add("a", DEMAND, 1)
+    with pytest.raises(AssertionError):
+        tree.remove("a")
+
+
+def test_reserve_keeps_room_from_others_and_not_from_its_workload():
+    reserve = Reserve(limit=1.0)
+    reserve.clear(FleetSize(CAPACITY, 100))
+    reserve.add("urgent", DEMAND, 5, 2)
+    free = Resources(1000, 1000)
+    assert not reserve.leaves_room("other", DEMAND, 1, free=free, free_slots=3)
+    assert reserve.leaves_room("other", DEMAND, 1, free=free, free_slots=4)
+    assert reserve.leaves_room("urgent", DEMAND, 1, free=free, free_slots=1)
+    scarce = Resources(350, 1000)
+    assert not reserve.leaves_room("other", DEMAND, 1, free=scarce, free_slots=50)
+    reserve.note_held("urgent", 5)
+    assert reserve.leaves_room("other", DEMAND, 1, free=scarce, free_slots=1)
+
+
+def test_reserve_keeps_no_more_than_its_limit():
+    reserve = Reserve(limit=0.1)
+    reserve.clear(FleetSize(CAPACITY, 100))
+    reserve.add("urgent", DEMAND, 90, 0)
+    assert reserve.leaves_room("other", DEMAND, 1, free=CAPACITY, free_slots=11)
+    assert not reserve.leaves_room("other", DEMAND, 1, free=CAPACITY, free_slots=10)
+
+
+def test_reserve_of_what_a_task_does_not_need_does_not_keep_it():
+    reserve = Reserve(limit=1.0)
+    reserve.clear(FleetSize(Resources(1000, 1000, 4), 100))
+    reserve.add("urgent", Resources(0, 0, 1), 4, 0)
+    free = Resources(1000, 1000, 4)
+    assert reserve.leaves_room("other", DEMAND, 1, free=free, free_slots=50)
+
+
+@given(st.lists(st.tuples(st.sampled_from(["a", "b"]), st.integers(0, 9))))
+def test_sums_of_a_reserve_stay_right(changes):
+    reserve = Reserve(limit=1.0)
+    reserve.clear(FleetSize(CAPACITY, 100))
+    reserve.add("a", DEMAND, 5, 0)
+    reserve.add("b", Resources(7, 1, 1), 3, 1)
+    for name, held in changes:
+        reserve.note_held(name, held)
+        reserve.check_invariants()
