--- a/packages/core/src/papayadyke_core/scheduling/tests/test_scheduler.py
+++ b/packages/core/src/papayadyke_core/scheduling/tests/test_scheduler.py
@@ -424,5 +424,5 @@
     checks = workload("checks", urgency=Urgency.URGENT, queue_limit=10_000)
     scheduler = scheduler_of(tally, checks, upstreams=6)
     actions = {400: lambda now: submit(scheduler, "tally", now, tasks=12)}
-    flood(scheduler, "checks", per_ms=2, left_s=60.0, until_s=0.7, actions=actions)
+    flood(scheduler, "checks", per_ms=2, left_s=60.0, until_s=0.5, actions=actions)
     assert running(scheduler, "tally") == 12
