Measure the policies at the size of one owner, too

In service an entry VM owns about three upstreams and not the whole fleet, where bursts weigh more. Two more deployments stand for that: three upstreams and an eighth of the load.

--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -21,12 +21,14 @@
 
 from policy_baselines import BaselineScheduler, rank_all_alike, rank_by_urgency
 from policy_drive import Drive
-from policy_loads import DEPLOYMENTS, SCENARIOS
+from policy_loads import DEPLOYMENTS, SCENARIOS, concerns
 from policy_report import Run, print_report, write_plot
 
 from papayadyke_core.scheduling import SchedulerProtocol
 
 SOURCE = "packages/core/src"
+DEPLOYMENT_OF = {item.name: item for item in DEPLOYMENTS}
+SCENARIO_OF = {item.name: item for item in SCENARIOS}
 
 
 def make_project() -> SchedulerProtocol:
@@ -45,8 +47,8 @@
 
 def run_one(policy: str, deployment: str, scenario: str, seed: int) -> None:
     """Do one run and print its measures as JSON."""
-    where = next(item for item in DEPLOYMENTS if item.name == deployment)
-    what = next(item for item in SCENARIOS if item.name == scenario)
+    where = DEPLOYMENT_OF[deployment]
+    what = SCENARIO_OF[scenario]
     drive = Drive(POLICIES[policy](), where, what, seed)
     json.dump(drive.run().condense(what), sys.stdout)
 
@@ -77,10 +79,8 @@
 def parse_args() -> argparse.Namespace:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, nargs="+", default=[1, 2, 3])
-    parser.add_argument("--scenarios", nargs="+", default=[s.name for s in SCENARIOS])
-    parser.add_argument(
-        "--deployments", nargs="+", default=[d.name for d in DEPLOYMENTS]
-    )
+    parser.add_argument("--scenarios", nargs="+", default=list(SCENARIO_OF))
+    parser.add_argument("--deployments", nargs="+", default=list(DEPLOYMENT_OF))
     parser.add_argument("--policies", nargs="+", default=list(POLICIES))
     parser.add_argument("--earlier", help="commit of the version to compare with")
     parser.add_argument("--workers", type=int, default=2, help="runs at a time")
@@ -102,6 +102,7 @@
         Run(policy, deployment, scenario, seed)
         for deployment in args.deployments
         for scenario in scenarios
+        if concerns(SCENARIO_OF[scenario], DEPLOYMENT_OF[deployment])
         for policy in policies
         for seed in args.seeds
     ]
--- a/benchmarks/policy_loads.py
+++ b/benchmarks/policy_loads.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from papayadyke_core.placement import UpstreamSpec
 from papayadyke_core.resources import Resources
@@ -265,7 +265,29 @@
     ),
 )
 
-DEPLOYMENTS = (BRANNOCK, LIMONADIKOULU)
+
+def owned_part(deployment: Deployment) -> Deployment:
+    """Return what one of eight owners has: three upstreams, an eighth of the load."""
+    names = ("u3", "u4", FAILING_UPSTREAM)
+    return Deployment(
+        f"{deployment.name}-owner",
+        tuple(spec for spec in deployment.upstreams if spec.name in names),
+        tuple(replace(item, rate=item.rate / 8) for item in deployment.demands),
+    )
+
+
+DEPLOYMENTS = (
+    BRANNOCK,
+    LIMONADIKOULU,
+    owned_part(BRANNOCK),
+    owned_part(LIMONADIKOULU),
+)
+
+
+def concerns(scenario: Scenario, deployment: Deployment) -> bool:
+    """Tell whether a scenario changes anything in a deployment."""
+    racks = {spec.rack for spec in deployment.upstreams}
+    return not scenario.loses_rack or LOST_RACK in racks
 
 
 def draw_arrivals(
--- a/benchmarks/policy_report.py
+++ b/benchmarks/policy_report.py
@@ -241,7 +241,12 @@
     from matplotlib import pyplot as plt
 
     policies = _in_order(run.policy for run in results)
-    shown = [d for d in DEPLOYMENTS if any(r.deployment == d.name for r in results)]
+    shown = [
+        deployment
+        for deployment in DEPLOYMENTS
+        if any(run.deployment == deployment.name for run in results)
+        and not deployment.name.endswith("-owner")
+    ]
     figure, axes = plt.subplots(
         len(shown),
         len(policies),
@@ -276,8 +281,10 @@
     axis.axvspan(middle_s, FLOOD[1], color="0.86")
     for index, demand in enumerate(deployment.demands):
         name = demand.workload.name
-        held = np.convolve(series[name], np.ones(10) / 10, "same")
-        axis.plot(series["at_s"], held, color=f"C{index}", label=name, linewidth=1.2)
+        held = np.convolve(series[name], np.ones(10) / 10, "valid")
+        axis.plot(
+            series["at_s"][9:], held, color=f"C{index}", label=name, linewidth=1.2
+        )
         axis.axhline(
             demand.workload.floor, color=f"C{index}", linestyle="--", linewidth=0.7
         )
