Place nothing on an upstream that is short of accelerators alone

An adopted task can leave an upstream with fewer accelerators than none free. Work that needs no accelerators was still placed there, which the program's own check then stopped with an error, where it ought to have looked elsewhere.

--- a/packages/core/src/papayadyke_core/placement/_columns.py
+++ b/packages/core/src/papayadyke_core/placement/_columns.py
@@ -104,8 +104,7 @@
         fits = self.running < self.limit
         fits &= self.cpu_free >= demand.cpu_millis
         fits &= self.memory_free >= demand.memory_mb
-        if demand.accelerators > 0:
-            fits &= self.accelerators_free >= demand.accelerators
+        fits &= self.accelerators_free >= demand.accelerators
         fits &= ~self.draining
         return fits
 
--- a/packages/core/src/papayadyke_core/placement/tests/test_fleet.py
+++ b/packages/core/src/papayadyke_core/placement/tests/test_fleet.py
@@ -92,6 +92,16 @@
     assert reserve(fleet, "c") == "u0"
 
 
+def test_upstream_short_of_accelerators_alone_gets_nothing_new():
+    fleet = make_fleet(1)
+    accelerated = Resources(1000, 1000, 1)
+    fleet.adopt("a", workload="w", demand=accelerated, upstream="u0")
+    assert reserve(fleet, "b") is None
+    assert fleet.reserve_gang(["c"], workload="w", demand=SMALL) is None
+    fleet.release("a")
+    assert reserve(fleet, "b") == "u0"
+
+
 def test_drained_and_set_aside_upstreams_get_nothing_new():
     fleet = make_fleet(2)
     fleet.set_draining("u0", True)
