Ask the store for the status of the store

The last call of a follower may be a minute old on a VM that does not watch, and the status then called a store that was down reachable (seen on three daemons).

--- a/packages/daemon/src/papayadyke_daemon/backend.py
+++ b/packages/daemon/src/papayadyke_daemon/backend.py
@@ -50,7 +50,7 @@
         Takes a request id and returns the first record that a peer has.
     archive : LevelArchive
     is_store_reachable : callable, optional
-        Returns whether the store answers, or None where that is not known.
+        Asks the store whether it answers; None where that is not known.
     """
 
     def __init__(
--- a/packages/daemon/src/papayadyke_daemon/configuration/_sync.py
+++ b/packages/daemon/src/papayadyke_daemon/configuration/_sync.py
@@ -161,11 +161,6 @@
         """Its revision, for heartbeats."""
         return self._view.state.revision
 
-    @property
-    def is_store_reachable(self) -> bool | None:
-        """Whether the last calls to the store were answered; None before any."""
-        return self._reader.is_store_reachable
-
     def start(self) -> None:
         """Start the threads."""
         for thread in self._threads:
@@ -306,15 +301,12 @@
         self.sync = sync
         self.stopped = threading.Event()
         self.wake: queue.SimpleQueue = queue.SimpleQueue()
-        self.is_store_reachable: bool | None = None
         self._snapshot_revision = 0
         self._wait_s = sync.settings.retry_min_s
 
     def run(self) -> None:
         while not self.stopped.is_set():
-            done = self._step()
-            self.is_store_reachable = done
-            if not done:
+            if not self._step():
                 self._back_off()
                 continue
             self._wait_s = self.sync.settings.retry_min_s
--- a/packages/daemon/src/papayadyke_daemon/daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/daemon.py
@@ -312,7 +312,7 @@
             history=self.history,
             ask_peers=self.peering.find_request,
             archive=self.archive,
-            is_store_reachable=lambda: self.config_sync.is_store_reachable,
+            is_store_reachable=lambda: self.store.revision().is_ok(),
         )
         app = OperatorsApp(
             authenticator=load_authenticator(
