--- a/packages/daemon/src/papayadyke_daemon/configuration/tests/test_config_machine.py
+++ b/packages/daemon/src/papayadyke_daemon/configuration/tests/test_config_machine.py
@@ -1,7 +1,7 @@
 """Racing operators, lost and late answers, stale reads, outages, restarts."""
 
-import os
 import random
+from collections import Counter
 
 import msgspec
 from hypothesis import settings
@@ -37,9 +37,9 @@
 VMS = st.integers(0, 2)
 SLOTS = 4
 EVERY_WRITE = 1000
-STEPS = int(os.environ.get("CONFIG_MACHINE_STEPS", "40"))
-EXAMPLES = int(os.environ.get("CONFIG_MACHINE_EXAMPLES", "200"))
-TOTALS = {"submissions": 0, "accepted": 0, "conflicts": 0, "unresolved": 0}
+STEPS = 40
+EXAMPLES = 200
+counts: Counter[str] = Counter()
 
 BODIES = st.one_of(
     st.tuples(st.just("team"), st.sampled_from(["a", "b"])),
@@ -48,6 +48,14 @@
     st.tuples(st.just("delete_team"), st.sampled_from(["a", "b"])),
     st.tuples(st.just("delete_preset"), st.sampled_from(["ordinary", "peak"])),
 )
+CLEAR = Faults()
+CHANGED_FIELDS = (
+    "down",
+    "lose_answers",
+    "lose_writes",
+    "stale_reads",
+    "writes_per_s",
+)
 FAULTS = st.sampled_from(
     [
         Faults(),
@@ -166,6 +174,8 @@
 
     @rule(faults=FAULTS)
     def set_faults(self, faults):
+        for name in CHANGED_FIELDS:
+            counts[f"fault {name}"] += getattr(faults, name) != getattr(CLEAR, name)
         self.service.set_faults(faults)
 
     @rule(
@@ -178,6 +188,8 @@
     def submit(self, vm, body, expects, rival, late):
         change = self.new_change(vm, body, expects)
         writer_vm = self.vms[vm]
+        counts["fault late write"] += late > 0
+        counts["fault rival writer"] += rival is not None and rival[0] != vm
         if rival is not None and rival[0] != vm:
             other = self.new_change(rival[0], rival[1], False)
             writer_vm.store.before_write = lambda: self.run(rival[0], other)
@@ -213,6 +225,7 @@
 
     @rule(vm=VMS)
     def restart(self, vm):
+        counts["fault restart"] += 1
         self.vms[vm] = Vm(self, vm)
         self.seen[vm] = 0
 
@@ -226,14 +239,14 @@
         return change
 
     def run(self, vm, change, again=False):
-        TOTALS["submissions"] += 1
+        counts["submissions"] += 1
         if again:
             # What was refused before is now asked for once more.
             self.never.discard(change.id)
         done = self.vms[vm].writer.submit(change)
         self.read_history()
         if done.is_ok():
-            TOTALS["accepted"] += 1
+            counts["accepted"] += 1
             revision = done.unwrap().revision
             assert isinstance(done.unwrap(), Accepted)
             assert self.history[revision - 1].change.id == change.id
@@ -241,11 +254,11 @@
             return
         error = done.unwrap_err()
         if isinstance(error, Unresolved):
-            TOTALS["unresolved"] += 1
+            counts["unresolved"] += 1
             return
         assert isinstance(error, Conflict | Invalid | Unavailable)
         if isinstance(error, Conflict):
-            TOTALS["conflicts"] += 1
+            counts["conflicts"] += 1
             self.check_conflict(change, error)
         if not isinstance(error, Unavailable) or not again:
             self.never.add(change.id)
@@ -280,6 +293,7 @@
 
     @invariant()
     def no_vm_goes_back_or_astray(self):
+        counts["steps"] += 1
         for number, vm in enumerate(self.vms):
             assert vm.log.revision >= self.seen[number]
             self.seen[number] = vm.log.revision
