--- a/packages/daemon/src/papayadyke_daemon/fleet/__init__.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/__init__.py
@@ -2,5 +2,6 @@
 
 from papayadyke_daemon.fleet._agent import Holder, UpstreamAgent
 from papayadyke_daemon.fleet._fleet import Fleet
+from papayadyke_daemon.fleet._owner import FleetOwner, OwnerSettings
 
-__all__ = ["Fleet", "Holder", "UpstreamAgent"]
+__all__ = ["Fleet", "FleetOwner", "Holder", "OwnerSettings", "UpstreamAgent"]
--- a/packages/daemon/src/papayadyke_daemon/peering.py
+++ b/packages/daemon/src/papayadyke_daemon/peering.py
@@ -19,7 +19,7 @@
     ListedState,
     ListedVm,
     Load,
-    MembershipSettings,
+    MemberState,
     Snapshot,
 )
 from papayadyke_core.ownership import Owner, available_owners, rank_owners
@@ -32,8 +32,12 @@
     ConfigSync,
     neighbours_of,
 )
-from papayadyke_daemon.fleet import Fleet
-from papayadyke_daemon.membership import MembershipService, OwnersThread
+from papayadyke_daemon.fleet import Fleet, FleetOwner
+from papayadyke_daemon.membership import (
+    MembershipService,
+    MembershipServiceSettings,
+    View,
+)
 from papayadyke_daemon.peers import Ack, Handler, PeerEndpoint, PeerSettings
 from papayadyke_daemon.routing import HomeMap, PeerPicker
 from papayadyke_daemon.serving import RequestHistory, RequestRecord
@@ -135,14 +139,14 @@
         self.picker = PeerPicker(
             vm=settings.vm, snapshot=self.read_snapshot, rng=self.rng
         )
-        self.membership = self._make_membership()
-        self.owners = OwnersThread(
+        self._view: View | None = None
+        self._state = MemberState.LIVE
+        self.membership = self._make_membership(store)
+        self.owner = FleetOwner(
             vm=settings.vm,
-            availability_zone=settings.availability_zone,
-            upstreams=fleet.list_names(),
-            store=store,
+            fleet=fleet,
             snapshot=self.read_snapshot,
-            follow=lambda names, epoch: fleet.own(names, epoch=epoch),
+            record=lambda: None if self._view is None else self._view.record,
         )
         self.endpoint: PeerEndpoint | None = None
         self._counted_bytes = 0
@@ -161,8 +165,7 @@
         self.endpoint = PeerEndpoint(
             [
                 *handlers,
-                *self.membership.make_handlers(),
-                *self.owners.make_handlers(),
+                *self.membership.handlers(),
                 *self._make_handlers(),
             ],
             authenticator=load_authenticator(
@@ -172,19 +175,18 @@
         )
         self.endpoint.start()
         self.membership.start(self.endpoint)
-        self.owners.start(self.endpoint)
+        self.owner.start()
 
     def leave(self) -> None:
-        """Tell the peers, and start nothing new on the upstreams."""
-        if not self.is_alone:
-            self.membership.leave()
+        """Tell the peers that this VM is leaving."""
+        self._state = MemberState.LEAVING
 
     def release(self) -> None:
         """Give up every upstream."""
-        if not self.is_alone:
-            self.owners.leave()
-            self.owners.stop()
-        self.fleet.stop()
+        if self.is_alone:
+            self.fleet.stop()
+        else:
+            self.owner.stop()
 
     def stop(self) -> None:
         """End the threads and close the endpoint."""
@@ -200,7 +202,7 @@
 
     def read_snapshot(self) -> Snapshot | None:
         """Return what is known of the members."""
-        return self.membership.read_snapshot()
+        return None if self._view is None else self._view.snapshot
 
     def plan_partitions(self) -> frozenset[int]:
         """Return the partitions that this VM should own."""
@@ -268,36 +270,54 @@
         self._counted_bytes = total
         return VmUsage(peer_bytes=fresh)
 
-    def _make_membership(self) -> MembershipService:
+    def _make_membership(self, store: Store) -> MembershipService:
         settings = self.settings
         peers = settings.peers
         address = "" if peers is None else _join(peers.address.host, peers.address.port)
+        identity = Identity(
+            vm=settings.vm,
+            availability_zone=settings.availability_zone,
+            region=settings.region,
+            incarnation=self.incarnation,
+            address=address,
+            weight=max(1, round(settings.weight * WEIGHT_UNIT)),
+        )
+        seeds = tuple(
+            ListedVm(
+                vm=seed.vm,
+                availability_zone=seed.availability_zone,
+                region=seed.region,
+                address=_join(seed.address.host, seed.address.port),
+                state=ListedState.LIVE,
+            )
+            for seed in settings.seeds
+        )
         return MembershipService(
-            Identity(
-                vm=settings.vm,
-                availability_zone=settings.availability_zone,
-                region=settings.region,
-                incarnation=self.incarnation,
-                address=address,
-                weight=max(1, round(settings.weight * WEIGHT_UNIT)),
-            ),
-            seeds=[
-                ListedVm(
-                    vm=seed.vm,
-                    availability_zone=seed.availability_zone,
-                    region=seed.region,
-                    address=_join(seed.address.host, seed.address.port),
-                    state=ListedState.LIVE,
-                )
-                for seed in settings.seeds
-            ],
+            MembershipServiceSettings(identity=identity, seeds=seeds),
+            store=store,
             vm_list=_connect_vm_list(settings),
-            load=self._read_load,
-            config_revision=lambda: self.config_sync().revision,
-            hear_revision=lambda revision: self.config_sync().hear(revision),
-            settings=MembershipSettings(),
-            rng=self.rng,
+            on_view=self._take_view,
+        )
+
+    def _take_view(self, view: View) -> None:
+        """Learn what is known now, and say what this VM is at."""
+        self._view = view
+        self.membership.update_self(
+            self._state,
+            config_revision=self.config_sync().revision,
+            load=self._read_load(),
         )
+        revision = 0
+        endpoint = self.get_endpoint()
+        for member in view.snapshot.members:
+            if member.vm != self.settings.vm:
+                endpoint.add_peer(member.vm, member.address)
+                revision = max(revision, member.config_revision)
+        for zone in view.snapshot.zones:
+            revision = max(revision, zone.config_revision)
+            for contact in zone.contacts:
+                endpoint.add_peer(contact.vm, contact.address)
+        self.config_sync().hear(revision)
 
     def _read_load(self) -> Load:
         load = self.load()
