--- a/packages/core/src/papayadyke_core/workloads/_models.py
+++ b/packages/core/src/papayadyke_core/workloads/_models.py
@@ -139,6 +139,9 @@
         )
 
 
+_NO_RULE = ShareRuleModel()
+
+
 class PresetModel(_Model):
     """A preset in JSON."""
 
@@ -202,7 +205,7 @@
 def _check_floors(workloads: tuple[WorkloadModel, ...], preset: PresetModel) -> None:
     floors = 0.0
     for workload in workloads:
-        rule = preset.rules.get(workload.name, ShareRuleModel())
+        rule = preset.rules.get(workload.name, _NO_RULE)
         floor = workload.floor if rule.floor is None else rule.floor
         ceiling = workload.ceiling if rule.ceiling is None else rule.ceiling
         if floor > ceiling:
