Take changed key files into use, and forget idle peers

Change: KeyFileWatch reloads the key file and leaves the keys where it is faulty; the endpoint forgets peers that nobody has called for 300 s.

--- a/packages/daemon/src/papayadyke_daemon/membership/_service.py
+++ b/packages/daemon/src/papayadyke_daemon/membership/_service.py
@@ -57,6 +57,8 @@
         Time between two reads of the platform's list.
     pull_s : float, default=3.0
         Time between two requests for the zone record of some peer.
+    idle_peer_s : float, default=300.0
+        Time after which a peer that nobody calls is forgotten.
     """
 
     identity: Identity
@@ -66,6 +68,7 @@
     call_timeout_s: float = 1.0
     list_s: float = 5.0
     pull_s: float = 3.0
+    idle_peer_s: float = 300.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -237,6 +240,7 @@
         if snapshot.is_superseded:
             logger.error("membership: another process runs as this VM")
         self._pull_record(snapshot, now)
+        self._peers.remove_idle_peers(self.settings.idle_peer_s)
         if self._keeper is not None:
             self._keeper.apply_snapshot(snapshot)
         self.on_view(View(snapshot, self._record))
--- a/packages/daemon/src/papayadyke_daemon/peers/_endpoint.py
+++ b/packages/daemon/src/papayadyke_daemon/peers/_endpoint.py
@@ -92,6 +92,11 @@
             post.join(JOIN_TIMEOUT_S)
         self._server.stop()
 
+    def peers(self) -> frozenset[str]:
+        """Return the names of the known peers."""
+        with self._lock:
+            return frozenset(self._links)
+
     def stats(self) -> PeerStats:
         """Return the totals since the start."""
         return self._counters.read()
@@ -126,6 +131,17 @@
         if link is not None:
             link.close()
 
+    def remove_idle_peers(self, idle_s: float) -> None:
+        """Forget the peers that were not called for a time.
+
+        VMs are replaced all day, and each peer holds a connection and a thread.
+        """
+        with self._lock:
+            links = list(self._links.items())
+        for peer, link in links:
+            if link.is_idle(idle_s):
+                self.remove_peer(peer)
+
     def call(
         self, peer: str, message: Struct, reply_type: type[R], *, timeout_s: float
     ) -> Result[R, CallError]:
--- a/packages/daemon/src/papayadyke_daemon/peers/_link.py
+++ b/packages/daemon/src/papayadyke_daemon/peers/_link.py
@@ -78,8 +78,16 @@
         self.counters = counters
         self._lock = threading.Lock()
         self._is_closed = False
+        self._used_s = time.monotonic()
         self._connection: _Connection | None = None
 
+    def is_idle(self, idle_s: float) -> bool:
+        """Tell whether no call is on its way and none began for a time."""
+        with self._lock:
+            connection = self._connection
+            is_busy = connection is not None and connection.users > 0
+            return not is_busy and time.monotonic() - self._used_s >= idle_s
+
     def call(self, data: bytes, *, timeout_s: float) -> Result[bytes, CallError]:
         """Send a message and wait for the reply to it."""
         deadline_s = time.monotonic() + timeout_s
@@ -144,6 +152,7 @@
         with self._lock:
             if self._is_closed:
                 return None
+            self._used_s = time.monotonic()
             if self._connection is None:
                 self._connection = _Connection(self.address)
             self._connection.users += 1
--- a/packages/daemon/src/papayadyke_daemon/peers/tests/test_peers.py
+++ b/packages/daemon/src/papayadyke_daemon/peers/tests/test_peers.py
@@ -347,3 +347,30 @@
     a.stop()
     a.add_peer("b", b.address)
     assert call(a, "b", Echo("x")).unwrap_err().verdict == Verdict.NOT_RUN
+
+
+def test_idle_peers_are_forgotten_with_their_threads(make_endpoint):
+    started, go = threading.Event(), threading.Event()
+
+    def wait(message, sender):
+        started.set()
+        go.wait(30)
+        return message
+
+    b = make_endpoint("b", [echo_handler(), Handler(Wait, wait, is_slow=True)])
+    a = make_endpoint("a")
+    for peer in ("b", "c"):
+        a.add_peer(peer, b.address)
+    results: list[object] = []
+    a.post("b", Wait(), Wait, timeout_s=30.0, on_result=results.append)
+    a.post("c", Echo("x"), Echo, timeout_s=0.2, on_result=results.append)
+    started.wait(30)
+    wait_until(lambda: len(results) == 1)
+    a.remove_idle_peers(0.0)
+    assert a.peers() == {"b"}
+    go.set()
+    wait_until(lambda: len(results) == 2)
+    a.remove_idle_peers(0.0)
+    assert a.peers() == set()
+    names = [f"peers-post-{peer}" for peer in ("b", "c")]
+    wait_until(lambda: not {t.name for t in threading.enumerate()} & set(names))
--- a/packages/platform/src/papayadyke_platform/keys/__init__.py
+++ b/packages/platform/src/papayadyke_platform/keys/__init__.py
@@ -16,12 +16,14 @@
     format_seal,
     parse_seal,
 )
+from papayadyke_platform.keys._watch import KeyFileWatch, reload_keys
 
 __all__ = [
     "Authenticator",
     "KeyEntry",
     "KeyFile",
     "KeyFileError",
+    "KeyFileWatch",
     "Keyring",
     "ReplayGuard",
     "ReplaySettings",
@@ -33,4 +35,5 @@
     "generate_key_file",
     "load_key_file",
     "parse_seal",
+    "reload_keys",
 ]
--- a/packages/platform/src/papayadyke_platform/keys/tests/test_keys.py
+++ b/packages/platform/src/papayadyke_platform/keys/tests/test_keys.py
@@ -1,4 +1,5 @@
 import base64
+import time
 
 import pytest
 from hypothesis import given
@@ -8,6 +9,7 @@
     Authenticator,
     KeyEntry,
     KeyFile,
+    KeyFileWatch,
     Keyring,
     ReplayGuard,
     ReplaySettings,
@@ -19,6 +21,7 @@
     generate_key_file,
     load_key_file,
     parse_seal,
+    reload_keys,
 )
 
 NOW = 1_000_000.0
@@ -152,3 +155,25 @@
     seal = parse_seal(text)
     receiver = make_authenticator("two", ring)
     assert seal is None or receiver.check(b"", seal, unix_s=NOW)
+
+
+def test_a_faulty_file_leaves_the_keys_as_they_are(tmp_path):
+    path = tmp_path / "keys.json"
+    ring = Keyring(generate_key_file(path))
+    signature = ring.sign(b"x", unix_s=NOW)
+    path.write_text("{")
+    assert reload_keys(ring, path).is_err()
+    assert ring.verify(b"x", signature, unix_s=NOW)
+
+
+def test_a_changed_file_is_taken_into_use(tmp_path):
+    path = tmp_path / "keys.json"
+    ring = Keyring(generate_key_file(path))
+    watch = KeyFileWatch(ring, path, period_s=0.01)
+    watch.start()
+    path.write_text(KeyFile(keys=(make_entry("new"),)).model_dump_json())
+    deadline_s = time.monotonic() + 30
+    while ring.sign(b"x", unix_s=NOW).key_id != "new":
+        assert time.monotonic() < deadline_s
+        time.sleep(0.01)
+    watch.stop()
