Report service-level burn by command, table and page

Change: papayadyke report burn with tables, JSON and a self-contained page with two plots; the embedded mode makes its own keys and prints the command that operates it; status shows what runs on each upstream.

--- /dev/null
+++ b/packages/cli/src/papayadyke_cli/_html.py
@@ -0,0 +1,201 @@
+"""The report on service-level burn as one self-contained HTML file."""
+
+from __future__ import annotations
+
+import html
+import io
+from datetime import UTC, datetime
+
+import matplotlib
+
+matplotlib.use("svg")
+
+from matplotlib.figure import Figure
+
+from papayadyke_core.slo import ALERT_RULES, BurnReport, WorkloadBurn
+
+PLOT_WIDTH_IN = 9.0
+ROW_HEIGHT_IN = 0.45
+MIN_HEIGHT_IN = 2.2
+PERCENTILES = ("p50", "p95", "p99")
+
+_STYLE = """
+body { font: 15px/1.45 system-ui, sans-serif; margin: 2rem auto; max-width: 62rem;
+       color: #1d2733; padding: 0 1rem; }
+h1 { font-size: 1.5rem; } h2 { font-size: 1.15rem; margin-top: 2rem; }
+table { border-collapse: collapse; width: 100%; font-variant-numeric: tabular-nums; }
+th, td { text-align: right; padding: .3rem .6rem; border-bottom: 1px solid #d8dee6; }
+th:first-child, td:first-child { text-align: left; }
+.alert { color: #a3161a; font-weight: 600; } .good { color: #1c6b3c; }
+.gap { background: #fff4d6; padding: .5rem .8rem; border-left: 4px solid #d39b00; }
+svg { max-width: 100%; height: auto; }
+"""
+
+
+def write_burn_html(report: BurnReport) -> str:
+    """Return the report as an HTML document without references to others.
+
+    Parameters
+    ----------
+    report : BurnReport
+
+    Returns
+    -------
+    document : str
+    """
+    at = datetime.fromtimestamp(report.made_at, UTC).isoformat(" ", "seconds")
+    parts = [
+        f"<h1>Service-level burn</h1><p>Made {at}, over "
+        f"{report.window_s / 3600:g} hours.</p>",
+        _write_gaps(report),
+        "<h2>Levels</h2>",
+        _write_levels(report),
+        "<h2>Burn rate by window</h2>",
+        _plot_burn(report),
+        "<h2>Waiting time</h2>",
+        _plot_waits(report),
+        "<h2>What burned the budget</h2>",
+        _write_causes(report),
+        "<h2>Packing and the cost of control</h2>",
+        _write_costs(report),
+    ]
+    body = "\n".join(parts)
+    return (
+        '<!doctype html><html lang="en"><head><meta charset="utf-8">'
+        f"<title>Service-level burn {at}</title><style>{_STYLE}</style></head>"
+        f"<body>{body}</body></html>"
+    )
+
+
+def _write_gaps(report: BurnReport) -> str:
+    lines = []
+    for gap in report.gaps:
+        what = "was lost with its last minute" if gap.is_end else "has a gap"
+        lines.append(
+            f"{html.escape(gap.vm)} {what}: {gap.minutes} minute(s) not counted."
+        )
+    if not lines:
+        return ""
+    return f'<p class="gap">Counts are lower bounds. {" ".join(lines)}</p>'
+
+
+def _write_levels(report: BurnReport) -> str:
+    header = ("Workload", "Target", "Requests", "Good", "Budget left", "Floor kept")
+    rows = [
+        (
+            item.workload,
+            f"{item.target_share:.3%} in {item.target_wait_s:g} s",
+            item.total,
+            f"{item.good_share:.3%}",
+            f"{item.budget_left:.1%}",
+            f"{item.floor_kept:.1%}",
+        )
+        for item in report.workloads
+    ]
+    return _write_table(header, rows) + _write_alerts(report)
+
+
+def _write_alerts(report: BurnReport) -> str:
+    alerts = [
+        f'<li class="alert">{html.escape(item.workload)}: {html.escape(alert)}</li>'
+        for item in report.workloads
+        for alert in item.alerts
+    ]
+    if not alerts:
+        return '<p class="good">No alert rings.</p>'
+    return f"<ul>{''.join(alerts)}</ul>"
+
+
+def _write_causes(report: BurnReport) -> str:
+    rows: list[tuple[object, ...]] = []
+    for item in report.workloads:
+        if item.late:
+            rows.append((item.workload, "answered late", item.late))
+        rows += [(item.workload, f"not run: {k}", v) for k, v in item.refused.items()]
+        rows += [
+            (item.workload, f"may have run: {reason}", count)
+            for reason, count in item.may_have_run.items()
+        ]
+    if not rows:
+        return '<p class="good">Nothing.</p>'
+    return _write_table(("Workload", "Cause", "Requests"), rows)
+
+
+def _write_costs(report: BurnReport) -> str:
+    rows = [
+        ("Packing of the capacity held", f"{report.packing:.1%}"),
+        ("Processor time a VM", f"{report.control_cpu_share:.2%} of a core"),
+        ("Highest memory of a VM", f"{report.control_memory_mb:.0f} MB"),
+        ("To and from peers", f"{report.control_bytes_per_s / 1000:.2f} KB/s a VM"),
+        ("Store, all VMs together", f"{report.store_calls_per_s:.2f} calls/s"),
+    ]
+    return _write_table(("Measure", "Value"), rows)
+
+
+def _write_table(header: tuple[str, ...], rows: list[tuple[object, ...]] | list) -> str:
+    head = "".join(f"<th>{html.escape(name)}</th>" for name in header)
+    body = "".join(
+        "<tr>" + "".join(f"<td>{html.escape(str(c))}</td>" for c in row) + "</tr>"
+        for row in rows
+    )
+    return f"<table><tr>{head}</tr>{body}</table>"
+
+
+def _plot_burn(report: BurnReport) -> str:
+    """Return burn rates as lines over the lengths of the windows."""
+    figure = Figure(figsize=(PLOT_WIDTH_IN, 3.6), layout="constrained")
+    axes = figure.subplots()
+    for item in report.workloads:
+        measured = [window for window in item.windows if window.total]
+        axes.plot(
+            [window.seconds / 3600 for window in measured],
+            [window.burn_rate for window in measured],
+            marker="o",
+            label=item.workload,
+        )
+    for rule in ALERT_RULES:
+        axes.plot(
+            [rule.short_s / 3600, rule.long_s / 3600],
+            [rule.threshold] * 2,
+            color="#a3161a",
+            linestyle=":",
+            linewidth=1,
+        )
+    axes.set_xscale("log")
+    axes.set_yscale("symlog", linthresh=1.0)
+    axes.set_ylim(bottom=0)
+    axes.set_xlabel("window in hours; dotted: thresholds of the alerts")
+    axes.set_ylabel("burn rate")
+    if report.workloads:
+        axes.legend(frameon=False, fontsize="small")
+    return _write_svg(figure)
+
+
+def _plot_waits(report: BurnReport) -> str:
+    """Return percentiles of the waiting time beside the targets."""
+    shown = [item for item in report.workloads if item.wait_ms]
+    height = max(MIN_HEIGHT_IN, ROW_HEIGHT_IN * (len(shown) + 2))
+    figure = Figure(figsize=(PLOT_WIDTH_IN, height), layout="constrained")
+    axes = figure.subplots()
+    for row, item in enumerate(shown):
+        _plot_wait_row(axes, row, item)
+    axes.set_yticks(range(len(shown)), [item.workload for item in shown])
+    axes.set_ylim(-0.6, max(len(shown) - 0.4, 0.6))
+    axes.set_xscale("log")
+    axes.set_xlabel("waiting time in ms: p50, p95, p99; bar: the target")
+    return _write_svg(figure)
+
+
+def _plot_wait_row(axes, row: int, item: WorkloadBurn) -> None:
+    values = [max(item.wait_ms[name], 0.01) for name in PERCENTILES]
+    axes.plot(values, [row] * len(values), color="#2f6fab", marker="o")
+    axes.plot([item.target_wait_s * 1000], [row], "|", color="#a3161a", markersize=18)
+
+
+def _write_svg(figure: Figure) -> str:
+    text = io.StringIO()
+    # Without a date and a random salt the same report gives the same file.
+    with matplotlib.rc_context({"svg.hashsalt": "burn", "svg.fonttype": "none"}):
+        figure.savefig(text, format="svg", metadata={"Date": None})
+    document = text.getvalue()
+    return document[document.index("<svg") :]
--- /dev/null
+++ b/packages/cli/src/papayadyke_cli/_report.py
@@ -0,0 +1,150 @@
+"""`papayadyke report burn`."""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import typer
+
+from papayadyke_cli._exits import fail_on_problem
+from papayadyke_cli._html import write_burn_html
+from papayadyke_cli._output import JsonFlag, print_json, print_table
+from papayadyke_cli._settings import Session
+from papayadyke_cli._values import parse_since
+from papayadyke_core.slo import BurnReport, BurnWindow, WorkloadBurn
+
+report_app = typer.Typer(no_args_is_help=True)
+
+
+@report_app.callback()
+def _report() -> None:
+    """Report over all VMs."""
+
+
+@report_app.command()
+def burn(
+    ctx: typer.Context,
+    workload: Annotated[str, typer.Option(help="Name; all workloads without it.")] = "",
+    window: Annotated[str, typer.Option(help="As in 30m, 24h or 3d.")] = "24h",
+    as_json: JsonFlag = False,
+    html: Annotated[
+        Path | None, typer.Option(help="Write the report as one HTML file.")
+    ] = None,
+) -> None:
+    """Tell how fast the error budgets burn, and what burned them."""
+    session: Session = ctx.obj
+    now = time.time()
+    window_s = max(1, round(now - parse_since(window, now=now)))
+    found = session.connect().read_burn(window_s)
+    if found.is_err():
+        fail_on_problem(found.unwrap_err())
+    report = _choose(found.unwrap(), workload)
+    if html is not None:
+        html.write_text(write_burn_html(report), encoding="utf-8")
+        typer.echo(f"written to {html}")
+    elif as_json:
+        print_json(report)
+    else:
+        _print_report(report)
+
+
+def _choose(report: BurnReport, workload: str) -> BurnReport:
+    if not workload:
+        return report
+    chosen = tuple(item for item in report.workloads if item.workload == workload)
+    return msgspec.structs.replace(report, workloads=chosen)
+
+
+def _print_report(report: BurnReport) -> None:
+    _print_levels(report)
+    typer.echo()
+    _print_burns(report)
+    typer.echo()
+    _print_causes(report)
+    typer.echo()
+    typer.echo(
+        f"packing {report.packing:.1%}, control a VM: "
+        f"{report.control_cpu_share:.2%} of a core, "
+        f"{report.control_memory_mb:.0f} MB at most, "
+        f"{report.control_bytes_per_s / 1000:.2f} KB/s to peers; "
+        f"store {report.store_calls_per_s:.2f} calls/s"
+    )
+    for gap in report.gaps:
+        what = "lost with its last minute" if gap.is_end else "not counted"
+        typer.echo(f"gap: {gap.vm}, {gap.minutes} minute(s) {what}", err=True)
+
+
+def _print_levels(report: BurnReport) -> None:
+    print_table(
+        (
+            "WORKLOAD",
+            "TARGET",
+            "REQUESTS",
+            "GOOD",
+            "BUDGET_LEFT",
+            "P50_MS",
+            "P95_MS",
+            "P99_MS",
+            "HELD",
+            "FLOOR_KEPT",
+            "ALERTS",
+        ),
+        [_level_row(item) for item in report.workloads],
+    )
+
+
+def _level_row(item: WorkloadBurn) -> tuple[object, ...]:
+    waits = [
+        f"{item.wait_ms[name]:.1f}" if name in item.wait_ms else "-"
+        for name in ("p50", "p95", "p99")
+    ]
+    return (
+        item.workload,
+        f"{item.target_share:.3%} in {item.target_wait_s:g} s",
+        item.total,
+        f"{item.good_share:.3%}",
+        f"{item.budget_left:.1%}",
+        *waits,
+        f"{item.held_share:.1%}",
+        f"{item.floor_kept:.1%}",
+        "; ".join(item.alerts) or "-",
+    )
+
+
+def _print_burns(report: BurnReport) -> None:
+    """Print the burn rate over each window, in order of their lengths."""
+    windows = [item.windows for item in report.workloads]
+    header = [_tell_seconds(window.seconds) for window in windows[0]] if windows else []
+    print_table(
+        ("BURN_RATE", *header),
+        [
+            (item.workload, *(_tell_rate(window) for window in item.windows))
+            for item in report.workloads
+        ],
+    )
+
+
+def _print_causes(report: BurnReport) -> None:
+    rows = []
+    for item in report.workloads:
+        if item.late:
+            rows.append((item.workload, "late", item.late))
+        rows += [(item.workload, f"not_run: {k}", v) for k, v in item.refused.items()]
+        rows += [
+            (item.workload, f"may_have_run: {reason}", count)
+            for reason, count in item.may_have_run.items()
+        ]
+    print_table(("WORKLOAD", "BURNED_BY", "REQUESTS"), rows)
+
+
+def _tell_rate(window: BurnWindow) -> str:
+    return f"{window.burn_rate:.2f}" if window.total else "-"
+
+
+def _tell_seconds(seconds: int) -> str:
+    if seconds % 3600 == 0:
+        return f"{seconds // 3600}H"
+    return f"{seconds // 60}M"
--- a/packages/cli/src/papayadyke_cli/main.py
+++ b/packages/cli/src/papayadyke_cli/main.py
@@ -11,6 +11,7 @@
 from papayadyke_cli._config import config_app
 from papayadyke_cli._presets import preset_app
 from papayadyke_cli._questions import explain, refused, status
+from papayadyke_cli._report import report_app
 from papayadyke_cli._settings import SETTINGS_VARIABLE, Session
 from papayadyke_cli._workloads import team_app, workload_app
 
@@ -36,6 +37,7 @@
 app.add_typer(preset_app, name="preset", help="Presets, and the one in force.")
 app.add_typer(config_app, name="config", help="The whole configuration as a file.")
 app.add_typer(job_app, name="job", help="Try a job.")
+app.add_typer(report_app, name="report", help="Reports over all VMs.")
 app.command()(submit)
 app.command()(status)
 app.command()(explain)
--- a/packages/cli/src/papayadyke_cli/tests/test_cli.py
+++ b/packages/cli/src/papayadyke_cli/tests/test_cli.py
@@ -4,13 +4,15 @@
 from pathlib import Path
 
 import pytest
+from result import Ok
 from typer.testing import CliRunner
 
 from papayadyke_cli._settings import Session
 from papayadyke_cli.main import app
 from papayadyke_core.configuration import ConfigLog
-from papayadyke_core.verdicts import Reason, Verdict
-from papayadyke_core.workloads import ConfigModel
+from papayadyke_core.slo import Observation, Recorder, make_report
+from papayadyke_core.verdicts import Reason, Refusal, Verdict
+from papayadyke_core.workloads import ConfigModel, SloTarget
 from papayadyke_daemon.configuration import (
     ConfigRepository,
     ConfigWriter,
@@ -37,7 +39,32 @@
 QUICK += ["--set", "demand.memory_mb=256", "--set", "floor=0.4"]
 
 
+BURN_AT = 1_800_000_030.0
+
+
+def make_buckets():
+    recorder = Recorder("vm-1", 1)
+    full = Refusal(Verdict.NOT_RUN, Reason.QUEUE_FULL, "full")
+    for refusal in (None, None, None, full):
+        recorder.observe(
+            Observation(
+                request_id="r1",
+                workload="rcd-check",
+                at=BURN_AT,
+                wait_s=0.02,
+                refusal=refusal,
+                target=SloTarget(),
+                preset="peak",
+                revision=3,
+            )
+        )
+    return recorder.cut(BURN_AT, is_last=True)
+
+
 class Backend:
+    def read_burn(self, window_s):
+        return Ok(make_report(make_buckets(), [], at=BURN_AT, window_s=window_s))
+
     def read_status(self):
         zone = "hobart"
         return StatusView(
@@ -359,3 +386,23 @@
 def test_example_settings_are_valid():
     settings = Session(EXAMPLES / "operator-settings.json").read_settings()
     assert settings.operators and settings.callers and settings.keys_file
+
+
+def test_report_on_burn_names_levels_causes_and_windows(cell):
+    text = cell.run("report", "burn", "--window", "2h")
+    assert "rcd-check  99.000% in 1 s" in text
+    assert "not_run: queue_full" in text
+    report = cell.run_json("report", "burn", "--workload", "rcd-check")
+    assert report["workloads"][0]["good_share"] == 0.75
+    assert cell.run_json("report", "burn", "--workload", "none")["workloads"] == []
+
+
+def test_report_on_burn_is_one_html_file_without_references(cell, tmp_path):
+    page = tmp_path / "burn.html"
+    cell.run("report", "burn", "--html", str(page))
+    document = page.read_text()
+    assert document.count("<svg") == 2
+    assert "queue_full" in document
+    outside = document.replace("http://www.w3.org/", "")
+    assert "src=" not in outside
+    assert 'href="http' not in outside
--- a/packages/core/src/papayadyke_core/slo/__init__.py
+++ b/packages/core/src/papayadyke_core/slo/__init__.py
@@ -10,6 +10,7 @@
 )
 from papayadyke_core.slo._burn import (
     ALERT_RULES,
+    UNKNOWN_WORKLOAD,
     AlertRule,
     BurnReport,
     BurnWindow,
@@ -27,6 +28,7 @@
 
 __all__ = [
     "ALERT_RULES",
+    "UNKNOWN_WORKLOAD",
     "AlertRule",
     "Bucket",
     "BurnReport",
--- a/packages/core/src/papayadyke_core/slo/_burn.py
+++ b/packages/core/src/papayadyke_core/slo/_burn.py
@@ -13,8 +13,12 @@
 import msgspec
 
 from papayadyke_core.slo._bucket import Bucket, WorkloadCounts, make_histogram
+from papayadyke_core.slo._recorder import OTHER_WORKLOAD
 from papayadyke_core.slo._rollup import MINUTES_PER_HOUR, Rollup, Source, roll_up
 
+UNKNOWN_WORKLOAD = "(unknown)"
+# Counted under these names is what no workload's operator answers for.
+UNOWNED = frozenset({UNKNOWN_WORKLOAD, OTHER_WORKLOAD})
 MINUTE_S = 60
 HOUR_S = 3600
 US_PER_MS = 1000.0
@@ -267,7 +271,7 @@
         good_share=good_share,
         budget_left=1.0 - _divide(1.0 - good_share, allowed),
         windows=tuple(windows.values()),
-        alerts=tuple(_find_alerts(windows)),
+        alerts=tuple(_find_alerts(windows)) if name not in UNOWNED else (),
         wait_ms=_read_percentiles(counts.waits),
         held_share=_divide(counts.held_share_s, whole.usage.sampled_s),
         floor_kept=1.0 - _divide(counts.floor_short_s, counts.waiting_s),
--- a/packages/core/src/papayadyke_core/slo/_recorder.py
+++ b/packages/core/src/papayadyke_core/slo/_recorder.py
@@ -19,7 +19,7 @@
 from papayadyke_core.workloads import SloTarget
 
 SECONDS_PER_MINUTE = 60
-OTHER_WORKLOAD = "(unknown)"
+OTHER_WORKLOAD = "(other)"
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +74,7 @@
     held_share: float
     floor: float
     queued: int
+    target: SloTarget = SloTarget()
 
 
 class Recorder:
@@ -104,8 +105,7 @@
         self._advance(observation.at)
         name = self._find_name(observation.workload)
         counts = self._find_counts(name)
-        counts.target_wait_s = observation.target.wait_s
-        counts.target_share = observation.target.answered_share
+        _note_target(counts, observation.target)
         refusal = observation.refusal
         if refusal is None:
             self._count_answer(counts, name, observation)
@@ -120,6 +120,7 @@
         """Count the load of one workload."""
         self._advance(at)
         counts = self._find_counts(self._find_name(sample.workload))
+        _note_target(counts, sample.target)
         counts.held_share_s += sample.held_share * sample.seconds
         if sample.queued == 0:
             return
@@ -207,6 +208,11 @@
         record_wait(self._histograms[name], observation.wait_s)
 
 
+def _note_target(counts: WorkloadCounts, target: SloTarget) -> None:
+    counts.target_wait_s = target.wait_s
+    counts.target_share = target.answered_share
+
+
 def _keep_refused(observation: Observation, refusal: Refusal) -> RefusedRequest:
     return RefusedRequest(
         request_id=observation.request_id,
--- a/packages/daemon/src/papayadyke_daemon/backend.py
+++ b/packages/daemon/src/papayadyke_daemon/backend.py
@@ -5,10 +5,13 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from functools import reduce
+from operator import add
 
 from result import Err, Result
 
 from papayadyke_core.membership import Member, Snapshot
+from papayadyke_core.resources import NOTHING
 from papayadyke_core.scheduling import LoadSummary, WorkloadLoad
 from papayadyke_core.slo import Bucket, BurnReport
 from papayadyke_core.slo import RefusedRequest as KeptRefusal
@@ -28,8 +31,11 @@
     VmStatus,
 )
 from papayadyke_platform.store import StoreError
+from papayadyke_platform.upstream import read_demand
 
-EXPLAIN_WINDOW_S = 3600.0
+# Minutes are summed, and their refused requests dropped, once their hour and a
+# little more is over.
+EXPLAIN_WINDOW_S = 3600.0 + 120.0
 
 
 class DaemonBackend:
@@ -159,17 +165,34 @@
         )
 
     def _list_upstreams(self) -> list[UpstreamStatus]:
-        held = set(self.fleet.list_held())
-        return [
-            UpstreamStatus(
+        return [self._show_upstream(name) for name in self.fleet.list_names()]
+
+    def _show_upstream(self, name: str) -> UpstreamStatus:
+        agent = self.fleet.find(name)
+        report = agent.report if agent is not None and agent.is_held() else None
+        if report is None:
+            return UpstreamStatus(
                 name=name,
                 availability_zone=self.availability_zone,
                 rack="",
-                owner=self.vm if name in held else "",
-                state="held" if name in held else "not held here",
+                owner="",
+                state="not held here",
             )
-            for name in self.fleet.list_names()
-        ]
+        spec = report.spec.to_spec()
+        used = reduce(add, (read_demand(task) for task in report.running), NOTHING)
+        free = spec.capacity - used
+        return UpstreamStatus(
+            name=name,
+            availability_zone=spec.availability_zone,
+            rack=spec.rack,
+            owner=self.vm,
+            state="leaving" if report.leaving else "held",
+            running=len(report.running),
+            slots=spec.slots,
+            free_cpu_millis=free.cpu_millis,
+            free_memory_mb=free.memory_mb,
+            free_accelerators=free.accelerators,
+        )
 
 
 def _show_queue(item: WorkloadLoad) -> QueueStatus:
--- a/packages/daemon/src/papayadyke_daemon/daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/daemon.py
@@ -11,7 +11,7 @@
 
 from papayadyke_core.configuration import ReplaceConfig
 from papayadyke_core.scheduling import LoadSummary, Scheduler
-from papayadyke_core.slo import Observation
+from papayadyke_core.slo import UNKNOWN_WORKLOAD, Observation
 from papayadyke_core.workloads import Config, ConfigModel, SloTarget
 from papayadyke_daemon._metrics import Metrics
 from papayadyke_daemon.backend import DaemonBackend
@@ -45,7 +45,6 @@
 LOG = logging.getLogger(__name__)
 DRAIN_POLL_S = 0.02
 NS_PER_MS = 1_000_000
-UNKNOWN_WORKLOAD = "(unknown)"
 
 
 class Daemon:
--- a/packages/daemon/src/papayadyke_daemon/embedded.py
+++ b/packages/daemon/src/papayadyke_daemon/embedded.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
+import msgspec
+
 from papayadyke_core.placement import UpstreamSpec
 from papayadyke_core.resources import Resources
 from papayadyke_core.workloads import ConfigModel
@@ -9,11 +13,13 @@
 from papayadyke_daemon.settings import (
     Address,
     CallersSettings,
+    ListenerSettings,
     LogSettings,
     Settings,
     StoreAddress,
     UpstreamAddress,
 )
+from papayadyke_platform.keys import generate_key_file
 from papayadyke_standins.store import StoreStandin
 from papayadyke_standins.upstream import UpstreamStandin
 
@@ -24,6 +30,7 @@
 ACCELERATORS = 2
 WORK_S = 0.02
 CONFIG_TIMEOUT_S = 5.0
+KEYS_NAME = "keys.json"
 
 CONFIG = {
     "teams": [{"name": "quotes", "weight": 2}, {"name": "kits"}],
@@ -96,17 +103,27 @@
 
     Parameters
     ----------
+    directory : Path
+        Gets a new key file and, once started, the settings of the operators'
+        command line.
     port : int, default=0
         Port of the callers' listener; zero lets the system choose.
     """
 
-    def __init__(self, *, port: int = 0) -> None:
+    def __init__(self, directory: Path, *, port: int = 0) -> None:
+        self.directory = directory
         self.port = port
         self.store = StoreStandin()
         self.upstreams = [_make_upstream(number) for number in range(UPSTREAMS)]
 
+    @property
+    def operator_settings(self) -> Path:
+        """Settings file for the operators' command line."""
+        return self.directory / "operator.json"
+
     def start(self) -> None:
         """Start the stand-ins, then the daemon."""
+        generate_key_file(self.directory / KEYS_NAME)
         self.store.start()
         for upstream in self.upstreams:
             upstream.start()
@@ -114,6 +131,7 @@
         self.daemon.start()
         self.daemon.load_first_config(ConfigModel.model_validate(CONFIG))
         self.daemon.wait_for_config(CONFIG_TIMEOUT_S)
+        self._write_operator_settings()
 
     def stop(self) -> bool:
         """Drain the daemon, then stop everything; tell whether it drained."""
@@ -124,6 +142,15 @@
         self.store.stop()
         return drained
 
+    def _write_operator_settings(self) -> None:
+        assert self.daemon.operators is not None
+        settings = {
+            "operators": [{"port": self.daemon.operators.port}],
+            "callers": [{"port": self.daemon.callers.port}],
+            "keys_file": KEYS_NAME,
+        }
+        self.operator_settings.write_bytes(msgspec.json.encode(settings))
+
     def _make_settings(self) -> Settings:
         return Settings(
             vm="embedded",
@@ -133,6 +160,8 @@
                 UpstreamAddress(item.spec.name, Address(*item.address))
                 for item in self.upstreams
             ),
+            operators=ListenerSettings(Address("127.0.0.1", 0)),
+            keys_file=str(self.directory / KEYS_NAME),
             store=StoreAddress(_parse_address(self.store.address)),
             log=LogSettings(),
             drain_settle_s=0.0,
--- a/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
@@ -23,7 +23,6 @@
     SessionSettings,
     StartPermit,
 )
-from papayadyke_core.resources import Resources
 from papayadyke_core.scheduling import Outcome, RunningTask
 from papayadyke_daemon.scheduler import (
     AddUpstream,
@@ -39,6 +38,7 @@
     SessionRefused,
     SessionReport,
     UpstreamClient,
+    read_demand,
 )
 
 LOG = logging.getLogger("papayadyke.fleet")
@@ -119,6 +119,7 @@
                 ttl_s=settings.session_ttl_s, margin_s=settings.expiry_margin_s
             ),
         )
+        self.report: SessionReport | None = None
         self._lock = threading.Lock()
         self._wake = threading.Event()
         self._announced: int | None = None
@@ -275,6 +276,7 @@
             self._take(result.ok_value, is_new=is_new)
 
     def _take(self, report: SessionReport, *, is_new: bool) -> None:
+        self.report = report
         if is_new:
             LOG.info("fleet: session %d at %s", report.token, self.upstream.name)
             self._announce(report)
@@ -367,5 +369,5 @@
         request_id=task.request_id,
         workload=task.workload,
         upstream=upstream,
-        demand=Resources(task.cpu_millis, task.memory_mb, task.accelerators),
+        demand=read_demand(task),
     )
--- a/packages/daemon/src/papayadyke_daemon/levels/_keeper.py
+++ b/packages/daemon/src/papayadyke_daemon/levels/_keeper.py
@@ -163,6 +163,7 @@
                 held_share=item.held.dominant_share(load.capacity),
                 floor=effective_rule(config, item.workload).floor or 0.0,
                 queued=item.queued,
+                target=config.workloads[item.workload].slo,
             )
             self._recorder.sample(sample, at)
 
--- a/packages/daemon/src/papayadyke_daemon/main.py
+++ b/packages/daemon/src/papayadyke_daemon/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import tempfile
 import threading
 from pathlib import Path
 from typing import Annotated, NoReturn
@@ -89,12 +90,19 @@
     """Run a daemon with stand-ins of the platform in this one process."""
     ending = _catch_signals()
     set_up_logs(LogSettings(format=log_format))
-    whole = Embedded(port=port)
-    whole.start()
-    host, chosen = whole.daemon.address
-    typer.echo(f"papayadyked takes callers at http://{host}:{chosen}")
-    ending.wait()
-    raise typer.Exit(0 if whole.stop() else EXIT_NOT_DRAINED)
+    with tempfile.TemporaryDirectory(prefix="papayadyke-") as directory:
+        whole = Embedded(Path(directory), port=port)
+        try:
+            whole.start()
+        except OSError as exc:
+            typer.echo(f"a listener can not be opened: {exc}", err=True)
+            raise typer.Exit(EXIT_NO_ADDRESS) from None
+        host, chosen = whole.daemon.address
+        typer.echo(f"papayadyked takes callers at http://{host}:{chosen}")
+        typer.echo(f"operate it with: papayadyke --settings {whole.operator_settings}")
+        ending.wait()
+        drained = whole.stop()
+    raise typer.Exit(0 if drained else EXIT_NOT_DRAINED)
 
 
 def _catch_signals() -> threading.Event:
--- a/packages/daemon/src/papayadyke_daemon/operators/_app.py
+++ b/packages/daemon/src/papayadyke_daemon/operators/_app.py
@@ -22,6 +22,7 @@
     ItemKind,
     decode_change,
 )
+from papayadyke_core.slo import BurnReport
 from papayadyke_daemon.configuration import (
     Accepted,
     SubmitError,
@@ -30,6 +31,7 @@
 from papayadyke_platform.http import BodyError, HttpAnswer, HttpLimits, HttpRequest
 from papayadyke_platform.keys import Authenticator, parse_seal
 from papayadyke_platform.operators import (
+    BURN_PATH,
     CHANGES_PATH,
     CONFIG_PATH,
     EXPLAIN_PATH,
@@ -52,6 +54,7 @@
     signed_bytes,
     view_config,
 )
+from papayadyke_platform.store import StoreError
 
 LOG = logging.getLogger("papayadyke.operators")
 
@@ -64,6 +67,7 @@
 )
 MAX_QUERY_CHARS = 512
 MAX_REFUSED = 500
+MAX_BURN_WINDOW_S = 31 * 24 * 3600
 
 _ITEM_PATH = re.compile(
     f"({WORKLOADS_PATH}|{TEAMS_PATH}|{PRESETS_PATH})(?:/([a-z0-9._-]{{1,64}}))?"
@@ -90,6 +94,9 @@
     ) -> RefusedView:
         """Return who was turned away; an empty workload stands for all."""
 
+    def read_burn(self, window_s: int) -> Result[BurnReport, StoreError]:
+        """Return the report on service-level burn."""
+
 
 class _Problem(Exception):
     def __init__(self, problem: OperatorsProblem):
@@ -174,6 +181,8 @@
             return self.backend.read_status()
         if req.path == REFUSED_PATH:
             return self._list_refused(req.query)
+        if req.path == BURN_PATH:
+            return self._read_burn(req.query)
         if match := _EXPLAIN_PATH.fullmatch(req.path):
             return self._explain(match.group(1))
         if match := _ITEM_PATH.fullmatch(req.path):
@@ -220,6 +229,22 @@
             workload, since_unix_s=since, limit=MAX_REFUSED
         )
 
+    def _read_burn(self, query: str) -> BurnReport:
+        report = self.backend.read_burn(_read_window(query))
+        if isinstance(report, Err):
+            detail = f"the store does not answer: {report.err_value.detail}"
+            raise _refuse(ProblemCode.UNAVAILABLE, detail)
+        return report.ok_value
+
+
+def _read_window(query: str) -> int:
+    text = parse_qs(query).get("window", ["0"])[-1]
+    seconds = int(text) if text.isdecimal() else 0
+    if not 0 < seconds <= MAX_BURN_WINDOW_S:
+        text = f"window is a number of seconds from 1 to {MAX_BURN_WINDOW_S}"
+        raise _refuse(ProblemCode.BAD_REQUEST, text)
+    return seconds
+
 
 def _check_method(req: HttpRequest, method: str) -> None:
     if req.method != method:
--- a/packages/daemon/src/papayadyke_daemon/operators/tests/test_operators.py
+++ b/packages/daemon/src/papayadyke_daemon/operators/tests/test_operators.py
@@ -4,6 +4,7 @@
 import time
 
 import pytest
+from result import Ok
 
 from papayadyke_core.configuration import (
     ConfigLog,
@@ -11,8 +12,9 @@
     SwitchPreset,
     encode_change,
 )
-from papayadyke_core.verdicts import Reason, Verdict
-from papayadyke_core.workloads import TeamModel
+from papayadyke_core.slo import Observation, Recorder, make_report
+from papayadyke_core.verdicts import Reason, Refusal, Verdict
+from papayadyke_core.workloads import SloTarget, TeamModel
 from papayadyke_daemon.configuration import (
     ConfigRepository,
     ConfigWriter,
@@ -61,10 +63,35 @@
 KEYS, OTHER_KEYS = make_keys("a"), make_keys("b")
 
 
+BURN_AT = 1_800_000_030.0
+
+
+def make_buckets():
+    recorder = Recorder("vm-1", 1)
+    full = Refusal(Verdict.NOT_RUN, Reason.QUEUE_FULL, "full")
+    for refusal in (None, None, None, full):
+        recorder.observe(
+            Observation(
+                request_id="r1",
+                workload="rcd-check",
+                at=BURN_AT,
+                wait_s=0.02,
+                refusal=refusal,
+                target=SloTarget(),
+                preset="peak",
+                revision=3,
+            )
+        )
+    return recorder.cut(BURN_AT, is_last=True)
+
+
 class Backend:
     def __init__(self):
         self.asked = None
 
+    def read_burn(self, window_s):
+        return Ok(make_report(make_buckets(), [], at=BURN_AT, window_s=window_s))
+
     def read_status(self):
         return StatusView(vm="vm-1", config_revision=0, in_force="ordinary")
 
@@ -292,3 +319,13 @@
     _, vms = cell
     req = HttpRequest("POST", CHANGES_PATH, "", {}, b"", body_error=BodyError.MALFORMED)
     assert vms[0].app.handle(req).status == 400
+
+
+def test_report_on_burn_is_told_over_a_window(cell):
+    _, vms = cell
+    client = connect(vms)
+    report = client.read_burn(3600).unwrap()
+    burn = report.workloads[0]
+    assert (burn.workload, burn.total, burn.good) == ("rcd-check", 4, 3)
+    assert burn.refused == {"queue_full": 1}
+    assert client.read_burn(0).unwrap_err().code == ProblemCode.BAD_REQUEST
--- a/packages/platform/src/papayadyke_platform/operators/__init__.py
+++ b/packages/platform/src/papayadyke_platform/operators/__init__.py
@@ -2,6 +2,7 @@
 
 from papayadyke_platform.operators._client import OperatorsClient, OperatorsSettings
 from papayadyke_platform.operators._messages import (
+    BURN_PATH,
     CHANGES_PATH,
     CONFIG_PATH,
     EXPLAIN_PATH,
@@ -38,6 +39,7 @@
 )
 
 __all__ = [
+    "BURN_PATH",
     "CHANGES_PATH",
     "CONFIG_PATH",
     "EXPLAIN_PATH",
--- a/packages/platform/src/papayadyke_platform/operators/_client.py
+++ b/packages/platform/src/papayadyke_platform/operators/_client.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from papayadyke_core.configuration import AnyChange, encode_change
+from papayadyke_core.slo import BurnReport
 from papayadyke_platform.http import HttpExchange, HttpReply
 from papayadyke_platform.keys import Authenticator, KeyFile, Keyring, format_seal
 from papayadyke_platform.operators import _messages as m
@@ -105,6 +106,10 @@
         query = urlencode({"workload": workload, "since": repr(since_unix_s)})
         return self._get(m.RefusedView, m.REFUSED_PATH, query)
 
+    def read_burn(self, window_s: int) -> Result[BurnReport, m.OperatorsProblem]:
+        """Return the report on service-level burn over the last seconds."""
+        return self._get(BurnReport, m.BURN_PATH, urlencode({"window": window_s}))
+
     def submit(self, change: AnyChange) -> Result[m.ChangeDone, m.OperatorsProblem]:
         """Send a change until it is known whether it stands, or time is over.
 
--- a/packages/platform/src/papayadyke_platform/operators/_messages.py
+++ b/packages/platform/src/papayadyke_platform/operators/_messages.py
@@ -32,6 +32,7 @@
 TEAMS_PATH = "/operators/v1/teams"
 PRESETS_PATH = "/operators/v1/presets"
 STATUS_PATH = "/operators/v1/status"
+BURN_PATH = "/operators/v1/report/burn"
 EXPLAIN_PATH = "/operators/v1/explain"
 REFUSED_PATH = "/operators/v1/refused"
 
--- a/packages/platform/src/papayadyke_platform/upstream/__init__.py
+++ b/packages/platform/src/papayadyke_platform/upstream/__init__.py
@@ -22,6 +22,7 @@
     SpecMessage,
     StartMessage,
     TaskEnd,
+    read_demand,
 )
 
 __all__ = [
@@ -44,4 +45,5 @@
     "TaskCall",
     "TaskEnd",
     "UpstreamClient",
+    "read_demand",
 ]
--- a/packages/platform/src/papayadyke_platform/upstream/_messages.py
+++ b/packages/platform/src/papayadyke_platform/upstream/_messages.py
@@ -107,6 +107,11 @@
     accelerators: int
 
 
+def read_demand(task: RunningTaskMessage) -> Resources:
+    """Return what a running task holds."""
+    return Resources(task.cpu_millis, task.memory_mb, task.accelerators)
+
+
 class OpenMessage(msgspec.Struct, frozen=True):
     """Ask for the session of an upstream."""
 
