--- a/packages/core/src/papayadyke_core/scheduling/_book.py
+++ b/packages/core/src/papayadyke_core/scheduling/_book.py
@@ -273,6 +273,18 @@
         if tasks != len(self.running):
             raise SchedulingError("scheduling: running tasks differ")
 
+    def check_deadlines(self, decided_at_s: float) -> None:
+        """Check that nothing waits on that should have been refused as expired.
+
+        Raises
+        ------
+        SchedulingError
+        """
+        for requests in self.queued.values():
+            for request in requests:
+                if request.started == 0 and request.deadline_s <= decided_at_s:
+                    raise SchedulingError(f"scheduling: {request.id} waits too long")
+
     def _add_running(self, task: Running) -> None:
         self.running.add(task)
         state = self.states[task.workload]
--- a/packages/core/src/papayadyke_core/scheduling/_checks.py
+++ b/packages/core/src/papayadyke_core/scheduling/_checks.py
@@ -197,13 +197,10 @@
 
 
 def to_refusal(
-    objection: Objection, *, attempt: int, holders: tuple[str, ...]
+    objection: Objection, *, may_have_run: bool, holders: tuple[str, ...]
 ) -> Refusal:
-    """Return what the caller is told.
-
-    An earlier attempt may have run, so only a first one is certain not to have.
-    """
-    verdict = Verdict.NOT_RUN if attempt <= 1 else Verdict.MAY_HAVE_RUN
+    """Return what the caller is told."""
+    verdict = Verdict.MAY_HAVE_RUN if may_have_run else Verdict.NOT_RUN
     return Refusal(
         verdict=verdict,
         reason=objection.reason,
--- a/packages/core/src/papayadyke_core/scheduling/_running.py
+++ b/packages/core/src/papayadyke_core/scheduling/_running.py
@@ -90,6 +90,10 @@
         """Return a task, or None."""
         return self._by_id.get(task_id)
 
+    def has_request(self, request_id: str) -> bool:
+        """Tell whether a task of a request runs."""
+        return request_id in self._by_request
+
     def of_request(self, request_id: str) -> Iterable[Running]:
         """Return the tasks of a request."""
         return self._by_request.get(request_id, {}).values()
--- a/packages/core/src/papayadyke_core/scheduling/_scheduler.py
+++ b/packages/core/src/papayadyke_core/scheduling/_scheduler.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from papayadyke_core.admission import QueuedRequest
 from papayadyke_core.placement import UpstreamSpec
 from papayadyke_core.refusals import RefusalLedger
@@ -63,6 +65,7 @@
         self._pending: list[Refuse] = []
         self._more = False
         self._decisions = 0
+        self._decided_at_s = -math.inf
         self._holders: tuple[str, ...] = ()
         self._holders_at_s = 0.0
 
@@ -146,6 +149,7 @@
     def decide(self, now: float) -> list[Decision]:
         """Return what to start, refuse and stop now."""
         self._decisions += 1
+        self._decided_at_s = now
         decisions: list[Decision] = list(self._pending)
         self._pending.clear()
         decisions.extend(self._refuse_expired(now))
@@ -199,6 +203,7 @@
             If an invariant does not hold.
         """
         self._book.check_invariants()
+        self._book.check_deadlines(self._decided_at_s)
 
     def _refuse(
         self,
@@ -209,7 +214,9 @@
         now: float,
     ) -> Refusal:
         holders = self._holders_now(now)
-        refusal = to_refusal(objection, attempt=attempt, holders=holders)
+        # Of a later attempt, or of an adopted request, an earlier one may have run.
+        may_have_run = attempt > 1 or self._book.running.has_request(request_id)
+        refusal = to_refusal(objection, may_have_run=may_have_run, holders=holders)
         self.refusals.add(request_id, workload, refusal, now)
         return refusal
 
--- a/packages/core/src/papayadyke_core/scheduling/_starts.py
+++ b/packages/core/src/papayadyke_core/scheduling/_starts.py
@@ -45,7 +45,7 @@
     book.reserves.refresh(book.states.values(), book.shares.size, now)
     run = _Pass(now, RoomKeeper(book, now))
     turns = TurnOrder(book, now)
-    floors_checked = False
+    order_checked = False
     while (turn := turns.next()) is not None:
         if len(run.starts) >= book.settings.max_starts:
             return run.starts, True
@@ -53,10 +53,10 @@
             _block_rest(book, run, turns)
             break
         state, phase = turn
-        if phase is Phase.SHARE and not floors_checked:
-            # Once is enough: a start brings no workload under its floor.
-            turns.check_floors()
-            floors_checked = True
+        if phase is Phase.SHARE and not order_checked:
+            # Once is enough: a start makes no workload owed a turn.
+            turns.check_order()
+            order_checked = True
         held = run.room.hold
         limit = _start_head(book, run, state, phase)
         if limit is None:
--- a/packages/core/src/papayadyke_core/scheduling/_turns.py
+++ b/packages/core/src/papayadyke_core/scheduling/_turns.py
@@ -83,15 +83,18 @@
             del self._blocked[state.name]
             heapq.heappush(self._heap, self._turn(state))
 
-    def check_floors(self) -> None:
-        """Check that no workload under its floor is passed over by one above it.
+    def check_order(self) -> None:
+        """Check that work that is owed a turn is not passed over by other work.
+
+        It is owed one by the floor of its workload, or by having waited so long.
 
         Raises
         ------
         SchedulingError
         """
         for state in self._book.backlog.values():
-            if state.account.below_floor and state.name not in self._blocked:
+            owed = state.account.below_floor or self._is_overdue(state)
+            if owed and state.name not in self._blocked:
                 raise SchedulingError(f"scheduling: {state.name} is passed over")
 
     def note_floors(self) -> None:
@@ -108,7 +111,10 @@
         return _Turn(rank, state.last_start_s, state.order, state, self._starts)
 
     def _rank(self, state: WorkloadState) -> Rank:
+        overdue = self._is_overdue(state)
+        return self._book.shares.rank(state.account, overdue=overdue)
+
+    def _is_overdue(self, state: WorkloadState) -> bool:
         head = state.queue.head()
         overdue_s = self._book.settings.sharing.overdue_s
-        overdue = head is not None and state.is_overdue(head, self._now, overdue_s)
-        return self._book.shares.rank(state.account, overdue=overdue)
+        return head is not None and state.is_overdue(head, self._now, overdue_s)
--- a/packages/core/src/papayadyke_core/scheduling/tests/test_scheduler.py
+++ b/packages/core/src/papayadyke_core/scheduling/tests/test_scheduler.py
@@ -426,3 +426,11 @@
     actions = {400: lambda now: submit(scheduler, "tally", now, tasks=12)}
     flood(scheduler, "checks", per_ms=2, left_s=60.0, until_s=0.5, actions=actions)
     assert running(scheduler, "tally") == 12
+
+
+def test_refusal_of_a_request_that_was_adopted_too_says_that_it_may_have_run():
+    scheduler = scheduler_of(workload("a", queue_limit=0))
+    scheduler.adopt(RunningTask("t", "q", "a", "u0", DEMAND), 0.0)
+    refusal = scheduler.submit(Request("q", "a", 10.0), 0.0)
+    assert refusal is not None
+    assert refusal.verdict is Verdict.MAY_HAVE_RUN
