Forget deleted idle workloads, and reserve no room that can't be used

Cause: a look through the failure cases: a workload deleted while idle was kept for ever; room was reserved for workloads that are not admitted or at their quota; with no upstream in use a starting rate was taken for granted; a request that was taken in after all still counted as refused by its id. Change: each of the five; five tests that failed before.

--- a/packages/core/src/papayadyke_core/scheduling/_book.py
+++ b/packages/core/src/papayadyke_core/scheduling/_book.py
@@ -49,7 +49,7 @@
         self._removed: dict[str, tuple[float, UpstreamSpec]] = {}
 
     def apply_config(self, config: Config) -> list[WorkloadState]:
-        """Take a configuration into force and return the states it retires."""
+        """Take a configuration into force and return what it retires with work."""
         self.shares.apply_config(config)
         for name, workload in config.workloads.items():
             rule = effective_rule(config, name)
@@ -65,9 +65,10 @@
         ]
         for state in retired:
             state.retired = True
+            self._drop_if_done(state)
         self.reserves.forget()
         self.note_room()
-        return retired
+        return [state for state in retired if state.name in self.states]
 
     def note_room(self) -> None:
         """Note that there may be room where there was none before."""
--- a/packages/core/src/papayadyke_core/scheduling/_checks.py
+++ b/packages/core/src/papayadyke_core/scheduling/_checks.py
@@ -92,6 +92,8 @@
 def _check_deadline_reachable(
     book: Book, state: WorkloadState, req: Request, now: float
 ) -> Objection | None:
+    if book.fleet.slots == 0:
+        return None
     wait_s = state.service_rate.wait_s(state.queue.tasks, now)
     left_s = req.deadline_s - now
     margin = book.settings.admission.deadline_margin
--- a/packages/core/src/papayadyke_core/scheduling/_reserves.py
+++ b/packages/core/src/papayadyke_core/scheduling/_reserves.py
@@ -90,7 +90,9 @@
         if account.is_urgent:
             part = min(part + settings.urgent_share, account.ceiling)
             deviations = settings.reserve_deviations
-        if part <= 0.0 or state.is_gang or state.retired:
+        if part <= 0.0 or state.is_gang or not state.takes_work:
+            return
+        if account.blocked_by(1, size) is not None:
             return
         needed = needed_tasks(
             state.arrivals.rate(now),
--- a/packages/core/src/papayadyke_core/scheduling/_scheduler.py
+++ b/packages/core/src/papayadyke_core/scheduling/_scheduler.py
@@ -129,6 +129,7 @@
             queued_at_s=now,
         )
         self._book.enqueue(request, now)
+        self.refusals.remove(req.id)
         return None
 
     def cancel(self, request_id: str, now: float) -> CancelResult:
--- a/packages/core/src/papayadyke_core/scheduling/_state.py
+++ b/packages/core/src/papayadyke_core/scheduling/_state.py
@@ -72,6 +72,11 @@
         """Name of the workload."""
         return self.workload.name
 
+    @property
+    def takes_work(self) -> bool:
+        """Whether new requests are admitted."""
+        return self.rule.admit and not self.retired
+
     @property
     def is_gang(self) -> bool:
         """Whether all tasks of a request start at once."""
--- a/packages/core/src/papayadyke_core/scheduling/tests/test_scheduler.py
+++ b/packages/core/src/papayadyke_core/scheduling/tests/test_scheduler.py
@@ -1,3 +1,4 @@
+from dataclasses import replace
 from itertools import count
 
 import pytest
@@ -17,7 +18,15 @@
     StopWay,
 )
 from papayadyke_core.verdicts import Reason, Verdict
-from papayadyke_core.workloads import Config, Kind, Preset, ShareRule, Urgency, Workload
+from papayadyke_core.workloads import (
+    Config,
+    Kind,
+    Preset,
+    ShareRule,
+    Team,
+    Urgency,
+    Workload,
+)
 
 DEMAND = Resources(1000, 100)
 CAPACITY = Resources(8000, 8000)
@@ -434,3 +443,47 @@
     refusal = scheduler.submit(Request("q", "a", 10.0), 0.0)
     assert refusal is not None
     assert refusal.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_deleted_workload_that_is_idle_is_forgotten():
+    scheduler = scheduler_of(workload("a"))
+    scheduler.apply_config(config(workload("b"), revision=2), 1.0)
+    assert [load.workload for load in scheduler.summary(1.0).workloads] == ["b"]
+    scheduler.check_invariants()
+
+
+def test_request_that_is_taken_in_later_counts_as_refused_no_more():
+    scheduler = scheduler_of(workload("a", queue_limit=1))
+    submit(scheduler, "a", 0.0)
+    req = Request("again", "a", 100.0)
+    assert scheduler.submit(req, 0.0) is not None
+    scheduler.decide(0.0)
+    assert scheduler.submit(req, 0.0) is None
+    assert scheduler.refusals.find("again") is None
+
+
+def test_no_room_is_reserved_for_a_workload_that_is_not_admitted():
+    checks = workload("checks", urgency=Urgency.URGENT, floor=0.5)
+    scheduler = scheduler_of(checks, workload("a"), checks=ShareRule(admit=False))
+    submit(scheduler, "checks", 0.0, times=20)
+    submit(scheduler, "a", 0.0, times=20)
+    assert len(started(scheduler.decide(0.0))) == 8
+
+
+def test_no_room_is_reserved_for_a_workload_whose_team_is_at_its_quota():
+    checks = workload("checks", urgency=Urgency.URGENT, floor=0.5, team="t")
+    both = config(checks, workload("a"))
+    scheduler = scheduler_of()
+    quota = replace(both, revision=2, teams={"t": Team("t", quota=0.25)})
+    scheduler.apply_config(quota, 0.0)
+    submit(scheduler, "checks", 0.0, times=20)
+    assert len(started(scheduler.decide(0.0))) == 2
+    submit(scheduler, "a", 0.5, times=20)
+    assert len(started(scheduler.decide(0.5))) == 6
+
+
+def test_requests_wait_while_no_upstream_is_in_use():
+    scheduler = scheduler_of(workload("a"), upstreams=0)
+    submit(scheduler, "a", 0.0, times=10, deadline_s=4.0)
+    scheduler.decide(0.0)
+    assert submit(scheduler, "a", 2.0, deadline_s=6.0) == [None]
