--- a/packages/core/src/papayadyke_core/health/tests/test_health_machine.py
+++ b/packages/core/src/papayadyke_core/health/tests/test_health_machine.py
@@ -1,6 +1,13 @@
-from hypothesis import given, settings
+import sys
+
+from hypothesis import Phase, given, seed, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
 
 from papayadyke_core.health import (
     HealthSettings,
@@ -92,3 +99,21 @@
         else:
             budget.take_retry()
         assert budget.retries <= burst + ratio * budget.starts + 1e-6
+
+
+def run_longer(number, examples):
+    """Run the machine for longer, as a script with a seed and a number of runs."""
+    options = settings(
+        max_examples=examples,
+        stateful_step_count=60,
+        derandomize=False,
+        deadline=None,
+        database=None,
+        phases=(Phase.generate, Phase.shrink),
+    )
+    run_state_machine_as_test(seed(number)(HealthMachine), settings=options)
+    print(f"seed {number}: {examples} runs of up to 60 steps, all hold")
+
+
+if __name__ == "__main__":
+    run_longer(int(sys.argv[1]), int(sys.argv[2]))
--- a/packages/core/src/papayadyke_core/placement/tests/test_fleet_machine.py
+++ b/packages/core/src/papayadyke_core/placement/tests/test_fleet_machine.py
@@ -1,6 +1,13 @@
-from hypothesis import settings
+import sys
+
+from hypothesis import Phase, seed, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
 
 from papayadyke_core.placement import Fleet, UpstreamSpec
 from papayadyke_core.resources import NOTHING, Resources
@@ -122,3 +129,21 @@
 
 TestFleetMachine = FleetMachine.TestCase
 TestFleetMachine.settings = settings(max_examples=100, stateful_step_count=40)
+
+
+def run_longer(number, examples):
+    """Run the machine for longer, as a script with a seed and a number of runs."""
+    options = settings(
+        max_examples=examples,
+        stateful_step_count=60,
+        derandomize=False,
+        deadline=None,
+        database=None,
+        phases=(Phase.generate, Phase.shrink),
+    )
+    run_state_machine_as_test(seed(number)(FleetMachine), settings=options)
+    print(f"seed {number}: {examples} runs of up to 60 steps, all hold")
+
+
+if __name__ == "__main__":
+    run_longer(int(sys.argv[1]), int(sys.argv[2]))
