--- a/packages/core/src/papayadyke_core/scheduling/_book.py
+++ b/packages/core/src/papayadyke_core/scheduling/_book.py
@@ -49,7 +49,7 @@
         self._removed: dict[str, tuple[float, UpstreamSpec]] = {}
 
     def apply_config(self, config: Config) -> list[WorkloadState]:
-        """Take a configuration into force and return the states it retires."""
+        """Take a configuration into force and return what it retires with work."""
         self.shares.apply_config(config)
         for name, workload in config.workloads.items():
             rule = effective_rule(config, name)
@@ -65,9 +65,10 @@
         ]
         for state in retired:
             state.retired = True
+            self._drop_if_done(state)
         self.reserves.forget()
         self.note_room()
-        return retired
+        return [state for state in retired if state.name in self.states]
 
     def note_room(self) -> None:
         """Note that there may be room where there was none before."""
@@ -273,6 +274,18 @@
         if tasks != len(self.running):
             raise SchedulingError("scheduling: running tasks differ")
 
+    def check_deadlines(self, decided_at_s: float) -> None:
+        """Check that nothing waits on that should have been refused as expired.
+
+        Raises
+        ------
+        SchedulingError
+        """
+        for requests in self.queued.values():
+            for request in requests:
+                if request.started == 0 and request.deadline_s <= decided_at_s:
+                    raise SchedulingError(f"scheduling: {request.id} waits too long")
+
     def _add_running(self, task: Running) -> None:
         self.running.add(task)
         state = self.states[task.workload]
