Part the modules of the configuration by job

The state, its rules, errors and stamps stood in one module of 420 lines, the follower and the reader with the public class in one of 410.

--- a/packages/core/src/papayadyke_core/configuration/__init__.py
+++ b/packages/core/src/papayadyke_core/configuration/__init__.py
@@ -21,7 +21,15 @@
     encode_model,
 )
 from papayadyke_core.configuration._diff import Difference, diff_presets
+from papayadyke_core.configuration._errors import (
+    ChangeError,
+    Conflict,
+    Invalid,
+    Problem,
+    problems_of,
+)
 from papayadyke_core.configuration._log import ConfigLog
+from papayadyke_core.configuration._rules import apply_entry, check_change
 from papayadyke_core.configuration._snapshot import (
     MAX_CHUNKS,
     SnapshotHead,
@@ -30,19 +38,8 @@
     make_snapshot,
     read_snapshot,
 )
-from papayadyke_core.configuration._state import (
-    ChangeError,
-    ConfigState,
-    Conflict,
-    Invalid,
-    Item,
-    Problem,
-    RecentChange,
-    Stamp,
-    apply_entry,
-    check_change,
-    problems_of,
-)
+from papayadyke_core.configuration._stamps import RecentChange, Stamp
+from papayadyke_core.configuration._state import ConfigState, Item
 
 __all__ = [
     "MAX_CHANGE_BYTES",
--- a/packages/core/src/papayadyke_core/configuration/_log.py
+++ b/packages/core/src/papayadyke_core/configuration/_log.py
@@ -6,7 +6,8 @@
 from collections.abc import Iterable
 
 from papayadyke_core.configuration._changes import LogEntry
-from papayadyke_core.configuration._state import ConfigState, apply_entry
+from papayadyke_core.configuration._rules import apply_entry
+from papayadyke_core.configuration._state import ConfigState
 
 MAX_CACHED_ENTRIES = 1024
 MAX_WAITING_ENTRIES = 1024
--- a/packages/core/src/papayadyke_core/configuration/_snapshot.py
+++ b/packages/core/src/papayadyke_core/configuration/_snapshot.py
@@ -9,11 +9,10 @@
 from result import Err, Ok, Result
 
 from papayadyke_core.configuration._changes import decode_model, encode_model
+from papayadyke_core.configuration._stamps import RecentChange, Stamp
 from papayadyke_core.configuration._state import (
     ConfigState,
     Item,
-    RecentChange,
-    Stamp,
     make_preset_item,
     make_team_item,
     make_workload_item,
--- a/packages/daemon/src/papayadyke_daemon/configuration/__init__.py
+++ b/packages/daemon/src/papayadyke_daemon/configuration/__init__.py
@@ -12,7 +12,8 @@
     neighbours_of,
 )
 from papayadyke_daemon.configuration._repository import ConfigRepository, Tail
-from papayadyke_daemon.configuration._sync import ConfigSync, ConfigSyncSettings
+from papayadyke_daemon.configuration._settings import ConfigSyncSettings
+from papayadyke_daemon.configuration._sync import ConfigSync
 from papayadyke_daemon.configuration._writer import (
     Accepted,
     ConfigWriter,
