Let an upstream go to a VM that reaches it

Cause: an owner cut off from an upstream but heard by its peers kept the upstream without an owner until an operator drained it. Change: a VM that gets no answer from an upstream for 10 s tells its peers; the plan gives the upstream to the next VM that reaches it, and back after a probe. Membership records, members and the plan take the upstreams that can't be reached.

--- a/packages/core/src/papayadyke_core/membership/_membership.py
+++ b/packages/core/src/papayadyke_core/membership/_membership.py
@@ -54,7 +54,12 @@
         self._next_round_s = float("-inf")
 
     def update_self(
-        self, state: MemberState, *, config_revision: int, load: Load
+        self,
+        state: MemberState,
+        *,
+        config_revision: int,
+        load: Load,
+        unreached: Iterable[str] = (),
     ) -> None:
         """Change what this VM says of itself.
 
@@ -64,7 +69,9 @@
             Where the state is one that only others tell, or goes back from
             leaving.
         """
-        self._table.update_self(state, config_revision=config_revision, load=load)
+        self._table.update_self(
+            state, config_revision=config_revision, load=load, unreached=unreached
+        )
 
     def apply_platform_list(self, listed: Iterable[ListedVm]) -> None:
         """Take the platform's list of VMs.
--- a/packages/core/src/papayadyke_core/membership/_messages.py
+++ b/packages/core/src/papayadyke_core/membership/_messages.py
@@ -46,6 +46,8 @@
         Share of the zone's upstreams that the VM can own, relative to others.
     state : str
         `joining`, `live` or `leaving`.
+    unreached : tuple of str, default=()
+        Upstreams that the VM was to own but can't reach.
     """
 
     vm: str
@@ -56,6 +58,7 @@
     address: str
     weight: int
     state: str
+    unreached: tuple[str, ...] = ()
 
 
 class Beat(Struct, frozen=True, array_like=True):
--- a/packages/core/src/papayadyke_core/membership/_table.py
+++ b/packages/core/src/papayadyke_core/membership/_table.py
@@ -62,17 +62,25 @@
         return max(1.0, (len(self.peers) + 1) / self.settings.full_rate_members)
 
     def update_self(
-        self, state: MemberState, *, config_revision: int, load: Load
+        self,
+        state: MemberState,
+        *,
+        config_revision: int,
+        load: Load,
+        unreached: Iterable[str],
     ) -> None:
         """Change what this VM says of itself."""
         if state not in SELF_STATES:
             raise ValueError(f"a VM does not say of itself that it is {state}")
-        if state != self._record.state:
-            if self._record.state == MemberState.LEAVING:
-                raise ValueError("a leaving VM stays leaving")
-            version = self._record.version + 1
+        if self._record.state == MemberState.LEAVING != state:
+            raise ValueError("a leaving VM stays leaving")
+        names = tuple(sorted(unreached))[: self.settings.max_unreached]
+        if (state, names) != (self._record.state, self._record.unreached):
             self._record = msgspec.structs.replace(
-                self._record, version=version, state=state.value
+                self._record,
+                version=self._record.version + 1,
+                state=state.value,
+                unreached=names,
             )
         self._config_revision = max(self._config_revision, config_revision)
         self._load = load
@@ -220,6 +228,7 @@
             ),
             load=self._load if peer is None else peer.load,
             age_s=0.0 if peer is None else max(0.0, now - peer.heard_s),
+            unreached=record.unreached,
         )
 
 
--- a/packages/core/src/papayadyke_core/membership/_types.py
+++ b/packages/core/src/papayadyke_core/membership/_types.py
@@ -74,6 +74,8 @@
     zones_per_exchange : int, default=1
         Digests that go with an exchange inside the zone.
     records_per_exchange : int, default=16
+    max_unreached : int, default=64
+        Upstreams that a VM tells it can't reach.
     max_members : int, default=1024
     max_zones : int, default=64
     """
@@ -94,6 +96,7 @@
     zone_lost_s: float = 30.0
     zones_per_exchange: int = 1
     records_per_exchange: int = 16
+    max_unreached: int = 64
     max_members: int = 1024
     max_zones: int = 64
 
@@ -128,6 +131,7 @@
     config_revision: int
     load: Load
     age_s: float
+    unreached: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/papayadyke_core/ownership/__init__.py
+++ b/packages/core/src/papayadyke_core/ownership/__init__.py
@@ -17,7 +17,9 @@
     ProposalSettings,
     RecordProposer,
     available_owners,
+    unreached_upstreams,
 )
+from papayadyke_core.ownership._reach import Reach, ReachSettings
 from papayadyke_core.ownership._record import (
     Owner,
     RecordError,
@@ -44,6 +46,8 @@
     "Owner",
     "OwnershipPlan",
     "ProposalSettings",
+    "Reach",
+    "ReachSettings",
     "RecordError",
     "RecordProposer",
     "Refused",
@@ -64,4 +68,5 @@
     "encode_record",
     "plan_ownership",
     "rank_owners",
+    "unreached_upstreams",
 ]
--- a/packages/core/src/papayadyke_core/ownership/_plan.py
+++ b/packages/core/src/papayadyke_core/ownership/_plan.py
@@ -42,7 +42,11 @@
 
 
 def plan_ownership(
-    record: ZoneRecord, *, upstreams: Iterable[str], available: Mapping[str, int]
+    record: ZoneRecord,
+    *,
+    upstreams: Iterable[str],
+    available: Mapping[str, int],
+    unreached: Mapping[str, Collection[str]] | None = None,
 ) -> OwnershipPlan:
     """Work out who is to own which upstream now.
 
@@ -54,11 +58,14 @@
     available : mapping of str to int
         VMs that can own upstreams now, with their weights: neither dead nor
         leaving nor joining in the eyes of this VM.
+    unreached : mapping of str to collection of str, or None, default=None
+        For each VM the upstreams that it says it can't reach.
 
     Returns
     -------
     plan : OwnershipPlan
-        An upstream whose owner by the record is not available goes to the next
+        An upstream whose owner by the record is not available, or can't reach
+        it, goes to the next
         available VM in its order, which opens a session at the same epoch once
         that of the owner has lapsed. Where no VM of the record is available, as
         after a long outage of the store, the available ones take their places.
@@ -78,12 +85,28 @@
         return OwnershipPlan(record.epoch, {})
     assigned = assign_upstreams(upstreams, owners)
     plan = {
-        name: vm if vm in available else rank_owners(name, present)[0]
+        name: _choose_owner(name, vm, present, unreached or {})
         for name, vm in assigned.items()
     }
     return OwnershipPlan(record.epoch, plan)
 
 
+def _choose_owner(
+    upstream: str,
+    assigned: str,
+    present: Collection[Owner],
+    unreached: Mapping[str, Collection[str]],
+) -> str:
+    """Return the assigned VM where it can serve, or the next that can."""
+    names = {owner.vm for owner in present}
+    able = [vm for vm in names if upstream not in unreached.get(vm, ())]
+    if assigned in able:
+        return assigned
+    # Where nobody reaches it, who owns it makes no difference.
+    candidates = [owner for owner in present if owner.vm in able] or present
+    return rank_owners(upstream, candidates)[0]
+
+
 def assign_upstreams(
     upstreams: Iterable[str],
     owners: Collection[Owner],
--- a/packages/core/src/papayadyke_core/ownership/_proposal.py
+++ b/packages/core/src/papayadyke_core/ownership/_proposal.py
@@ -55,6 +55,13 @@
     }
 
 
+def unreached_upstreams(snapshot: Snapshot) -> dict[str, tuple[str, ...]]:
+    """Return for each VM the upstreams that it says it can't reach."""
+    return {
+        member.vm: member.unreached for member in snapshot.members if member.unreached
+    }
+
+
 class RecordProposer:
     """Decides when this VM is to write the next zone record.
 
--- a/packages/core/src/papayadyke_core/ownership/_session.py
+++ b/packages/core/src/papayadyke_core/ownership/_session.py
@@ -141,6 +141,7 @@
         self._next_try_s = float("-inf")
         self._outstanding: OpenRequest | RenewRequest | None = None
         self._starts_closed_s = float("-inf")
+        self._asking_since_s: float | None = None
 
     @property
     def state(self) -> SessionState:
@@ -169,6 +170,7 @@
     def hand_over(self) -> None:
         """Start nothing more, and release when no start is on its way."""
         self._epoch = None
+        self._asking_since_s = None
         self._handing_over = self._lease is not None
 
     def may_start(self, now: float) -> bool:
@@ -192,6 +194,12 @@
         self._starts_closed_s = max(self._starts_closed_s, closed_after_s)
         return StartPermit(lease.token, start_before_s, closed_after_s)
 
+    def unanswered_s(self, now: float) -> float:
+        """Return for how long the upstream has answered no request."""
+        if self._asking_since_s is None:
+            return 0.0
+        return now - self._asking_since_s
+
     def note_refusal(self, token: int, reason: StartRefusal) -> None:
         """Take a refused start: unless it was only late, the session is over."""
         is_over = reason in (StartRefusal.STALE_TOKEN, StartRefusal.LAPSED)
@@ -218,6 +226,8 @@
         else:
             return None
         self._outstanding = request
+        if self._asking_since_s is None:
+            self._asking_since_s = now
         self._next_try_s = now + self.settings.answer_timeout_s
         return request
 
@@ -247,6 +257,7 @@
         self._next_try_s = now + self.settings.retry_s
         if answer is None:
             return False
+        self._asking_since_s = None
         if isinstance(answer, Refused):
             self._apply_refused(request, answer)
             return False
--- a/packages/core/src/papayadyke_core/ownership/tests/test_plan.py
+++ b/packages/core/src/papayadyke_core/ownership/tests/test_plan.py
@@ -61,6 +61,26 @@
     assert set(stand_ins) == set(everyone)
 
 
+def test_an_upstream_goes_to_a_vm_that_reaches_it():
+    owners = make_owners([4] * 3)
+    everyone = {owner.vm: 4 for owner in owners}
+    record = ZoneRecord(3, owners)
+    whole = plan_ownership(record, upstreams=UPSTREAMS, available=everyone)
+    name = min(whole.owned_by("vm-00"))
+    for blind in ({"vm-00"}, {"vm-00", "vm-01"}):
+        unreached = dict.fromkeys(blind, (name,))
+        plan = plan_ownership(
+            record, upstreams=UPSTREAMS, available=everyone, unreached=unreached
+        )
+        assert moved(whole.owners, plan.owners) == {name}
+        assert plan.owners[name] not in blind
+    everybody = dict.fromkeys(everyone, (name,))
+    plan = plan_ownership(
+        record, upstreams=UPSTREAMS, available=everyone, unreached=everybody
+    )
+    assert plan.owners[name] in everyone
+
+
 def test_newcomers_stand_in_when_nobody_of_the_record_is_left():
     record = ZoneRecord(3, make_owners([4, 4]))
     plan = plan_ownership(record, upstreams=UPSTREAMS, available={"n1": 1, "n2": 1})
--- a/packages/core/src/papayadyke_core/ownership/tests/test_session.py
+++ b/packages/core/src/papayadyke_core/ownership/tests/test_session.py
@@ -2,6 +2,8 @@
     Granted,
     OpenRefusal,
     OpenRequest,
+    Reach,
+    ReachSettings,
     Refused,
     ReleaseRequest,
     RenewRequest,
@@ -16,6 +18,25 @@
 UPSTREAM_AHEAD_S = 1000.0
 
 
+def test_an_upstream_that_does_not_answer_is_unreached_until_a_probe_succeeds():
+    session = make_session()
+    reach = Reach(settings=ReachSettings())
+    session.want(5)
+    for second in range(10):
+        session.next_request(float(second))
+        reach.update([session], float(second))
+    assert reach.unreached() == frozenset()
+    reach.update([session], 10.0)
+    assert reach.unreached() == {"u"}
+    session.hand_over()
+    assert session.unanswered_s(11.0) == 0.0
+    assert reach.take_due_probes(14.9) == ()
+    assert reach.take_due_probes(15.0) == ("u",)
+    assert reach.take_due_probes(15.1) == ()
+    reach.apply_probe("u")
+    assert reach.unreached() == frozenset()
+
+
 def make_session(gate=None, now=0.0):
     session = Session("u", vm="a", incarnation=7, settings=SETTINGS)
     if gate is not None:
--- a/packages/daemon/src/papayadyke_daemon/membership/_service.py
+++ b/packages/daemon/src/papayadyke_daemon/membership/_service.py
@@ -90,6 +90,7 @@
     state: MemberState
     config_revision: int
     load: Load
+    unreached: frozenset[str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,10 +181,15 @@
             self._vm_list.close()
 
     def update_self(
-        self, state: MemberState, *, config_revision: int, load: Load
+        self,
+        state: MemberState,
+        *,
+        config_revision: int,
+        load: Load,
+        unreached: frozenset[str] = frozenset(),
     ) -> None:
         """Change what this VM says of itself; any thread may call it."""
-        self._inbox.put(_SelfUpdate(state, config_revision, load))
+        self._inbox.put(_SelfUpdate(state, config_revision, load, unreached))
 
     def _make_keeper(self, store: Store) -> RecordKeeper:
         identity = self.settings.identity
@@ -271,7 +277,10 @@
             self._apply_reply(item, now)
         elif isinstance(item, _SelfUpdate):
             self._membership.update_self(
-                item.state, config_revision=item.config_revision, load=item.load
+                item.state,
+                config_revision=item.config_revision,
+                load=item.load,
+                unreached=item.unreached,
             )
         elif isinstance(item, _Listed):
             self._membership.apply_platform_list(item.listed)
--- a/packages/standins/src/papayadyke_standins/ownership_world/__init__.py
+++ b/packages/standins/src/papayadyke_standins/ownership_world/__init__.py
@@ -5,12 +5,14 @@
 from papayadyke_standins.ownership_world._vm import Fate, WorldVm
 from papayadyke_standins.ownership_world._world import (
     HANDOVER_WITHIN_S,
+    OWNED_WITHIN_S,
     ReleasedWrongly,
     World,
 )
 
 __all__ = [
     "HANDOVER_WITHIN_S",
+    "OWNED_WITHIN_S",
     "Fate",
     "RecordStore",
     "ReleasedWrongly",
--- a/packages/standins/src/papayadyke_standins/ownership_world/_vm.py
+++ b/packages/standins/src/papayadyke_standins/ownership_world/_vm.py
@@ -19,6 +19,8 @@
     OpenRequest,
     OwnershipPlan,
     ProposalSettings,
+    Reach,
+    ReachSettings,
     RecordProposer,
     Refused,
     ReleaseRequest,
@@ -28,6 +30,7 @@
     ZoneRecord,
     available_owners,
     plan_ownership,
+    unreached_upstreams,
 )
 from papayadyke_standins.ownership_world._clock import DriftingClock
 from papayadyke_standins.ownership_world._upstream import WorldUpstream
@@ -93,6 +96,7 @@
         identity = Identity(self.name, "zone", "region", self.incarnation, "a", 4)
         self.membership = Membership(identity, settings=MembershipSettings())
         self.membership.apply_platform_list(self.world.listed)
+        self.reach = Reach(settings=ReachSettings())
         self.proposer = RecordProposer(self.name, settings=ProposalSettings())
         self.record: ZoneRecord | None = None
         self.has_read_store = False
@@ -132,7 +136,9 @@
     def step(self) -> None:
         """Do what is due, as the loops of the daemon do."""
         state = MemberState.LEAVING if self.is_leaving else MemberState.LIVE
-        self.membership.update_self(state, config_revision=1, load=Load())
+        self.membership.update_self(
+            state, config_revision=1, load=Load(), unreached=self.reach.unreached()
+        )
         for out in self.membership.tick(self.now, self.world.rng):
             self.world.deliver(self, out.vm, out.message)
         snapshot = self.membership.snapshot(self.now)
@@ -141,6 +147,7 @@
         self._follow_plan(snapshot)
         for upstream in self.world.upstreams.values():
             self._drive_session(upstream)
+        self._probe()
         self._reconcile()
 
     def learn(self, record: ZoneRecord | None) -> None:
@@ -211,11 +218,15 @@
     def _follow_plan(self, snapshot: Snapshot) -> None:
         if snapshot.is_settled and self.record is not None:
             available = available_owners(snapshot)
-            key = (self.record.epoch, tuple(sorted(available.items())))
+            unreached = unreached_upstreams(snapshot)
+            key = (self.record.epoch, available, unreached)
             if key != self._plan_key:
                 self._plan_key = key
                 self._plan = plan_ownership(
-                    self.record, upstreams=self.world.upstreams, available=available
+                    self.record,
+                    upstreams=self.world.upstreams,
+                    available=available,
+                    unreached=unreached,
                 )
         for name, session in self.sessions.items():
             is_mine = (
@@ -250,6 +261,12 @@
         if session.apply(request, answer, self.now):
             self._adopt(upstream)
 
+    def _probe(self) -> None:
+        self.reach.update(self.sessions.values(), self.now)
+        for name in self.reach.take_due_probes(self.now):
+            if self.world.is_linked(self.name, name):
+                self.reach.apply_probe(name)
+
     def _adopt(self, upstream: WorldUpstream) -> None:
         """Count what runs already, and starts that may yet arrive."""
         holding = self.holdings[upstream.name]
--- a/tests/test_ownership_machine.py
+++ b/tests/test_ownership_machine.py
@@ -14,12 +14,14 @@
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
+    invariant,
     rule,
     run_state_machine_as_test,
 )
 
 from papayadyke_standins.ownership_world import (
     HANDOVER_WITHIN_S,
+    OWNED_WITHIN_S,
     Fate,
     StoreMode,
     World,
@@ -149,6 +151,10 @@
         self.world.settle()
         self.note("settled")
 
+    @invariant()
+    def count(self):
+        TOTALS["steps run"] += 1
+
     def teardown(self):
         if hasattr(self, "world"):
             self.world.settle()
@@ -176,6 +182,21 @@
         assert world.watch_gaps(45) <= HANDOVER_WITHIN_S
 
 
+def test_an_upstream_that_its_owner_cannot_reach_gets_another():
+    for seed_ in range(6):
+        world = World(seed_)
+        world.advance(20)
+        upstream = world.upstreams["up1"]
+        owner = upstream.gate.holder(upstream.clock.read(world.now))
+        assert owner is not None
+        world.cuts.add(frozenset((owner, "up1")))
+        world.advance(OWNED_WITHIN_S)
+        assert world.watch_gaps(30) == 0
+        assert upstream.gate.holder(upstream.clock.read(world.now)) != owner
+        world.settle()
+        assert upstream.gate.holder(upstream.clock.read(world.now)) == owner
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--seed", type=int, default=1)
