--- a/packages/core/src/papayadyke_core/ownership/__init__.py
+++ b/packages/core/src/papayadyke_core/ownership/__init__.py
@@ -28,11 +28,11 @@
     decode_record,
     encode_record,
 )
-from papayadyke_core.ownership._session import (
+from papayadyke_core.ownership._session import Session
+from papayadyke_core.ownership._session_types import (
     OpenRequest,
     ReleaseRequest,
     RenewRequest,
-    Session,
     SessionRequest,
     SessionSettings,
     SessionState,
--- a/packages/daemon/src/papayadyke_daemon/membership/_service.py
+++ b/packages/daemon/src/papayadyke_daemon/membership/_service.py
@@ -16,7 +16,6 @@
 from papayadyke_core.membership import (
     Exchange,
     Identity,
-    ListedVm,
     Load,
     Membership,
     MembershipSettings,
@@ -26,6 +25,17 @@
     ZoneExchange,
 )
 from papayadyke_core.ownership import ZoneRecord
+from papayadyke_daemon.membership._inbox import (
+    Ask,
+    Item,
+    Listed,
+    NewRecord,
+    PeerAnswer,
+    PeerMessage,
+    Reply,
+    SelfUpdate,
+    Stop,
+)
 from papayadyke_daemon.membership._messages import RecordNews, RecordPull
 from papayadyke_daemon.membership._records import RecordKeeper, RecordKeeperSettings
 from papayadyke_daemon.membership._view import View
@@ -71,46 +81,6 @@
     idle_peer_s: float = 300.0
 
 
-@dataclass(frozen=True, slots=True)
-class _Ask:
-    """A peer's message, and where its answer goes."""
-
-    message: Exchange | ZoneExchange | RecordPull | RecordNews
-    answer: queue.SimpleQueue[Exchange | ZoneExchange | RecordNews | None]
-
-
-@dataclass(frozen=True, slots=True)
-class _Reply:
-    vm: str
-    message: Exchange | ZoneExchange | RecordNews
-
-
-@dataclass(frozen=True, slots=True)
-class _SelfUpdate:
-    state: MemberState
-    config_revision: int
-    load: Load
-    unreached: frozenset[str]
-
-
-@dataclass(frozen=True, slots=True)
-class _Listed:
-    listed: tuple[ListedVm, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class _Record:
-    record: ZoneRecord
-    is_own: bool
-
-
-class _Stop:
-    """Ends the thread."""
-
-
-_Item = _Ask | _Reply | _SelfUpdate | _Listed | _Record | _Stop
-
-
 class MembershipService:
     """Exchanges heartbeats with peers, and tells the other parts what it knows.
 
@@ -140,7 +110,7 @@
         self.settings = settings
         self.on_view = on_view
         self._vm_list = vm_list
-        self._inbox: queue.SimpleQueue[_Item] = queue.SimpleQueue()
+        self._inbox: queue.SimpleQueue[Item] = queue.SimpleQueue()
         self._membership = Membership(settings.identity, settings=settings.membership)
         self._record: ZoneRecord | None = None
         self._next_pull_s = float("-inf")
@@ -172,7 +142,7 @@
     def stop(self) -> None:
         """End the threads."""
         self._stopping.set()
-        self._inbox.put(_Stop())
+        self._inbox.put(Stop())
         self._thread.join(JOIN_TIMEOUT_S)
         if self._keeper is not None:
             self._keeper.stop()
@@ -189,7 +159,7 @@
         unreached: frozenset[str] = frozenset(),
     ) -> None:
         """Change what this VM says of itself; any thread may call it."""
-        self._inbox.put(_SelfUpdate(state, config_revision, load, unreached))
+        self._inbox.put(SelfUpdate(state, config_revision, load, unreached))
 
     def _make_keeper(self, store: Store) -> RecordKeeper:
         identity = self.settings.identity
@@ -199,18 +169,18 @@
         return RecordKeeper(
             store,
             settings=settings,
-            on_record=lambda record, own: self._inbox.put(_Record(record, own)),
+            on_record=lambda record, own: self._inbox.put(NewRecord(record, own)),
         )
 
     def _handle(
         self,
-        message: Exchange | ZoneExchange | RecordPull | RecordNews,
+        message: PeerMessage,
         _sender: str,
-    ) -> Exchange | ZoneExchange | RecordNews | None:
+    ) -> PeerAnswer | None:
         """Have a message answered by the thread of the membership."""
         if self._stopping.is_set():
             return None
-        ask = _Ask(message, queue.SimpleQueue())
+        ask = Ask(message, queue.SimpleQueue())
         self._inbox.put(ask)
         try:
             return ask.answer.get(timeout=HANDLER_TIMEOUT_S)
@@ -228,7 +198,7 @@
                 next_tick_s = time.monotonic() + self.settings.tick_s
                 self._guard(self._tick)
                 continue
-            if isinstance(item, _Stop):
+            if isinstance(item, Stop):
                 return
             self._guard(functools.partial(self._apply, item))
 
@@ -267,29 +237,27 @@
         result: Ok[Exchange | ZoneExchange] | Ok[RecordNews] | Err[CallError],
     ) -> None:
         if isinstance(result, Ok):
-            self._inbox.put(_Reply(vm, result.ok_value))
+            self._inbox.put(Reply(vm, result.ok_value))
 
-    def _apply(self, item: _Item) -> None:
+    def _apply(self, item: Item) -> None:
         now = time.monotonic()
-        if isinstance(item, _Ask):
+        if isinstance(item, Ask):
             item.answer.put(self._answer(item.message, now))
-        elif isinstance(item, _Reply):
+        elif isinstance(item, Reply):
             self._apply_reply(item, now)
-        elif isinstance(item, _SelfUpdate):
+        elif isinstance(item, SelfUpdate):
             self._membership.update_self(
                 item.state,
                 config_revision=item.config_revision,
                 load=item.load,
                 unreached=item.unreached,
             )
-        elif isinstance(item, _Listed):
+        elif isinstance(item, Listed):
             self._membership.apply_platform_list(item.listed)
-        elif isinstance(item, _Record):
+        elif isinstance(item, NewRecord):
             self._apply_record(item)
 
-    def _answer(
-        self, message: Exchange | ZoneExchange | RecordPull | RecordNews, now: float
-    ) -> Exchange | ZoneExchange | RecordNews | None:
+    def _answer(self, message: PeerMessage, now: float) -> PeerAnswer | None:
         if isinstance(message, Exchange):
             return self._membership.apply_exchange(message, now)
         if isinstance(message, ZoneExchange):
@@ -301,7 +269,7 @@
         is_news = self._epoch() > message.epoch and message.availability_zone == zone
         return RecordNews(zone, self._record if is_news else None)
 
-    def _apply_reply(self, reply: _Reply, now: float) -> None:
+    def _apply_reply(self, reply: Reply, now: float) -> None:
         message = reply.message
         if isinstance(message, ZoneExchange):
             self._membership.apply_zone_reply(message, now)
@@ -320,7 +288,7 @@
         if self._keeper is not None and news.record.epoch > self._epoch():
             self._keeper.apply_peer_record(news.record)
 
-    def _apply_record(self, item: _Record) -> None:
+    def _apply_record(self, item: NewRecord) -> None:
         self._record = item.record
         if not item.is_own:
             return
@@ -362,5 +330,5 @@
             if isinstance(answer, Err):
                 logger.info("membership: list not read: %s", answer.err_value.detail)
             else:
-                self._inbox.put(_Listed(answer.ok_value))
+                self._inbox.put(Listed(answer.ok_value))
             self._stopping.wait(self.settings.list_s)
--- a/packages/standins/src/papayadyke_standins/ownership_world/__init__.py
+++ b/packages/standins/src/papayadyke_standins/ownership_world/__init__.py
@@ -6,7 +6,7 @@
 from papayadyke_standins.ownership_world._world import (
     HANDOVER_WITHIN_S,
     OWNED_WITHIN_S,
-    ReleasedWrongly,
+    NoOwnerError,
     World,
 )
 
@@ -14,8 +14,8 @@
     "HANDOVER_WITHIN_S",
     "OWNED_WITHIN_S",
     "Fate",
+    "NoOwnerError",
     "RecordStore",
-    "ReleasedWrongly",
     "StoreMode",
     "World",
     "WorldUpstream",
--- a/packages/standins/src/papayadyke_standins/ownership_world/_world.py
+++ b/packages/standins/src/papayadyke_standins/ownership_world/_world.py
@@ -32,7 +32,7 @@
 HANDOVER_WITHIN_S = 4.0
 
 
-class ReleasedWrongly(AssertionError):
+class NoOwnerError(AssertionError):
     """An upstream has no owner although all faults have ended long ago."""
 
 
@@ -124,7 +124,7 @@
         # An upstream may be on its way from one owner to the next.
         gap_s = self.watch_gaps(AFTERWARDS_S)
         if gap_s > HANDOVER_WITHIN_S:
-            raise ReleasedWrongly(f"an upstream had no owner for {gap_s} s")
+            raise NoOwnerError(f"an upstream had no owner for {gap_s} s")
 
     def watch_gaps(self, seconds: float) -> float:
         """Let time pass, and return the longest time without an owner."""
