Work a plan out again only when something has changed

Cause: plans are asked for twice a second, and one for 1,125 upstreams and 24 VMs takes 63 to 81 ms. Change: Planner keeps the last plan with what it followed from.

--- a/packages/core/src/papayadyke_core/ownership/__init__.py
+++ b/packages/core/src/papayadyke_core/ownership/__init__.py
@@ -9,6 +9,7 @@
 )
 from papayadyke_core.ownership._plan import (
     OwnershipPlan,
+    Planner,
     assign_upstreams,
     plan_ownership,
     rank_owners,
@@ -45,6 +46,7 @@
     "OpenRequest",
     "Owner",
     "OwnershipPlan",
+    "Planner",
     "ProposalSettings",
     "Reach",
     "ReachSettings",
--- a/packages/core/src/papayadyke_core/ownership/_plan.py
+++ b/packages/core/src/papayadyke_core/ownership/_plan.py
@@ -41,6 +41,37 @@
         return frozenset(name for name, owner in self.owners.items() if owner == vm)
 
 
+class Planner:
+    """Works a plan out again only when what it follows from has changed.
+
+    A plan for a large zone takes tens of milliseconds, and is asked for a few
+    times a second.
+    """
+
+    def __init__(self) -> None:
+        self._inputs: object = None
+        self._plan: OwnershipPlan | None = None
+
+    def plan(
+        self,
+        record: ZoneRecord,
+        *,
+        upstreams: Iterable[str],
+        available: Mapping[str, int],
+        unreached: Mapping[str, Collection[str]] | None = None,
+    ) -> OwnershipPlan:
+        """Return what `plan_ownership` returns for the same."""
+        names = frozenset(upstreams)
+        told = {vm: frozenset(names) for vm, names in (unreached or {}).items()}
+        inputs = (record, names, dict(available), told)
+        if self._plan is None or inputs != self._inputs:
+            self._inputs = inputs
+            self._plan = plan_ownership(
+                record, upstreams=names, available=available, unreached=told
+            )
+        return self._plan
+
+
 def plan_ownership(
     record: ZoneRecord,
     *,
--- a/packages/core/src/papayadyke_core/ownership/tests/test_plan.py
+++ b/packages/core/src/papayadyke_core/ownership/tests/test_plan.py
@@ -6,6 +6,7 @@
 
 from papayadyke_core.ownership import (
     Owner,
+    Planner,
     ZoneRecord,
     assign_upstreams,
     decode_record,
@@ -88,6 +89,29 @@
     assert plan_ownership(record, upstreams=UPSTREAMS, available={}).owners == {}
 
 
+def test_a_planner_plans_again_only_when_something_has_changed():
+    planner = Planner()
+    owners = make_owners([4, 4])
+    everyone = {owner.vm: 4 for owner in owners}
+
+    def plan(epoch, unreached=None):
+        return planner.plan(
+            ZoneRecord(epoch, owners),
+            upstreams=UPSTREAMS[:9],
+            available=everyone,
+            unreached=unreached,
+        )
+
+    first = plan(3)
+    assert plan(3) is first
+    assert plan(4).epoch == 4
+    name = min(first.owned_by("vm-00"))
+    unreached = {"vm-00": (name,)}
+    assert plan(4, unreached).owners[name] == "vm-01"
+    everyone.pop("vm-00")
+    assert set(plan(4, unreached).owners.values()) == {"vm-01"}
+
+
 @given(
     st.lists(st.integers(1, 100), min_size=1, max_size=8),
     st.integers(0, 40),
--- a/packages/standins/src/papayadyke_standins/ownership_world/_vm.py
+++ b/packages/standins/src/papayadyke_standins/ownership_world/_vm.py
@@ -18,6 +18,7 @@
     Granted,
     OpenRequest,
     OwnershipPlan,
+    Planner,
     ProposalSettings,
     Reach,
     ReachSettings,
@@ -29,7 +30,6 @@
     StartPermit,
     ZoneRecord,
     available_owners,
-    plan_ownership,
     unreached_upstreams,
 )
 from papayadyke_standins.ownership_world._clock import DriftingClock
@@ -111,7 +111,7 @@
         }
         self.holdings = {name: Holding() for name in self.world.upstreams}
         self._plan: OwnershipPlan | None = None
-        self._plan_key: object = None
+        self._planner = Planner()
         self._next_pull_s = self._next_read_s = self._next_reconcile_s = 0.0
 
     @property
@@ -217,17 +217,12 @@
 
     def _follow_plan(self, snapshot: Snapshot) -> None:
         if snapshot.is_settled and self.record is not None:
-            available = available_owners(snapshot)
-            unreached = unreached_upstreams(snapshot)
-            key = (self.record.epoch, available, unreached)
-            if key != self._plan_key:
-                self._plan_key = key
-                self._plan = plan_ownership(
-                    self.record,
-                    upstreams=self.world.upstreams,
-                    available=available,
-                    unreached=unreached,
-                )
+            self._plan = self._planner.plan(
+                self.record,
+                upstreams=self.world.upstreams,
+                available=available_owners(snapshot),
+                unreached=unreached_upstreams(snapshot),
+            )
         for name, session in self.sessions.items():
             is_mine = (
                 self._plan is not None and self._plan.owners.get(name) == self.name
