--- a/packages/daemon/src/papayadyke_daemon/membership/_service.py
+++ b/packages/daemon/src/papayadyke_daemon/membership/_service.py
@@ -57,6 +57,8 @@
     Parameters
     ----------
     identity : Identity
+    seeds : tuple of ListedVm, default=()
+        VMs to call before the platform's list has been read.
     membership : MembershipSettings, default=MembershipSettings()
     record : RecordKeeperSettings or None, default=None
         None for those that follow from the identity.
@@ -72,6 +74,7 @@
     """
 
     identity: Identity
+    seeds: tuple[ListedVm, ...] = ()
     membership: MembershipSettings = field(default_factory=MembershipSettings)
     record: RecordKeeperSettings | None = None
     tick_s: float = 0.2
@@ -112,6 +115,7 @@
         self._vm_list = vm_list
         self._inbox: queue.SimpleQueue[Item] = queue.SimpleQueue()
         self._membership = Membership(settings.identity, settings=settings.membership)
+        self._membership.apply_platform_list(settings.seeds)
         self._record: ZoneRecord | None = None
         self._next_pull_s = float("-inf")
         # Unpredictable on purpose: VMs that start together choose differently.
