--- a/packages/daemon/src/papayadyke_daemon/membership/_service.py
+++ b/packages/daemon/src/papayadyke_daemon/membership/_service.py
@@ -16,6 +16,7 @@
 from papayadyke_core.membership import (
     Exchange,
     Identity,
+    ListedVm,
     Load,
     Membership,
     MembershipSettings,
