Follow what VMs reach in the owner thread of the daemon

Cause: the plan knows of upstreams that a VM can't reach, but nobody told it. Change: the owner thread notes upstreams without an answer, probes one at a time, tells the membership, and keeps its plan until something changes.

--- a/packages/core/src/papayadyke_core/ownership/_reach.py
+++ b/packages/core/src/papayadyke_core/ownership/_reach.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
 
-from papayadyke_core.ownership._session import Session
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ReachSettings:
@@ -36,23 +34,24 @@
         self.settings = settings
         self._next_probe_s: dict[str, float] = {}
 
-    def update(self, sessions: Iterable[Session], now: float) -> None:
-        """Look for sessions whose upstream has not answered for long."""
-        for session in sessions:
-            is_silent = session.unanswered_s(now) >= self.settings.unreached_s
-            if is_silent and session.upstream not in self._next_probe_s:
-                self._next_probe_s[session.upstream] = now + self.settings.probe_s
+    def update(self, unanswered_s: Mapping[str, float], now: float) -> None:
+        """Take for how long each upstream has answered no request."""
+        for upstream, silent_s in unanswered_s.items():
+            is_silent = silent_s >= self.settings.unreached_s
+            if is_silent and upstream not in self._next_probe_s:
+                self._next_probe_s[upstream] = now + self.settings.probe_s
 
     def unreached(self) -> frozenset[str]:
         """Return the upstreams that can't be reached, to be told to peers."""
         return frozenset(self._next_probe_s)
 
-    def take_due_probes(self, now: float) -> tuple[str, ...]:
-        """Return the upstreams to probe now."""
-        due = [name for name, at_s in self._next_probe_s.items() if now >= at_s]
-        for name in due:
-            self._next_probe_s[name] = now + self.settings.probe_s
-        return tuple(due)
+    def take_due_probe(self, now: float) -> str | None:
+        """Return an upstream to probe now; one, as a probe may take a while."""
+        due = (name for name, at_s in self._next_probe_s.items() if now >= at_s)
+        upstream = next(due, None)
+        if upstream is not None:
+            self._next_probe_s[upstream] = now + self.settings.probe_s
+        return upstream
 
     def apply_probe(self, upstream: str) -> None:
         """Take a probe that was answered."""
--- a/packages/core/src/papayadyke_core/ownership/tests/test_session.py
+++ b/packages/core/src/papayadyke_core/ownership/tests/test_session.py
@@ -24,15 +24,15 @@
     session.want(5)
     for second in range(10):
         session.next_request(float(second))
-        reach.update([session], float(second))
+        reach.update({"u": session.unanswered_s(float(second))}, float(second))
     assert reach.unreached() == frozenset()
-    reach.update([session], 10.0)
+    reach.update({"u": session.unanswered_s(10.0)}, 10.0)
     assert reach.unreached() == {"u"}
     session.hand_over()
     assert session.unanswered_s(11.0) == 0.0
-    assert reach.take_due_probes(14.9) == ()
-    assert reach.take_due_probes(15.0) == ("u",)
-    assert reach.take_due_probes(15.1) == ()
+    assert reach.take_due_probe(14.9) is None
+    assert reach.take_due_probe(15.0) == "u"
+    assert reach.take_due_probe(15.1) is None
     reach.apply_probe("u")
     assert reach.unreached() == frozenset()
 
--- a/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
@@ -180,6 +180,11 @@
         with self._lock:
             return self._session.may_start(self.clock())
 
+    def unanswered_s(self) -> float:
+        """Return for how long the upstream has answered no request."""
+        with self._lock:
+            return self._session.unanswered_s(self.clock())
+
     def watch(self, task_id: str, start_before_s: float) -> None:
         """Finish a task of unknown outcome once it can neither run nor start.
 
--- a/packages/daemon/src/papayadyke_daemon/fleet/_fleet.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_fleet.py
@@ -6,10 +6,18 @@
 import time
 from collections.abc import Callable, Iterable
 
-from papayadyke_daemon.fleet._agent import Holder, SchedulerMessage, UpstreamAgent
+from papayadyke_daemon.fleet._agent import (
+    UNREACHABLE,
+    Holder,
+    SchedulerMessage,
+    UpstreamAgent,
+)
 from papayadyke_daemon.settings import FleetSettings, UpstreamAddress
 from papayadyke_platform.upstream import CallResult, Lost, UpstreamClient
 
+# No session has this token, so that asking to renew it changes nothing.
+NO_TOKEN = 0
+
 
 class Fleet:
     """Keeps one agent for each upstream that this daemon should own.
@@ -87,6 +95,21 @@
         agents = list(self._agents.items())
         return [name for name, agent in agents if agent.is_held()]
 
+    def list_unanswered(self) -> dict[str, float]:
+        """Return for how long each upstream has answered no request."""
+        agents = list(self._agents.items())
+        return {name: agent.unanswered_s() for name, agent in agents}
+
+    def probe(self, name: str) -> bool:
+        """Tell whether an upstream of the zone answers at all."""
+        address = self.upstreams[name].address
+        client = UpstreamClient(address.host, address.port, connections=1)
+        try:
+            answer = client.renew(NO_TOKEN)
+        finally:
+            client.close()
+        return answer.is_ok() or answer.unwrap_err().reason != UNREACHABLE
+
     def stop(self) -> None:
         """Release every session."""
         self.own((), epoch=0)
--- a/packages/daemon/src/papayadyke_daemon/fleet/_owner.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_owner.py
@@ -6,14 +6,17 @@
 import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from papayadyke_core.membership import Snapshot
 from papayadyke_core.ownership import (
     OwnershipPlan,
+    Planner,
+    Reach,
+    ReachSettings,
     ZoneRecord,
     available_owners,
-    plan_ownership,
+    unreached_upstreams,
 )
 from papayadyke_daemon.fleet._fleet import Fleet
 
@@ -32,10 +35,12 @@
         Time after the start for which a zone record is waited for. Past it the
         VM goes on as if the record were older than any other: upstreams that
         have seen a later one refuse it.
+    reach : ReachSettings, default=ReachSettings()
     """
 
     period_s: float = 0.5
     first_wait_s: float = 4.0
+    reach: ReachSettings = field(default_factory=ReachSettings)
 
 
 class FleetOwner:
@@ -70,7 +75,10 @@
         self.settings = settings or OwnerSettings()
         self.clock = clock
         self._started_s = clock()
+        self._planner = Planner()
         self._plan: OwnershipPlan | None = None
+        self._reach = Reach(settings=self.settings.reach)
+        self._unreached: frozenset[str] = frozenset()
         self._stopping = threading.Event()
 
     def start(self) -> None:
@@ -84,6 +92,10 @@
         self._thread.join()
         self.fleet.stop()
 
+    def list_unreached(self) -> frozenset[str]:
+        """Return the upstreams that this VM can't reach; any thread may call it."""
+        return self._unreached
+
     def step(self, now: float) -> None:
         """Work the plan out anew, and follow it where it has changed."""
         snapshot = self.snapshot()
@@ -96,10 +108,11 @@
             return
         if not snapshot.is_settled:
             return
-        plan = plan_ownership(
+        plan = self._planner.plan(
             record,
             upstreams=self.fleet.list_names(),
             available=available_owners(snapshot),
+            unreached=unreached_upstreams(snapshot),
         )
         if plan != self._plan:
             self._plan = plan
@@ -107,9 +120,19 @@
             LOG.info("owner: %d upstreams at epoch %d", len(owned), plan.epoch)
             self.fleet.own(owned, epoch=plan.epoch)
 
+    def look_for_unreached(self, now: float) -> None:
+        """Note upstreams that don't answer, and probe those noted before."""
+        self._reach.update(self.fleet.list_unanswered(), now)
+        upstream = self._reach.take_due_probe(now)
+        if upstream is not None and self.fleet.probe(upstream):
+            LOG.info("owner: %s answers again", upstream)
+            self._reach.apply_probe(upstream)
+        self._unreached = self._reach.unreached()
+
     def _run(self) -> None:
         while not self._stopping.wait(self.settings.period_s):
             self.step(self.clock())
+            self.look_for_unreached(self.clock())
 
     def _find_record(self, now: float) -> ZoneRecord | None:
         record = self.record()
--- a/packages/daemon/src/papayadyke_daemon/peering.py
+++ b/packages/daemon/src/papayadyke_daemon/peering.py
@@ -306,6 +306,7 @@
             self._state,
             config_revision=self.config_sync().revision,
             load=self._read_load(),
+            unreached=self.owner.list_unreached(),
         )
         revision = 0
         endpoint = self.get_endpoint()
--- a/packages/standins/src/papayadyke_standins/ownership_world/_vm.py
+++ b/packages/standins/src/papayadyke_standins/ownership_world/_vm.py
@@ -257,10 +257,14 @@
             self._adopt(upstream)
 
     def _probe(self) -> None:
-        self.reach.update(self.sessions.values(), self.now)
-        for name in self.reach.take_due_probes(self.now):
-            if self.world.is_linked(self.name, name):
-                self.reach.apply_probe(name)
+        unanswered_s = {
+            name: session.unanswered_s(self.now)
+            for name, session in self.sessions.items()
+        }
+        self.reach.update(unanswered_s, self.now)
+        name = self.reach.take_due_probe(self.now)
+        if name is not None and self.world.is_linked(self.name, name):
+            self.reach.apply_probe(name)
 
     def _adopt(self, upstream: WorldUpstream) -> None:
         """Count what runs already, and starts that may yet arrive."""
