--- a/packages/core/src/papayadyke_core/ownership/tests/test_plan.py
+++ b/packages/core/src/papayadyke_core/ownership/tests/test_plan.py
@@ -6,6 +6,7 @@
 
 from papayadyke_core.ownership import (
     Owner,
+    Planner,
     ZoneRecord,
     assign_upstreams,
     decode_record,
@@ -61,6 +62,26 @@
     assert set(stand_ins) == set(everyone)
 
 
+def test_an_upstream_goes_to_a_vm_that_reaches_it():
+    owners = make_owners([4] * 3)
+    everyone = {owner.vm: 4 for owner in owners}
+    record = ZoneRecord(3, owners)
+    whole = plan_ownership(record, upstreams=UPSTREAMS, available=everyone)
+    name = min(whole.owned_by("vm-00"))
+    for blind in ({"vm-00"}, {"vm-00", "vm-01"}):
+        unreached = dict.fromkeys(blind, (name,))
+        plan = plan_ownership(
+            record, upstreams=UPSTREAMS, available=everyone, unreached=unreached
+        )
+        assert moved(whole.owners, plan.owners) == {name}
+        assert plan.owners[name] not in blind
+    everybody = dict.fromkeys(everyone, (name,))
+    plan = plan_ownership(
+        record, upstreams=UPSTREAMS, available=everyone, unreached=everybody
+    )
+    assert plan.owners[name] in everyone
+
+
 def test_newcomers_stand_in_when_nobody_of_the_record_is_left():
     record = ZoneRecord(3, make_owners([4, 4]))
     plan = plan_ownership(record, upstreams=UPSTREAMS, available={"n1": 1, "n2": 1})
@@ -68,6 +89,29 @@
     assert plan_ownership(record, upstreams=UPSTREAMS, available={}).owners == {}
 
 
+def test_a_planner_plans_again_only_when_something_has_changed():
+    planner = Planner()
+    owners = make_owners([4, 4])
+    everyone = {owner.vm: 4 for owner in owners}
+
+    def plan(epoch, unreached=None):
+        return planner.plan(
+            ZoneRecord(epoch, owners),
+            upstreams=UPSTREAMS[:9],
+            available=everyone,
+            unreached=unreached,
+        )
+
+    first = plan(3)
+    assert plan(3) is first
+    assert plan(4).epoch == 4
+    name = min(first.owned_by("vm-00"))
+    unreached = {"vm-00": (name,)}
+    assert plan(4, unreached).owners[name] == "vm-01"
+    everyone.pop("vm-00")
+    assert set(plan(4, unreached).owners.values()) == {"vm-01"}
+
+
 @given(
     st.lists(st.integers(1, 100), min_size=1, max_size=8),
     st.integers(0, 40),
--- a/packages/standins/src/papayadyke_standins/ownership_world/__init__.py
+++ b/packages/standins/src/papayadyke_standins/ownership_world/__init__.py
@@ -5,15 +5,17 @@
 from papayadyke_standins.ownership_world._vm import Fate, WorldVm
 from papayadyke_standins.ownership_world._world import (
     HANDOVER_WITHIN_S,
-    ReleasedWrongly,
+    OWNED_WITHIN_S,
+    NoOwnerError,
     World,
 )
 
 __all__ = [
     "HANDOVER_WITHIN_S",
+    "OWNED_WITHIN_S",
     "Fate",
+    "NoOwnerError",
     "RecordStore",
-    "ReleasedWrongly",
     "StoreMode",
     "World",
     "WorldUpstream",
