--- a/packages/core/src/papayadyke_core/slo/_recorder.py
+++ b/packages/core/src/papayadyke_core/slo/_recorder.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from hdrh.histogram import HdrHistogram
 
@@ -74,7 +74,7 @@
     held_share: float
     floor: float
     queued: int
-    target: SloTarget = SloTarget()
+    target: SloTarget = field(default_factory=SloTarget)
 
 
 class Recorder:
