--- a/packages/standins/src/papayadyke_standins/cell/_load.py
+++ b/packages/standins/src/papayadyke_standins/cell/_load.py
@@ -141,8 +141,8 @@
 class Load:
     """Clients that send requests to the daemons of a cell until stopped.
 
-    As behind a balancer, a daemon that says that it is not ready gets no new
-    requests a short time later; one that is gone is found out by the clients.
+    As behind a balancer, a daemon that does not say that it is ready gets no
+    new requests a short time later.
 
     Parameters
     ----------
@@ -259,12 +259,12 @@
 
 
 def _is_ready(target: Target) -> bool:
-    """Tell whether a daemon is ready; one that does not answer is not known."""
+    """Tell whether a daemon says in time that it is ready."""
     exchange = HttpExchange(
         target.host, target.port, kept=0, connect_timeout_s=CONNECT_TIMEOUT_S
     )
     result = exchange.send("GET", "/readyz", timeout_s=CONNECT_TIMEOUT_S)
-    return result.is_err() or result.unwrap().status == HTTP_OK
+    return result.is_ok() and result.unwrap().status == HTTP_OK
 
 
 def _find_overlaps(runs: Mapping[str, Sequence[RunRecord]]) -> list[str]:
