Look at the emptiest upstreams first when room is held for a gang

Cause: holding room looked at every task of the fleet: 45.9 ms in a zone of 1,125 upstreams with 9,000 running tasks. Change: the 64 emptiest upstreams, or as many as the gang has tasks, are looked at first, and more only where those don't do.

--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -22,6 +22,7 @@
 from papayadyke_core.workloads import Config, Kind, Urgency, Workload
 
 UPSTREAMS = 24
+ZONE_UPSTREAMS = 1125
 DEMAND = Resources(1000, 1000)
 STEP_S = 0.01
 STOP_S = 0.1
@@ -33,13 +34,15 @@
 class Run:
     """A scheduler under a load, in virtual time."""
 
-    def __init__(self, seed: int, *workloads: Workload) -> None:
+    def __init__(
+        self, seed: int, *workloads: Workload, upstreams: int = UPSTREAMS
+    ) -> None:
         self.scheduler = Scheduler()
         self.rng = random.Random(seed)
         self.now = 0.0
         config = Config(revision=1, workloads={w.name: w for w in workloads})
         self.scheduler.apply_config(config, 0.0)
-        for number in range(UPSTREAMS):
+        for number in range(upstreams):
             rack = f"r{number // 8}"
             spec = UpstreamSpec(f"u{number}", "z", rack, Resources(64_000, 256_000))
             self.scheduler.add_upstream(spec, 0.0)
@@ -119,6 +122,22 @@
     return run.now - begun_s
 
 
+def time_of_hold(seed: int) -> float:
+    """Return milliseconds for a decision that holds room for a gang in a zone."""
+    gang = Workload("gang", Kind.GANG, DEMAND, timeout_s=600.0)
+    flood = Workload("flood", Kind.SERVICE, DEMAND, queue_limit=20_000, timeout_s=60.0)
+    run = Run(seed, gang, flood, upstreams=ZONE_UPSTREAMS)
+    run.run_s["flood"] = lambda: run.rng.uniform(50.0, 60.0)
+    run.submit("flood", 12_000)
+    while run.running("flood") < ZONE_UPSTREAMS * 8:
+        run.step()
+    run.submit("gang", 1, tasks=64)
+    run.now += 2.0
+    begun = time.perf_counter()
+    run.scheduler.decide(run.now)
+    return (time.perf_counter() - begun) * 1e3
+
+
 def _queued(run: Run, workload: str) -> int:
     loads = run.scheduler.summary(run.now).workloads
     return next(load.queued for load in loads if load.workload == workload)
@@ -165,6 +184,7 @@
     for run_s in (0.5, 5.0):
         waited_s = time_until_gang(seed, run_s)
         print(f"gang of the whole fleet among tasks of {run_s} s: {waited_s:.2f} s")
+    print(f"decision that holds room in a zone: {time_of_hold(seed):.1f} ms")
     each, decision = wave_of_cancellations(seed)
     print(f"{WAVE} cancellations: {each:.1f} us each, next decision {decision:.0f} us")
     print(f"{WAVE} refusals at a full queue: {wave_of_refusals(seed):.1f} us each")
--- a/packages/core/src/papayadyke_core/scheduling/_book.py
+++ b/packages/core/src/papayadyke_core/scheduling/_book.py
@@ -248,12 +248,19 @@
     def free_on(self, upstream: str) -> tuple[Resources, int]:
         """Return the free resources and slots of an upstream."""
         spec = self.specs[upstream]
-        free = spec.capacity
-        slots = self._limits.get(upstream, spec.slots)
+        cpu_millis = memory_mb = accelerators = tasks = 0
         for task in self.running.on_upstream(upstream):
-            free = free - task.demand
-            slots -= 1
-        return free, slots
+            demand = task.demand
+            cpu_millis += demand.cpu_millis
+            memory_mb += demand.memory_mb
+            accelerators += demand.accelerators
+            tasks += 1
+        free = spec.capacity - Resources(cpu_millis, memory_mb, accelerators)
+        return free, self.limit_of(upstream) - tasks
+
+    def limit_of(self, upstream: str) -> int:
+        """Return how many tasks may run at once on an upstream."""
+        return self._limits.get(upstream, self.specs[upstream].slots)
 
     def check_invariants(self) -> None:
         """Count everything anew and compare.
--- a/packages/core/src/papayadyke_core/scheduling/_room_keeper.py
+++ b/packages/core/src/papayadyke_core/scheduling/_room_keeper.py
@@ -13,6 +13,7 @@
 
 _LATE_GROWTH = 0.1
 _PLAN_EVERY_S = 0.1
+_MIN_LOOKED_AT = 64
 
 
 class RoomKeeper:
@@ -128,19 +129,35 @@
     ) -> None:
         book = self._book
         demand = state.account.demand
-        rooms = self._rooms()
-        planned = plan_hold(rooms, request, demand, tasks, phase, self._now)
+        names = self._emptiest_first(demand)
+        planned = None
+        looked_at = max(_MIN_LOOKED_AT, tasks)
+        while planned is None and names:
+            rooms = [self._room(name) for name in names[:looked_at]]
+            planned = plan_hold(rooms, request, demand, tasks, phase, self._now)
+            if looked_at >= len(names):
+                break
+            looked_at *= 4
         if planned is not None:
             book.hold = planned
         book.next_hold_s = self._now + _PLAN_EVERY_S
 
-    def _rooms(self) -> list[UpstreamRoom]:
-        rooms = []
-        for name in self._book.specs:
-            if name not in self._book.unusable:
-                free, slots = self._book.free_on(name)
-                rooms.append(UpstreamRoom(name, free, slots, self._ends(name)))
-        return rooms
+    def _emptiest_first(self, demand: Resources) -> list[str]:
+        """Return the upstreams that hold a task when idle, by slots in use."""
+        book = self._book
+        names = [
+            name
+            for name, spec in book.specs.items()
+            if name not in book.unusable
+            and book.limit_of(name) > 0
+            and demand.fits_in(spec.capacity)
+        ]
+        names.sort(key=lambda name: book.running.count_on(name) / book.limit_of(name))
+        return names
+
+    def _room(self, name: str) -> UpstreamRoom:
+        free, slots = self._book.free_on(name)
+        return UpstreamRoom(name, free, slots, self._ends(name))
 
     def _ends(self, upstream: str) -> tuple[tuple[float, Resources], ...]:
         return tuple(
--- a/packages/core/src/papayadyke_core/scheduling/_running.py
+++ b/packages/core/src/papayadyke_core/scheduling/_running.py
@@ -98,6 +98,10 @@
         """Return the tasks of a request."""
         return self._by_request.get(request_id, {}).values()
 
+    def count_on(self, upstream: str) -> int:
+        """Return how many tasks run on an upstream."""
+        return len(self._by_upstream.get(upstream, ()))
+
     def on_upstream(self, upstream: str) -> Iterable[Running]:
         """Return the tasks on an upstream."""
         return self._by_upstream.get(upstream, {}).values()
