Drop idle connections to the store after a lost answer

Where a box between the two ends loses track of the connections, all of them go silent together, and each idle one cost the next call its own timeout.

--- a/packages/platform/src/papayadyke_platform/store/_http.py
+++ b/packages/platform/src/papayadyke_platform/store/_http.py
@@ -9,7 +9,7 @@
 import msgspec
 import urllib3
 from result import Err, Ok, Result
-from urllib3.exceptions import HTTPError, NewConnectionError
+from urllib3.exceptions import ClosedPoolError, HTTPError, NewConnectionError
 
 from papayadyke_platform.store import _wire as wire
 from papayadyke_platform.store._types import Entry, ErrorKind, Event, StoreError
@@ -147,9 +147,14 @@
                 timeout=timeout,
                 retries=False,
             )
+        except ClosedPoolError:
+            # Another call has dropped the idle connections; nothing was sent.
+            return self._call(call, unpack, if_lost, extra_wait_s)
         except (NewConnectionError, urllib3.exceptions.ConnectTimeoutError) as exc:
             return Err(StoreError(ErrorKind.UNAVAILABLE, f"no connection: {exc}"))
         except (HTTPError, OSError) as exc:
+            # The idle connections may have gone silent together with this one.
+            self._pool.clear()
             return Err(StoreError(if_lost, f"answer lost: {exc}"))
         if resp.status in (HTTP_TOO_MANY_REQUESTS, HTTP_UNAVAILABLE):
             return Err(StoreError(ErrorKind.UNAVAILABLE, f"status {resp.status}"))
--- a/packages/platform/src/papayadyke_platform/store/tests/test_http_store.py
+++ b/packages/platform/src/papayadyke_platform/store/tests/test_http_store.py
@@ -1,7 +1,9 @@
+import contextlib
 import socket
 import threading
 
 import pytest
+from urllib3.exceptions import ClosedPoolError
 
 from papayadyke_platform.store import (
     MAX_VALUE_BYTES,
@@ -112,3 +114,75 @@
         ("log/1", b"v", revision)
     ]
     assert standin.service.counts().operations["watch"] == 1
+
+
+def test_call_that_finds_its_pool_dropped_is_sent_on_another(standin, monkeypatch):
+    store = connect(standin)
+    plain = store._pool.request
+    pool = store._pool.connection_from_url(f"http://{standin.address}")
+    drops = iter([True, False])
+
+    def request(*args, **options):
+        if next(drops):
+            raise ClosedPoolError(pool, "dropped")
+        return plain(*args, **options)
+
+    monkeypatch.setattr(store._pool, "request", request)
+    assert store.create("k", b"v").is_ok()
+
+
+class Middlebox:
+    """Passes connections on until it loses track of those that are open."""
+
+    def __init__(self, address):
+        host, _, port = address.rpartition(":")
+        self.target = (host, int(port))
+        self.lost = set()
+        self.open = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "{}:{}".format(*self.listener.getsockname())
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                near, _ = self.listener.accept()
+                far = socket.create_connection(self.target)
+                self.open.append(near)
+                for pair in ((near, far, near), (far, near, near)):
+                    threading.Thread(target=self.pump, args=pair, daemon=True).start()
+
+    def pump(self, source, sink, near):
+        with contextlib.suppress(OSError):
+            while data := source.recv(65536):
+                if near not in self.lost:
+                    sink.sendall(data)
+
+    def lose_track(self):
+        self.lost.update(self.open)
+
+
+def read_at_once(store, count):
+    done = []
+    threads = [
+        threading.Thread(target=lambda: done.append(store.read("k")))
+        for _ in range(count)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return done
+
+
+def test_silent_connections_cost_one_timeout(standin):
+    box = Middlebox(standin.address)
+    settings = StoreSettings(address=box.address, answer_timeout_s=2.0)
+    store = HttpStore(settings)
+    standin.service.set_faults(Faults(delay_s=0.2))
+    assert all(done.is_ok() for done in read_at_once(store, 4))
+    assert len(box.open) == 4
+    box.lose_track()
+    assert store.read("k").unwrap_err().kind is ErrorKind.UNAVAILABLE
+    assert all(done.is_ok() for done in read_at_once(store, 4))
+    box.listener.close()
