--- a/packages/core/src/papayadyke_core/ownership/__init__.py
+++ b/packages/core/src/papayadyke_core/ownership/__init__.py
@@ -9,6 +9,7 @@
 )
 from papayadyke_core.ownership._plan import (
     OwnershipPlan,
+    Planner,
     assign_upstreams,
     plan_ownership,
     rank_owners,
@@ -17,7 +18,9 @@
     ProposalSettings,
     RecordProposer,
     available_owners,
+    unreached_upstreams,
 )
+from papayadyke_core.ownership._reach import Reach, ReachSettings
 from papayadyke_core.ownership._record import (
     Owner,
     RecordError,
@@ -26,11 +29,11 @@
     decode_record,
     encode_record,
 )
-from papayadyke_core.ownership._session import (
+from papayadyke_core.ownership._session import Session
+from papayadyke_core.ownership._session_types import (
     OpenRequest,
     ReleaseRequest,
     RenewRequest,
-    Session,
     SessionRequest,
     SessionSettings,
     SessionState,
@@ -43,7 +46,10 @@
     "OpenRequest",
     "Owner",
     "OwnershipPlan",
+    "Planner",
     "ProposalSettings",
+    "Reach",
+    "ReachSettings",
     "RecordError",
     "RecordProposer",
     "Refused",
@@ -64,4 +70,5 @@
     "encode_record",
     "plan_ownership",
     "rank_owners",
+    "unreached_upstreams",
 ]
--- a/packages/standins/src/papayadyke_standins/ownership_world/_vm.py
+++ b/packages/standins/src/papayadyke_standins/ownership_world/_vm.py
@@ -18,7 +18,10 @@
     Granted,
     OpenRequest,
     OwnershipPlan,
+    Planner,
     ProposalSettings,
+    Reach,
+    ReachSettings,
     RecordProposer,
     Refused,
     ReleaseRequest,
@@ -27,7 +30,7 @@
     StartPermit,
     ZoneRecord,
     available_owners,
-    plan_ownership,
+    unreached_upstreams,
 )
 from papayadyke_standins.ownership_world._clock import DriftingClock
 from papayadyke_standins.ownership_world._upstream import WorldUpstream
@@ -93,6 +96,7 @@
         identity = Identity(self.name, "zone", "region", self.incarnation, "a", 4)
         self.membership = Membership(identity, settings=MembershipSettings())
         self.membership.apply_platform_list(self.world.listed)
+        self.reach = Reach(settings=ReachSettings())
         self.proposer = RecordProposer(self.name, settings=ProposalSettings())
         self.record: ZoneRecord | None = None
         self.has_read_store = False
@@ -107,7 +111,7 @@
         }
         self.holdings = {name: Holding() for name in self.world.upstreams}
         self._plan: OwnershipPlan | None = None
-        self._plan_key: object = None
+        self._planner = Planner()
         self._next_pull_s = self._next_read_s = self._next_reconcile_s = 0.0
 
     @property
@@ -132,7 +136,9 @@
     def step(self) -> None:
         """Do what is due, as the loops of the daemon do."""
         state = MemberState.LEAVING if self.is_leaving else MemberState.LIVE
-        self.membership.update_self(state, config_revision=1, load=Load())
+        self.membership.update_self(
+            state, config_revision=1, load=Load(), unreached=self.reach.unreached()
+        )
         for out in self.membership.tick(self.now, self.world.rng):
             self.world.deliver(self, out.vm, out.message)
         snapshot = self.membership.snapshot(self.now)
@@ -141,6 +147,7 @@
         self._follow_plan(snapshot)
         for upstream in self.world.upstreams.values():
             self._drive_session(upstream)
+        self._probe()
         self._reconcile()
 
     def learn(self, record: ZoneRecord | None) -> None:
@@ -210,13 +217,12 @@
 
     def _follow_plan(self, snapshot: Snapshot) -> None:
         if snapshot.is_settled and self.record is not None:
-            available = available_owners(snapshot)
-            key = (self.record.epoch, tuple(sorted(available.items())))
-            if key != self._plan_key:
-                self._plan_key = key
-                self._plan = plan_ownership(
-                    self.record, upstreams=self.world.upstreams, available=available
-                )
+            self._plan = self._planner.plan(
+                self.record,
+                upstreams=self.world.upstreams,
+                available=available_owners(snapshot),
+                unreached=unreached_upstreams(snapshot),
+            )
         for name, session in self.sessions.items():
             is_mine = (
                 self._plan is not None and self._plan.owners.get(name) == self.name
@@ -250,6 +256,16 @@
         if session.apply(request, answer, self.now):
             self._adopt(upstream)
 
+    def _probe(self) -> None:
+        unanswered_s = {
+            name: session.unanswered_s(self.now)
+            for name, session in self.sessions.items()
+        }
+        self.reach.update(unanswered_s, self.now)
+        name = self.reach.take_due_probe(self.now)
+        if name is not None and self.world.is_linked(self.name, name):
+            self.reach.apply_probe(name)
+
     def _adopt(self, upstream: WorldUpstream) -> None:
         """Count what runs already, and starts that may yet arrive."""
         holding = self.holdings[upstream.name]
