Keep threads for operators' questions while changes wait

In an outage of the store each change waits up to 8 s for it; eight of them took all threads of the listener, and the status could not be asked for. Half of the threads are now left to questions.

--- a/packages/daemon/src/papayadyke_daemon/operators/_app.py
+++ b/packages/daemon/src/papayadyke_daemon/operators/_app.py
@@ -5,6 +5,7 @@
 import logging
 import math
 import re
+import threading
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -65,6 +66,7 @@
     max_header_bytes=8_192,
     receive_timeout_s=10,
 )
+MAX_CHANGES_AT_ONCE = OPERATORS_LIMITS.threads // 2
 MAX_QUERY_CHARS = 512
 MAX_REFUSED = 500
 MAX_BURN_WINDOW_S = 31 * 24 * 3600
@@ -135,6 +137,8 @@
         self.submit = submit
         self.backend = backend
         self.unix_clock = unix_clock
+        # In an outage changes wait long; questions must still find a thread.
+        self._changes = threading.BoundedSemaphore(MAX_CHANGES_AT_ONCE)
 
     def handle(self, req: HttpRequest) -> HttpAnswer:
         """Return the answer to any request; no input makes it raise."""
@@ -194,7 +198,13 @@
             change = decode_change(body)
         except msgspec.DecodeError as exc:
             raise _refuse(ProblemCode.INVALID, str(exc)) from None
-        done = self.submit(change)
+        if not self._changes.acquire(blocking=False):
+            text = "nothing was changed: too many changes wait for the store"
+            raise _refuse(ProblemCode.UNAVAILABLE, text)
+        try:
+            done = self.submit(change)
+        finally:
+            self._changes.release()
         if isinstance(done, Err):
             raise _Problem(_describe(done.err_value))
         return ChangeDone(change.id, done.ok_value.revision)
--- a/packages/daemon/src/papayadyke_daemon/operators/tests/test_operators.py
+++ b/packages/daemon/src/papayadyke_daemon/operators/tests/test_operators.py
@@ -16,11 +16,13 @@
 from papayadyke_core.verdicts import Reason, Refusal, Verdict
 from papayadyke_core.workloads import SloTarget, TeamModel
 from papayadyke_daemon.configuration import (
+    Accepted,
     ConfigRepository,
     ConfigWriter,
     ConfigWriterSettings,
 )
 from papayadyke_daemon.operators import OPERATORS_LIMITS, OperatorsApp
+from papayadyke_daemon.operators._app import MAX_CHANGES_AT_ONCE
 from papayadyke_platform.http import (
     BodyError,
     CloseConnection,
@@ -228,6 +230,33 @@
     assert connect(vms).read_status().unwrap().vm == "vm-1"
 
 
+def test_changes_that_wait_leave_threads_for_questions(cell):
+    _, vms = cell
+    going_on, waiting = threading.Event(), threading.Semaphore(0)
+
+    def submit(change):
+        waiting.release()
+        going_on.wait()
+        return Ok(Accepted(1))
+
+    vms[0].app.submit = submit
+    threads = [
+        threading.Thread(target=connect(vms[:1]).submit, args=(team(f"c{number}"),))
+        for number in range(MAX_CHANGES_AT_ONCE)
+    ]
+    for thread in threads:
+        thread.start()
+    for _ in threads:
+        assert waiting.acquire(timeout=30.0)
+    problem = connect(vms[:1]).submit(team("more")).unwrap_err()
+    assert problem.code is ProblemCode.UNAVAILABLE
+    assert connect(vms[:1]).read_status().is_ok()
+    going_on.set()
+    for thread in threads:
+        thread.join()
+    assert connect(vms[:1]).submit(team("more")).is_ok()
+
+
 def test_no_daemon_is_unavailable(cell):
     _, vms = cell
     client = connect(vms[:1])
