--- a/packages/core/src/papayadyke_core/journal/_pace.py
+++ b/packages/core/src/papayadyke_core/journal/_pace.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from papayadyke_core.journal._layout import PARTITIONS
+
 CELL_WRITES_PER_S = 150.0
 MAX_WRITES_PER_S = 10.0
 SLOW_CALL_S = 0.5
@@ -13,9 +15,10 @@
 class Pace:
     """An interval between calls that adapts to the cell and to the store.
 
-    The cell's share of the store's write rate is divided by the number of VMs.
-    Calls that fail or are slow lengthen the interval; good ones shorten it again
-    down to that share.
+    The cell's share of the store's write rate is divided by the number of VMs that
+    can own a partition, which is never more than there are partitions. Calls that
+    fail or are slow lengthen the interval; good ones shorten it again down to that
+    share.
 
     Parameters
     ----------
@@ -31,7 +34,8 @@
     @property
     def shortest_interval_s(self) -> float:
         """Seconds between calls while the store answers well."""
-        return 1.0 / min(MAX_WRITES_PER_S, CELL_WRITES_PER_S / self._vms)
+        writers = min(self._vms, PARTITIONS)
+        return 1.0 / min(MAX_WRITES_PER_S, CELL_WRITES_PER_S / writers)
 
     @property
     def interval_s(self) -> float:
