Ask again for a lost attempt that was seen running

RUNNING used to mean that its end would be told by itself; a resolver that tells it once left the task running for ever. It now renews the time at which the attempt was last seen and is asked for again until it ends.

--- a/packages/core/src/papayadyke_core/jobs/_task.py
+++ b/packages/core/src/papayadyke_core/jobs/_task.py
@@ -56,6 +56,8 @@
         Attempts that may have run.
     failures : int, default=0
         Attempts that ran and brought no answer.
+    unresolved_since_s : float, default=0.0
+        Log time at which an unresolved attempt was lost, or last seen running.
     """
 
     index: int
@@ -125,13 +127,11 @@
         ran = done.result is not TaskResult.NOT_STARTED
         check(not (never_authorized and ran), "a start that was not authorized")
         self.upstream = done.upstream or self.upstream
-        if done.result is TaskResult.RUNNING:
-            self.live = Live.STARTED
-            return
-        if done.result is TaskResult.LOST:
-            if self.live is not Live.UNRESOLVED:
-                self.live = Live.UNRESOLVED
+        if done.result in (TaskResult.LOST, TaskResult.RUNNING):
+            seen = done.result is TaskResult.RUNNING
+            if seen or self.live is not Live.UNRESOLVED:
                 self.unresolved_since_s = now_s
+            self.live = Live.UNRESOLVED
             return
         if done.result is TaskResult.NOT_STARTED and not never_authorized:
             self.starts -= 1
--- a/packages/core/src/papayadyke_core/jobs/_types.py
+++ b/packages/core/src/papayadyke_core/jobs/_types.py
@@ -14,8 +14,8 @@
 
     `ANSWERED`: with its whole answer. `FAILED`: it ran and failed.
     `NOT_STARTED`: it certainly never ran and never will. `STOPPED`: it ran, was
-    stopped and no longer runs. `LOST`: it may be running. `RUNNING`: an attempt
-    that was lost has been found; its end will be told. `LAPSED`: nothing was heard
+    stopped and no longer runs. `LOST`: it may be running. `RUNNING`: it was
+    seen running, and is asked for again until it ends. `LAPSED`: nothing was heard
     of it, and its lease has run out with margin, so it no longer runs.
     """
 
--- a/packages/core/src/papayadyke_core/jobs/tests/test_job.py
+++ b/packages/core/src/papayadyke_core/jobs/tests/test_job.py
@@ -105,13 +105,23 @@
     assert job.unresolved() == []
 
 
-def test_lost_attempt_that_is_found_running_does_not_lapse():
+def test_lost_attempt_that_is_seen_running_is_asked_for_until_it_ends():
     job = _job()
     (spec,) = _start(job)
     _end(job, spec, TaskResult.LOST)
+    _end(job, spec, TaskResult.RUNNING, now=90.0)
+    assert job.lapse(150.0, 100.0, 50.0) == []
+    assert [item.task_id for item in job.unresolved()] == [spec.task_id]
+    _end(job, spec, TaskResult.LOST, now=151.0)
+    job.lapse(191.0, 100.0, 50.0)
+    assert job.unresolved() == [], "its lease has run out since it was seen"
+
+
+def test_lost_attempt_may_still_answer():
+    job = _job()
+    (spec,) = _start(job)
     _end(job, spec, TaskResult.RUNNING)
-    assert job.lapse(5000.0, 100.0, 50.0) == []
-    (entry,) = _end(job, spec, TaskResult.ANSWERED, answer=ANSWER, now=5000.0)
+    (entry,) = _end(job, spec, TaskResult.ANSWERED, answer=ANSWER, now=50.0)
     assert entry.state is TaskState.ANSWERED
 
 
--- a/packages/daemon/src/papayadyke_daemon/jobs/_types.py
+++ b/packages/daemon/src/papayadyke_daemon/jobs/_types.py
@@ -68,8 +68,8 @@
     resolve_task : callable
         Asks the upstream, or all of them where it is None, about a lost attempt,
         and calls back. `NOT_STARTED` has to mean that a late start is refused as
-        well; `RUNNING` that its end will be told by the same callback; `LOST`
-        that nothing is known yet.
+        well; `RUNNING` that its lease is being renewed, and `LOST` that nothing
+        is known yet: in both cases it is asked again.
     """
 
     find_workload: Callable[[str], Workload | None]
--- a/packages/daemon/src/papayadyke_daemon/journal/tests/journal_world.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/tests/journal_world.py
@@ -129,7 +129,7 @@
             if known[0] in self.cut or known[0] not in places:
                 return TaskDone(task_id, TaskResult.LOST)
             if task_id in self.running:
-                return TaskDone(task_id, TaskResult.LOST, upstream=known[0])
+                return TaskDone(task_id, TaskResult.RUNNING, upstream=known[0])
             answer = self.ended[task_id][1]
             result = TaskResult.STOPPED if answer is None else TaskResult.ANSWERED
             return TaskDone(task_id, result, answer, upstream=known[0])
--- a/packages/daemon/src/papayadyke_daemon/journal/tests/test_found_failures.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/tests/test_found_failures.py
@@ -1,5 +1,7 @@
 """Failures that the state machine found, each as a fixed sequence of steps."""
 
+from typing import Any
+
 from papayadyke_daemon.journal.tests.journal_world import World
 
 
@@ -32,3 +34,17 @@
     old.place("u0")
     old.jobs._mailbox.pump()
     assert old.sending == []
+
+
+def test_owner_that_did_not_notice_its_successor_calls_no_job_unknown():
+    world = World()
+    old, new = world.boot("vm0"), world.boot("vm1")
+    assert old.take_over(0)
+    assert new.take_over(0)
+    new.submit(1, "order", 1, False, "")
+    new.pump(3)
+    (job_id,) = world.told_jobs
+    shown: list[Any] = []
+    old.jobs._mailbox.post(lambda: old.jobs._get(job_id, 0.0, shown.append))
+    old.pump(3)
+    assert [result.unwrap_err().reason for result in shown] == ["key_home_unreachable"]
