Halve the largest reserve, and learn nothing of unknown run times

Cause: at the size of one owner (3 upstreams, 24 slots) the reserve for urgent work took a quarter of the fleet and others their floors; tasks found running at a takeover ended after run times that were too short, and taught them. Change: at most 0.125 of the fleet is reserved for urgent work; nothing is learned of an adopted task whose run time isn't given (a test failed before).

--- a/packages/core/src/papayadyke_core/scheduling/_book.py
+++ b/packages/core/src/papayadyke_core/scheduling/_book.py
@@ -199,6 +199,7 @@
                 demand=task.demand,
                 started_at_s=now,
                 gang=self.states[task.workload].is_gang,
+                adopted=True,
             )
         )
 
--- a/packages/core/src/papayadyke_core/scheduling/_running.py
+++ b/packages/core/src/papayadyke_core/scheduling/_running.py
@@ -26,6 +26,8 @@
         Time of the start, or of the adoption.
     gang : bool
         Whether it is of use only together with its request's other tasks.
+    adopted : bool
+        Whether it was found running, so that its run time is unknown.
     stop_asked_at_s : float or None
         Time at which it was asked to give way.
     """
@@ -37,6 +39,7 @@
     demand: Resources
     started_at_s: float
     gang: bool = False
+    adopted: bool = False
     stop_asked_at_s: float | None = None
 
     def to_message(self) -> RunningTask:
--- a/packages/core/src/papayadyke_core/scheduling/_scheduler.py
+++ b/packages/core/src/papayadyke_core/scheduling/_scheduler.py
@@ -166,9 +166,12 @@
     def finish(
         self, task_id: str, outcome: Outcome, now: float, *, run_s: float = 0.0
     ) -> None:
-        """Release what a started task held; unknown ids change nothing."""
+        """Release what a started task held; unknown ids change nothing.
+
+        Nothing is learned of an adopted task whose run time is not given.
+        """
         task = self._book.release(task_id)
-        if task is None:
+        if task is None or (task.adopted and run_s <= 0.0):
             return
         run_s = run_s if run_s > 0.0 else now - task.started_at_s
         self._book.learn(task, outcome, run_s, now)
--- a/packages/core/src/papayadyke_core/scheduling/tests/test_scheduler.py
+++ b/packages/core/src/papayadyke_core/scheduling/tests/test_scheduler.py
@@ -487,3 +487,12 @@
     submit(scheduler, "a", 0.0, times=10, deadline_s=4.0)
     scheduler.decide(0.0)
     assert submit(scheduler, "a", 2.0, deadline_s=6.0) == [None]
+
+
+def test_nothing_is_learned_of_adopted_tasks_without_a_run_time():
+    scheduler = scheduler_of(workload("a", timeout_s=30.0))
+    for number in range(5):
+        task = RunningTask(f"t{number}", f"r{number}", "a", "u0", DEMAND)
+        scheduler.adopt(task, 0.0)
+        scheduler.finish(task.task_id, Outcome.ANSWERED, 0.01)
+    assert scheduler._book.states["a"].run_times.typical_s == 30.0
--- a/packages/core/src/papayadyke_core/sharing/_settings.py
+++ b/packages/core/src/papayadyke_core/sharing/_settings.py
@@ -33,7 +33,7 @@
     urgent_share : float, default=0.05
         Part of the fleet up to which room is reserved for an urgent workload
         above its floor.
-    reserve_limit : float, default=0.25
+    reserve_limit : float, default=0.125
         Part of the fleet that is reserved for urgent workloads at most.
     reserve_deviations : float, default=3.0
         Standard deviations of the tasks at once that the reserve of an urgent
@@ -50,6 +50,6 @@
     overdue_s: float = 30.0
     gang_patience_s: float = 1.0
     urgent_share: float = 0.05
-    reserve_limit: float = 0.25
+    reserve_limit: float = 0.125
     reserve_deviations: float = 3.0
     floor_deviations: float = 0.3
