--- /dev/null
+++ b/packages/core/src/papayadyke_core/ownership/__init__.py
@@ -0,0 +1,74 @@
+"""Which VM owns which upstream, and what keeps two owners apart."""
+
+from papayadyke_core.ownership._gate import (
+    Granted,
+    OpenRefusal,
+    Refused,
+    SessionGate,
+    StartRefusal,
+)
+from papayadyke_core.ownership._plan import (
+    OwnershipPlan,
+    Planner,
+    assign_upstreams,
+    plan_ownership,
+    rank_owners,
+)
+from papayadyke_core.ownership._proposal import (
+    ProposalSettings,
+    RecordProposer,
+    available_owners,
+    unreached_upstreams,
+)
+from papayadyke_core.ownership._reach import Reach, ReachSettings
+from papayadyke_core.ownership._record import (
+    Owner,
+    RecordError,
+    ZoneRecord,
+    check_record,
+    decode_record,
+    encode_record,
+)
+from papayadyke_core.ownership._session import Session
+from papayadyke_core.ownership._session_types import (
+    OpenRequest,
+    ReleaseRequest,
+    RenewRequest,
+    SessionRequest,
+    SessionSettings,
+    SessionState,
+    StartPermit,
+)
+
+__all__ = [
+    "Granted",
+    "OpenRefusal",
+    "OpenRequest",
+    "Owner",
+    "OwnershipPlan",
+    "Planner",
+    "ProposalSettings",
+    "Reach",
+    "ReachSettings",
+    "RecordError",
+    "RecordProposer",
+    "Refused",
+    "ReleaseRequest",
+    "RenewRequest",
+    "Session",
+    "SessionGate",
+    "SessionRequest",
+    "SessionSettings",
+    "SessionState",
+    "StartPermit",
+    "StartRefusal",
+    "ZoneRecord",
+    "assign_upstreams",
+    "available_owners",
+    "check_record",
+    "decode_record",
+    "encode_record",
+    "plan_ownership",
+    "rank_owners",
+    "unreached_upstreams",
+]
--- a/packages/core/src/papayadyke_core/verdicts/_verdict.py
+++ b/packages/core/src/papayadyke_core/verdicts/_verdict.py
@@ -20,6 +20,7 @@
     UNKNOWN_REQUEST = "unknown_request"
     KEY_CONFLICT = "key_conflict"
     KEY_IN_PROGRESS = "key_in_progress"
+    ANSWER_NOT_KEPT = "answer_not_kept"
     TOO_LARGE = "too_large"
     CAN_NEVER_RUN = "can_never_run"
     NOT_ADMITTED = "not_admitted"
@@ -33,6 +34,7 @@
     CANCELLED = "cancelled"
     EXPIRED = "expired"
     FAILS_EVERYWHERE = "fails_everywhere"
+    TASK_FAILED = "task_failed"
     UPSTREAM_LOST = "upstream_lost"
     TIMED_OUT = "timed_out"
     STOPPED = "stopped"
@@ -44,6 +46,7 @@
     Reason.UNKNOWN_REQUEST: 404,
     Reason.KEY_CONFLICT: 409,
     Reason.KEY_IN_PROGRESS: 409,
+    Reason.ANSWER_NOT_KEPT: 410,
     Reason.TOO_LARGE: 413,
     Reason.CAN_NEVER_RUN: 422,
     Reason.FAILS_EVERYWHERE: 422,
@@ -56,6 +59,7 @@
     Reason.DRAINING: 503,
     Reason.STORE_UNAVAILABLE: 503,
     Reason.KEY_HOME_UNREACHABLE: 503,
+    Reason.TASK_FAILED: 503,
     Reason.UPSTREAM_LOST: 503,
     Reason.STOPPED: 503,
     Reason.EXPIRED: 504,
--- /dev/null
+++ b/packages/platform/src/papayadyke_platform/upstream/__init__.py
@@ -0,0 +1,49 @@
+"""The protocol of an upstream, and its client."""
+
+from papayadyke_platform.upstream._client import (
+    Answered,
+    CallResult,
+    Failed,
+    Lost,
+    NotStarted,
+    Running,
+    Stopped,
+    TaskCall,
+    UpstreamClient,
+)
+from papayadyke_platform.upstream._messages import (
+    OUTCOME_HEADER,
+    START_HEADER,
+    EndsReport,
+    OpenMessage,
+    RunningTaskMessage,
+    SessionRefused,
+    SessionReport,
+    SpecMessage,
+    StartMessage,
+    TaskEnd,
+    read_demand,
+)
+
+__all__ = [
+    "OUTCOME_HEADER",
+    "START_HEADER",
+    "Answered",
+    "CallResult",
+    "EndsReport",
+    "Failed",
+    "Lost",
+    "NotStarted",
+    "OpenMessage",
+    "Running",
+    "RunningTaskMessage",
+    "SessionRefused",
+    "SessionReport",
+    "SpecMessage",
+    "StartMessage",
+    "Stopped",
+    "TaskCall",
+    "TaskEnd",
+    "UpstreamClient",
+    "read_demand",
+]
