Answer slow senders, and resolve keys whose holder is lost

Cause: a sender that stopped in its body got no answer, because the server went on reading before it answered; a key in progress at a VM that died stayed so until its partition changed hands. Change: a body that is given up is not read on; the home of a key asks about keys whose holder is dead or restarted. Result: the slow sender gets 408 (nothing before); a lost holder's key becomes ended, or free where nothing was started.

--- a/packages/core/src/papayadyke_core/idempotency/_table.py
+++ b/packages/core/src/papayadyke_core/idempotency/_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -71,6 +72,7 @@
     digest: bytes
     request_id: str
     claimed_at_s: float | None = None
+    holder: str = ""
     upstream: str | None = None
     unresolved: bool = False
     ended_at_s: float | None = None
@@ -188,6 +190,23 @@
             self._keys[entry.key] = known
         _check(known.request_id == entry.request_id, "a key was claimed first twice")
         known.claimed_at_s = at_s
+        known.holder = entry.holder
+
+    def mark_lost(self, is_gone: Callable[[str], bool]) -> tuple[UnresolvedKey, ...]:
+        """Mark and return the keys in progress whose holder is gone.
+
+        Parameters
+        ----------
+        is_gone : callable
+            Tells of a holder, as given in the claim, whether it runs no longer.
+        """
+        lost = []
+        for key, known in self._keys.items():
+            in_progress = known.claimed_at_s is not None and known.ended_at_s is None
+            if in_progress and not known.unresolved and is_gone(known.holder):
+                known.unresolved = True
+                lost.append(UnresolvedKey(key, known.request_id, known.upstream))
+        return tuple(lost)
 
     def mark_recovered(self) -> tuple[UnresolvedKey, ...]:
         """Mark and return the keys without an outcome, after a replay."""
--- a/packages/daemon/src/papayadyke_daemon/daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/daemon.py
@@ -252,12 +252,13 @@
             find_workload=lambda name: self.config.workloads.get(name),
             plan=self.peering.plan_partitions,
             covers_cell=self.peering.covers_cell,
+            is_gone=self.peering.is_gone,
             task_lease_s=settings.fleet.task_lease_s,
         )
         self._route(local)
         self.app = CallersApp(
             runs=self.runs,
-            keyed=KeyedRuns(runs=self.runs, home=self.keys, vm=settings.vm),
+            keyed=KeyedRuns(runs=self.runs, home=self.keys, holder=self.peering.holder),
             jobs=self.jobs,
             history=self.history,
             ids=self.ids,
--- a/packages/daemon/src/papayadyke_daemon/durable.py
+++ b/packages/daemon/src/papayadyke_daemon/durable.py
@@ -35,6 +35,8 @@
         Returns the partitions that are this VM's.
     covers_cell : callable
         Tells whether the upstreams of this zone are all of the cell.
+    is_gone : callable
+        Tells of the name of a VM and its incarnation whether it runs no longer.
     task_lease_s : float
     """
 
@@ -49,6 +51,7 @@
         find_workload: Callable[[str], Workload | None],
         plan: Callable[[], frozenset[int]],
         covers_cell: Callable[[], bool],
+        is_gone: Callable[[str], bool],
         task_lease_s: float,
     ) -> None:
         self.journal = JournalWriter(
@@ -73,7 +76,10 @@
         )
         self._resolver = _KeyResolver(self.tasks, covers_cell)
         self.keys = KeyService(
-            self.journal, KeyServiceSettings(), self._resolver.resolve
+            self.journal,
+            KeyServiceSettings(),
+            self._resolver.resolve,
+            is_gone=is_gone,
         )
         self.keeper = PartitionKeeper(
             self.journal, plan=plan, on_adopt=self._adopt, on_drop=self._drop
--- a/packages/daemon/src/papayadyke_daemon/idempotency/_service.py
+++ b/packages/daemon/src/papayadyke_daemon/idempotency/_service.py
@@ -47,10 +47,13 @@
         Longest time for which a claim waits for the store.
     resolve_interval_s : float, default=5.0
         Seconds between two questions about the same unresolved request.
+    holder_interval_s : float, default=5.0
+        Seconds between two looks for holders that are gone.
     """
 
     append_wait_s: float = 2.0
     resolve_interval_s: float = 5.0
+    holder_interval_s: float = 5.0
 
 
 @dataclass(slots=True)
@@ -71,6 +74,8 @@
         Asks the upstreams about a request whose VM was lost, and calls back with
         a `TaskDone`; `LOST` and `RUNNING` are asked again later. `NOT_STARTED`
         has to mean that a late start is refused as well.
+    is_gone : callable
+        Tells of the holder of a claim whether it runs no longer.
     clock : callable, default=time.monotonic
     """
 
@@ -80,16 +85,19 @@
         settings: KeyServiceSettings,
         resolve: Resolve,
         *,
+        is_gone: Callable[[str], bool] = lambda holder: False,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.settings = settings
         self._journal = journal
         self._resolve = resolve
+        self._is_gone = is_gone
         self._clock = clock
         self._tables: dict[int, KeyTable] = {}
         self._at_s: dict[int, float] = {}
         self._questions: dict[str, _Question] = {}
         self._purge_s = 0.0
+        self._holders_s = 0.0
         self._mailbox = Mailbox("idempotency", self._tick, clock=clock)
         journal.add_fenced_listener(self.drop)
 
@@ -276,12 +284,21 @@
             self._purge_s = now + PURGE_INTERVAL_S
             for partition, table in self._tables.items():
                 table.purge(self._at_s[partition])
+        if now >= self._holders_s:
+            self._holders_s = now + self.settings.holder_interval_s
+            self._find_lost(now)
         due = [item for item in self._questions.values() if now >= item.due_s]
         for question in due:
             question.due_s = now + self.settings.resolve_interval_s
             self._ask(question.key)
         return min((q.due_s for q in self._questions.values()), default=None)
 
+    def _find_lost(self, now: float) -> None:
+        """Ask about the keys in progress whose holder is gone."""
+        for partition, table in self._tables.items():
+            for item in table.mark_lost(self._is_gone):
+                self._questions[item.key] = _Question(partition, item, now)
+
     def _ask(self, key: UnresolvedKey) -> None:
         self._resolve(
             key, lambda done: self._mailbox.post(lambda: self._resolved(key, done))
@@ -317,7 +334,8 @@
     return Refusal(
         Verdict.NOT_RUN,
         Reason.KEY_HOME_UNREACHABLE,
-        "no VM that could be reached owns the idempotency key",
+        "no VM that can be reached owns the idempotency key now: its partition is "
+        "being taken over, or the key-value service is away",
         RETRY_AFTER_S,
     )
 
--- a/packages/daemon/src/papayadyke_daemon/idempotency/tests/test_key_service.py
+++ b/packages/daemon/src/papayadyke_daemon/idempotency/tests/test_key_service.py
@@ -22,8 +22,13 @@
         self.journal = JournalWriter(
             MemoryStore(store, client=name), JournalSettings(vm=name, incarnation="1")
         )
-        settings = KeyServiceSettings(append_wait_s=0.3, resolve_interval_s=0.05)
-        self.keys = KeyService(self.journal, settings, self._resolve)
+        settings = KeyServiceSettings(
+            append_wait_s=0.3, resolve_interval_s=0.05, holder_interval_s=0.02
+        )
+        self.gone: set[str] = set()
+        self.keys = KeyService(
+            self.journal, settings, self._resolve, is_gone=self.gone.__contains__
+        )
         self.journal.start()
         self.keys.start()
 
@@ -142,3 +147,20 @@
     vms[0].claim_until(ClaimKind.ENDED, "r2")
     store.set_faults(Faults(down=True))
     assert vms[0].claim("r3").unwrap().kind is ClaimKind.ENDED
+
+
+def test_key_of_a_lost_holder_is_resolved_at_its_home(vms):
+    assert vms[0].claim("r1").unwrap().kind is ClaimKind.FIRST
+    assert vms[0].claim("r2").unwrap().kind is ClaimKind.IN_PROGRESS
+    assert not vms[0].asked.is_set()
+    vms[0].gone.add("vm")
+    vms[0].claim_until(ClaimKind.UNRESOLVED, "r2")
+    vms[0].found = TaskResult.ANSWERED
+    assert vms[0].claim_until(ClaimKind.ENDED, "r2").request_id == "r1"
+
+
+def test_key_of_a_lost_holder_that_never_started_is_free_again(vms):
+    assert vms[0].claim("r1").unwrap().kind is ClaimKind.FIRST
+    vms[0].found = TaskResult.NOT_STARTED
+    vms[0].gone.add("vm")
+    assert vms[0].claim_until(ClaimKind.FIRST, "r2").request_id == "r2"
--- a/packages/daemon/src/papayadyke_daemon/keyed/_runs.py
+++ b/packages/daemon/src/papayadyke_daemon/keyed/_runs.py
@@ -34,14 +34,14 @@
     ----------
     runs : Runner
     home : KeyHome
-    vm : str
-        Name of this VM.
+    holder : str
+        Names this VM and its incarnation in each claim.
     """
 
-    def __init__(self, *, runs: Runner, home: KeyHome, vm: str) -> None:
+    def __init__(self, *, runs: Runner, home: KeyHome, holder: str) -> None:
         self.runs = runs
         self.home = home
-        self.vm = vm
+        self.holder = holder
 
     def run(self, order: RunOrder, key: str) -> Result[Answer | Replayed, Refusal]:
         """Run a request unless one with the same key has been.
@@ -74,7 +74,7 @@
         pause_s = FIRST_PAUSE_S
         while True:
             claimed = self.home.claim(
-                key, order.workload, order.payload, base_id, holder=self.vm
+                key, order.workload, order.payload, base_id, holder=self.holder
             )
             if isinstance(claimed, Err):
                 return claimed
--- a/packages/daemon/src/papayadyke_daemon/peering.py
+++ b/packages/daemon/src/papayadyke_daemon/peering.py
@@ -212,6 +212,24 @@
         """Tell whether this zone is the whole cell."""
         return len(self.homes.zones) == 1
 
+    @property
+    def holder(self) -> str:
+        """Name of this VM and its incarnation, as claims of keys carry it."""
+        return f"{self.settings.vm}/{self.incarnation}"
+
+    def is_gone(self, holder: str) -> bool:
+        """Tell whether a holder of a key runs no longer, as far as is known.
+
+        A VM of another zone is not known and so not told as gone.
+        """
+        vm, _, incarnation = holder.rpartition("/")
+        snapshot = self.read_snapshot()
+        member = None if snapshot is None else snapshot.find(vm)
+        if member is None or snapshot is None or not snapshot.is_settled:
+            return False
+        restarted = member.incarnation > int(incarnation)
+        return restarted or member.state is MemberState.DEAD
+
     def is_watcher(self) -> bool:
         """Tell whether this VM watches the configuration in the store."""
         return self._ranks_first("config", CONFIG_WATCHERS)
--- a/packages/platform/src/papayadyke_platform/http/_server.py
+++ b/packages/platform/src/papayadyke_platform/http/_server.py
@@ -232,8 +232,10 @@
     try:
         body = environ["wsgi.input"].read(wanted)
     except TimeoutError:
+        _give_up_body(environ)
         return b"", BodyError.TOO_SLOW
     except (OSError, ValueError):
+        _give_up_body(environ)
         return b"", BodyError.MALFORMED
     if len(body) > max_body_bytes:
         return b"", BodyError.TOO_LARGE
@@ -242,6 +244,11 @@
     return body, None
 
 
+def _give_up_body(environ: Mapping[str, Any]) -> None:
+    """Keep the server from reading the rest before it answers."""
+    environ["wsgi.input"].remaining = 0
+
+
 def _discard_body(environ: Mapping[str, Any], declared: int) -> None:
     """Read a body that is refused, as far as that is cheap.
 
