--- a/conftest.py
+++ b/conftest.py
@@ -1,7 +1,12 @@
 """Settings that every test run shares."""
 
+from pathlib import Path
+
+import pytest
 from hypothesis import HealthCheck, settings
 
+KNOWN_RED = Path(__file__).parent / "KNOWN-RED.txt"
+
 settings.register_profile(
     "ci",
     derandomize=True,
@@ -11,3 +16,23 @@
     max_examples=50,
 )
 settings.load_profile("ci")
+
+
+def read_known_red():
+    """Return the reason of each test that is listed as known to fail."""
+    lines = KNOWN_RED.read_text().splitlines()
+    entries = [line.split(" | ", 1) for line in lines if not line.startswith("#")]
+    return {name.strip(): reason for name, reason in (e for e in entries if len(e) > 1)}
+
+
+def pytest_collection_modifyitems(items):
+    known = read_known_red()
+    for item in items:
+        reason = known.pop(item.nodeid, None)
+        if reason is not None:
+            item.add_marker(pytest.mark.xfail(reason=reason, strict=True))
+
+
+def pytest_terminal_summary(terminalreporter):
+    for name, reason in read_known_red().items():
+        terminalreporter.write_line(f"known red: {name}: {reason}")
--- a/packages/daemon/src/papayadyke_daemon/main.py
+++ b/packages/daemon/src/papayadyke_daemon/main.py
@@ -16,7 +16,7 @@
 from papayadyke_daemon.daemon import Daemon
 from papayadyke_daemon.embedded import Embedded
 from papayadyke_daemon.peering import KeysError
-from papayadyke_daemon.settings import LogSettings, load_settings
+from papayadyke_daemon.settings import LogSettings, check_file, load_settings
 
 EXIT_BAD_SETTINGS = 2
 EXIT_NOT_DRAINED = 3
@@ -72,12 +72,18 @@
 
 
 @app.command()
-def check(path: Annotated[Path, typer.Argument(help="Settings file.")]) -> None:
-    """Validate a settings file and name each bad field."""
-    loaded = load_settings(path)
-    if isinstance(loaded, Err):
-        _tell_faults(loaded.err_value.lines)
-    typer.echo(f"{path}: good")
+def check(
+    path: Annotated[Path, typer.Argument(help="Settings or configuration file.")],
+) -> None:
+    """Validate a file and name each bad field.
+
+    A file with workloads, teams or presets is a configuration, any other one is
+    the settings of a daemon.
+    """
+    checked = check_file(path)
+    if isinstance(checked, Err):
+        _tell_faults(checked.err_value.lines)
+    typer.echo(f"{path}: good {checked.ok_value}")
 
 
 @app.command()
--- a/packages/daemon/src/papayadyke_daemon/settings/__init__.py
+++ b/packages/daemon/src/papayadyke_daemon/settings/__init__.py
@@ -1,6 +1,11 @@
 """The settings of a daemon, from a JSON file."""
 
-from papayadyke_daemon.settings._load import SettingsError, load_settings
+from papayadyke_daemon.settings._load import (
+    FileKind,
+    SettingsError,
+    check_file,
+    load_settings,
+)
 from papayadyke_daemon.settings._models import SettingsModel
 from papayadyke_daemon.settings._settings import (
     Address,
@@ -19,6 +24,7 @@
 __all__ = [
     "Address",
     "CallersSettings",
+    "FileKind",
     "FleetSettings",
     "ListenerSettings",
     "LogSettings",
@@ -30,5 +36,6 @@
     "StoreAddress",
     "TlsFiles",
     "UpstreamAddress",
+    "check_file",
     "load_settings",
 ]
--- a/packages/daemon/src/papayadyke_daemon/settings/_load.py
+++ b/packages/daemon/src/papayadyke_daemon/settings/_load.py
@@ -2,15 +2,33 @@
 
 from __future__ import annotations
 
+import json
 from dataclasses import dataclass
+from enum import StrEnum
 from pathlib import Path
 
-from pydantic import ValidationError
+from pydantic import BaseModel, ValidationError
 from result import Err, Ok, Result
 
+from papayadyke_core.workloads import ConfigModel
 from papayadyke_daemon.settings._models import SettingsModel
 from papayadyke_daemon.settings._settings import Settings
 
+CONFIGURATION_NAMES = frozenset({"workloads", "teams", "presets"})
+
+
+class FileKind(StrEnum):
+    """What a file holds."""
+
+    SETTINGS = "settings"
+    CONFIGURATION = "configuration"
+
+
+_MODELS: dict[FileKind, type[BaseModel]] = {
+    FileKind.SETTINGS: SettingsModel,
+    FileKind.CONFIGURATION: ConfigModel,
+}
+
 
 @dataclass(frozen=True, slots=True)
 class SettingsError:
@@ -43,6 +61,35 @@
     return Ok(model.to_settings())
 
 
+def check_file(path: Path) -> Result[FileKind, SettingsError]:
+    """Validate a settings file or a configuration file.
+
+    Parameters
+    ----------
+    path : Path
+
+    Returns
+    -------
+    result : Result of FileKind or SettingsError
+        What the file is, by the names at its top.
+    """
+    try:
+        text = path.read_bytes()
+        value = json.loads(text)
+    except OSError as exc:
+        return Err(SettingsError((f"{path}: {exc.strerror}",)))
+    except ValueError as exc:
+        return Err(SettingsError((f"(whole file): not JSON: {exc}",)))
+    kind = FileKind.SETTINGS
+    if isinstance(value, dict) and CONFIGURATION_NAMES & value.keys():
+        kind = FileKind.CONFIGURATION
+    try:
+        _MODELS[kind].model_validate_json(text)
+    except ValidationError as exc:
+        return Err(SettingsError(_describe(exc)))
+    return Ok(kind)
+
+
 def _describe(exc: ValidationError) -> tuple[str, ...]:
     lines = []
     for error in exc.errors(include_url=False, include_input=False):
--- a/packages/daemon/src/papayadyke_daemon/settings/tests/test_settings_load.py
+++ b/packages/daemon/src/papayadyke_daemon/settings/tests/test_settings_load.py
@@ -1,8 +1,9 @@
 import json
+from pathlib import Path
 
 import pytest
 
-from papayadyke_daemon.settings import Address, load_settings
+from papayadyke_daemon.settings import Address, FileKind, check_file, load_settings
 
 UPSTREAM = {"name": "quote-1", "host": "127.0.0.1", "port": 9001}
 GOOD = {
@@ -48,3 +49,22 @@
 
 def test_missing_file_is_named(tmp_path):
     assert "No such file" in load_settings(tmp_path / "none.json").unwrap_err().lines[0]
+
+
+EXAMPLES = Path(__file__).parents[6] / "examples"
+
+
+@pytest.mark.parametrize(
+    "path", sorted(EXAMPLES.glob("*/*.json")), ids=lambda path: path.name
+)
+def test_example_files_are_good(path):
+    expected = FileKind.SETTINGS
+    if path.name == "config.json":
+        expected = FileKind.CONFIGURATION
+    assert check_file(path).unwrap() is expected
+
+
+def test_bad_configuration_is_named_by_its_path(tmp_path):
+    path = tmp_path / "config.json"
+    path.write_text('{"presets": [{"name": "ordinary", "rules": {"a": 1}}]}')
+    assert check_file(path).unwrap_err().lines[0].startswith("presets.0.rules.a:")
