Take changed key files into use, and tell the state by gauges

Change: one keyring for the listeners of peers and operators, read again each 5 s; gauges of load, configuration and peers each second. A request whose attempts all never started is told not_run, whatever the scheduler has to assume.

--- a/packages/daemon/src/papayadyke_daemon/_metrics.py
+++ b/packages/daemon/src/papayadyke_daemon/_metrics.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import asdict
+
 import statsd
 
+from papayadyke_core.scheduling import LoadSummary
+from papayadyke_daemon.peers import PeerStats
 from papayadyke_daemon.serving import RequestRecord
 from papayadyke_daemon.settings import StatsdSettings
 
@@ -29,9 +33,21 @@
             return
         self._client.incr(f"{name}.{record.refusal.verdict}.{record.refusal.reason}")
 
-    def gauge(self, name: str, value: float) -> None:
-        """Set a gauge."""
-        if self._client is not None:
+    def tell_gauges(
+        self, load: LoadSummary | None, peers: PeerStats, *, revision: int
+    ) -> None:
+        """Tell the state of this VM at one moment."""
+        if self._client is None:
+            return
+        gauges = {f"peers.{name}": value for name, value in asdict(peers).items()}
+        gauges["config.revision"] = revision
+        if load is not None:
+            gauges["load.free_slots"] = load.free_slots
+            gauges["load.slots"] = load.slots
+            gauges["load.upstreams"] = load.upstreams
+            gauges["load.queued"] = sum(item.queued for item in load.workloads)
+            gauges["load.running"] = sum(item.running for item in load.workloads)
+        for name, value in gauges.items():
             self._client.gauge(name, value)
 
 
--- a/packages/daemon/src/papayadyke_daemon/daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/daemon.py
@@ -11,11 +11,12 @@
 
 from papayadyke_core.configuration import ReplaceConfig
 from papayadyke_core.scheduling import LoadSummary, Scheduler
-from papayadyke_core.slo import UNKNOWN_WORKLOAD, Observation
+from papayadyke_core.slo import UNKNOWN_WORKLOAD, Observation, VmUsage
 from papayadyke_core.workloads import Config, ConfigModel, SloTarget
 from papayadyke_daemon._metrics import Metrics
 from papayadyke_daemon.backend import DaemonBackend
 from papayadyke_daemon.callers import CallersApp, JobHome, Readiness
+from papayadyke_daemon.cell_keys import CellKeys
 from papayadyke_daemon.configuration import (
     ConfigRepository,
     ConfigSync,
@@ -27,7 +28,7 @@
 from papayadyke_daemon.keyed import KeyedRuns, KeyHome
 from papayadyke_daemon.levels import LevelArchive, LevelKeeper
 from papayadyke_daemon.operators import OPERATORS_LIMITS, OperatorsApp
-from papayadyke_daemon.peering import PeerParts, load_authenticator
+from papayadyke_daemon.peering import PeerParts
 from papayadyke_daemon.peers import Handler
 from papayadyke_daemon.routing import RoutedJobs, RoutedKeys, RoutedRuns
 from papayadyke_daemon.scheduler import ApplyConfig, SchedulerLoop
@@ -63,6 +64,7 @@
         self.config = Config()
         self.incarnation = time.time_ns() // NS_PER_MS
         self.ids = IdSource(settings.vm, self.incarnation)
+        self.cell_keys = CellKeys(settings, incarnation=self.incarnation)
         self.metrics = Metrics(settings.statsd)
         self.history = RequestHistory()
         self._config_in_force = threading.Event()
@@ -87,6 +89,7 @@
             If the port of a listener is taken; nothing runs then.
         """
         self._bind()
+        self.cell_keys.start()
         self.loop.start()
         self.config_sync.start()
         self.durable.start()
@@ -183,6 +186,7 @@
         if self.operators is not None:
             self.operators.stop()
         self.peering.stop()
+        self.cell_keys.stop()
         self.loop.stop()
         LOG.info("daemon: stopped")
 
@@ -205,6 +209,7 @@
             load=self.loop.read_load,
             history=self.history,
             config_sync=lambda: self.config_sync,
+            keys=self.cell_keys,
         )
 
     def _make_config(self) -> None:
@@ -231,7 +236,7 @@
             load=self.loop.read_load,
             config=lambda: self.config,
             rolls_up=self.peering.rolls_up,
-            add_usage=self.peering.read_usage,
+            add_usage=self._read_usage,
         )
 
     def _make_serving(self) -> None:
@@ -297,6 +302,15 @@
     def _read_load(self) -> LoadSummary:
         return self.loop.ask(lambda scheduler, now: scheduler.summary(now))
 
+    def _read_usage(self) -> VmUsage:
+        """Return what peers cost, and tell the gauges of this moment."""
+        self.metrics.tell_gauges(
+            self.loop.read_load(),
+            self.peering.read_stats(),
+            revision=self.config.revision,
+        )
+        return self.peering.read_usage()
+
     def _record(self, record: RequestRecord) -> None:
         self.metrics.record(record)
         self.levels.observe(_observe(record, self.config))
@@ -334,9 +348,7 @@
             is_store_reachable=lambda: self.store.revision().is_ok(),
         )
         app = OperatorsApp(
-            authenticator=load_authenticator(
-                self.settings, sender=self.settings.vm, incarnation=self.incarnation
-            ),
+            authenticator=self.cell_keys.make_authenticator(),
             state=lambda: self.config_sync.state,
             submit=self.config_writer.submit,
             backend=backend,
--- a/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
@@ -244,9 +244,7 @@
         if token is None or not self._followed or self._stopping:
             self._wake.wait(idle_s)
             return
-        report = self.client.wait_for_ends(
-            token, after=self._ends_seen, wait_s=idle_s
-        )
+        report = self.client.wait_for_ends(token, after=self._ends_seen, wait_s=idle_s)
         if report is None:
             self._wake.wait(idle_s)
             return
--- a/packages/daemon/src/papayadyke_daemon/main.py
+++ b/packages/daemon/src/papayadyke_daemon/main.py
@@ -13,9 +13,9 @@
 
 from papayadyke_core.workloads import ConfigModel
 from papayadyke_daemon._logs import set_up_logs
+from papayadyke_daemon.cell_keys import KeysError
 from papayadyke_daemon.daemon import Daemon
 from papayadyke_daemon.embedded import Embedded
-from papayadyke_daemon.peering import KeysError
 from papayadyke_daemon.settings import LogSettings, check_file, load_settings
 
 EXIT_BAD_SETTINGS = 2
--- a/packages/daemon/src/papayadyke_daemon/peering.py
+++ b/packages/daemon/src/papayadyke_daemon/peering.py
@@ -4,14 +4,13 @@
 
 import logging
 import random
-import time
 from collections.abc import Callable
 from functools import reduce
 from operator import add
 
 import msgspec
 from msgspec import Struct
-from result import Err, Ok
+from result import Ok
 
 from papayadyke_core.journal import PARTITIONS
 from papayadyke_core.membership import (
@@ -25,6 +24,7 @@
 from papayadyke_core.ownership import Owner, available_owners, rank_owners
 from papayadyke_core.scheduling import LoadSummary
 from papayadyke_core.slo import VmUsage
+from papayadyke_daemon.cell_keys import CellKeys
 from papayadyke_daemon.configuration import (
     ConfigOffer,
     ConfigRequest,
@@ -38,11 +38,16 @@
     MembershipServiceSettings,
     View,
 )
-from papayadyke_daemon.peers import Ack, Handler, PeerEndpoint, PeerSettings
+from papayadyke_daemon.peers import (
+    Ack,
+    Handler,
+    PeerEndpoint,
+    PeerSettings,
+    PeerStats,
+)
 from papayadyke_daemon.routing import HomeMap, PeerPicker
 from papayadyke_daemon.serving import RequestHistory, RequestRecord
 from papayadyke_daemon.settings import Settings
-from papayadyke_platform.keys import Authenticator, Keyring, load_key_file
 from papayadyke_platform.store import Store
 from papayadyke_platform.vm_list import VmListClient, VmListSettings
 
@@ -54,10 +59,6 @@
 ALL_PARTITIONS = frozenset(range(PARTITIONS))
 
 
-class KeysError(Exception):
-    """The key file can not be used."""
-
-
 class FindRequest(Struct, tag="find_request", frozen=True, array_like=True):
     """Ask a peer what became of a request."""
 
@@ -70,29 +71,6 @@
     record: bytes
 
 
-def load_authenticator(
-    settings: Settings, *, sender: str, incarnation: int
-) -> Authenticator:
-    """Return what signs and checks messages, by the key file of the settings.
-
-    Raises
-    ------
-    KeysError
-        If the settings name no key file, or it can not be used.
-    """
-    if settings.keys_file is None:
-        raise KeysError("the settings name no keys_file")
-    loaded = load_key_file(settings.keys_file)
-    if isinstance(loaded, Err):
-        raise KeysError(f"{loaded.err_value.path}: {loaded.err_value.detail}")
-    return Authenticator(
-        Keyring(loaded.ok_value),
-        sender=sender,
-        incarnation=incarnation,
-        started_unix_s=time.time(),
-    )
-
-
 class PeerParts:
     """Endpoint, membership and ownership of one daemon.
 
@@ -110,6 +88,7 @@
     history : RequestHistory
     config_sync : callable
         Returns the `ConfigSync`.
+    keys : CellKeys
     """
 
     def __init__(
@@ -122,6 +101,7 @@
         load: Callable[[], LoadSummary | None],
         history: RequestHistory,
         config_sync: Callable[[], ConfigSync],
+        keys: CellKeys,
     ) -> None:
         self.settings = settings
         self.incarnation = incarnation
@@ -129,6 +109,7 @@
         self.load = load
         self.history = history
         self.config_sync = config_sync
+        self.keys = keys
         self.rng = random.Random(f"{settings.vm}/{incarnation}")
         self.homes = HomeMap(
             vm=settings.vm,
@@ -168,9 +149,7 @@
                 *self.membership.handlers(),
                 *self._make_handlers(),
             ],
-            authenticator=load_authenticator(
-                self.settings, sender=self.settings.vm, incarnation=self.incarnation
-            ),
+            authenticator=self.keys.make_authenticator(),
             settings=PeerSettings(host=peers.address.host, port=peers.address.port),
         )
         self.endpoint.start()
@@ -278,6 +257,10 @@
                 return msgspec.json.decode(reply.ok_value.record, type=RequestRecord)
         return None
 
+    def read_stats(self) -> PeerStats:
+        """Return the counters of the calls between daemons."""
+        return PeerStats() if self.endpoint is None else self.endpoint.stats()
+
     def read_usage(self) -> VmUsage:
         """Return the bytes exchanged with peers since the last call."""
         if self.endpoint is None:
--- a/packages/daemon/src/papayadyke_daemon/serving/_run.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/_run.py
@@ -317,7 +317,11 @@
 
 
 def _mark(refusal: Refusal, progress: _Progress) -> Refusal:
-    """Make the verdict true for the request as a whole."""
-    if progress.may_have_run:
-        return replace(refusal, verdict=Verdict.MAY_HAVE_RUN)
-    return refusal
+    """Make the verdict true for the request as a whole.
+
+    The scheduler does not know how earlier attempts ended and so has to say
+    that they may have run.
+    """
+    ran = progress.may_have_run
+    verdict = Verdict.MAY_HAVE_RUN if ran else Verdict.NOT_RUN
+    return replace(refusal, verdict=verdict)
