Hand over what is queued when a daemon stops

Cause: a daemon that drains gives its upstreams up, so that what waited there would have waited until its deadline. Change: what is queued is refused inside the daemon as draining and so handed to a peer, with room or, failing that, with the shortest queue.

--- a/packages/daemon/src/papayadyke_daemon/callers/_app.py
+++ b/packages/daemon/src/papayadyke_daemon/callers/_app.py
@@ -28,6 +28,7 @@
     RequestRecord,
     Runner,
     RunOrder,
+    refuse_draining,
 )
 from papayadyke_daemon.settings import CallersSettings
 from papayadyke_platform.http import BodyError, HttpAnswer, HttpRequest
@@ -125,7 +126,7 @@
         if req.body_error is not None:
             return _refuse_body(req.body_error, request_id, self.settings)
         if req.method == "POST" and not self.readiness().ready:
-            return make_problem(_refuse_draining(), request_id)
+            return make_problem(refuse_draining(), request_id)
         answer = self.jobs.handle(req, request_id)
         if answer is None:
             return make_bad_request("There is no such path.", request_id, status=404)
@@ -146,7 +147,7 @@
         if isinstance(checked, Err):
             return make_bad_request(checked.err_value, request_id)
         if self.refuses_runs():
-            return make_problem(_refuse_draining(), request_id)
+            return make_problem(refuse_draining(), request_id)
         headers = checked.ok_value
         received_at = time.time()
         order = RunOrder(
@@ -234,15 +235,6 @@
     return HttpAnswer(status, msgspec.json.encode(health))
 
 
-def _refuse_draining() -> Refusal:
-    return Refusal(
-        Verdict.NOT_RUN,
-        Reason.DRAINING,
-        "This VM takes no new requests.",
-        retry_after_s=1.0,
-    )
-
-
 def _refuse_body(
     error: BodyError, request_id: str, settings: CallersSettings
 ) -> HttpAnswer:
--- a/packages/daemon/src/papayadyke_daemon/daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/daemon.py
@@ -31,20 +31,21 @@
 from papayadyke_daemon.peering import PeerParts
 from papayadyke_daemon.peers import Handler
 from papayadyke_daemon.routing import RoutedJobs, RoutedKeys, RoutedRuns
-from papayadyke_daemon.scheduler import ApplyConfig, SchedulerLoop
+from papayadyke_daemon.scheduler import ApplyConfig, HandOver, SchedulerLoop
 from papayadyke_daemon.serving import (
     IdSource,
     RequestHistory,
     RequestRecord,
     Runner,
     RunService,
+    refuse_draining,
 )
 from papayadyke_daemon.settings import Settings
 from papayadyke_platform.http import HttpAnswer, HttpLimits, HttpRequest, HttpServer
 from papayadyke_platform.store import HttpStore, NoStore, Store, StoreSettings
 
 LOG = logging.getLogger(__name__)
-DRAIN_POLL_S = 0.02
+DRAIN_POLL_S = 0.05
 NS_PER_MS = 1_000_000
 
 
@@ -169,12 +170,20 @@
         self.callers.end_keep_alive()
         self.peering.leave()
         # The balancer takes a while to see that this VM is not ready.
-        time.sleep(self.settings.drain_settle_s)
-        until_s = time.monotonic() + self.settings.drain_timeout_s
-        while self._in_flight.count and time.monotonic() < until_s:
-            time.sleep(DRAIN_POLL_S)
+        self._wait_for_requests(self.settings.drain_settle_s, is_least=True)
+        self._wait_for_requests(self.settings.drain_timeout_s, is_least=False)
         return not self._in_flight.count
 
+    def _wait_for_requests(self, wait_s: float, *, is_least: bool) -> None:
+        """Wait, or less once no request is in flight; hand over what is queued."""
+        until_s = time.monotonic() + wait_s
+        while time.monotonic() < until_s:
+            if not is_least and not self._in_flight.count:
+                return
+            if not self.peering.is_alone:
+                self.loop.send(HandOver(refuse_draining()))
+            time.sleep(DRAIN_POLL_S)
+
     def stop(self) -> None:
         """Close every part; call `drain` first for a graceful stop."""
         self._draining.set()
--- a/packages/daemon/src/papayadyke_daemon/routing/_picker.py
+++ b/packages/daemon/src/papayadyke_daemon/routing/_picker.py
@@ -69,6 +69,14 @@
             self._sent[best.vm].count += 1
             return best.vm
 
+    def pick_any(self, *, tried: frozenset[str] = frozenset()) -> str | None:
+        """Return the live peer with the fewest requests waiting, or None."""
+        snapshot = self.snapshot()
+        live = () if snapshot is None else snapshot.live()
+        others = [m for m in live if m.vm != self.vm and m.vm not in tried]
+        chosen = min(others, key=lambda member: member.load.queued, default=None)
+        return None if chosen is None else chosen.vm
+
     def pick_zone(
         self, demand: Resources, *, tried: frozenset[str] = frozenset()
     ) -> str | None:
--- a/packages/daemon/src/papayadyke_daemon/routing/_runs.py
+++ b/packages/daemon/src/papayadyke_daemon/routing/_runs.py
@@ -20,7 +20,12 @@
     write_refusal,
 )
 from papayadyke_daemon.routing._picker import PeerPicker
-from papayadyke_daemon.serving import Answer, RunOrder, RunService
+from papayadyke_daemon.serving import (
+    Answer,
+    RunOrder,
+    RunService,
+    refuse_draining,
+)
 
 # A refusal for one of these says nothing of what a peer could do.
 FORWARDABLE = frozenset(
@@ -102,7 +107,7 @@
     def _serve(self, message: ForwardRun, sender: str) -> RunReply:
         with self.guard:
             if self.is_draining():
-                return _write_reply(Err(_refuse_draining()))
+                return _write_reply(Err(refuse_draining()))
             return self._serve_run(message)
 
     def _serve_run(self, message: ForwardRun) -> RunReply:
@@ -128,7 +133,7 @@
             return self.runs.run(order)
         tried: frozenset[str] = frozenset()
         if not self._has_room(demand):
-            peer = self.picker.pick_peer(demand)
+            peer = self._pick(demand, tried)
             if peer is not None:
                 tried |= {peer}
                 result = self._forward(order, peer, hops=0)
@@ -138,7 +143,7 @@
         for _ in range(self.settings.peers_tried - len(tried)):
             if not _may_go_on(result):
                 return result
-            peer = self.picker.pick_peer(demand, tried=tried)
+            peer = self._pick(demand, tried)
             if peer is None:
                 break
             tried |= {peer}
@@ -147,9 +152,16 @@
             return result
         return self._cross_zones(order, demand, result)
 
+    def _pick(self, demand: Resources, tried: frozenset[str]) -> str | None:
+        """Return a peer with room; while draining, one where it can wait."""
+        peer = self.picker.pick_peer(demand, tried=tried)
+        if peer is None and self.is_draining():
+            return self.picker.pick_any(tried=tried)
+        return peer
+
     def _run_here(self, order: RunOrder) -> Result[Answer, Refusal]:
         if self.is_draining():
-            return Err(_refuse_draining())
+            return Err(refuse_draining())
         return self.runs.run(order)
 
     def _cross_zones(
@@ -228,10 +240,6 @@
     )
 
 
-def _refuse_draining() -> Refusal:
-    return Refusal(Verdict.NOT_RUN, Reason.DRAINING, "The VM takes no new requests.")
-
-
 def _write_reply(result: Result[Answer, Refusal]) -> RunReply:
     if isinstance(result, Err):
         return RunReply(None, write_refusal(result.err_value))
--- a/packages/daemon/src/papayadyke_daemon/scheduler/_loop.py
+++ b/packages/daemon/src/papayadyke_daemon/scheduler/_loop.py
@@ -25,6 +25,7 @@
     Cancel,
     DrainUpstream,
     Finish,
+    HandOver,
     Message,
     Placed,
     RemoveUpstream,
@@ -71,6 +72,7 @@
             Submit: self._submit,
             Finish: self._finish,
             Cancel: self._cancel,
+            HandOver: self._hand_over,
             AddUpstream: self._add_upstream,
             DrainUpstream: self._drain_upstream,
             RemoveUpstream: self._remove_upstream,
@@ -183,6 +185,14 @@
             self._replies.pop(message.request_id, None)
         message.replies.put(found)
 
+    def _hand_over(self, message: HandOver) -> None:
+        started = set(self._request_of.values())
+        for request_id in [name for name in self._replies if name not in started]:
+            found = self.scheduler.cancel(request_id, self.clock())
+            if found.was_queued:
+                reply = self._replies.pop(request_id)
+                reply(Refuse(request_id, message.refusal))
+
     def _add_upstream(self, message: AddUpstream) -> None:
         self._tokens[message.spec.name] = message.token
         self.scheduler.add_upstream(message.spec, self.clock())
--- a/packages/daemon/src/papayadyke_daemon/scheduler/_messages.py
+++ b/packages/daemon/src/papayadyke_daemon/scheduler/_messages.py
@@ -17,6 +17,7 @@
     SchedulerProtocol,
     Start,
 )
+from papayadyke_core.verdicts import Refusal
 from papayadyke_core.workloads import Config
 
 
@@ -60,6 +61,13 @@
     replies: queue.SimpleQueue[CancelResult]
 
 
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """Refuse every queued request, so that its sender takes it elsewhere."""
+
+    refusal: Refusal
+
+
 @dataclass(frozen=True, slots=True)
 class AddUpstream:
     """Use an upstream, under the session with this fencing token."""
@@ -108,6 +116,7 @@
     Submit
     | Finish
     | Cancel
+    | HandOver
     | AddUpstream
     | DrainUpstream
     | RemoveUpstream
--- a/packages/daemon/src/papayadyke_daemon/serving/__init__.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/__init__.py
@@ -2,6 +2,7 @@
 
 from papayadyke_daemon.serving._history import RequestHistory, RequestRecord
 from papayadyke_daemon.serving._ids import IdSource
+from papayadyke_daemon.serving._refusals import refuse_draining
 from papayadyke_daemon.serving._run import (
     MAX_ATTEMPTS,
     Answer,
@@ -21,4 +22,5 @@
     "RunService",
     "Runner",
     "TaskRunner",
+    "refuse_draining",
 ]
--- a/packages/daemon/src/papayadyke_daemon/serving/_refusals.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/_refusals.py
@@ -14,6 +14,16 @@
     )
 
 
+def refuse_draining() -> Refusal:
+    """Refuse a request because this VM is stopping."""
+    return Refusal(
+        Verdict.NOT_RUN,
+        Reason.DRAINING,
+        "This VM takes no new requests.",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
 def refuse_expired() -> Refusal:
     """Refuse a request whose time passed while it waited."""
     return Refusal(
--- a/tests/test_cell_peers.py
+++ b/tests/test_cell_peers.py
@@ -121,6 +121,21 @@
         check_truth(cell, load)
 
 
+def test_planned_stop_hands_over_what_is_queued(tmp_path):
+    plan = plan_cell(daemons=2, upstreams=2, slots=1)
+    with Cell(plan, tmp_path) as cell:
+        wait_until_answered(cell)
+        slow = Mix("rcd-check", work_s=0.3, timeout_s=30.0, clients=10)
+        with Load(cell.list_targets(), [slow], seed=16) as load:
+            wait_until_all_upstreams_run(cell)
+            daemon = cell.daemons["hobart-vm-0"]
+            daemon.process.terminate()
+            assert daemon.process.wait() == 0
+            time.sleep(SETTLE_S)
+        assert load.ledger.list_unanswered() == []
+        check_truth(cell, load)
+
+
 def test_job_outlives_the_vm_that_accepted_it(tmp_path):
     with Cell(plan_cell(daemons=3, upstreams=4), tmp_path) as cell:
         wait_until_answered(cell)
