--- a/packages/core/src/papayadyke_core/scheduling/_running.py
+++ b/packages/core/src/papayadyke_core/scheduling/_running.py
@@ -26,6 +26,8 @@
         Time of the start, or of the adoption.
     gang : bool
         Whether it is of use only together with its request's other tasks.
+    adopted : bool
+        Whether it was found running, so that its run time is unknown.
     stop_asked_at_s : float or None
         Time at which it was asked to give way.
     """
@@ -37,6 +39,7 @@
     demand: Resources
     started_at_s: float
     gang: bool = False
+    adopted: bool = False
     stop_asked_at_s: float | None = None
 
     def to_message(self) -> RunningTask:
@@ -90,10 +93,18 @@
         """Return a task, or None."""
         return self._by_id.get(task_id)
 
+    def has_request(self, request_id: str) -> bool:
+        """Tell whether a task of a request runs."""
+        return request_id in self._by_request
+
     def of_request(self, request_id: str) -> Iterable[Running]:
         """Return the tasks of a request."""
         return self._by_request.get(request_id, {}).values()
 
+    def count_on(self, upstream: str) -> int:
+        """Return how many tasks run on an upstream."""
+        return len(self._by_upstream.get(upstream, ()))
+
     def on_upstream(self, upstream: str) -> Iterable[Running]:
         """Return the tasks on an upstream."""
         return self._by_upstream.get(upstream, {}).values()
--- a/packages/core/src/papayadyke_core/scheduling/_scheduler.py
+++ b/packages/core/src/papayadyke_core/scheduling/_scheduler.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from papayadyke_core.admission import QueuedRequest
 from papayadyke_core.placement import UpstreamSpec
 from papayadyke_core.refusals import RefusalLedger
@@ -63,6 +65,7 @@
         self._pending: list[Refuse] = []
         self._more = False
         self._decisions = 0
+        self._decided_at_s = -math.inf
         self._holders: tuple[str, ...] = ()
         self._holders_at_s = 0.0
 
@@ -126,6 +129,7 @@
             queued_at_s=now,
         )
         self._book.enqueue(request, now)
+        self.refusals.remove(req.id)
         return None
 
     def cancel(self, request_id: str, now: float) -> CancelResult:
@@ -146,6 +150,7 @@
     def decide(self, now: float) -> list[Decision]:
         """Return what to start, refuse and stop now."""
         self._decisions += 1
+        self._decided_at_s = now
         decisions: list[Decision] = list(self._pending)
         self._pending.clear()
         decisions.extend(self._refuse_expired(now))
@@ -161,9 +166,12 @@
     def finish(
         self, task_id: str, outcome: Outcome, now: float, *, run_s: float = 0.0
     ) -> None:
-        """Release what a started task held; unknown ids change nothing."""
+        """Release what a started task held; unknown ids change nothing.
+
+        Nothing is learned of an adopted task whose run time is not given.
+        """
         task = self._book.release(task_id)
-        if task is None:
+        if task is None or (task.adopted and run_s <= 0.0):
             return
         run_s = run_s if run_s > 0.0 else now - task.started_at_s
         self._book.learn(task, outcome, run_s, now)
@@ -199,6 +207,7 @@
             If an invariant does not hold.
         """
         self._book.check_invariants()
+        self._book.check_deadlines(self._decided_at_s)
 
     def _refuse(
         self,
@@ -209,7 +218,9 @@
         now: float,
     ) -> Refusal:
         holders = self._holders_now(now)
-        refusal = to_refusal(objection, attempt=attempt, holders=holders)
+        # Of a later attempt, or of an adopted request, an earlier one may have run.
+        may_have_run = attempt > 1 or self._book.running.has_request(request_id)
+        refusal = to_refusal(objection, may_have_run=may_have_run, holders=holders)
         self.refusals.add(request_id, workload, refusal, now)
         return refusal
 
--- /dev/null
+++ b/packages/platform/src/papayadyke_platform/http/__init__.py
@@ -0,0 +1,25 @@
+"""HTTP for small requests: a server in threads, and a client."""
+
+from papayadyke_platform.http._exchange import ExchangeError, HttpExchange, HttpReply
+from papayadyke_platform.http._server import (
+    BodyError,
+    CloseConnection,
+    Handler,
+    HttpAnswer,
+    HttpLimits,
+    HttpRequest,
+    HttpServer,
+)
+
+__all__ = [
+    "BodyError",
+    "CloseConnection",
+    "ExchangeError",
+    "Handler",
+    "HttpAnswer",
+    "HttpExchange",
+    "HttpLimits",
+    "HttpReply",
+    "HttpRequest",
+    "HttpServer",
+]
