Test the keeper of partitions, and own none that was fenced meanwhile

Cause: a partition that another VM took over between the takeover and its entry in the keeper's list stayed in that list for good, so it was never taken over again; the keeper also gave its stale replay to jobs and keys. Change: the keeper notes a fencing during a takeover and owns nothing then. Tests of settling, release, backoff, fencing and outages over the stand-in store.

--- a/packages/daemon/src/papayadyke_daemon/partitions/_keeper.py
+++ b/packages/daemon/src/papayadyke_daemon/partitions/_keeper.py
@@ -75,6 +75,8 @@
         self.settings = settings or KeeperSettings()
         self.clock = clock
         self._owned: set[int] = set()
+        # Fenced by the journal's thread since their takeover was begun.
+        self._fenced_early: set[int] = set()
         self._wanted_since_s: dict[int, float] = {}
         self._backoff_s: dict[int, float] = {}
         self._not_before_s: dict[int, float] = {}
@@ -116,6 +118,7 @@
             self.step(self.clock())
 
     def _take_over(self, partition: int) -> None:
+        self._fenced_early.discard(partition)
         taken = self.journal.take_over(partition)
         if not isinstance(taken, Ok):
             LOG.warning(
@@ -126,6 +129,9 @@
             self._back_off(partition)
             return
         self._owned.add(partition)
+        if partition in self._fenced_early:
+            self._owned.discard(partition)
+            return
         self.on_adopt(taken.ok_value)
 
     def _release(self, partition: int) -> None:
@@ -136,6 +142,7 @@
 
     def _fenced(self, partition: int) -> None:
         LOG.info("keeper: another VM took over partition %d", partition)
+        self._fenced_early.add(partition)
         self._owned.discard(partition)
         self._back_off(partition)
 
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/partitions/tests/test_partition_keeper.py
@@ -0,0 +1,193 @@
+import queue
+
+import pytest
+from result import Ok
+
+from papayadyke_core.journal import AppendResult, KeyReleased
+from papayadyke_daemon.journal import JournalSettings, JournalWriter
+from papayadyke_daemon.partitions import KeeperSettings, PartitionKeeper
+from papayadyke_standins.store import Faults, MemoryStore, StoreService
+
+LIMIT_S = 60.0
+SETTINGS = KeeperSettings(settle_s=2.0, backoff_s=5.0, max_backoff_s=12.0)
+
+
+class Vm:
+    """A keeper and its journal over a shared store; its clock is set by hand."""
+
+    def __init__(self, service, name):
+        self.now_s = 0.0
+        self.wanted = frozenset()
+        self.adopted = []
+        self.dropped = []
+        self.journal = JournalWriter(
+            MemoryStore(service, client=name),
+            JournalSettings(vm=name, incarnation="1"),
+        )
+        self.keeper = PartitionKeeper(
+            self.journal,
+            plan=lambda: self.wanted,
+            on_adopt=lambda replay: self.adopted.append(replay.partition),
+            on_drop=self.dropped.append,
+            settings=SETTINGS,
+            clock=lambda: self.now_s,
+        )
+        self.journal.start()
+
+    def step(self, now_s):
+        self.now_s = now_s
+        self.keeper.step(now_s)
+
+    def own(self, *partitions):
+        """Take partitions over as soon as they are settled."""
+        self.wanted = frozenset(partitions)
+        self.step(self.now_s)
+        self.step(self.now_s + SETTINGS.settle_s)
+
+    def journal_owns(self):
+        return set(self.journal.owned())
+
+
+@pytest.fixture
+def service():
+    return StoreService()
+
+
+@pytest.fixture
+def make_vm(service):
+    vms = []
+
+    def make(name="vm-0"):
+        vms.append(Vm(service, name))
+        return vms[-1]
+
+    yield make
+    for vm in vms:
+        vm.journal.stop()
+
+
+def test_partition_is_taken_over_only_when_settled(make_vm):
+    vm = make_vm()
+    vm.wanted = frozenset({3})
+    vm.step(10.0)
+    vm.step(11.9)
+    assert vm.journal_owns() == set()
+    vm.step(12.0)
+    assert vm.journal_owns() == {3}
+    assert vm.adopted == [3]
+
+
+def test_settling_begins_anew_where_the_plan_wavers(make_vm):
+    vm = make_vm()
+    for now_s, wanted in [(10.0, {3}), (11.0, set()), (11.5, {3}), (13.0, {3})]:
+        vm.wanted = frozenset(wanted)
+        vm.step(now_s)
+    assert vm.journal_owns() == set()
+    vm.step(13.5)
+    assert vm.journal_owns() == {3}
+
+
+def test_partition_outside_the_plan_is_never_taken_over(make_vm):
+    vm = make_vm()
+    vm.own(3, 5)
+    for now_s in range(10, 60):
+        vm.step(float(now_s))
+    assert vm.journal_owns() == {3, 5}
+
+
+def test_partition_that_leaves_the_plan_is_dropped_and_released(make_vm):
+    vm = make_vm()
+    vm.own(3, 5)
+    vm.wanted = frozenset({5})
+    vm.step(20.0)
+    assert vm.dropped == [3]
+    assert vm.journal_owns() == {5}
+    assert vm.keeper.list_owned() == {5}
+
+
+def test_stop_releases_everything(make_vm):
+    vm = make_vm()
+    vm.own(3, 5)
+    vm.keeper.start()
+    vm.keeper.stop()
+    assert vm.dropped == [3, 5]
+    assert vm.journal_owns() == set()
+
+
+def test_successor_takes_over_what_was_released(make_vm):
+    first, second = make_vm("vm-0"), make_vm("vm-1")
+    first.own(3)
+    first.wanted = frozenset()
+    first.step(20.0)
+    second.own(3)
+    assert second.journal_owns() == {3}
+
+
+def fence(vm, other):
+    """Have another VM take partition 3 over, and the owner notice it."""
+    other.journal.release(3)
+    other.journal.take_over(3).unwrap()
+    settled = queue.SimpleQueue()
+    vm.journal.append(3, [KeyReleased("k", "r")], lambda *told: settled.put(told[0]))
+    assert settled.get(timeout=LIMIT_S) is AppendResult.FENCED
+
+
+def test_owner_that_is_fenced_owns_the_partition_no_longer(make_vm):
+    vm, other = make_vm("vm-0"), make_vm("vm-1")
+    vm.own(3)
+    fence(vm, other)
+    assert vm.keeper.list_owned() == frozenset()
+    assert vm.journal_owns() == set()
+    assert other.journal_owns() == {3}
+
+
+def test_backoff_doubles_to_its_limit_after_being_fenced(make_vm):
+    vm, other = make_vm("vm-0"), make_vm("vm-1")
+    vm.own(3)
+    fence(vm, other)
+    retries = []
+    for now_s in range(3, 50):
+        vm.step(float(now_s))
+        if vm.journal_owns():
+            retries.append(now_s)
+            fence(vm, other)
+    # Fenced at 2 s: after 5 s, then 10 s, then the limit of 12 s each time.
+    assert retries == [7, 17, 29, 41]
+
+
+def test_failed_takeover_is_tried_again_after_the_backoff(make_vm, service):
+    vm = make_vm()
+    service.set_faults(Faults(down=True))
+    vm.own(3)
+    assert vm.keeper.list_owned() == frozenset()
+    service.set_faults(Faults())
+    vm.step(6.0)
+    assert vm.adopted == []
+    vm.step(7.0)
+    assert vm.adopted == [3]
+
+
+class FencingJournal:
+    """A journal whose partition is lost while its takeover returns."""
+
+    def add_fenced_listener(self, listener):
+        self.listener = listener
+
+    def take_over(self, partition):
+        self.listener(partition)
+        return Ok(partition)
+
+
+def test_partition_fenced_during_its_takeover_is_not_owned():
+    adopted = []
+    keeper = PartitionKeeper(
+        FencingJournal(),
+        plan=lambda: frozenset({3}),
+        on_adopt=adopted.append,
+        on_drop=lambda partition: None,
+        settings=KeeperSettings(settle_s=0.0),
+        clock=lambda: 0.0,
+    )
+    keeper.step(0.0)
+    assert keeper.list_owned() == frozenset()
+    assert adopted == []
