--- a/packages/daemon/src/papayadyke_daemon/journal/tests/test_journal_machine.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/tests/test_journal_machine.py
@@ -19,7 +19,7 @@
 
 NAMES = ("vm0", "vm1", "vm2")
 PARTITIONS = (0, 1)
-HEAL_ROUNDS = 12_000
+HEAL_ROUNDS = 2_000
 vm_names = st.sampled_from(NAMES)
 counts: Counter[str] = Counter()
 
@@ -241,6 +241,7 @@
             assert vm.take_over(partition)
         for _ in range(HEAL_ROUNDS):
             vm.pump(1)
+            world.advance(2.0)
             while vm.queued:
                 vm.place("u0")
             while vm.sending:
