End a session as soon as a start is refused as stale or lapsed

Cause: an upstream that refuses a start with stale_token or lapsed proves that the session is over, but nobody told the session. It was held for up to a third of its time to live more, and every start decided meanwhile was refused too. Change: requests and tasks tell the agent why a start was refused, and the agent gives that to the session and opens a new one where it may.

--- a/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
@@ -22,6 +22,7 @@
     Session,
     SessionSettings,
     StartPermit,
+    StartRefusal,
 )
 from papayadyke_core.scheduling import Outcome, RunningTask
 from papayadyke_daemon.scheduler import (
@@ -176,6 +177,25 @@
             permit = self._session.permit_start(self.clock())
         return None if permit is None or permit.token != token else permit
 
+    def note_refusal(self, token: int, detail: str) -> None:
+        """Take why the upstream refused a start; it may end the session.
+
+        Parameters
+        ----------
+        token : int
+            The session under which the start was sent.
+        detail : str
+            The upstream's word for the reason; others than those of a session
+            change nothing.
+        """
+        try:
+            reason = StartRefusal(detail)
+        except ValueError:
+            return
+        with self._lock:
+            self._session.note_refusal(token, reason)
+        self._wake.set()
+
     def is_held(self) -> bool:
         """Tell whether a start could be sent at this moment."""
         with self._lock:
--- a/packages/daemon/src/papayadyke_daemon/serving/_run.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/_run.py
@@ -217,6 +217,8 @@
         outcome = agent.client.run(call, timeout_s=min(limit_s, PROBE_AFTER_S))
         if isinstance(outcome, Lost):
             outcome = self._resolve(agent, call, until_s)
+        if isinstance(outcome, NotStarted):
+            agent.note_refusal(permit.token, outcome.detail)
         return outcome
 
     def _make_call(
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/serving/tests/test_refused_starts.py
@@ -0,0 +1,134 @@
+"""A start that the upstream refuses tells the agent that its session is over."""
+
+import time
+from types import SimpleNamespace
+
+import pytest
+
+from papayadyke_core.jobs import TaskOrder, TaskSpec
+from papayadyke_core.ownership import StartPermit
+from papayadyke_core.resources import Resources
+from papayadyke_core.scheduling import Refuse, Start
+from papayadyke_core.verdicts import Reason, Refusal, Verdict
+from papayadyke_core.workloads import Kind, Workload
+from papayadyke_daemon.scheduler import Finish, Placed, Submit
+from papayadyke_daemon.serving import IdSource, RunOrder, RunService, TaskRunner
+from papayadyke_platform.upstream import Failed, Lost, NotStarted
+
+DEMAND = Resources(1000, 512)
+TOKEN = 7
+FULL = Refusal(Verdict.NOT_RUN, Reason.QUEUE_FULL, "The queue is full.")
+
+
+class FakeLoop:
+    """Places the first request and refuses those after it."""
+
+    def __init__(self):
+        self.submitted = 0
+
+    def send(self, message):
+        if not isinstance(message, Submit):
+            assert isinstance(message, Finish)
+            return
+        self.submitted += 1
+        if self.submitted > 1:
+            message.reply(Refuse(message.req.id, FULL))
+            return
+        start = Start(
+            task_id=f"{message.req.id}/0/1",
+            request_id=message.req.id,
+            index=0,
+            upstream="u-1",
+            demand=DEMAND,
+        )
+        message.reply(Placed(start, TOKEN))
+
+
+class FakeAgent:
+    """Has one outcome for every start, and notes the refusals told."""
+
+    def __init__(self, outcome, resolved=None):
+        self.told = []
+        self.client = SimpleNamespace(
+            run=lambda call, *, timeout_s: outcome,
+            start=lambda call: outcome,
+            resolve=lambda task_id, *, wait_s=0.0: resolved,
+            replace_connections=lambda: None,
+        )
+
+    def permit_start(self, token):
+        return StartPermit(token, 100.0, 200.0)
+
+    def note_refusal(self, token, detail):
+        self.told.append((token, detail))
+
+    def watch(self, task_id, start_before_s):
+        raise AssertionError("the outcome is known")
+
+
+def run_request(agent):
+    workload = Workload("check", Kind.SERVICE, DEMAND)
+    service = RunService(
+        loop=FakeLoop(),
+        fleet=SimpleNamespace(find=lambda name: agent),
+        ids=IdSource("vm-0", 1),
+        config=lambda: SimpleNamespace(workloads={"check": workload}),
+        task_lease_s=30.0,
+        clock=lambda: 100.0,
+    )
+    order = RunOrder("r1", "check", b"{}", "application/json", 105.0)
+    return service.run(order)
+
+
+def run_task(agent):
+    runner = TaskRunner(
+        loop=FakeLoop(),
+        fleet=SimpleNamespace(find=lambda name: agent),
+        authorize=lambda task_id, upstream, allow: allow(True),
+        task_lease_s=30.0,
+        covers_cell=lambda: True,
+    )
+    done = []
+    spec = TaskSpec(task_id="job/0/1", index=0, attempt=1, payload=b"{}")
+    order = TaskOrder(
+        request_id="job/0/1.1",
+        job_id="job",
+        workload="check",
+        tasks=(spec,),
+        deadline_s=1e9,
+        avoid=(),
+    )
+    runner.start()
+    runner.submit(order, done.append)
+    wait_until(lambda: done)
+    runner.stop()
+    return done
+
+
+def wait_until(condition):
+    until_s = time.monotonic() + 60.0
+    while not condition():
+        assert time.monotonic() < until_s, "waited in vain"
+        time.sleep(0.01)
+
+
+@pytest.mark.parametrize("run", [run_request, run_task])
+@pytest.mark.parametrize("detail", ["stale_token", "lapsed"])
+def test_refused_start_is_told_to_the_agent(run, detail):
+    agent = FakeAgent(NotStarted(detail))
+    run(agent)
+    assert agent.told == [(TOKEN, detail)]
+
+
+@pytest.mark.parametrize("run", [run_request, run_task])
+def test_refusal_found_by_resolving_is_told_too(run):
+    agent = FakeAgent(Lost("no answer"), resolved=NotStarted("stale_token"))
+    run(agent)
+    assert agent.told == [(TOKEN, "stale_token")]
+
+
+@pytest.mark.parametrize("run", [run_request, run_task])
+def test_failed_task_tells_no_refusal(run):
+    agent = FakeAgent(Failed("failed on command"))
+    run(agent)
+    assert agent.told == []
