--- a/packages/daemon/src/papayadyke_daemon/fleet/tests/test_upstream_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/tests/test_upstream_agent.py
@@ -1,4 +1,5 @@
 import time
+from typing import Any
 
 import msgspec
 import pytest
@@ -58,7 +59,7 @@
     """An agent, and what it told the scheduler."""
 
     def __init__(self, standin, vm, settings=SETTINGS):
-        self.told = []
+        self.told: list[Any] = []
         self.agent = UpstreamAgent(
             UpstreamAddress(SPEC.name, Address(*standin.address)),
             holder=Holder(vm, 1),
@@ -160,7 +161,7 @@
 def test_end_of_a_followed_task_is_told_once(make_owner):
     owner = make_owner().start()
     owner.start_task()
-    ends = []
+    ends: list[str] = []
     owner.agent.follow(TASK, ends.append)
     owner.wait_for_renewals()
     assert ends == []
@@ -173,7 +174,7 @@
 def test_task_that_ended_before_it_is_followed_is_told(make_owner):
     owner = make_owner().start()
     owner.start_task(work_s=0.0)
-    ends = []
+    ends: list[str] = []
     owner.agent.follow(TASK, ends.append)
     wait_until(lambda: ends)
     assert ends == [TASK]
@@ -207,7 +208,7 @@
 ):
     owner = make_owner().start()
     owner.start_task()
-    ends = []
+    ends: list[str] = []
     owner.agent.follow(TASK, ends.append)
     token = owner.token()
     standin.order_faults(Faults(silent_all=True))
--- a/packages/daemon/src/papayadyke_daemon/partitions/tests/test_partition_keeper.py
+++ b/packages/daemon/src/papayadyke_daemon/partitions/tests/test_partition_keeper.py
@@ -1,4 +1,5 @@
 import queue
+from typing import Any, cast
 
 import pytest
 from result import Ok
@@ -17,9 +18,9 @@
 
     def __init__(self, service, name):
         self.now_s = 0.0
-        self.wanted = frozenset()
-        self.adopted = []
-        self.dropped = []
+        self.wanted: frozenset[int] = frozenset()
+        self.adopted: list[int] = []
+        self.dropped: list[int] = []
         self.journal = JournalWriter(
             MemoryStore(service, client=name),
             JournalSettings(vm=name, incarnation="1"),
@@ -127,7 +128,7 @@
     """Have another VM take partition 3 over, and the owner notice it."""
     other.journal.release(3)
     other.journal.take_over(3).unwrap()
-    settled = queue.SimpleQueue()
+    settled: queue.SimpleQueue[AppendResult] = queue.SimpleQueue()
     vm.journal.append(3, [KeyReleased("k", "r")], lambda *told: settled.put(told[0]))
     assert settled.get(timeout=LIMIT_S) is AppendResult.FENCED
 
@@ -179,9 +180,9 @@
 
 
 def test_partition_fenced_during_its_takeover_is_not_owned():
-    adopted = []
+    adopted: list[Any] = []
     keeper = PartitionKeeper(
-        FencingJournal(),
+        cast(JournalWriter, FencingJournal()),
         plan=lambda: frozenset({3}),
         on_adopt=adopted.append,
         on_drop=lambda partition: None,
--- a/packages/daemon/src/papayadyke_daemon/routing/tests/routing_fakes.py
+++ b/packages/daemon/src/papayadyke_daemon/routing/tests/routing_fakes.py
@@ -2,6 +2,7 @@
 
 from contextlib import nullcontext
 from types import SimpleNamespace
+from typing import Any, cast
 
 from result import Err, Ok
 
@@ -51,7 +52,7 @@
 
     def __init__(self, replies):
         self.replies = replies
-        self.sent = []
+        self.sent: list[Any] = []
 
     def call(self, peer, message, reply_type, *, timeout_s):
         self.sent.append((peer, message))
@@ -85,7 +86,7 @@
         self.result = result
         self.ids = None
         self.clock = lambda: 100.0
-        self.orders = []
+        self.orders: list[Any] = []
 
     def config(self):
         workload = Workload("check", Kind.SERVICE, DEMAND)
@@ -122,9 +123,9 @@
         free = Resources(4000, 4096) if has_room else Resources(0, 0)
         summary = LoadSummary(Resources(4000, 4096), free, 4 if has_room else 0, 4, 1)
         self.routed = RoutedRuns(
-            runs=self.runs,
-            endpoint=lambda: self.endpoint,
-            picker=FakePicker(peers, contacts),
+            runs=cast(Any, self.runs),
+            endpoint=lambda: cast(Any, self.endpoint),
+            picker=cast(Any, FakePicker(peers, contacts)),
             load=lambda: summary,
             guard=nullcontext(),
             is_draining=lambda: is_draining,
--- a/packages/daemon/src/papayadyke_daemon/routing/tests/test_routed_homes.py
+++ b/packages/daemon/src/papayadyke_daemon/routing/tests/test_routed_homes.py
@@ -1,3 +1,5 @@
+from typing import Any
+
 import pytest
 from result import Err, Ok
 
@@ -56,7 +58,7 @@
     """Keys and jobs of this VM; notes what it is asked."""
 
     def __init__(self):
-        self.asked = []
+        self.asked: list[Any] = []
 
     def claim(self, key, workload, body, request_id, *, holder):
         self.asked.append(("claim", key))
@@ -83,7 +85,7 @@
         )
         self.local = FakeLocal()
         homes = FakeHomes(route)
-        arguments = {
+        arguments: dict[str, Any] = {
             "local": self.local,
             "homes": homes,
             "endpoint": lambda: self.endpoint,
--- a/packages/daemon/src/papayadyke_daemon/serving/tests/test_refused_starts.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/tests/test_refused_starts.py
@@ -2,6 +2,7 @@
 
 import time
 from types import SimpleNamespace
+from typing import Any, cast
 
 import pytest
 
@@ -48,7 +49,7 @@
     """Has one outcome for every start, and notes the refusals told."""
 
     def __init__(self, outcome, resolved=None):
-        self.told = []
+        self.told: list[Any] = []
         self.client = SimpleNamespace(
             run=lambda call, *, timeout_s: outcome,
             start=lambda call: outcome,
@@ -69,10 +70,10 @@
 def run_request(agent):
     workload = Workload("check", Kind.SERVICE, DEMAND)
     service = RunService(
-        loop=FakeLoop(),
-        fleet=SimpleNamespace(find=lambda name: agent),
+        loop=cast(Any, FakeLoop()),
+        fleet=cast(Any, SimpleNamespace(find=lambda name: agent)),
         ids=IdSource("vm-0", 1),
-        config=lambda: SimpleNamespace(workloads={"check": workload}),
+        config=lambda: cast(Any, SimpleNamespace(workloads={"check": workload})),
         task_lease_s=30.0,
         clock=lambda: 100.0,
     )
@@ -82,13 +83,13 @@
 
 def run_task(agent):
     runner = TaskRunner(
-        loop=FakeLoop(),
-        fleet=SimpleNamespace(find=lambda name: agent),
+        loop=cast(Any, FakeLoop()),
+        fleet=cast(Any, SimpleNamespace(find=lambda name: agent)),
         authorize=lambda task_id, upstream, allow: allow(True),
         task_lease_s=30.0,
         covers_cell=lambda: True,
     )
-    done = []
+    done: list[Any] = []
     spec = TaskSpec(task_id="job/0/1", index=0, attempt=1, payload=b"{}")
     order = TaskOrder(
         request_id="job/0/1.1",
