--- a/packages/daemon/src/papayadyke_daemon/routing/tests/routing_fakes.py
+++ b/packages/daemon/src/papayadyke_daemon/routing/tests/routing_fakes.py
@@ -68,13 +68,18 @@
 class FakePicker:
     """Picks peers and contacts in a fixed order."""
 
-    def __init__(self, peers=(), contacts=()):
+    def __init__(self, peers=(), contacts=(), full_peers=()):
         self.peers = peers
         self.contacts = contacts
+        self.full_peers = full_peers
 
     def pick_peer(self, demand, *, tried=frozenset()):
         return next((vm for vm in self.peers if vm not in tried), None)
 
+    def pick_any(self, *, tried=frozenset()):
+        live = (*self.peers, *self.full_peers)
+        return next((vm for vm in live if vm not in tried), None)
+
     def pick_zone(self, demand, *, tried=frozenset()):
         return next((vm for vm in self.contacts if vm not in tried), None)
 
@@ -115,6 +120,7 @@
         replies=None,
         peers=(),
         contacts=(),
+        full_peers=(),
         has_room=True,
         is_draining=False,
     ):
@@ -125,7 +131,7 @@
         self.routed = RoutedRuns(
             runs=cast(Any, self.runs),
             endpoint=lambda: cast(Any, self.endpoint),
-            picker=cast(Any, FakePicker(peers, contacts)),
+            picker=cast(Any, FakePicker(peers, contacts, full_peers)),
             load=lambda: summary,
             guard=nullcontext(),
             is_draining=lambda: is_draining,
--- a/packages/daemon/src/papayadyke_daemon/routing/tests/test_routed_runs.py
+++ b/packages/daemon/src/papayadyke_daemon/routing/tests/test_routed_runs.py
@@ -94,6 +94,23 @@
     assert routing.runs.orders == []
 
 
+def test_draining_vm_hands_over_to_a_peer_without_room():
+    replies = {"vm-1": reply_answered("u-1")}
+    routing = Routing(
+        here=answered("u-here"),
+        replies=replies,
+        full_peers=("vm-1",),
+        is_draining=True,
+    )
+    assert routing.run() == answered("u-1")
+
+
+def test_peer_without_room_is_asked_only_while_draining():
+    routing = Routing(here=Err(REFUSED), full_peers=("vm-1",))
+    routing.run()
+    assert routing.endpoint.sent == []
+
+
 def test_draining_vm_without_peers_refuses():
     routing = Routing(here=answered("u-here"), is_draining=True)
     refusal = routing.run().unwrap_err()
