--- a/packages/daemon/src/papayadyke_daemon/daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/daemon.py
@@ -267,6 +267,7 @@
             plan=self.peering.plan_partitions,
             covers_cell=self.peering.covers_cell,
             is_gone=self.peering.is_gone,
+            count_vms=self.peering.count_vms,
             task_lease_s=settings.fleet.task_lease_s,
         )
         self._route(local)
--- a/packages/daemon/src/papayadyke_daemon/durable.py
+++ b/packages/daemon/src/papayadyke_daemon/durable.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
@@ -18,6 +19,7 @@
 from papayadyke_platform.store import Store
 
 LEASE_MARGIN = 2.0
+PACE_PERIOD_S = 5.0
 
 
 class DurableParts:
@@ -38,6 +40,8 @@
     is_gone : callable
         Tells of the name of a VM and its incarnation whether it runs no longer.
     task_lease_s : float
+    count_vms : callable
+        Returns the number of VMs that share the store.
     """
 
     def __init__(
@@ -53,7 +57,10 @@
         covers_cell: Callable[[], bool],
         is_gone: Callable[[str], bool],
         task_lease_s: float,
+        count_vms: Callable[[], int],
     ) -> None:
+        self.count_vms = count_vms
+        self._paced_s = float("-inf")
         self.journal = JournalWriter(
             store, JournalSettings(vm=vm, incarnation=f"{incarnation:x}")
         )
@@ -82,7 +89,10 @@
             is_gone=is_gone,
         )
         self.keeper = PartitionKeeper(
-            self.journal, plan=plan, on_adopt=self._adopt, on_drop=self._drop
+            self.journal,
+            plan=lambda: self._follow_plan(plan),
+            on_adopt=self._adopt,
+            on_drop=self._drop,
         )
 
     def start(self) -> None:
@@ -102,6 +112,14 @@
         self.journal.stop()
         self._resolver.stop()
 
+    def _follow_plan(self, plan: Callable[[], frozenset[int]]) -> frozenset[int]:
+        """Return the plan, and pace the journal by the number of VMs."""
+        now = time.monotonic()
+        if now - self._paced_s >= PACE_PERIOD_S:
+            self._paced_s = now
+            self.journal.set_vms(self.count_vms())
+        return plan()
+
     def _adopt(self, replay: Replay) -> None:
         self.jobs.adopt(replay)
         self.keys.adopt(replay)
--- a/packages/daemon/src/papayadyke_daemon/peering.py
+++ b/packages/daemon/src/papayadyke_daemon/peering.py
@@ -187,6 +187,14 @@
         """Return the partitions that this VM should own."""
         return ALL_PARTITIONS if self.is_alone else self.homes.own_partitions()
 
+    def count_vms(self) -> int:
+        """Return the number of VMs of the cell, as far as is known."""
+        snapshot = self.read_snapshot()
+        if snapshot is None:
+            return 1
+        others = sum(zone.members for zone in snapshot.zones)
+        return max(1, len(snapshot.members) + others)
+
     def covers_cell(self) -> bool:
         """Tell whether this zone is the whole cell."""
         return len(self.homes.zones) == 1
--- a/packages/daemon/src/papayadyke_daemon/routing/_runs.py
+++ b/packages/daemon/src/papayadyke_daemon/routing/_runs.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from contextlib import AbstractContextManager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from result import Err, Ok, Result
 
@@ -35,6 +35,7 @@
         Reason.NO_CAPACITY,
         Reason.CAN_NEVER_RUN,
         Reason.DRAINING,
+        Reason.EXPIRED,
     }
 )
 
@@ -49,12 +50,16 @@
         Peers of the zone that are asked, one after the other.
     zones_tried : int, default=1
         Contacts in other zones that are asked after them.
+    cross_after_s : float, default=1.0
+        Time for which a request waits in its own zone while another zone tells
+        of room.
     reply_margin_s : float, default=1.0
         Time past a request's deadline for which its reply is waited for.
     """
 
     peers_tried: int = 2
     zones_tried: int = 1
+    cross_after_s: float = 1.0
     reply_margin_s: float = 1.0
 
 
@@ -139,18 +144,28 @@
                 result = self._forward(order, peer, hops=0)
                 if not _may_go_on(result):
                     return result
-        result = self._run_here(order)
+        here = order
+        if may_cross_zones and self.picker.pick_zone(demand) is not None:
+            wait_s = self.clock() + self.settings.cross_after_s
+            here = replace(order, start_by_s=min(wait_s, order.deadline_s))
+        result = self._run_here(here)
         for _ in range(self.settings.peers_tried - len(tried)):
-            if not _may_go_on(result):
+            if not self._may_wait_on(order, result):
                 return result
             peer = self._pick(demand, tried)
             if peer is None:
                 break
             tried |= {peer}
             result = self._forward(order, peer, hops=0)
-        if not may_cross_zones or not _may_go_on(result):
+        if not may_cross_zones or not self._may_wait_on(order, result):
             return result
-        return self._cross_zones(order, demand, result)
+        result = self._cross_zones(order, demand, result)
+        if here.start_by_s is not None and self._may_wait_on(order, result):
+            return self._run_here(order)
+        return result
+
+    def _may_wait_on(self, order: RunOrder, result: Result[Answer, Refusal]) -> bool:
+        return _may_go_on(result) and self.clock() < order.deadline_s
 
     def _pick(self, demand: Resources, tried: frozenset[str]) -> str | None:
         """Return a peer with room; while draining, one where it can wait."""
--- a/packages/daemon/src/papayadyke_daemon/routing/tests/test_routed_runs.py
+++ b/packages/daemon/src/papayadyke_daemon/routing/tests/test_routed_runs.py
@@ -3,7 +3,7 @@
 import pytest
 from result import Err, Ok
 
-from papayadyke_core.verdicts import Reason, Verdict
+from papayadyke_core.verdicts import Reason, Refusal, Verdict
 from papayadyke_daemon.routing import write_refusal
 from papayadyke_daemon.routing._messages import RunAnswered, RunReply
 from papayadyke_daemon.routing.tests.routing_fakes import (
@@ -188,3 +188,35 @@
     routing.serve(make_forward(hops=0))
     (order,) = routing.runs.orders
     assert (order.base_id, order.deadline_s) == ("base", 105.0)
+
+
+def test_request_waits_a_short_time_here_while_another_zone_has_room():
+    expired = Refusal(Verdict.NOT_RUN, Reason.EXPIRED, "waited")
+    routing = Routing(
+        here=Err(expired),
+        replies={"far-0": reply_answered("u-far")},
+        contacts=("far-0",),
+    )
+    assert routing.run() == answered("u-far")
+    (order,) = routing.runs.orders
+    assert order.start_by_s == 100.0 + routing.routed.settings.cross_after_s
+
+
+def test_request_that_no_zone_takes_waits_here_to_its_deadline():
+    expired = Refusal(Verdict.NOT_RUN, Reason.EXPIRED, "waited")
+    routing = Routing(
+        here=Err(expired),
+        replies={"far-0": reply_refused()},
+        contacts=("far-0",),
+    )
+    assert routing.run() == Err(expired)
+    first, second = routing.runs.orders
+    assert first.start_by_s is not None
+    assert second.start_by_s is None
+
+
+def test_request_waits_to_its_deadline_where_there_is_no_other_zone():
+    routing = Routing(here=answered("u-here"))
+    routing.run()
+    (order,) = routing.runs.orders
+    assert order.start_by_s is None
--- a/packages/daemon/src/papayadyke_daemon/serving/_run.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/_run.py
@@ -55,6 +55,9 @@
     content_type : str
     deadline_s : float
         Own monotonic time by which the caller wants its answer.
+    start_by_s : float or None, default=None
+        Own monotonic time by which it has to have started here, where that is
+        before its deadline; past it the request is refused as expired.
     base_id : str, default=""
         Unique id from which the ids of the attempts are made; one is made where
         it is empty.
@@ -67,6 +70,7 @@
     payload: bytes
     content_type: str
     deadline_s: float
+    start_by_s: float | None = None
     base_id: str = ""
     on_placed: Callable[[str], None] = _ignore
 
@@ -160,7 +164,9 @@
         req = Request(
             id=order.base_id or self.ids.make(),
             workload=order.workload,
-            deadline_s=order.deadline_s,
+            deadline_s=(
+                order.deadline_s if order.start_by_s is None else order.start_by_s
+            ),
         )
         progress = _Progress(req=req, workload=workload, started_s=self.clock())
         while True:
--- a/packages/daemon/src/papayadyke_daemon/serving/_tasks.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/_tasks.py
@@ -28,6 +28,7 @@
 LOG = logging.getLogger(__name__)
 CALL_THREADS = 16
 RESOLVE_WAIT_S = 0.2
+START_LIMIT_S = 10.0
 
 OnDone = Callable[[TaskDone], None]
 Authorize = Callable[[str, str, Callable[[bool], None]], None]
@@ -56,6 +57,7 @@
     spec: TaskSpec
     on_done: OnDone
     placed: Placed | None = None
+    asked_s: float = 0.0
     started_s: float = 0.0
     is_started: bool = False
 
@@ -167,6 +169,7 @@
         if not opened.waiting:
             del self._open[start.request_id]
         attempt.placed = reply
+        attempt.asked_s = self.clock()
         self._by_start[start.task_id] = attempt
         self.authorize(
             attempt.spec.task_id,
@@ -196,6 +199,10 @@
         """Send the start from a thread for calls."""
         placed = attempt.placed
         assert placed is not None
+        if self.clock() - attempt.asked_s > START_LIMIT_S:
+            # A successor may have let the attempt lapse by now.
+            self._post_result(attempt, NotStarted("authorized too long ago"))
+            return
         agent = self.fleet.find(placed.start.upstream)
         permit = None if agent is None else agent.permit_start(placed.token)
         if agent is None or permit is None:
