--- a/packages/daemon/src/papayadyke_daemon/callers/_app.py
+++ b/packages/daemon/src/papayadyke_daemon/callers/_app.py
@@ -72,6 +72,8 @@
         and has peers hands them over instead.
     on_record : callable, optional
         Takes each finished `RequestRecord`, for metrics and reports.
+    find_elsewhere : callable, optional
+        Returns the record of a request that a peer has, or None.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         readiness: Callable[[], Readiness],
         refuses_runs: Callable[[], bool],
         on_record: Callable[[RequestRecord], None] = lambda record: None,
+        find_elsewhere: Callable[[str], RequestRecord | None] = lambda wanted: None,
     ) -> None:
         self.runs = runs
         self.keyed = keyed
@@ -96,6 +99,7 @@
         self.readiness = readiness
         self.refuses_runs = refuses_runs
         self.on_record = on_record
+        self.find_elsewhere = find_elsewhere
 
     def handle(self, req: HttpRequest) -> HttpAnswer:
         """Return the answer to any request; no input makes it raise."""
@@ -181,12 +185,12 @@
     def _tell_request(self, req: HttpRequest, wanted: str) -> HttpAnswer:
         if req.method != "GET":
             return refuse_method(wanted, "GET")
-        record = self.history.find(wanted)
+        record = self.history.find(wanted) or self.find_elsewhere(wanted)
         if record is None:
             refusal = Refusal(
                 Verdict.MAY_HAVE_RUN,
                 Reason.UNKNOWN_REQUEST,
-                "This VM knows nothing of the request.",
+                "No VM that could be asked knows of the request.",
             )
             return make_problem(refusal, wanted)
         return HttpAnswer(200, msgspec.json.encode(record))
--- a/packages/daemon/src/papayadyke_daemon/daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/daemon.py
@@ -281,6 +281,7 @@
             readiness=self.tell_readiness,
             refuses_runs=lambda: self.peering.is_alone and self._draining.is_set(),
             on_record=self._record,
+            find_elsewhere=self.peering.find_request,
         )
         self.callers = self._make_listener()
         self.operators = self._make_operators()
--- a/packages/daemon/src/papayadyke_daemon/idempotency/_service.py
+++ b/packages/daemon/src/papayadyke_daemon/idempotency/_service.py
@@ -27,7 +27,8 @@
     partition_of,
 )
 from papayadyke_core.verdicts import Reason, Refusal, Verdict
-from papayadyke_daemon.journal import JournalWriter, Mailbox, Replay
+from papayadyke_daemon.journal import JournalWriter, Replay
+from papayadyke_daemon.mailbox import Mailbox
 
 RETRY_AFTER_S = 1.0
 PURGE_INTERVAL_S = 60.0
--- a/packages/daemon/src/papayadyke_daemon/jobs/_appender.py
+++ b/packages/daemon/src/papayadyke_daemon/jobs/_appender.py
@@ -6,7 +6,8 @@
 
 from papayadyke_core.journal import AppendResult, Entry
 from papayadyke_daemon.jobs._book import JobBook, job_partition
-from papayadyke_daemon.journal import JournalWriter, Mailbox, OnSettled
+from papayadyke_daemon.journal import JournalWriter, OnSettled
+from papayadyke_daemon.mailbox import Mailbox
 
 
 class Appender:
--- a/packages/daemon/src/papayadyke_daemon/jobs/_service.py
+++ b/packages/daemon/src/papayadyke_daemon/jobs/_service.py
@@ -20,7 +20,8 @@
 from papayadyke_daemon.jobs._starts import OnPermission, Starts
 from papayadyke_daemon.jobs._submissions import JobResult, Reply, Submissions
 from papayadyke_daemon.jobs._types import JobAnswer, JobHooks, JobSettings
-from papayadyke_daemon.journal import JournalWriter, Mailbox, Replay
+from papayadyke_daemon.journal import JournalWriter, Replay
+from papayadyke_daemon.mailbox import Mailbox
 
 PURGE_INTERVAL_S = 60.0
 REPLY_MARGIN_S = 60.0
--- a/packages/daemon/src/papayadyke_daemon/journal/__init__.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/__init__.py
@@ -1,6 +1,5 @@
 """The journal: this VM's partitions of the log in the store."""
 
-from papayadyke_daemon.journal._mailbox import Mailbox
 from papayadyke_daemon.journal._thread import JournalWriter
 from papayadyke_daemon.journal._types import JournalSettings, Replay
 from papayadyke_daemon.journal._writer import LogWriter, OnSettled
@@ -9,7 +8,6 @@
     "JournalSettings",
     "JournalWriter",
     "LogWriter",
-    "Mailbox",
     "OnSettled",
     "Replay",
 ]
--- a/packages/daemon/src/papayadyke_daemon/serving/_tasks.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/_tasks.py
@@ -12,7 +12,7 @@
 from papayadyke_core.journal import Answer
 from papayadyke_core.scheduling import Outcome, Refuse, Request, Stop
 from papayadyke_daemon.fleet import Fleet
-from papayadyke_daemon.journal import Mailbox
+from papayadyke_daemon.mailbox import Mailbox
 from papayadyke_daemon.scheduler import Finish, Placed, SchedulerLoop, Submit
 from papayadyke_platform.upstream import (
     Answered,
--- a/tests/test_cell_peers.py
+++ b/tests/test_cell_peers.py
@@ -121,6 +121,15 @@
         check_truth(cell, load)
 
 
+def test_any_vm_tells_what_became_of_a_request(tmp_path):
+    with Cell(plan_cell(daemons=2, upstreams=2), tmp_path) as cell:
+        wait_until_answered(cell)
+        first, second = cell.daemons.values()
+        first.send("POST", "/v1/run/nope", headers={"Request-Id": "asked-1"})
+        reply = second.send("GET", "/v1/requests/asked-1")
+        assert json.loads(reply.body)["refusal"]["reason"] == "unknown_workload"
+
+
 def test_planned_stop_hands_over_what_is_queued(tmp_path):
     plan = plan_cell(daemons=2, upstreams=2, slots=1)
     with Cell(plan, tmp_path) as cell:
