End the process when an invariant is broken, and keep other threads alive

Cause: an assertion in the scheduler ended its thread and left a daemon that took requests and decided nothing; a failed step ended the threads of ownership, of partitions, of levels and of sessions. Change: a broken invariant is logged and the process ends with code 5, so that others take over; other threads log a failed step and go on; a start that nobody waits for is given back.

--- a/packages/daemon/src/papayadyke_daemon/daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/daemon.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import logging
+import os
 import threading
 import time
+from collections.abc import Callable
 from contextlib import AbstractContextManager
 
 from result import Err
@@ -46,9 +48,15 @@
 
 LOG = logging.getLogger(__name__)
 DRAIN_POLL_S = 0.05
+EXIT_FAULT = 5
 NS_PER_MS = 1_000_000
 
 
+def _end_at_once() -> None:
+    logging.shutdown()
+    os._exit(EXIT_FAULT)
+
+
 class Daemon:
     """All parts of one daemon.
 
@@ -57,10 +65,20 @@
     settings : Settings
     store : Store or None, default=None
         None connects to the address in the settings.
+    on_fault : callable, optional
+        Called when an invariant is broken. The process ends at once, so that
+        others take over what it owned and nothing more is started from it.
     """
 
-    def __init__(self, settings: Settings, *, store: Store | None = None) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        store: Store | None = None,
+        on_fault: Callable[[], None] = _end_at_once,
+    ) -> None:
         self.settings = settings
+        self.on_fault = on_fault
         self.store = store or _connect_store(settings)
         self.config = Config()
         self.incarnation = time.time_ns() // NS_PER_MS
@@ -202,7 +220,9 @@
     def _make_core(self) -> None:
         settings = self.settings
         self.loop = SchedulerLoop(
-            Scheduler(), on_stop=lambda stop: self.durable.tasks.give_way(stop)
+            Scheduler(),
+            on_stop=lambda stop: self.durable.tasks.give_way(stop),
+            on_fault=self.on_fault,
         )
         self.fleet = Fleet(
             holder=Holder(settings.vm, self.incarnation),
--- a/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
@@ -25,6 +25,7 @@
     StartRefusal,
 )
 from papayadyke_core.scheduling import Outcome, RunningTask
+from papayadyke_daemon.guard import guard_step
 from papayadyke_daemon.scheduler import (
     AddUpstream,
     Adopt,
@@ -231,19 +232,23 @@
 
     def _run(self) -> None:
         while not self._is_done():
-            self._wake.clear()
-            with self._lock:
-                request = self._session.next_request(self.clock())
-            if isinstance(request, ReleaseRequest):
-                self._announce(None)
-                self.client.release(request.token)
-            elif request is not None:
-                self._ask(request)
-            self._announce_lapse()
-            self._idle()
+            if not guard_step("fleet", self._step):
+                self._wake.wait(MAX_IDLE_S)
         self._announce(None)
         self.client.close()
 
+    def _step(self) -> None:
+        self._wake.clear()
+        with self._lock:
+            request = self._session.next_request(self.clock())
+        if isinstance(request, ReleaseRequest):
+            self._announce(None)
+            self.client.release(request.token)
+        elif request is not None:
+            self._ask(request)
+        self._announce_lapse()
+        self._idle()
+
     def _is_done(self) -> bool:
         with self._lock:
             return self._stopping and self._session.token is None
--- a/packages/daemon/src/papayadyke_daemon/fleet/_owner.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_owner.py
@@ -19,6 +19,7 @@
     unreached_upstreams,
 )
 from papayadyke_daemon.fleet._fleet import Fleet
+from papayadyke_daemon.guard import guard_step
 
 LOG = logging.getLogger(__name__)
 
@@ -131,8 +132,8 @@
 
     def _run(self) -> None:
         while not self._stopping.wait(self.settings.period_s):
-            self.step(self.clock())
-            self.look_for_unreached(self.clock())
+            guard_step("owner", lambda: self.step(self.clock()))
+            guard_step("owner", lambda: self.look_for_unreached(self.clock()))
 
     def _find_record(self, now: float) -> ZoneRecord | None:
         record = self.record()
--- a/packages/daemon/src/papayadyke_daemon/levels/_keeper.py
+++ b/packages/daemon/src/papayadyke_daemon/levels/_keeper.py
@@ -22,6 +22,7 @@
     VmUsage,
 )
 from papayadyke_core.workloads import Config, effective_rule
+from papayadyke_daemon.guard import guard_step
 from papayadyke_daemon.levels._archive import (
     HOUR_S,
     LATE_MINUTES,
@@ -131,10 +132,7 @@
 
     def _run(self) -> None:
         while not self._stopping.wait(self.settings.sample_period_s):
-            try:
-                self.step(self.clock())
-            except queue.Empty:
-                LOG.warning("levels: the scheduler gave no load")
+            guard_step("levels", lambda: self.step(self.clock()))
 
     def _take_inbox(self) -> None:
         for _ in range(self._inbox.qsize()):
--- a/packages/daemon/src/papayadyke_daemon/partitions/_keeper.py
+++ b/packages/daemon/src/papayadyke_daemon/partitions/_keeper.py
@@ -10,6 +10,7 @@
 
 from result import Ok
 
+from papayadyke_daemon.guard import guard_step
 from papayadyke_daemon.journal import JournalWriter, Replay
 
 LOG = logging.getLogger(__name__)
@@ -115,7 +116,7 @@
 
     def _run(self) -> None:
         while not self._stopping.wait(self.settings.period_s):
-            self.step(self.clock())
+            guard_step("keeper", lambda: self.step(self.clock()))
 
     def _take_over(self, partition: int) -> None:
         self._fenced_early.discard(partition)
--- a/packages/daemon/src/papayadyke_daemon/scheduler/_loop.py
+++ b/packages/daemon/src/papayadyke_daemon/scheduler/_loop.py
@@ -13,6 +13,7 @@
     CancelResult,
     Decision,
     LoadSummary,
+    Outcome,
     Refuse,
     SchedulerProtocol,
     Stop,
@@ -49,6 +50,8 @@
         Used by this thread alone once `start` was called.
     on_stop : callable, optional
         Takes each `Stop`; it must not block.
+    on_fault : callable, optional
+        Called when the scheduler has raised and the thread ends.
     clock : callable, default=time.monotonic
     """
 
@@ -57,10 +60,12 @@
         scheduler: SchedulerProtocol,
         *,
         on_stop: Callable[[Stop], None] = lambda stop: None,
+        on_fault: Callable[[], None] = lambda: None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.scheduler = scheduler
         self.on_stop = on_stop
+        self.on_fault = on_fault
         self.clock = clock
         self._mailbox: queue.SimpleQueue[Message | None] = queue.SimpleQueue()
         self._replies: dict[str, Reply] = {}
@@ -112,6 +117,14 @@
         return self._load
 
     def _run(self) -> None:
+        try:
+            self._decide_until_stopped()
+        except Exception:
+            # What is reserved can no longer be trusted.
+            LOG.critical("scheduler: an invariant is broken", exc_info=True)
+            self.on_fault()
+
+    def _decide_until_stopped(self) -> None:
         while self._take_batch():
             now = self.clock()
             for decision in self.scheduler.decide(now):
@@ -160,7 +173,9 @@
                 reply(decision)
             return
         if reply is None:
-            raise AssertionError(f"a start without a sender: {decision.task_id}")
+            LOG.error("scheduler: nobody waits for %s", decision.task_id)
+            self.scheduler.finish(decision.task_id, Outcome.NOT_STARTED, self.clock())
+            return
         self._request_of[decision.task_id] = decision.request_id
         reply(Placed(decision, self._tokens[decision.upstream]))
 
