--- a/packages/standins/src/papayadyke_standins/upstream/_server.py
+++ b/packages/standins/src/papayadyke_standins/upstream/_server.py
@@ -31,12 +31,17 @@
     StartMessage,
     TaskEnd,
 )
+from papayadyke_standins.upstream._execution import (
+    THROTTLE_FACTOR,
+    Checkpoints,
+    LaggingUsage,
+    execute,
+)
 from papayadyke_standins.upstream._faults import Faults
 from papayadyke_standins.upstream._tasks import Task, TaskBook, TaskState
 from papayadyke_standins.upstream._work import plan_work
 
 EXPIRY_PERIOD_S = 0.1
-USAGE_LAG_S = 1.0
 MAX_RESOLVE_WAIT_S = 60.0
 CONTROL_THREADS = 8
 
@@ -76,6 +81,8 @@
         self.clock = clock
         self.book = TaskBook(spec)
         self.gate = SessionGate(first_token=time.time_ns())
+        self.checkpoints = Checkpoints()
+        self.usage = LaggingUsage()
         self.boot_id = uuid.uuid4().hex
         self.leaving = False
         self.faults = Faults()
@@ -119,7 +126,9 @@
 
     def _expire(self) -> None:
         while not self._closing.wait(EXPIRY_PERIOD_S):
-            self.book.expire(self.clock())
+            now = self.clock()
+            self.book.expire(now)
+            self.usage.sample(self.book.used(), now)
 
     def _handle(self, req: HttpRequest) -> HttpAnswer:
         parts = req.path.strip("/").split("/")
@@ -171,7 +180,7 @@
             return self._tell_session(answer)
 
     def _tell_session(self, granted: Granted) -> HttpAnswer:
-        used = self.book.used()
+        used = self.usage.read(self.clock())
         state = SessionReport(
             token=granted.token,
             epoch=granted.epoch,
@@ -189,14 +198,20 @@
         task_id, _, action = rest.rpartition("/")
         if action == "resolve":
             return self._resolve(task_id, _read_number(req.query, "wait_s"))
-        if action in ("stop", "checkpoint"):
-            task = self.book.find(task_id)
-            if task is not None:
-                task.stop.set()
-            return HttpAnswer(204)
+        if action in ("stop", "checkpoint", "throttle"):
+            return self._give_way(task_id, action)
+        return self._start(req, rest)
+
+    def _give_way(self, task_id: str, action: str) -> HttpAnswer:
+        task = self.book.find(task_id)
+        if task is None:
+            return HttpAnswer(404)
         if action == "throttle":
+            task.throttle = THROTTLE_FACTOR
             return HttpAnswer(204)
-        return self._start(req, rest)
+        task.is_checkpointed = action == "checkpoint"
+        task.stop.set()
+        return HttpAnswer(204)
 
     def _resolve(self, task_id: str, wait_s: float) -> HttpAnswer:
         task = self.book.resolve(task_id, self.clock())
@@ -264,7 +279,10 @@
             default_s=self.default_work_s,
         )
         seconds = work.seconds * self.faults.slow_factor / self.spec.speed
-        if seconds and task.stop.wait(seconds):
+        left_s = execute(task, self.checkpoints.take(task, seconds))
+        if left_s:
+            if task.is_checkpointed:
+                self.checkpoints.save(task, left_s)
             self.book.end(task, TaskState.STOPPED, self.clock())
             return
         task.status = work.status
--- a/packages/standins/src/papayadyke_standins/upstream/_tasks.py
+++ b/packages/standins/src/papayadyke_standins/upstream/_tasks.py
@@ -49,6 +49,7 @@
     stop: threading.Event = field(default_factory=threading.Event)
     ended: threading.Event = field(default_factory=threading.Event)
     throttle: float = 1.0
+    is_checkpointed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,8 +179,12 @@
             return "over_slots"
         if not (self._used() + task.demand).fits_in(self.spec.capacity):
             return "over_capacity"
-        name = _ATTEMPT.sub("", task.id)
-        for other in self._running:
-            if _ATTEMPT.sub("", other) == name:
-                return "runs_already"
+        name = name_of(task.id)
+        if any(name_of(other) == name for other in self._running):
+            return "runs_already"
         return None
+
+
+def name_of(task_id: str) -> str:
+    """Return what all attempts of one task have in common."""
+    return _ATTEMPT.sub("", task_id)
--- a/packages/standins/src/papayadyke_standins/upstream/tests/test_upstream_standin.py
+++ b/packages/standins/src/papayadyke_standins/upstream/tests/test_upstream_standin.py
@@ -18,6 +18,7 @@
     UpstreamClient,
 )
 from papayadyke_standins.upstream import Faults, UpstreamStandin
+from papayadyke_standins.upstream._execution import LaggingUsage
 
 SPEC = UpstreamSpec(
     name="quote-1",
@@ -171,3 +172,39 @@
     client = UpstreamClient("127.0.0.1", 1)
     report = type("Report", (), {"token": 1, "clock_s": 0.0})()
     assert isinstance(client.run(make_call(report), timeout_s=SHORT_S), NotStarted)
+
+
+def test_checkpointed_task_goes_on_where_it_was(client, upstream):
+    report = open_session(client).unwrap()
+    with run_in_background(client, make_call(report, work_s=LONG_S)) as results:
+        wait_until(upstream.book.list_running)
+        assert client.stop("r1/0/1", way="checkpoint")
+    assert results == [Stopped()]
+    left_s = upstream.checkpoints.take(upstream.book.find("r1/0/1"), LONG_S)
+    assert 0.0 < left_s <= LONG_S
+    upstream.checkpoints.save(upstream.book.find("r1/0/1"), SHORT_S)
+    again = make_call(report, "r1/0/2", work_s=LONG_S)
+    assert isinstance(client.run(again, timeout_s=LONG_S), Answered)
+
+
+def test_throttled_task_runs_on_more_slowly(client, upstream):
+    report = open_session(client).unwrap()
+    with run_in_background(client, make_call(report, work_s=LONG_S)):
+        wait_until(upstream.book.list_running)
+        assert client.stop("r1/0/1", way="throttle")
+        assert upstream.book.find("r1/0/1").throttle > 1.0
+        assert isinstance(client.resolve("r1/0/1"), Running)
+        client.stop("r1/0/1")
+
+
+def test_usage_is_told_with_a_lag():
+    usage = LaggingUsage(lag_s=1.0)
+    usage.sample(Resources(5, 5), 10.0)
+    usage.sample(Resources(7, 7), 10.8)
+    assert usage.read(10.9) == Resources()
+    assert usage.read(11.1) == Resources(5, 5)
+    assert usage.read(20.0) == Resources(7, 7)
+
+
+def test_stop_of_an_unknown_task_is_told(client):
+    assert not client.stop("none/0/1")
