Drain an upstream at the first start that it refuses as leaving

The test of metrics did not know the gauges. Change: the refusal drains the upstream; a start that never took place is no attempt; documented gauges are tested, and that no other is sent.

--- a/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
@@ -49,6 +49,7 @@
 MIN_IDLE_S = 0.005
 RECENT_ENDS = 256
 UNREACHABLE = "unreachable"
+LEAVING = "leaving"
 
 SchedulerMessage = AddUpstream | Adopt | DrainUpstream | Finish | RemoveUpstream
 
@@ -178,16 +179,21 @@
         return None if permit is None or permit.token != token else permit
 
     def note_refusal(self, token: int, detail: str) -> None:
-        """Take why the upstream refused a start; it may end the session.
+        """Take why the upstream refused a start.
+
+        It may end the session, or drain an upstream before its next renewal
+        tells that it is leaving.
 
         Parameters
         ----------
         token : int
             The session under which the start was sent.
         detail : str
-            The upstream's word for the reason; others than those of a session
-            change nothing.
+            The upstream's word for the reason; others change nothing.
         """
+        if detail == LEAVING:
+            self.send(DrainUpstream(self.upstream.name))
+            return
         try:
             reason = StartRefusal(detail)
         except ValueError:
--- a/packages/daemon/src/papayadyke_daemon/fleet/tests/test_upstream_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/tests/test_upstream_agent.py
@@ -266,6 +266,12 @@
     assert owner.agent.is_held()
 
 
+def test_start_refused_as_leaving_drains_before_the_next_renewal(make_owner):
+    owner = make_owner(settings=SELDOM).start()
+    owner.agent.note_refusal(owner.token(), "leaving")
+    assert owner.find(DrainUpstream) == [DrainUpstream(SPEC.name)]
+
+
 def test_start_decided_under_an_older_session_is_not_permitted(make_owner, standin):
     owner = make_owner(settings=SELDOM).start(epoch=1)
     old = owner.token()
--- a/packages/daemon/src/papayadyke_daemon/serving/_run.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/_run.py
@@ -217,7 +217,6 @@
         permit = None if agent is None else agent.permit_start(placed.token)
         if agent is None or permit is None:
             return NotStarted("the session at the upstream has ended")
-        progress.attempts += 1
         order.on_placed(placed.start.upstream)
         call = self._make_call(order, permit, placed)
         outcome = agent.client.run(call, timeout_s=min(limit_s, PROBE_AFTER_S))
@@ -270,6 +269,8 @@
         self, placed: Placed, progress: _Progress, outcome: CallResult
     ) -> Result[Answer, Refusal] | None:
         task_id = placed.start.task_id
+        if not isinstance(outcome, NotStarted):
+            progress.attempts += 1
         if isinstance(outcome, Answered):
             self.loop.send(Finish(task_id, Outcome.ANSWERED, progress.run_s))
             return Ok(self._make_answer(progress, outcome))
--- a/packages/daemon/src/papayadyke_daemon/tests/test_outer_faces.py
+++ b/packages/daemon/src/papayadyke_daemon/tests/test_outer_faces.py
@@ -17,12 +17,15 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 
+from papayadyke_core.resources import Resources
+from papayadyke_core.scheduling import LoadSummary
 from papayadyke_core.verdicts import Reason, Refusal, Verdict
 from papayadyke_core.workloads import ConfigModel
 from papayadyke_daemon._logs import LOGGERS, set_up_logs
 from papayadyke_daemon._metrics import Metrics
 from papayadyke_daemon.daemon import Daemon
 from papayadyke_daemon.embedded import CONFIG
+from papayadyke_daemon.peers import PeerStats
 from papayadyke_daemon.serving import RequestRecord
 from papayadyke_daemon.settings import (
     Address,
@@ -148,25 +151,43 @@
 
 def read_documented():
     """Return the metrics that the page names, each with its kind."""
-    rows = re.findall(r"^\| `([^`]+)` \| (\w+) \|", METRICS_PAGE.read_text(), re.M)
-    return {name.replace("WORKLOAD", "rcd-check"): kind for name, kind in rows}
-
-
-def test_documented_metrics_arrive_by_udp():
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as receiver:
-        receiver.bind((HOST, 0))
-        receiver.settimeout(LIMIT_S)
-        port = receiver.getsockname()[1]
-        metrics = Metrics(StatsdSettings(Address(HOST, port), prefix="cell-1"))
-        reason = Reason.QUEUE_FULL
-        metrics.record(make_record())
-        for verdict in Verdict:
-            metrics.record(make_record(Refusal(verdict, reason, "It was refused.")))
-        documented = read_documented()
-        lines = [receiver.recv(512).decode() for _ in documented]
-    got = dict(line.removeprefix("cell-1.").split(":") for line in lines)
+    rows = re.findall(r"^\| (`[^|]+`) \| (\w+) \|", METRICS_PAGE.read_text(), re.M)
+    return {
+        name.replace("WORKLOAD", "rcd-check"): kind
+        for names, kind in rows
+        for name in re.findall(r"`([^`]+)`", names)
+    }
+
+
+def receive(receiver, count):
+    """Return the values of so many metrics by their names."""
+    lines = [receiver.recv(512).decode() for _ in range(count)]
+    return dict(line.removeprefix("cell-1.").split(":") for line in lines)
+
+
+@pytest.fixture
+def receiver():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as found:
+        found.bind((HOST, 0))
+        found.settimeout(LIMIT_S)
+        yield found
+
+
+@pytest.fixture
+def metrics(receiver):
+    address = Address(HOST, receiver.getsockname()[1])
+    return Metrics(StatsdSettings(address, prefix="cell-1"))
+
+
+def test_documented_counters_and_timings_arrive_by_udp(receiver, metrics):
+    reason = Reason.QUEUE_FULL
+    metrics.record(make_record())
+    for verdict in Verdict:
+        metrics.record(make_record(Refusal(verdict, reason, "It was refused.")))
     kinds = {"counter": "|c", "timing": "|ms"}
     values = {"wait_ms": "250", "run_ms": "1500"}
+    documented = {n: kind for n, kind in read_documented().items() if kind in kinds}
+    got = receive(receiver, len(documented))
     assert set(got) == {name.replace("REASON", reason) for name in documented}
     for name, kind in documented.items():
         value, mark = got[name.replace("REASON", reason)].split("|")
@@ -174,6 +195,20 @@
         assert float(value) == float(values.get(name.rpartition(".")[2], "1"))
 
 
+def test_documented_gauges_arrive_by_udp_and_no_other(receiver, metrics):
+    load = LoadSummary(Resources(4, 4), Resources(2, 2), 3, 8, 1)
+    metrics.tell_gauges(load, PeerStats(sent_bytes=7), revision=5)
+    documented = {n for n, kind in read_documented().items() if kind == "gauge"}
+    got = receive(receiver, len(documented))
+    assert set(got) == documented
+    assert got["load.free_slots"] == "3|g"
+    assert got["config.revision"] == "5|g"
+    assert got["peers.sent_bytes"] == "7|g"
+    receiver.settimeout(0.2)
+    with pytest.raises(TimeoutError):
+        receiver.recv(512)
+
+
 def test_nothing_is_sent_without_an_address():
     Metrics(None).record(make_record())
 
