--- a/packages/daemon/src/papayadyke_daemon/routing/_runs.py
+++ b/packages/daemon/src/papayadyke_daemon/routing/_runs.py
@@ -168,12 +168,17 @@
         return _may_go_on(result) and self.clock() < order.deadline_s
 
     def _pick(self, demand: Resources, tried: frozenset[str]) -> str | None:
-        """Return a peer with room; while draining, one where it can wait."""
+        """Return a peer with room, or one where it can wait if it can not here."""
         peer = self.picker.pick_peer(demand, tried=tried)
-        if peer is None and self.is_draining():
+        if peer is None and (self.is_draining() or self._has_no_slots()):
             return self.picker.pick_any(tried=tried)
         return peer
 
+    def _has_no_slots(self) -> bool:
+        """Tell whether nothing could start here, now or after others end."""
+        load = self.load()
+        return load is not None and load.slots == 0
+
     def _run_here(self, order: RunOrder) -> Result[Answer, Refusal]:
         if self.is_draining():
             return Err(refuse_draining())
--- a/packages/daemon/src/papayadyke_daemon/routing/tests/test_routed_runs.py
+++ b/packages/daemon/src/papayadyke_daemon/routing/tests/test_routed_runs.py
@@ -105,6 +105,13 @@
     assert routing.run() == answered("u-1")
 
 
+def test_vm_without_any_slot_has_its_requests_wait_at_a_peer():
+    replies = {"vm-1": reply_answered("u-1")}
+    routing = Routing(here=Err(REFUSED), replies=replies, full_peers=("vm-1",), slots=0)
+    assert routing.run() == answered("u-1")
+    assert routing.runs.orders == []
+
+
 def test_peer_without_room_is_asked_only_while_draining():
     routing = Routing(here=Err(REFUSED), full_peers=("vm-1",))
     routing.run()
