List what burned the budgets in one place, and merge usage by its own rule

Cause: a read-through found the causes of burn worked out twice, for the table and for the page, and usage added up in the recorder beside merge_usage. Change: one list of causes that both print; the recorder calls merge_usage.

--- a/packages/cli/src/papayadyke_cli/_html.py
+++ b/packages/cli/src/papayadyke_cli/_html.py
@@ -12,6 +12,7 @@
 
 from matplotlib.figure import Figure
 
+from papayadyke_cli._causes import list_causes
 from papayadyke_core.slo import ALERT_RULES, BurnReport, WorkloadBurn
 
 PLOT_WIDTH_IN = 9.0
@@ -108,14 +109,10 @@
 
 def _write_causes(report: BurnReport) -> str:
     rows: list[tuple[object, ...]] = []
-    for item in report.workloads:
-        if item.late:
-            rows.append((item.workload, "answered late", item.late))
-        rows += [(item.workload, f"not run: {k}", v) for k, v in item.refused.items()]
-        rows += [
-            (item.workload, f"may have run: {reason}", count)
-            for reason, count in item.may_have_run.items()
-        ]
+    for cause in list_causes(report):
+        verdict = cause.verdict.replace("_", " ")
+        told = f"{verdict}: {cause.reason}" if cause.reason else "answered late"
+        rows.append((cause.workload, told, cause.requests))
     if not rows:
         return '<p class="good">Nothing.</p>'
     return _write_table(("Workload", "Cause", "Requests"), rows)
--- a/packages/cli/src/papayadyke_cli/_report.py
+++ b/packages/cli/src/papayadyke_cli/_report.py
@@ -9,6 +9,7 @@
 import msgspec
 import typer
 
+from papayadyke_cli._causes import list_causes
 from papayadyke_cli._exits import fail_on_problem
 from papayadyke_cli._html import write_burn_html
 from papayadyke_cli._output import JsonFlag, print_json, print_table
@@ -129,14 +130,9 @@
 
 def _print_causes(report: BurnReport) -> None:
     rows = []
-    for item in report.workloads:
-        if item.late:
-            rows.append((item.workload, "late", item.late))
-        rows += [(item.workload, f"not_run: {k}", v) for k, v in item.refused.items()]
-        rows += [
-            (item.workload, f"may_have_run: {reason}", count)
-            for reason, count in item.may_have_run.items()
-        ]
+    for cause in list_causes(report):
+        burned_by = f"{cause.verdict}: {cause.reason}" if cause.reason else "late"
+        rows.append((cause.workload, burned_by, cause.requests))
     print_table(("WORKLOAD", "BURNED_BY", "REQUESTS"), rows)
 
 
--- a/packages/core/src/papayadyke_core/slo/_recorder.py
+++ b/packages/core/src/papayadyke_core/slo/_recorder.py
@@ -13,6 +13,7 @@
     VmUsage,
     WorkloadCounts,
     make_histogram,
+    merge_usage,
     record_wait,
 )
 from papayadyke_core.verdicts import Refusal, Verdict
@@ -133,13 +134,7 @@
     def add_usage(self, usage: VmUsage, at: float) -> None:
         """Count what control cost since the last call."""
         self._advance(at)
-        own = self._usage
-        own.cpu_s += usage.cpu_s
-        own.memory_bytes = max(own.memory_bytes, usage.memory_bytes)
-        own.peer_bytes += usage.peer_bytes
-        own.store_calls += usage.store_calls
-        own.used_share_s += usage.used_share_s
-        own.sampled_s += usage.sampled_s
+        merge_usage(self._usage, usage)
 
     def cut(self, at: float, *, is_last: bool = False) -> list[Bucket]:
         """Return the buckets of the minutes that are over.
