Wait for a cell's daemons in one place

Cause: a read-through found the same wait three times, in the tests and in two benchmarks; one of them went on in silence when it had waited in vain. Change: Cell.wait_until_answered, which names the daemons that have not answered.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -15,7 +15,6 @@
 import os
 import random
 import tempfile
-import threading
 import time
 import tracemalloc
 from collections.abc import Callable, Sequence
@@ -283,7 +282,7 @@
         Cell(plan, Path(directory)) as cell,
     ):
         pid = cell.daemons["hobart-vm-0"].process.pid
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         for clients in (0, 1, 2, 4, 8, 16):
             mixes = [Mix("rcd-check", clients=clients)]
             load = Load(cell.list_targets(), mixes, seed=clients)
@@ -299,16 +298,6 @@
     ]
 
 
-def wait_until_answered(cell: Cell) -> None:
-    daemon = cell.daemons["hobart-vm-0"]
-    for _ in range(600):
-        reply = daemon.send("POST", "/v1/run/rcd-check", body=b"{}")
-        if reply is not None and reply.status == 200:
-            return
-        threading.Event().wait(0.05)
-    raise TimeoutError("daemon")
-
-
 def measure_all(seconds: float) -> list[Slope]:
     tasks = (0, 4, 16, 64)
     slopes = [
--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -12,7 +12,6 @@
 
 import itertools
 import tempfile
-import threading
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -22,7 +21,6 @@
 
 BEFORE_S = 6.0
 AFTER_S = 20.0
-READY_TIMEOUT_S = 60.0
 QUICK = Mix("rcd-check", work_s=0.02, timeout_s=5.0, clients=12)
 ORDERS = Mix("school-order", work_s=0.02, timeout_s=5.0, clients=8)
 DEMAND = {"cpus": 1, "memory_mb": 256}
@@ -68,17 +66,6 @@
         del cell.upstreams[name]
 
 
-def wait_until_answered(cell: Cell) -> None:
-    until_s = time.monotonic() + READY_TIMEOUT_S
-    waiting = list(cell.daemons.values())
-    while waiting and time.monotonic() < until_s:
-        reply = waiting[0].send("POST", "/v1/run/rcd-check", body=b"{}")
-        if reply is not None and reply.status == 200:
-            waiting.pop(0)
-        else:
-            threading.Event().wait(0.05)
-
-
 def find_longest_idle(cell: Cell, since_s: float, until_s: float) -> float:
     """Return the longest time for which any upstream ran nothing."""
     longest = 0.0
@@ -98,7 +85,7 @@
         tempfile.TemporaryDirectory() as directory,
         Cell(plan, Path(directory)) as cell,
     ):
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         with Load(cell.list_targets(), [QUICK, ORDERS], seed=1) as load:
             time.sleep(BEFORE_S)
             faulted_s = time.monotonic()
--- a/packages/standins/src/papayadyke_standins/cell/_cell.py
+++ b/packages/standins/src/papayadyke_standins/cell/_cell.py
@@ -8,6 +8,7 @@
 import socket
 import time
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any
 
@@ -22,6 +23,8 @@
 CONNECT_TIMEOUT_S = 2.0
 CONTROL_TIMEOUT_S = 10.0
 LOWEST_BAD_STATUS = 300
+READY_TIMEOUT_S = 60.0
+POLL_S = 0.05
 LOWEST_PORT = 10_240
 HIGHEST_PORT = 32_000
 SECRET = base64.b64encode(b"a secret of the tests, long enough").decode()
@@ -148,6 +151,25 @@
         """Return where callers reach each daemon."""
         return [Target(HOST, daemon.callers_port) for daemon in self.daemons.values()]
 
+    def wait_until_answered(self, workload: str = "rcd-check") -> None:
+        """Wait until every daemon has answered a request.
+
+        Raises
+        ------
+        TimeoutError
+            With the names of those that have not in time.
+        """
+        until_s = time.monotonic() + READY_TIMEOUT_S
+        waiting = list(self.daemons.values())
+        while waiting and time.monotonic() < until_s:
+            reply = waiting[0].send("POST", f"/v1/run/{workload}", body=b"{}")
+            if reply is not None and reply.status == HTTPStatus.OK:
+                waiting.pop(0)
+            else:
+                time.sleep(POLL_S)
+        if waiting:
+            raise TimeoutError(", ".join(daemon.vm for daemon in waiting))
+
     def order_faults(self, upstream: str, faults: Faults) -> None:
         """Order faults from an upstream."""
         self._control(upstream, "PUT", "faults", msgspec.json.encode(faults))
--- a/tests/cell_plans.py
+++ b/tests/cell_plans.py
@@ -1,11 +1,7 @@
 """Plans of cells that the tests of processes share."""
 
-import time
-
 from papayadyke_standins.cell import CellPlan, ZonePlan
 
-READY_TIMEOUT_S = 60.0
-
 WORKLOADS = [
     {
         "name": "rcd-check",
@@ -44,15 +40,3 @@
         config=CONFIG,
         **changes,
     )
-
-
-def wait_until_answered(cell, workload="rcd-check"):
-    until_s = time.monotonic() + READY_TIMEOUT_S
-    waiting = list(cell.daemons.values())
-    while waiting and time.monotonic() < until_s:
-        reply = waiting[0].send("POST", f"/v1/run/{workload}", body=b"{}")
-        if reply is not None and reply.status == 200:
-            waiting.pop(0)
-        else:
-            time.sleep(0.05)
-    assert not waiting
--- a/tests/test_cell_faults.py
+++ b/tests/test_cell_faults.py
@@ -8,7 +8,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent))
 
-from cell_plans import plan_cell, wait_until_answered
+from cell_plans import plan_cell
 
 from papayadyke_standins.cell import Cell, Load, Mix
 from papayadyke_standins.upstream import Faults
@@ -29,7 +29,7 @@
 
 def test_planned_stop_cuts_off_no_request(tmp_path):
     with Cell(plan_cell(), tmp_path) as cell:
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         daemon = cell.daemons["hobart-vm-0"]
         slow = Mix("rcd-check", work_s=0.5, clients=6)
         with Load(cell.list_targets(), [slow, ORDERS], seed=1) as load:
@@ -45,14 +45,14 @@
 
 def test_killed_daemon_leaves_nothing_run_twice(tmp_path):
     with Cell(plan_cell(), tmp_path) as cell:
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         daemon = cell.daemons["hobart-vm-0"]
         with Load(cell.list_targets(), [QUICK, ORDERS], seed=2) as load:
             time.sleep(SETTLE_S)
             daemon.process.kill()
             daemon.process.start()
             daemon.process.wait_for_port()
-            wait_until_answered(cell)
+            cell.wait_until_answered()
             time.sleep(SETTLE_S)
         assert load.ledger.count()["answered"] > 0
         check_truth(cell, load)
@@ -60,7 +60,7 @@
 
 def test_paused_daemon_goes_on_truthfully(tmp_path):
     with Cell(plan_cell(), tmp_path) as cell:
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         daemon = cell.daemons["hobart-vm-0"]
         with Load(cell.list_targets(), [QUICK, ORDERS], seed=3) as load:
             time.sleep(SETTLE_S)
@@ -68,13 +68,13 @@
             # Longer than the time to live of its sessions.
             time.sleep(8.0)
             daemon.process.resume()
-            wait_until_answered(cell)
+            cell.wait_until_answered()
         check_truth(cell, load)
 
 
 def test_store_outage_leaves_requests_without_a_key_alone(tmp_path):
     with Cell(plan_cell(), tmp_path) as cell:
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         daemon = cell.daemons["hobart-vm-0"]
         cell.order_store_faults(down=True)
         with Load(cell.list_targets(), [QUICK, ORDERS], seed=4) as load:
@@ -105,7 +105,7 @@
 )
 def test_lost_answers_are_found_and_told_whole(tmp_path, faults):
     with Cell(plan_cell(), tmp_path) as cell:
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         with Load(cell.list_targets(), [QUICK, ORDERS], seed=5) as load:
             time.sleep(SETTLE_S)
             for upstream in cell.upstreams:
@@ -119,7 +119,7 @@
 
 def test_killed_upstream_is_told_as_may_have_run_or_run_elsewhere(tmp_path):
     with Cell(plan_cell(upstreams=3), tmp_path) as cell:
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         slow = Mix("school-order", work_s=0.3, timeout_s=5.0, clients=6)
         with Load(cell.list_targets(), [slow, QUICK], seed=6) as load:
             time.sleep(SETTLE_S)
@@ -139,7 +139,7 @@
 
 def test_leaving_upstream_gets_no_new_work(tmp_path):
     with Cell(plan_cell(), tmp_path) as cell:
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         with Load(cell.list_targets(), [QUICK, ORDERS], seed=7) as load:
             time.sleep(SETTLE_S)
             cell.leave("hobart-upstream-0")
--- a/tests/test_cell_peers.py
+++ b/tests/test_cell_peers.py
@@ -9,7 +9,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent))
 
-from cell_plans import plan_cell, wait_until_answered
+from cell_plans import plan_cell
 
 from papayadyke_standins.cell import Cell, Load, Mix
 
@@ -72,7 +72,7 @@
 
 def test_killed_owner_is_taken_over_and_nothing_runs_twice(tmp_path):
     with Cell(plan_cell(daemons=3, upstreams=4), tmp_path) as cell:
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         with Load(cell.list_targets(), [QUICK, ORDERS], seed=11) as load:
             wait_until_all_upstreams_run(cell)
             cell.daemons["hobart-vm-1"].process.kill()
@@ -82,7 +82,7 @@
 
 def test_owner_killed_during_a_store_outage_is_taken_over(tmp_path):
     with Cell(plan_cell(daemons=3, upstreams=4), tmp_path) as cell:
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         with Load(cell.list_targets(), [QUICK, ORDERS], seed=12) as load:
             wait_until_all_upstreams_run(cell)
             cell.order_store_faults(down=True)
@@ -93,7 +93,7 @@
 
 def test_paused_owner_comes_back_without_a_second_owner(tmp_path):
     with Cell(plan_cell(daemons=3, upstreams=4), tmp_path) as cell:
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         with Load(cell.list_targets(), [QUICK, ORDERS], seed=13) as load:
             wait_until_all_upstreams_run(cell)
             cell.daemons["hobart-vm-1"].process.pause()
@@ -105,7 +105,7 @@
 
 def test_rolling_restart_cuts_off_nothing(tmp_path):
     with Cell(plan_cell(daemons=3, upstreams=4), tmp_path) as cell:
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         with Load(cell.list_targets(), [QUICK, ORDERS], seed=14) as load:
             time.sleep(SETTLE_S)
             for daemon in cell.daemons.values():
@@ -113,7 +113,7 @@
                 assert daemon.process.wait() == 0
                 daemon.process.start()
                 daemon.process.wait_for_port()
-                wait_until_answered(cell)
+                cell.wait_until_answered()
             wait_until_all_upstreams_run(cell)
         counts = load.ledger.count()
         assert counts["cut"] == 0
@@ -123,7 +123,7 @@
 
 def test_any_vm_tells_what_became_of_a_request(tmp_path):
     with Cell(plan_cell(daemons=2, upstreams=2), tmp_path) as cell:
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         first, second = cell.daemons.values()
         first.send("POST", "/v1/run/nope", headers={"Request-Id": "asked-1"})
         reply = second.send("GET", "/v1/requests/asked-1")
@@ -133,7 +133,7 @@
 def test_planned_stop_hands_over_what_is_queued(tmp_path):
     plan = plan_cell(daemons=2, upstreams=2, slots=1)
     with Cell(plan, tmp_path) as cell:
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         slow = Mix("rcd-check", work_s=0.3, timeout_s=30.0, clients=10)
         with Load(cell.list_targets(), [slow], seed=16) as load:
             wait_until_all_upstreams_run(cell)
@@ -147,7 +147,7 @@
 
 def test_job_outlives_the_vm_that_accepted_it(tmp_path):
     with Cell(plan_cell(daemons=3, upstreams=4), tmp_path) as cell:
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         first = cell.daemons["hobart-vm-0"]
         others = [d for d in cell.daemons.values() if d is not first]
         idempotent = submit_job(first, 12, work_s=2.0)
@@ -170,7 +170,7 @@
 
 def test_repeated_key_runs_once_although_a_vm_is_killed(tmp_path):
     with Cell(plan_cell(daemons=3, upstreams=4), tmp_path) as cell:
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         time.sleep(SETTLE_S)
         keys = [f"order-{number}" for number in range(12)]
 
@@ -205,7 +205,7 @@
 
 def test_zone_that_is_cut_off_goes_on_serving(tmp_path):
     with Cell(plan_cell(zones=2, daemons=2, upstreams=2), tmp_path) as cell:
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         own = [d for d in cell.daemons.values() if d.availability_zone == "hobart"]
         far = [d for d in cell.daemons.values() if d.availability_zone != "hobart"]
         targets = [t for t in cell.list_targets() if t.port in _ports(own)]
@@ -220,7 +220,7 @@
             for daemon in far:
                 daemon.process.resume()
             cell.order_store_faults()
-            wait_until_answered(cell)
+            cell.wait_until_answered()
         during = [item for item in load.ledger.sent if item.at_s > begun_s]
         assert {item.outcome for item in during} == {"answered"}
         check_truth(cell, load)
@@ -228,13 +228,13 @@
 
 def test_daemon_started_during_an_outage_gets_the_configuration(tmp_path):
     with Cell(plan_cell(daemons=3, upstreams=4), tmp_path) as cell:
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         daemon = cell.daemons["hobart-vm-2"]
         daemon.process.kill()
         cell.order_store_faults(down=True)
         daemon.process.start()
         daemon.process.wait_for_port()
-        wait_until_answered(cell)
+        cell.wait_until_answered()
 
 
 def _ports(daemons):
--- a/tests/test_cell_zones.py
+++ b/tests/test_cell_zones.py
@@ -11,7 +11,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent))
 
-from cell_plans import plan_cell, wait_until_answered
+from cell_plans import plan_cell
 
 from papayadyke_standins.cell import Cell
 
@@ -67,7 +67,7 @@
 
 def test_work_stays_in_its_zone_where_there_is_room(tmp_path):
     with Cell(plan_zones(), tmp_path) as cell:
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         for daemon in cell.daemons.values():
             zone = daemon.availability_zone
             for number in range(2 * SLOTS):
@@ -77,7 +77,7 @@
 
 def test_work_crosses_zones_where_the_own_zone_has_no_room(tmp_path):
     with Cell(plan_zones(), tmp_path) as cell:
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         own = cell.daemons["hobart-vm-0"]
         filled_s = time.monotonic()
         threads = fill_zone(own)
@@ -97,7 +97,7 @@
 
 def test_key_claimed_in_one_zone_is_replayed_in_the_other(tmp_path):
     with Cell(plan_cell(zones=2, daemons=1, upstreams=1), tmp_path) as cell:
-        wait_until_answered(cell)
+        cell.wait_until_answered()
         here, there = cell.daemons.values()
         assert here.availability_zone != there.availability_zone
         # Enough keys that some have their home in either zone.
