--- a/Makefile
+++ b/Makefile
@@ -10,11 +10,11 @@
 
 setup: $(STAMP)
 
-$(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
+$(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --require-hashes -r requirements.txt
 	$(BIN)/python -m pip install --quiet --no-deps --no-build-isolation \
-	    $(foreach name,$(PACKAGES),-e packages/$(name))
+	    $(foreach name,$(PACKAGES),-e packages/$(name)) -e platform
 	touch $(STAMP)
 
 run: setup
@@ -24,12 +24,12 @@
 	$(BIN)/python -m pytest -n $(WORKERS) --dist loadfile -q
 
 format: setup
-	$(BIN)/ruff format packages benchmarks examples tests
-	$(BIN)/ruff check --fix packages benchmarks examples tests
+	$(BIN)/ruff format packages benchmarks examples tests platform
+	$(BIN)/ruff check --fix packages benchmarks examples tests platform
 
 lint: setup
-	$(BIN)/ruff format --check packages benchmarks examples tests
-	$(BIN)/ruff check packages benchmarks examples tests
+	$(BIN)/ruff format --check packages benchmarks examples tests platform
+	$(BIN)/ruff check packages benchmarks examples tests platform
 
 types: setup
-	$(BIN)/mypy $(foreach name,$(PACKAGES),packages/$(name)/src)
+	$(BIN)/mypy $(foreach name,$(PACKAGES),packages/$(name)/src) platform/src
--- /dev/null
+++ b/packages/core/src/papayadyke_core/dispatch/__init__.py
@@ -0,0 +1,76 @@
+"""Staged jobs on shared upstreams: who waits, what runs where, what is known."""
+
+from papayadyke_core.dispatch._dispatcher import Dispatcher
+from papayadyke_core.dispatch._job import StagedJob, StepRun
+from papayadyke_core.dispatch._messages import (
+    Advice,
+    AdviceRequest,
+    Commit,
+    EndedRow,
+    Orders,
+    RunEnd,
+    RunningRow,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+    UpstreamEntry,
+    UpstreamReport,
+)
+from papayadyke_core.dispatch._progress import (
+    FINAL_STATES,
+    JobProgress,
+    JobState,
+    StepProgress,
+    decode_progress,
+    encode_progress,
+)
+from papayadyke_core.dispatch._settings import DispatchSettings
+from papayadyke_core.dispatch._spec import (
+    AdvicePolicy,
+    Catalog,
+    QueuePolicy,
+    Repeat,
+    SpecError,
+    StagedJobSpec,
+    StepId,
+    StepSpec,
+    TaskId,
+    check_job_spec,
+)
+from papayadyke_core.dispatch._upstream import Upstream
+
+__all__ = [
+    "FINAL_STATES",
+    "Advice",
+    "AdvicePolicy",
+    "AdviceRequest",
+    "Catalog",
+    "Commit",
+    "DispatchSettings",
+    "Dispatcher",
+    "EndedRow",
+    "JobProgress",
+    "JobState",
+    "Orders",
+    "QueuePolicy",
+    "Repeat",
+    "RunEnd",
+    "RunningRow",
+    "SpecError",
+    "StagedJob",
+    "StagedJobSpec",
+    "StartOrder",
+    "StartOutcome",
+    "StepId",
+    "StepProgress",
+    "StepRun",
+    "StepSpec",
+    "StopOrder",
+    "TaskId",
+    "Upstream",
+    "UpstreamEntry",
+    "UpstreamReport",
+    "check_job_spec",
+    "decode_progress",
+    "encode_progress",
+]
--- /dev/null
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -0,0 +1,773 @@
+"""The aggregate that decides which task runs where."""
+
+from __future__ import annotations
+
+import logging
+
+from papayadyke_core.dispatch._advice import AdviceBook
+from papayadyke_core.dispatch._job import StagedJob, StepRun
+from papayadyke_core.dispatch._messages import (
+    Advice,
+    AdviceRequest,
+    Commit,
+    EndedRow,
+    Orders,
+    RunEnd,
+    RunningRow,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+    UpstreamEntry,
+    UpstreamReport,
+)
+from papayadyke_core.dispatch._placement import (
+    list_candidates,
+    place_gang,
+    place_singles,
+    reserve_for_gang,
+)
+from papayadyke_core.dispatch._progress import (
+    FINAL_STATES,
+    JobProgress,
+    JobState,
+    encode_progress,
+)
+from papayadyke_core.dispatch._rank import rank_job
+from papayadyke_core.dispatch._run import Run, RunPhase
+from papayadyke_core.dispatch._settings import DispatchSettings
+from papayadyke_core.dispatch._spec import (
+    Catalog,
+    QueuePolicy,
+    StagedJobSpec,
+    StepId,
+    StepSpec,
+    TaskId,
+)
+from papayadyke_core.dispatch._upstream import Upstream
+
+LOG = logging.getLogger(__name__)
+
+ATTEMPTS_A_TERM = 1000  # a task's attempts under one decider stay far below
+STOP_RETRY_S = 0.5  # seconds between two stops of a run that goes on
+ADVICE_RETRY_S = 0.3  # seconds; a failed advisory call is not repeated at once
+ESTIMATE_WEIGHT = 0.05  # share of the newest run in the learned run time
+MAX_ESTIMATE_FACTOR = 5.0  # keeps a few stuck runs from spoiling the estimate
+
+# A run of a job that is not known takes an unknown room: nothing fits beside it.
+_UNKNOWN_STEP = StepSpec(count=1, cpu_millis=10**9, memory_mb=10**9)
+
+
+class Dispatcher:
+    """All jobs, all upstreams, and what runs where. Times are in seconds.
+
+    Parameters
+    ----------
+    settings : DispatchSettings
+    term : int, default=0
+        Deciders before this one; attempts of a later term are higher.
+    now : float, default=0.0
+        When this decider took over, on the clock of all its times.
+    """
+
+    def __init__(
+        self, settings: DispatchSettings, *, term: int = 0, now: float = 0.0
+    ) -> None:
+        self.settings = settings
+        self.attempt_floor = term * ATTEMPTS_A_TERM
+        self.catalog = Catalog()
+        self.jobs: dict[str, StagedJob] = {}
+        self.upstreams: dict[str, Upstream] = {}
+        self.book = AdviceBook()
+        self.advice_slots = settings.advice_slots
+        self.factors: dict[str, float] = {}
+        self._open: dict[StepId, StepRun] = {}
+        self._untimed: dict[StepId, StepRun] = {}
+        self._dirty: dict[str, None] = {}
+        self._committing: dict[str, JobState] | None = None
+        self._stops: list[StopOrder] = []
+        self._changed = True
+        self._barrier_s: float | None = None
+        if term:
+            self._barrier_s = now + settings.lease_s * (1 + settings.lease_drift)
+
+    # Configuration and registry
+
+    def set_catalog(self, catalog: Catalog) -> None:
+        """Put a newer configuration in force; an older one changes nothing."""
+        if catalog.version > self.catalog.version:
+            self.catalog = catalog
+            self._changed = True
+
+    def list_upstream(self, entry: UpstreamEntry) -> None:
+        """Take in an entry of the registry."""
+        known = self.upstreams.get(entry.upstream_id)
+        if known is None:
+            self.upstreams[entry.upstream_id] = Upstream(entry)
+        else:
+            known.entry = entry
+            known.is_listed = True
+        self._changed = True
+
+    def unlist_upstream(self, upstream_id: str) -> None:
+        """Take in that an entry is gone; what may run there still counts."""
+        known = self.upstreams.get(upstream_id)
+        if known is not None:
+            known.is_listed = False
+
+    def forget_gone(self, now: float) -> list[str]:
+        """Drop upstreams that are neither listed nor can run anything."""
+        gone = [
+            name
+            for name, item in self.upstreams.items()
+            if not item.is_listed
+            and not item.is_reachable
+            and not item.runs
+            and now > item.lease_until_s
+        ]
+        for name in gone:
+            del self.upstreams[name]
+        return gone
+
+    # Jobs
+
+    def load(
+        self,
+        spec: StagedJobSpec,
+        progress: JobProgress | None,
+        *,
+        is_cancelled: bool,
+        age_s: float,
+        now: float,
+    ) -> None:
+        """Take over a stored job from an earlier decider."""
+        job = StagedJob(spec, now=now, age_s=age_s)
+        if progress is not None:
+            job.read_progress(progress)
+        job.is_suspect = self._barrier_s is not None
+        self.jobs[spec.job_id] = job
+        if is_cancelled and not job.is_final:
+            self._finish(job, JobState.CANCELLED, now)
+        if not job.is_final:
+            self._open_steps(job)
+
+    def submit(self, spec: StagedJobSpec, *, now: float, age_s: float = 0.0) -> bool:
+        """Take in an accepted job; return whether it is new."""
+        if spec.job_id in self.jobs:
+            return False
+        job = StagedJob(spec, now=now, age_s=age_s)
+        # The decider before this one may still have started it.
+        job.is_suspect = self._barrier_s is not None
+        self.jobs[spec.job_id] = job
+        self._open_steps(job)
+        return True
+
+    def cancel(self, job_id: str, now: float) -> bool:
+        """Cancel a job; return whether that changed anything."""
+        job = self.jobs.get(job_id)
+        if job is None or job.is_final:
+            return False
+        self._finish(job, JobState.CANCELLED, now)
+        return True
+
+    def state_of(self, job_id: str) -> JobState | None:
+        """Return what callers may be told of a job, None where it is not known."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            return None
+        if job.state in FINAL_STATES and job.stored_state != job.state:
+            if job.state is JobState.CANCELLED:
+                return job.state
+            return JobState.ACTIVE
+        return job.state
+
+    def count_pending(self, queue: str) -> int:
+        """Return the jobs of a queue of which no task has started."""
+        return sum(
+            1
+            for job in self.jobs.values()
+            if job.spec.queue == queue and job.state is JobState.QUEUED
+        )
+
+    # What upstreams tell
+
+    def note_lease(self, upstream_id: str, until_s: float) -> None:
+        """Note a lease that was sent to an upstream, answered or not."""
+        upstream = self.upstreams.get(upstream_id)
+        if upstream is not None:
+            upstream.lease_until_s = max(upstream.lease_until_s, until_s)
+
+    def report(self, upstream_id: str, report: UpstreamReport, now: float) -> None:
+        """Take in what an upstream lists."""
+        upstream = self.upstreams.get(upstream_id)
+        if upstream is None:
+            return
+        if upstream.life is not None and upstream.life != report.life:
+            self._begin_life(upstream, now)
+        upstream.life = report.life
+        if not (upstream.is_reachable and upstream.is_verified):
+            self._changed = True
+        upstream.is_reachable = True
+        upstream.is_verified = True
+        for row in report.ended:
+            if row.number > upstream.last_end:
+                upstream.last_end = row.number
+                self._end(upstream, row, now)
+        listed = set()
+        for running in report.running:
+            listed.add((running.task, running.attempt))
+            self._see_running(upstream, running, now)
+        for run in [run for run in upstream.runs.values() if run.key not in listed]:
+            self._check_absent(upstream, run, report, now)
+
+    def lose_contact(self, upstream_id: str) -> None:
+        """Note that an upstream does not answer."""
+        upstream = self.upstreams.get(upstream_id)
+        if upstream is not None:
+            upstream.is_reachable = False
+
+    def start_answered(
+        self, order: StartOrder, outcome: StartOutcome, now: float
+    ) -> None:
+        """Take in what became of a start."""
+        upstream = self.upstreams.get(order.upstream_id)
+        if upstream is None:
+            return
+        run = upstream.runs.get((order.task, order.attempt))
+        if run is None:
+            return
+        if outcome is StartOutcome.STARTED:
+            if run.phase is RunPhase.ORDERED:
+                run.phase, run.since_s = RunPhase.RUNNING, now
+                self._note_active(run)
+        elif outcome is StartOutcome.UNKNOWN:
+            if run.phase is RunPhase.ORDERED:
+                run.phase, run.since_s = RunPhase.UNCERTAIN, now
+            upstream.is_reachable = False
+        else:
+            if outcome is StartOutcome.BAD_TICKET:
+                self.book.drop_ticket(StepId(*order.task[:3]), order.upstream_id)
+            elif outcome in (StartOutcome.REFUSED, StartOutcome.NO_ROOM):
+                upstream.note_failure(now)
+            elif outcome is StartOutcome.NOT_SENT:
+                upstream.is_reachable = False
+            self._gone(upstream, run, RunEnd.LOST, now)
+
+    def stop_answered(self, order: StopOrder, now: float) -> None:
+        """Take in that an upstream has taken a stop."""
+        upstream = self.upstreams.get(order.upstream_id)
+        if upstream is None:
+            return
+        run = upstream.runs.get((order.task, order.attempt))
+        if run is not None:
+            run.stop_confirmed_s = now
+
+    def advise(self, advice: Advice) -> None:
+        """Take in an answer of the advisory service."""
+        self.book.take(advice)
+        self._changed = True
+
+    def advice_failed(self, step: StepId, now: float) -> None:
+        """Note that an advisory call had no answer."""
+        self.book.fail(step, retry_at_s=now + ADVICE_RETRY_S)
+
+    # Decisions
+
+    def tick(self, now: float, wall_s: float) -> Orders:
+        """Return what is to be ordered now.
+
+        Parameters
+        ----------
+        now : float
+        wall_s : float
+            Wall-clock time, for occurrences that are due at a time.
+        """
+        self._lift_barrier(now)
+        self._open_due(wall_s)
+        self._expire_leases(now)
+        self._repeat_stops(now)
+        orders = Orders()
+        self._place(orders, now)
+        orders.stops, self._stops = self._stops, []
+        return orders
+
+    def take_commit(self) -> Commit | None:
+        """Return progress to store, or None; one commit at a time."""
+        if self._committing is not None:
+            return None
+        names = list(self._dirty)[: self.settings.commit_jobs]
+        noted: dict[str, tuple[int, int]] = {}
+        if len(names) == len(self._dirty):
+            noted = {
+                name: (item.life, item.last_end)
+                for name, item in self.upstreams.items()
+                if item.last_end > item.noted_end and item.life is not None
+            }
+        if not names and not noted:
+            return None
+        progress: dict[str, bytes] = {}
+        self._committing = {}
+        for name in names:
+            del self._dirty[name]
+            job = self.jobs.get(name)
+            if job is None:
+                continue
+            progress[name] = encode_progress(job.write_progress())
+            self._committing[name] = job.state
+        return Commit(progress, noted)
+
+    def committed(self, commit: Commit, *, is_stored: bool) -> list[str]:
+        """Take in whether a commit was stored; return the jobs that it ended."""
+        states, self._committing = self._committing or {}, None
+        if not is_stored:
+            for name in states:
+                self._dirty.setdefault(name)
+            return []
+        for name, (life, number) in commit.noted.items():
+            upstream = self.upstreams.get(name)
+            if upstream is not None and upstream.life == life:
+                upstream.noted_end = max(upstream.noted_end, number)
+        final = []
+        for name, state in states.items():
+            job = self.jobs.get(name)
+            if job is not None and job.stored_state != state:
+                job.stored_state = state
+                if state in FINAL_STATES:
+                    final.append(name)
+        return final
+
+    def forget_old(self, wall_s: float) -> list[str]:
+        """Drop jobs whose state need not be told any more; return their ids."""
+        old = [
+            name
+            for name, job in self.jobs.items()
+            if job.stored_state in FINAL_STATES
+            and wall_s - job.ended_s > self.settings.status_kept_s
+        ]
+        for name in old:
+            del self.jobs[name]
+        return old
+
+    def factor_of(self, queue: str) -> float:
+        """Return the learned ratio of run time to estimate."""
+        return self.factors.get(queue, 1.0)
+
+    # Parts
+
+    def _open_steps(self, job: StagedJob) -> None:
+        for (occurrence, _), step in job.steps.items():
+            if step.is_done or not step.waiting or not job.is_ready(step):
+                continue
+            if job.due_wall_s(occurrence) is None:
+                self._open[step.step_id] = step
+            else:
+                self._untimed[step.step_id] = step
+        self._changed = True
+
+    def _open_due(self, wall_s: float) -> None:
+        due = [
+            step_id
+            for step_id, step in self._untimed.items()
+            if (step.job.due_wall_s(step_id.occurrence) or 0.0) - self.settings.early_s
+            <= wall_s
+        ]
+        for step_id in due:
+            self._open[step_id] = self._untimed.pop(step_id)
+            self._changed = True
+
+    def _lift_barrier(self, now: float) -> None:
+        """Let stored jobs start once no earlier start can be unknown."""
+        if self._barrier_s is None:
+            return
+        is_known = all(item.is_verified for item in self.upstreams.values())
+        if not (is_known and self.upstreams) and now < self._barrier_s:
+            return
+        self._barrier_s = None
+        for job in self.jobs.values():
+            if job.is_suspect:
+                job.is_suspect = False
+        self._changed = True
+
+    def _begin_life(self, upstream: Upstream, now: float) -> None:
+        LOG.info("dispatch: upstream %s began a new life", upstream.upstream_id)
+        for run in list(upstream.runs.values()):
+            self._gone(upstream, run, RunEnd.LOST, now)
+        upstream.last_end = upstream.noted_end = 0
+        upstream.failures_in_row = 0
+        self.book.forget_upstream(upstream.upstream_id)
+
+    def _see_running(self, upstream: Upstream, row: RunningRow, now: float) -> None:
+        run = upstream.runs.get((row.task, row.attempt))
+        if run is None:
+            run = self._adopt(upstream, row, now)
+        if run.phase is not RunPhase.RUNNING:
+            run.phase, run.since_s = RunPhase.RUNNING, now
+            self._note_active(run)
+        run.percent = row.percent
+        step = self._step_of(row.task)
+        if step is not None and row.checkpoint and not run.is_unwanted:
+            step.checkpoints[row.task.number] = row.checkpoint
+
+    def _adopt(self, upstream: Upstream, row: RunningRow, now: float) -> Run:
+        """Take over a run that an earlier decider has started."""
+        step = self._step_of(row.task)
+        index = row.task.number
+        wanted = (
+            step is not None
+            and not step.job.is_final
+            and index < step.spec.count
+            and index not in step.done
+            and index not in step.live
+        )
+        spec = step.spec if step is not None else _UNKNOWN_STEP
+        run = Run(
+            row.task,
+            row.attempt,
+            upstream.upstream_id,
+            spec,
+            RunPhase.ORDERED,
+            now,
+            now,
+            is_unwanted=not wanted,
+        )
+        upstream.add(run)
+        if step is not None and index < step.spec.count:
+            step.note_attempt(index, row.attempt)
+        if wanted and step is not None:
+            step.live[index] = run
+            step.waiting.discard(index)
+        else:
+            self._stop(run, now, "not wanted")
+        return run
+
+    def _check_absent(
+        self, upstream: Upstream, run: Run, report: UpstreamReport, now: float
+    ) -> None:
+        """Judge a run that an upstream does not list."""
+        if run.phase is RunPhase.ORDERED or run.since_s >= report.asked_s:
+            return
+        if run.phase is RunPhase.RUNNING:
+            self._gone(upstream, run, RunEnd.LOST, now)
+            return
+        if run.stop_confirmed_s is None:
+            # The start may still be under way; a stop keeps it from starting.
+            if run.stop_asked_s is None:
+                self._stop(run, now, "start was not answered")
+        elif run.stop_confirmed_s < report.asked_s:
+            self._gone(upstream, run, RunEnd.LOST, now)
+
+    def _end(self, upstream: Upstream, row: EndedRow, now: float) -> None:
+        run = upstream.runs.get((row.task, row.attempt))
+        if run is not None:
+            upstream.remove(run)
+        self._changed = True
+        step = self._step_of(row.task)
+        index = row.task.number
+        if step is None or index >= step.spec.count:
+            return
+        step.note_attempt(index, row.attempt)
+        if row.checkpoint and index not in step.done:
+            step.checkpoints[index] = row.checkpoint
+        is_live = run is not None and step.live.get(index) is run
+        if row.end is RunEnd.DONE:
+            self._learn(upstream, run, step, now)
+            self._done(step, row, now)
+        elif row.end is RunEnd.FAILED:
+            self._failed(upstream, step, row, now)
+        if is_live:
+            step.put_back(index)
+            self._after_loss(step, index, row.end, now)
+        self._close_or_open(step)
+
+    def _learn(
+        self, upstream: Upstream, run: Run | None, step: StepRun, now: float
+    ) -> None:
+        if run is None or run.is_unwanted or step.spec.is_long_running:
+            return
+        if step.checkpoints.get(run.task.number):
+            return
+        taken_s = now - run.started_s
+        estimate_s = step.spec.estimate_s
+        queue = step.job.spec.queue
+        factor = self.factor_of(queue)
+        upstream.note_success(estimate_s * factor, taken_s)
+        if estimate_s > 0:
+            ratio = min(taken_s / estimate_s, MAX_ESTIMATE_FACTOR)
+            self.factors[queue] = factor + ESTIMATE_WEIGHT * (ratio - factor)
+
+    def _done(self, step: StepRun, row: EndedRow, now: float) -> None:
+        job = step.job
+        indexes = range(step.spec.count) if step.spec.is_gang else (row.task.number,)
+        news = [index for index in indexes if step.mark_done(index)]
+        if not news:
+            return
+        for index in news:
+            # Another copy, or a member whose end is listed later.
+            live = step.live.pop(index, None)
+            if live is None or live.key == (row.task, row.attempt):
+                continue
+            live.is_unwanted = True
+            if not step.spec.is_gang:
+                self._stop(live, now, "the task is done")
+        self._dirty.setdefault(job.job_id)
+        if job.is_final:
+            return
+        if step.is_done:
+            self._open_steps(job)
+        if job.is_finished():
+            self._finish(job, JobState.COMPLETE, now)
+
+    def _failed(
+        self, upstream: Upstream, step: StepRun, row: EndedRow, now: float
+    ) -> None:
+        index = row.task.number
+        if upstream.note_failure(now):
+            LOG.warning(
+                "dispatch: upstream %s set aside after %d failed runs",
+                upstream.upstream_id,
+                upstream.failures_in_row,
+            )
+        step.avoid.setdefault(index, set()).add(upstream.upstream_id)
+        attempts = step.failed.setdefault(index, [])
+        if row.attempt in attempts:
+            return
+        attempts.append(row.attempt)
+        job = step.job
+        self._dirty.setdefault(job.job_id)
+        if job.is_final or index in step.done or step.spec.is_long_running:
+            return
+        queue = self._queue_of(job)
+        limit = queue.max_attempts if queue is not None else 1
+        if step.count_failures(index) >= limit:
+            self._finish(job, JobState.FAILED, now)
+
+    def _gone(self, upstream: Upstream, run: Run, end: RunEnd, now: float) -> None:
+        """Free the room of a run of which no end will be listed."""
+        upstream.remove(run)
+        self._changed = True
+        step = self._step_of(run.task)
+        if step is None or step.live.get(run.task.number) is not run:
+            return
+        step.put_back(run.task.number)
+        self._after_loss(step, run.task.number, end, now)
+        self._close_or_open(step)
+
+    def _after_loss(self, step: StepRun, index: int, end: RunEnd, now: float) -> None:
+        """Stop what is left of a gang that lost a member."""
+        if index in step.done or not step.spec.is_gang:
+            return
+        for other, live in list(step.live.items()):
+            if other != index:
+                self._stop(live, now, f"a member of the gang ended: {end}")
+
+    def _close_or_open(self, step: StepRun) -> None:
+        job = step.job
+        is_open = (
+            not job.is_final
+            and bool(step.waiting)
+            and job.is_ready(step)
+            and step.step_id not in self._untimed
+        )
+        if is_open:
+            self._open[step.step_id] = step
+        else:
+            self._open.pop(step.step_id, None)
+
+    def _finish(self, job: StagedJob, state: JobState, now: float) -> None:
+        job.state = state
+        job.ended_s = job.spec.accepted_s + now - job.since_s
+        self._dirty.setdefault(job.job_id)
+        self._changed = True
+        for step in job.steps.values():
+            self._open.pop(step.step_id, None)
+            self._untimed.pop(step.step_id, None)
+            self.book.forget_step(step.step_id)
+            for live in list(step.live.values()):
+                live.is_unwanted = True
+                self._stop(live, now, f"the job is {state}")
+            step.live.clear()
+
+    def _stop(self, run: Run, now: float, reason: str) -> None:
+        run.stop_asked_s = now
+        self._stops.append(StopOrder(run.upstream_id, run.task, run.attempt, reason))
+
+    def _repeat_stops(self, now: float) -> None:
+        for upstream in self.upstreams.values():
+            if not upstream.is_reachable:
+                continue
+            for run in upstream.runs.values():
+                asked = run.stop_asked_s
+                if asked is not None and now - asked > STOP_RETRY_S:
+                    self._stop(run, now, "repeated")
+
+    def _expire_leases(self, now: float) -> None:
+        for upstream in self.upstreams.values():
+            if upstream.is_reachable or not upstream.runs:
+                continue
+            if now > upstream.lease_until_s:
+                for run in list(upstream.runs.values()):
+                    self._gone(upstream, run, RunEnd.LAPSED, now)
+
+    def _note_active(self, run: Run) -> None:
+        job = self.jobs.get(run.task.job_id)
+        if job is not None and job.state is JobState.QUEUED:
+            job.state = JobState.ACTIVE
+
+    def _step_of(self, task: TaskId) -> StepRun | None:
+        job = self.jobs.get(task.job_id)
+        if job is None:
+            return None
+        return job.steps.get((task.occurrence, task.step))
+
+    def _queue_of(self, job: StagedJob) -> QueuePolicy | None:
+        return self.catalog.queues.get(job.spec.queue)
+
+    # Placement
+
+    def _place(self, orders: Orders, now: float) -> None:
+        self._changed = False
+        blocked: set[str] = set()
+        reserving = 0
+        for step, queue in self._ranked(now):
+            short = step.spec.estimate_s * self.factor_of(queue.key)
+            avoid = set() if short <= self.settings.short_task_s else blocked
+            is_placed = self._place_step(step, queue, avoid, orders, now)
+            if is_placed or not step.spec.is_gang:
+                continue
+            if reserving < self.settings.reserving_gangs:
+                reserving += 1
+                blocked |= self._reserve(step, queue, blocked, now)
+
+    def _ranked(self, now: float) -> list[tuple[StepRun, QueuePolicy]]:
+        ranked = []
+        ranks: dict[str, tuple[int, int, float]] = {}
+        for step in self._open.values():
+            job = step.job
+            queue = self._queue_of(job)
+            if queue is None or job.is_suspect:
+                continue
+            rank = ranks.get(job.job_id)
+            if rank is None:
+                factor = self.factor_of(queue.key)
+                rank = rank_job(job, queue, factor=factor, now=now)
+                ranks[job.job_id] = rank
+            ranked.append((rank, step.step_id, step, queue))
+        ranked.sort(key=lambda item: item[:2])
+        return [(step, queue) for _, _, step, queue in ranked]
+
+    def _place_step(
+        self,
+        step: StepRun,
+        queue: QueuePolicy,
+        blocked: set[str],
+        orders: Orders,
+        now: float,
+    ) -> bool:
+        if step.spec.is_gang and step.live:
+            return True
+        if queue.advice is not None:
+            self._ask(step, queue, orders, now)
+        candidates = list_candidates(
+            step,
+            self.upstreams.values(),
+            service=queue.service,
+            is_allowed=lambda name: self._may_run(step, queue, name, now),
+            blocked=blocked,
+            now=now,
+        )
+        if step.spec.is_gang:
+            placed = place_gang(step, candidates)
+        else:
+            placed = place_singles(step, candidates)
+        for index, upstream in placed or ():
+            self._start(step, queue, index, upstream, orders, now)
+        self._close_or_open(step)
+        return bool(placed)
+
+    def _may_run(
+        self, step: StepRun, queue: QueuePolicy, upstream_id: str, now: float
+    ) -> bool:
+        if queue.advice is None:
+            return True
+        return self.book.ticket(step.step_id, upstream_id, now) is not None
+
+    def _start(
+        self,
+        step: StepRun,
+        queue: QueuePolicy,
+        index: int,
+        upstream: Upstream,
+        orders: Orders,
+        now: float,
+    ) -> None:
+        task = step.task_id(index)
+        name = upstream.upstream_id
+        if step.spec.is_gang:
+            attempt = step.next_attempt(index, self.attempt_floor)
+            if step.live:
+                attempt = next(iter(step.live.values())).attempt
+        else:
+            attempt = step.next_attempt(index, self.attempt_floor)
+        run = Run(task, attempt, name, step.spec, RunPhase.ORDERED, now, now)
+        upstream.add(run)
+        if not upstream.slots_for(step.spec) >= 0 or (
+            not step.spec.fills_spare and upstream.cpu_used > upstream.entry.cpu_millis
+        ):
+            raise AssertionError(f"upstream {name} would be over its capacity")
+        step.note_attempt(index, attempt)
+        step.live[index] = run
+        step.waiting.discard(index)
+        ticket = self.book.ticket(step.step_id, name, now) or ""
+        checkpoint = step.checkpoints.get(index, "")
+        if step.spec.is_gang:
+            checkpoint = max(step.checkpoints.values(), default="", key=len)
+        orders.starts.append(
+            StartOrder(
+                name, task, attempt, step.job.spec.payload, checkpoint, ticket, now
+            )
+        )
+
+    def _ask(
+        self, step: StepRun, queue: QueuePolicy, orders: Orders, now: float
+    ) -> None:
+        """Ask the advisory service where tickets are missing or run out soon."""
+        known = self.book.of(step.step_id)
+        policy = queue.advice
+        if known.is_asking or policy is None or now < known.retry_at_s:
+            return
+        names = [
+            name
+            for name, item in self.upstreams.items()
+            if item.entry.service == queue.service and item.may_start(now)
+        ]
+        fresh = [name for name in names if name not in known.asked]
+        allowed = [name for name in names if name in known.allowed]
+        cost = policy.decide_s + policy.per_upstream_s * max(len(allowed), len(fresh))
+        stale = [
+            name
+            for name in allowed
+            if self.book.ticket(step.step_id, name, now + cost) is None
+        ]
+        wanted = tuple((fresh + (stale if len(stale) * 2 > len(allowed) else []))[:100])
+        if not wanted:
+            return
+        free = self.advice_slots - self.book.asking
+        if cost > self.settings.slow_advice_s:
+            free -= min(self.settings.quick_advice_slots, self.advice_slots - 1)
+        if free <= 0:
+            return
+        self.book.begin(step.step_id)
+        orders.advice.append(AdviceRequest(step.step_id, wanted, cost))
+
+    def _reserve(
+        self, step: StepRun, queue: QueuePolicy, blocked: set[str], now: float
+    ) -> set[str]:
+        known = self.book.of(step.step_id)
+        able = [
+            item
+            for name, item in self.upstreams.items()
+            if name not in blocked
+            and item.entry.service == queue.service
+            and item.may_start(now)
+            and (queue.advice is None or name in known.allowed)
+        ]
+        return reserve_for_gang(step, able)
--- /dev/null
+++ b/packages/core/src/papayadyke_core/dispatch/_job.py
@@ -0,0 +1,202 @@
+"""A staged job: its steps, what has ended, and what may start."""
+
+from __future__ import annotations
+
+from papayadyke_core.dispatch._progress import (
+    FINAL_STATES,
+    JobProgress,
+    JobState,
+    StepProgress,
+)
+from papayadyke_core.dispatch._run import Run
+from papayadyke_core.dispatch._spec import StagedJobSpec, StepId, StepSpec, TaskId
+
+
+class StepRun:
+    """One step of one occurrence, with the state of each of its tasks.
+
+    Parameters
+    ----------
+    job : StagedJob
+    occurrence, number : int
+    """
+
+    def __init__(self, job: StagedJob, occurrence: int, number: int) -> None:
+        self.job = job
+        self.spec: StepSpec = job.spec.steps[number]
+        self.step_id = StepId(job.spec.job_id, occurrence, number)
+        self.done: set[int] = set()
+        self.waiting: set[int] = set(range(self.spec.count))
+        self.live: dict[int, Run] = {}
+        self.failed: dict[int, list[int]] = {}
+        self.checkpoints: dict[int, str] = {}
+        self.attempts: dict[int, int] = {}
+        self.avoid: dict[int, set[str]] = {}
+        self.ready_s: float | None = None
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether every task is done."""
+        return len(self.done) == self.spec.count
+
+    def task_id(self, index: int) -> TaskId:
+        """Return the id of a task of this step."""
+        return TaskId(*self.step_id, index)
+
+    def next_attempt(self, index: int, floor: int) -> int:
+        """Return a higher attempt than any before, and above `floor`."""
+        if self.spec.is_gang:
+            last = max(self.attempts.values(), default=0)
+        else:
+            last = self.attempts.get(index, 0)
+        return max(last, floor) + 1
+
+    def note_attempt(self, index: int, attempt: int) -> None:
+        """Remember an attempt that was used."""
+        self.attempts[index] = max(self.attempts.get(index, 0), attempt)
+
+    def count_failures(self, index: int) -> int:
+        """Return the failed runs of a task, or of the whole gang."""
+        if self.spec.is_gang:
+            return len({n for attempts in self.failed.values() for n in attempts})
+        return len(self.failed.get(index, ()))
+
+    def mark_done(self, index: int) -> bool:
+        """Note that a task is done; return whether that is new."""
+        if index in self.done:
+            return False
+        if self.spec.is_long_running:
+            self.checkpoints.pop(index, None)
+            return False
+        self.done.add(index)
+        self.waiting.discard(index)
+        return True
+
+    def put_back(self, index: int) -> None:
+        """Let a task without a live run start again."""
+        self.live.pop(index, None)
+        if index not in self.done:
+            self.waiting.add(index)
+
+    def write_progress(self) -> StepProgress | None:
+        """Return what is to be stored, or None where nothing has ended."""
+        if not (self.done or self.failed or self.checkpoints):
+            return None
+        return StepProgress(
+            sorted(self.done), dict(self.failed), dict(self.checkpoints)
+        )
+
+    def read_progress(self, progress: StepProgress) -> None:
+        """Take over what an earlier decider has stored."""
+        valid = range(self.spec.count)
+        self.done = {index for index in progress.done if index in valid}
+        self.waiting -= self.done
+        self.failed = {i: list(n) for i, n in progress.failed.items() if i in valid}
+        self.checkpoints = {
+            i: text for i, text in progress.checkpoints.items() if i in valid
+        }
+        for index, attempts in self.failed.items():
+            self.note_attempt(index, max(attempts))
+
+
+class StagedJob:
+    """An accepted job.
+
+    Parameters
+    ----------
+    spec : StagedJobSpec
+    now : float
+        When the dispatcher learned of it, on its own clock.
+    age_s : float
+        Time since its acceptance.
+    """
+
+    def __init__(self, spec: StagedJobSpec, *, now: float, age_s: float = 0.0) -> None:
+        self.spec = spec
+        self.since_s = now - age_s
+        self.state = JobState.QUEUED
+        self.stored_state = JobState.QUEUED
+        self.ended_s = 0.0
+        self.is_suspect = False
+        self.steps: dict[tuple[int, int], StepRun] = {}
+        repeat = spec.repeat
+        self.occurrences = 1 if repeat is None else repeat.count
+        for occurrence in range(self.occurrences):
+            for number in range(len(spec.steps)):
+                self.steps[occurrence, number] = StepRun(self, occurrence, number)
+
+    @property
+    def job_id(self) -> str:
+        """Its id."""
+        return self.spec.job_id
+
+    @property
+    def is_final(self) -> bool:
+        """Tell whether nothing of it is to start any more."""
+        return self.state in FINAL_STATES
+
+    @property
+    def is_lasting(self) -> bool:
+        """Tell whether it runs until it is cancelled."""
+        return any(step.is_long_running for step in self.spec.steps)
+
+    @property
+    def has_times(self) -> bool:
+        """Tell whether its occurrences are due at set times."""
+        return self.spec.repeat is not None
+
+    def due_wall_s(self, occurrence: int) -> float | None:
+        """Return the wall-clock time of an occurrence, None for at once."""
+        repeat = self.spec.repeat
+        if repeat is None:
+            return None
+        return repeat.first_due_s + occurrence * repeat.interval_s
+
+    def is_ready(self, step: StepRun) -> bool:
+        """Tell whether the steps before a step are done."""
+        occurrence = step.step_id.occurrence
+        return all(self.steps[occurrence, n].is_done for n in step.spec.after)
+
+    def is_finished(self) -> bool:
+        """Tell whether every task of every occurrence is done."""
+        return all(step.is_done for step in self.steps.values())
+
+    def chain_s(self, factor: float) -> float:
+        """Return the longest chain of estimated run times that is left."""
+        longest: dict[tuple[int, int], float] = {}
+        for (occurrence, number), step in self.steps.items():
+            before = [longest[occurrence, n] for n in step.spec.after]
+            own = 0.0 if step.is_done else step.spec.estimate_s * factor
+            longest[occurrence, number] = own + max(before, default=0.0)
+        return max(longest.values(), default=0.0)
+
+    def work_left_core_s(self) -> float:
+        """Return the estimated work that is left, in core-seconds."""
+        return sum(
+            (step.spec.count - len(step.done))
+            * step.spec.cpu_millis
+            / 1000.0
+            * step.spec.estimate_s
+            for step in self.steps.values()
+        )
+
+    def write_progress(self) -> JobProgress:
+        """Return what is to be stored."""
+        if self.is_final:
+            return JobProgress(self.state, self.ended_s)
+        steps = {
+            f"{occurrence}.{number}": progress
+            for (occurrence, number), step in self.steps.items()
+            if (progress := step.write_progress()) is not None
+        }
+        return JobProgress(self.state, 0.0, steps)
+
+    def read_progress(self, progress: JobProgress) -> None:
+        """Take over what an earlier decider has stored."""
+        self.state = self.stored_state = progress.state
+        self.ended_s = progress.ended_s
+        for name, stored in progress.steps.items():
+            occurrence, _, number = name.partition(".")
+            step = self.steps.get((int(occurrence), int(number)))
+            if step is not None:
+                step.read_progress(stored)
--- /dev/null
+++ b/packages/core/src/papayadyke_core/dispatch/_placement.py
@@ -0,0 +1,136 @@
+"""Which upstreams get the waiting tasks of a step."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from papayadyke_core.dispatch._job import StepRun
+from papayadyke_core.dispatch._upstream import Upstream
+
+SPEED_DIGITS = 1  # speeds that differ by less count as equal
+
+
+def list_candidates(
+    step: StepRun,
+    upstreams: Iterable[Upstream],
+    *,
+    service: str,
+    is_allowed: Callable[[str], bool],
+    blocked: set[str],
+    now: float,
+) -> list[tuple[Upstream, int]]:
+    """Return upstreams with room for the step and their free slots, best first.
+
+    Parameters
+    ----------
+    step : StepRun
+    upstreams : iterable of Upstream
+    service : str
+    is_allowed : callable
+        Tells for the id of an upstream whether there is a valid ticket.
+    blocked : set of str
+        Upstreams that are reserved for other work.
+    now : float
+    """
+    spec = step.spec
+    found = []
+    for upstream in upstreams:
+        entry = upstream.entry
+        if entry.service != service or entry.upstream_id in blocked:
+            continue
+        if spec.label and spec.label not in entry.labels:
+            continue
+        if not upstream.may_start(now) or not is_allowed(entry.upstream_id):
+            continue
+        slots = upstream.slots_for(spec)
+        if spec.max_per_upstream:
+            slots = min(slots, spec.max_per_upstream - count_live(step, upstream))
+        if slots > 0:
+            found.append((upstream, slots))
+    found.sort(key=lambda item: _preference(step, item[0]))
+    return found
+
+
+def count_live(step: StepRun, upstream: Upstream) -> int:
+    """Return the tasks of a step and occurrence that take room at an upstream."""
+    step_id = step.step_id
+    return sum(1 for run in upstream.runs.values() if run.task[:3] == step_id)
+
+
+def _preference(step: StepRun, upstream: Upstream) -> tuple[bool, float, int]:
+    rack = step.spec.data_rack
+    is_far = bool(rack) and upstream.entry.rack != rack
+    # The fullest first among equals, which keeps whole upstreams free for gangs.
+    return is_far, -round(upstream.speed, SPEED_DIGITS), -upstream.cpu_used
+
+
+def place_singles(
+    step: StepRun, candidates: list[tuple[Upstream, int]]
+) -> list[tuple[int, Upstream]]:
+    """Give each waiting task of a step an upstream, as far as there is room."""
+    room = [[upstream, slots] for upstream, slots in candidates]
+    placed: list[tuple[int, Upstream]] = []
+    for index in sorted(step.waiting):
+        avoided = step.avoid.get(index, ())
+        choice = _choose(room, avoided)
+        if choice is None:
+            break
+        choice[1] -= 1
+        placed.append((index, choice[0]))
+    return placed
+
+
+def _choose(room, avoided):
+    fallback = None
+    for item in room:
+        if item[1] <= 0:
+            continue
+        if item[0].upstream_id not in avoided:
+            return item
+        fallback = fallback or item
+    return fallback
+
+
+def place_gang(
+    step: StepRun, candidates: list[tuple[Upstream, int]]
+) -> list[tuple[int, Upstream]] | None:
+    """Give every task of a gang an upstream, or return None."""
+    if step.spec.in_one_rack:
+        candidates = _best_rack(step.spec.count, candidates)
+    placed: list[tuple[int, Upstream]] = []
+    for upstream, slots in candidates:
+        for _ in range(slots):
+            placed.append((len(placed), upstream))
+            if len(placed) == step.spec.count:
+                return placed
+    return None
+
+
+def _best_rack(
+    count: int, candidates: list[tuple[Upstream, int]]
+) -> list[tuple[Upstream, int]]:
+    """Return the candidates of a rack that holds the gang, else all of them."""
+    racks: dict[str, list[tuple[Upstream, int]]] = {}
+    for item in candidates:
+        racks.setdefault(item[0].entry.rack, []).append(item)
+    for members in racks.values():
+        if sum(slots for _, slots in members) >= count:
+            return members
+    return candidates
+
+
+def reserve_for_gang(step: StepRun, upstreams: list[Upstream]) -> set[str]:
+    """Return the upstreams to keep free until a gang fits on them.
+
+    Those with the most room now come first, since they are free the soonest.
+    """
+    spec = step.spec
+    by_room = sorted(upstreams, key=lambda item: -item.slots_for(spec))
+    reserved: set[str] = set()
+    slots = 0
+    for upstream in by_room:
+        if slots >= spec.count:
+            return reserved
+        slots += upstream.total_slots_for(spec)
+        reserved.add(upstream.upstream_id)
+    return reserved if slots >= spec.count else set()
--- /dev/null
+++ b/packages/core/src/papayadyke_core/dispatch/_progress.py
@@ -0,0 +1,71 @@
+"""What is stored of a job's progress, for the next decider."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+import msgspec
+
+
+class JobState(StrEnum):
+    """What callers are told of a job."""
+
+    QUEUED = "queued"
+    ACTIVE = "active"
+    COMPLETE = "complete"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+FINAL_STATES = frozenset({JobState.COMPLETE, JobState.FAILED, JobState.CANCELLED})
+
+
+class StepProgress(msgspec.Struct, array_like=True):
+    """Progress of one step of one occurrence.
+
+    Parameters
+    ----------
+    done : list of int
+        Tasks that are done.
+    failed : dict of int to list of int
+        Attempts of each task that ended as failed.
+    checkpoints : dict of int to str
+    """
+
+    done: list[int] = []
+    failed: dict[int, list[int]] = {}
+    checkpoints: dict[int, str] = {}
+
+
+class JobProgress(msgspec.Struct):
+    """Progress of a job.
+
+    Parameters
+    ----------
+    state : JobState
+    ended_s : float
+        Wall-clock time of the final state; 0 before.
+    steps : dict of str to StepProgress
+        By "occurrence.step"; absent where nothing has ended. Empty once the
+        state is final.
+    """
+
+    state: JobState
+    ended_s: float = 0.0
+    steps: dict[str, StepProgress] = {}
+
+
+def encode_progress(progress: JobProgress) -> bytes:
+    """Return the stored form."""
+    return msgspec.json.encode(progress)
+
+
+def decode_progress(data: bytes) -> JobProgress:
+    """Read the stored form.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If the bytes are not a progress record.
+    """
+    return msgspec.json.decode(data, type=JobProgress)
--- /dev/null
+++ b/packages/core/src/papayadyke_core/dispatch/_settings.py
@@ -0,0 +1,47 @@
+"""Settings of the dispatcher."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DispatchSettings:
+    """Bounds and limits of the dispatcher; all times in seconds.
+
+    Parameters
+    ----------
+    lease_s : float
+        Lease that each contact gives to what runs at an upstream. Covers a
+        takeover, and is what a cut-off upstream costs its tasks.
+    lease_drift : float
+        Share by which an upstream's clock may be slow.
+    status_kept_s : float
+        How long the state of an ended job is told.
+    early_s : float
+        How early an occurrence may start before its due time.
+    advice_slots : int
+        Calls to the advisory service at a time; one for each VM.
+    slow_advice_s : float
+        An advisory call past this counts as slow; slow calls never take the
+        last slots, which quick work needs.
+    quick_advice_slots : int
+        Slots kept for quick calls.
+    short_task_s : float
+        A task this short may still start on an upstream reserved for a gang.
+    reserving_gangs : int
+        Gangs that may reserve upstreams at a time.
+    commit_jobs : int
+        Jobs of one commit; two entries each must fit in one transaction.
+    """
+
+    lease_s: float = 6.0
+    lease_drift: float = 0.03
+    status_kept_s: float = 120.0
+    early_s: float = 0.0
+    advice_slots: int = 1
+    slow_advice_s: float = 0.1
+    quick_advice_slots: int = 2
+    short_task_s: float = 1.5
+    reserving_gangs: int = 2
+    commit_jobs: int = 14
--- /dev/null
+++ b/packages/core/src/papayadyke_core/dispatch/_upstream.py
@@ -0,0 +1,115 @@
+"""An upstream as the dispatcher sees it: room, runs, contact and speed."""
+
+from __future__ import annotations
+
+from papayadyke_core.dispatch._messages import UpstreamEntry
+from papayadyke_core.dispatch._run import Run
+from papayadyke_core.dispatch._spec import StepSpec, TaskId
+
+SPEED_WEIGHT = 0.15  # share of the newest run in the average speed
+MIN_SPEED, MAX_SPEED = 0.1, 4.0  # keeps one odd run from ruling an upstream out
+FAILURES_TO_SET_ASIDE = 2  # failed runs in a row; one may be the task's own fault
+SET_ASIDE_S = 4.0  # seconds; doubled each time the upstream fails again
+MAX_SET_ASIDE_S = 30.0  # seconds
+
+
+class Upstream:
+    """State of one upstream.
+
+    Parameters
+    ----------
+    entry : UpstreamEntry
+    """
+
+    def __init__(self, entry: UpstreamEntry) -> None:
+        self.entry = entry
+        self.is_listed = True
+        self.life: int | None = None
+        self.is_reachable = False
+        self.is_verified = False
+        self.lease_until_s = 0.0
+        self.last_end = 0
+        self.noted_end = 0
+        self.runs: dict[tuple[TaskId, int], Run] = {}
+        self.cpu_used = 0
+        self.memory_used = 0
+        self.accelerators_used = 0
+        self.speed = 1.0
+        self.failures_in_row = 0
+        self.set_aside_until_s = 0.0
+        self.set_aside_s = SET_ASIDE_S
+
+    @property
+    def upstream_id(self) -> str:
+        """Its id in the registry."""
+        return self.entry.upstream_id
+
+    def may_start(self, now: float) -> bool:
+        """Tell whether new work may be sent there."""
+        return (
+            self.is_listed
+            and self.is_reachable
+            and self.is_verified
+            and not self.entry.is_draining
+            and now >= self.set_aside_until_s
+        )
+
+    def slots_for(self, step: StepSpec) -> int:
+        """Return how many more tasks of a step fit."""
+        entry = self.entry
+        slots = step.count
+        if step.cpu_millis and not step.fills_spare:
+            slots = min(slots, (entry.cpu_millis - self.cpu_used) // step.cpu_millis)
+        if step.memory_mb:
+            slots = min(slots, (entry.memory_mb - self.memory_used) // step.memory_mb)
+        if step.accelerators:
+            free = entry.accelerators - self.accelerators_used
+            slots = min(slots, free // step.accelerators)
+        return max(slots, 0)
+
+    def total_slots_for(self, step: StepSpec) -> int:
+        """Return how many tasks of a step fit while nothing else runs."""
+        entry = self.entry
+        slots = step.count
+        if step.cpu_millis and not step.fills_spare:
+            slots = min(slots, entry.cpu_millis // step.cpu_millis)
+        if step.memory_mb:
+            slots = min(slots, entry.memory_mb // step.memory_mb)
+        if step.accelerators:
+            slots = min(slots, entry.accelerators // step.accelerators)
+        return slots
+
+    def add(self, run: Run) -> None:
+        """Take room for a run."""
+        self.runs[run.key] = run
+        self._use(run.spec, 1)
+
+    def remove(self, run: Run) -> None:
+        """Free the room of a run that is known to be gone."""
+        if self.runs.pop(run.key, None) is not None:
+            self._use(run.spec, -1)
+
+    def note_failure(self, now: float) -> bool:
+        """Count a failed run; return whether the upstream was set aside for it."""
+        self.failures_in_row += 1
+        if self.failures_in_row < FAILURES_TO_SET_ASIDE:
+            return False
+        if now < self.set_aside_until_s:
+            return False
+        self.set_aside_until_s = now + self.set_aside_s
+        self.set_aside_s = min(2 * self.set_aside_s, MAX_SET_ASIDE_S)
+        return True
+
+    def note_success(self, expected_s: float, taken_s: float) -> None:
+        """Count a run that is done, and learn the speed from it."""
+        self.failures_in_row = 0
+        self.set_aside_s = SET_ASIDE_S
+        if expected_s > 0 and taken_s > 0:
+            sample = min(max(expected_s / taken_s, MIN_SPEED), MAX_SPEED)
+            self.speed += SPEED_WEIGHT * (sample - self.speed)
+
+    def _use(self, step: StepSpec, sign: int) -> None:
+        if not step.fills_spare:
+            self.cpu_used += sign * step.cpu_millis
+        self.memory_used += sign * step.memory_mb
+        self.accelerators_used += sign * step.accelerators
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/edge/__init__.py
@@ -0,0 +1,37 @@
+"""The daemon of an edge VM whose state lives in the platform's store."""
+
+from papayadyke_daemon.edge._clock import read_clock
+from papayadyke_daemon.edge._daemon import EdgeDaemon
+from papayadyke_daemon.edge._intake import Intake, IntakeOutcome
+from papayadyke_daemon.edge._logs import log_event, set_up_edge_logs
+from papayadyke_daemon.edge._ports import (
+    EdgePorts,
+    EdgeSettings,
+    FencedError,
+    Page,
+    Record,
+    RecordStore,
+    StoreError,
+    StoreErrorKind,
+    UpstreamClient,
+    Write,
+)
+
+__all__ = [
+    "EdgeDaemon",
+    "EdgePorts",
+    "EdgeSettings",
+    "FencedError",
+    "Intake",
+    "IntakeOutcome",
+    "Page",
+    "Record",
+    "RecordStore",
+    "StoreError",
+    "StoreErrorKind",
+    "UpstreamClient",
+    "Write",
+    "log_event",
+    "read_clock",
+    "set_up_edge_logs",
+]
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
@@ -0,0 +1,270 @@
+"""The program of an edge VM: it accepts and answers, and one of them decides."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Callable
+
+from result import Err, Ok
+
+from papayadyke_core.dispatch import Catalog, StepId
+from papayadyke_daemon.edge._clock import read_clock
+from papayadyke_daemon.edge._decider import Decider, Term
+from papayadyke_daemon.edge._intake import Intake, IntakeParts
+from papayadyke_daemon.edge._leadership import Leadership
+from papayadyke_daemon.edge._logs import log_event
+from papayadyke_daemon.edge._messages import (
+    Ack,
+    AdviceReply,
+    AskAdvice,
+    AskPending,
+    AskState,
+    Cancelled,
+    Hello,
+    HelloReply,
+    Message,
+    PendingReply,
+    StateReply,
+    StoreCancel,
+    StoreJob,
+    StoreReply,
+    Submitted,
+)
+from papayadyke_daemon.edge._peers import PeerClients, PeerServer
+from papayadyke_daemon.edge._ports import EdgePorts, EdgeSettings, Record
+from papayadyke_daemon.edge._watch import watch_prefix
+from papayadyke_platform.http import HttpAnswer, HttpLimits, HttpRequest, HttpServer
+
+LOG = logging.getLogger(__name__)
+
+CALLER_THREADS = 12  # requests at a time; each waits for the store a few milliseconds
+HELLO_KEPT_S = 2.0  # seconds for which what another VM said of itself holds
+
+
+class EdgeDaemon:
+    """Everything that runs on an edge VM.
+
+    Parameters
+    ----------
+    cfg : EdgeSettings
+    ports : EdgePorts
+    answer_caller : callable
+        Takes the intake and a caller's request, and returns the answer.
+    """
+
+    def __init__(
+        self,
+        cfg: EdgeSettings,
+        ports: EdgePorts,
+        answer_caller: Callable[[Intake, HttpRequest], HttpAnswer],
+    ) -> None:
+        self.cfg = cfg
+        self._ports = ports
+        self._stopped = threading.Event()
+        self._is_draining = False
+        self._catalog: Catalog | None = None
+        self._decider: Decider | None = None
+        self._peers_said: dict[str, tuple[float, bool, int]] = {}
+        self._clients = PeerClients()
+        self._leadership = Leadership(
+            cfg,
+            ports,
+            may_lead=lambda: self._catalog is not None and not self._is_draining,
+            begin=self._begin_term,
+            end=self._end_term,
+            peers_lost_store=self._peers_lost_store,
+        )
+        self.intake = Intake(
+            ports,
+            self._clients,
+            IntakeParts(lambda: self._decider, lambda: self._leadership.known),
+        )
+        self._peer_server = PeerServer(
+            f"{cfg.host}:{cfg.peers_port}", self._answer_peer
+        )
+        limits = HttpLimits(threads=CALLER_THREADS)
+        self._callers = HttpServer(
+            lambda req: answer_caller(self.intake, req),
+            host=cfg.host,
+            port=cfg.callers_port,
+            limits=limits,
+        )
+        self._readiness = HttpServer(
+            self._answer_readiness,
+            host=cfg.host,
+            port=cfg.readiness_port,
+            limits=HttpLimits(threads=2),
+        )
+
+    def start(self) -> None:
+        """Start serving."""
+        self._readiness.start()
+        self._peer_server.start()
+        self._leadership.start()
+        threading.Thread(
+            target=self._follow_catalog, name="catalog", daemon=True
+        ).start()
+        threading.Thread(target=self._greet_on, name="hello", daemon=True).start()
+        self._callers.start()
+        log_event(LOG, "edge: started", vm=self.cfg.vm, zone=self.cfg.availability_zone)
+
+    def drain(self) -> None:
+        """Hand over, go on serving until callers go elsewhere, then end."""
+        log_event(LOG, "edge: draining", vm=self.cfg.vm)
+        self._is_draining = True
+        self._leadership.stop()
+        self._callers.end_keep_alive()
+        self._stopped.wait(self.cfg.drain_s)
+        self._callers.stop()
+        self._stopped.set()
+        self._peer_server.close()
+        log_event(LOG, "edge: stopped", vm=self.cfg.vm)
+
+    # Terms
+
+    def _begin_term(self, term: Term) -> bool:
+        catalog = self._catalog
+        if catalog is None:
+            return False
+        decider = Decider(
+            self.cfg,
+            self._ports,
+            self._clients,
+            term=term,
+            may_order=self._leadership.may_order,
+            depose=self._leadership.depose,
+        )
+        if not decider.start(catalog):
+            decider.stop()
+            return False
+        self._decider = decider
+        return True
+
+    def _end_term(self) -> None:
+        decider, self._decider = self._decider, None
+        if decider is not None:
+            decider.stop()
+
+    def _peers_lost_store(self) -> bool:
+        """Tell whether at least half of the other VMs say the store is away.
+
+        A VM that is cut off alone, or with its zone, hears too few of them.
+        """
+        now = read_clock()
+        said = list(self._peers_said.values())
+        if not said:
+            return True
+        token = self._leadership.known.token
+        fresh = [
+            (reaches, known)
+            for seen, reaches, known in said
+            if now - seen < HELLO_KEPT_S
+        ]
+        if any(reaches or known > token for reaches, known in fresh):
+            return False
+        return 2 * len(fresh) >= len(said)
+
+    # Configuration
+
+    def _follow_catalog(self) -> None:
+        key = self._ports.catalog_key
+        watch_prefix(
+            self._ports.store,
+            key,
+            revision=None,
+            interval_s=0.0,
+            stopped=self._stopped,
+            take=self._take_catalog,
+            relist=self._take_catalogs,
+        )
+
+    def _take_catalogs(self, records: list[Record]) -> None:
+        for record in records:
+            self._take_catalog(record)
+
+    def _take_catalog(self, record: Record) -> None:
+        if record.key != self._ports.catalog_key or record.value is None:
+            return
+        catalog = self._ports.read_catalog(record.value)
+        if catalog is None:
+            LOG.warning("edge: the configuration at %d is unreadable", record.revision)
+            return
+        current = self._catalog
+        if current is not None and catalog.version <= current.version:
+            return
+        self._catalog = self.intake.catalog = catalog
+        decider = self._decider
+        if decider is not None:
+            decider.set_catalog(catalog)
+        log_event(
+            LOG,
+            "edge: configuration",
+            version=catalog.version,
+            queues=len(catalog.queues),
+            revision=record.revision,
+        )
+
+    # Readiness
+
+    def _answer_readiness(self, req: HttpRequest) -> HttpAnswer:
+        is_ready = not self._is_draining and self._catalog is not None
+        return HttpAnswer(200 if is_ready else 503, b"{}")
+
+    # Peers
+
+    def _greet_on(self) -> None:
+        own = f"{self.cfg.host}:{self.cfg.peers_port}"
+        while not self._stopped.wait(self.cfg.hello_s):
+            known = self._leadership.known
+            if not known.token or known.address == own or self._is_draining:
+                continue
+            hello = Hello(self.cfg.vm, own, self._leadership.reaches_store, known.token)
+            reply = self._clients.call(known.address, hello)
+            if isinstance(reply, Err):
+                log_event(LOG, "edge: decider silent", vm=known.vm, why=reply.err_value)
+
+    def _answer_peer(self, message: Message) -> Message:
+        decider = self._decider
+        decides = decider is not None
+        match message:
+            case Hello():
+                return self._greeted(message, decider)
+            case Submitted():
+                return Ack(self.intake.take_notice(message.jobs))
+            case Cancelled():
+                if decider is not None:
+                    for job_id in message.job_ids:
+                        decider.cancel(job_id)
+                return Ack(decides)
+            case AskState():
+                state = decider.state_of(message.job_id) if decider else None
+                return StateReply(decides, state or "")
+            case AskPending():
+                count = decider.count_pending(message.queue) if decider else 0
+                return PendingReply(decides, count)
+            case StoreJob():
+                return StoreReply(self.intake.accept_bytes(message.job))
+            case StoreCancel():
+                outcome = self.intake.cancel(message.job_id, may_relay=False)
+                return StoreReply(outcome)
+            case AskAdvice():
+                return self._advise(message)
+        return Ack(decides)
+
+    def _greeted(self, hello: Hello, decider: Decider | None) -> Message:
+        now = read_clock()
+        self._peers_said[hello.vm] = (now, hello.reaches_store, hello.decider)
+        if decider is None:
+            return HelloReply(False, self._leadership.known.token)
+        if hello.decider > decider.term.token:
+            self._leadership.depose(f"{hello.vm} follows a later decider")
+        decider.greet(hello.address)
+        return HelloReply(True, decider.term.token)
+
+    def _advise(self, message: AskAdvice) -> Message:
+        step = StepId(message.job_id, message.occurrence, message.step)
+        answer = self._ports.advise(step, message.upstream_ids)
+        if isinstance(answer, Ok):
+            return AdviceReply(answer.ok_value.tickets, answer.ok_value.valid_s)
+        return AdviceReply({}, 0.0, answer.err_value)
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -0,0 +1,534 @@
+"""The decider: the threads around one dispatcher, for as long as this VM leads."""
+
+from __future__ import annotations
+
+import logging
+import threading
+import time
+from collections.abc import Callable
+
+import msgspec
+from result import Err, Result
+
+from papayadyke_core.dispatch import (
+    Advice,
+    AdviceRequest,
+    Catalog,
+    Commit,
+    Dispatcher,
+    DispatchSettings,
+    JobState,
+    StagedJobSpec,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+    UpstreamEntry,
+    UpstreamReport,
+    decode_progress,
+)
+from papayadyke_daemon.edge._advisers import Advisers
+from papayadyke_daemon.edge._agents import AgentCalls, UpstreamAgent
+from papayadyke_daemon.edge._clock import read_clock
+from papayadyke_daemon.edge._keys import (
+    CANCEL_PREFIX,
+    DECIDER_KEY,
+    INTAKE_PREFIX,
+    JOB_PREFIX,
+    PROGRESS_PREFIX,
+    ROSTER_KEY,
+    RosterRecord,
+    decode_job,
+    encode_record,
+)
+from papayadyke_daemon.edge._logs import log_event
+from papayadyke_daemon.edge._peers import PeerClients
+from papayadyke_daemon.edge._ports import (
+    EdgePorts,
+    EdgeSettings,
+    Record,
+    StoreError,
+    StoreErrorKind,
+    Write,
+)
+from papayadyke_daemon.edge._watch import list_prefix, watch_prefix
+from papayadyke_daemon.mailbox import Mailbox
+
+LOG = logging.getLogger(__name__)
+
+COMMIT_INTERVAL_S = 0.03  # seconds between two commits; more ends share each
+COMMIT_RETRY_S = 0.15  # seconds before a commit that failed is tried again
+INTAKE_INTERVAL_S = 0.5  # seconds between two reads of what was accepted
+TICK_S = 0.1  # seconds; the longest time between two steps of the dispatcher
+GARBAGE_INTERVAL_S = 5.0  # seconds between two removals of old records
+GARBAGE_JOBS = 15  # jobs of one removal; two keys each must fit in a transaction
+HELLO_LIFETIME_S = 2.0  # seconds; four missed messages mean that a VM is gone
+
+
+class Term(msgspec.Struct, frozen=True):
+    """One term as the decider.
+
+    Parameters
+    ----------
+    token : int
+        Fencing token: revision at which this VM became the decider.
+    number : int
+        Deciders before.
+    roster : RosterRecord
+    roster_revision : int
+    """
+
+    token: int
+    number: int
+    roster: RosterRecord
+    roster_revision: int
+
+
+class Decider:
+    """Runs a dispatcher against upstreams, store and advisory service.
+
+    Parameters
+    ----------
+    cfg : EdgeSettings
+    ports : EdgePorts
+    clients : PeerClients
+    term : Term
+    may_order : callable
+        Tells whether this VM still decides.
+    depose : callable
+        Called with a reason when the term has ended elsewhere.
+    """
+
+    def __init__(
+        self,
+        cfg: EdgeSettings,
+        ports: EdgePorts,
+        clients: PeerClients,
+        *,
+        term: Term,
+        may_order: Callable[[], bool],
+        depose: Callable[[str], None],
+    ) -> None:
+        self.cfg = cfg
+        self.term = term
+        self._ports = ports
+        self._clients = clients
+        self._may_order = may_order
+        self._depose = depose
+        self._stopped = threading.Event()
+        self._dispatcher = Dispatcher(
+            DispatchSettings(lease_s=cfg.lease_s, status_kept_s=cfg.status_kept_s),
+            term=term.number,
+            now=read_clock(),
+        )
+        self._mailbox = Mailbox("decider", self._tick, clock=read_clock)
+        self._agents: dict[str, UpstreamAgent] = {}
+        self._advisers = Advisers(ports, clients, self._advised)
+        self._revisions: dict[str, int] = {}
+        self._early_cancels: set[str] = set()
+        self._vms: dict[str, float] = {}
+        self._commits: threading.Semaphore = threading.Semaphore(0)
+        self._commit: Commit | None = None
+        self._next_commit_s = 0.0
+        self._next_garbage_s = read_clock() + GARBAGE_INTERVAL_S
+        self._roster_upstreams = dict(term.roster.upstreams)
+        self._roster_revision = term.roster_revision
+        self._calls = AgentCalls(
+            may_order=may_order,
+            report=self._reported,
+            lose_contact=self._lost_contact,
+            start_answered=self._start_answered,
+            stop_answered=self._stop_answered,
+            note_lease=self._note_lease,
+            fenced=lambda name: depose(f"upstream {name} follows a later decider"),
+        )
+
+    # Life
+
+    def start(self, catalog: Catalog) -> bool:
+        """Read what is stored and begin; return whether that could be read."""
+        self._dispatcher.set_catalog(catalog)
+        listed = list_prefix(self._ports.store, self._ports.registry_prefix)
+        intake = list_prefix(self._ports.store, INTAKE_PREFIX)
+        progress = list_prefix(self._ports.store, PROGRESS_PREFIX)
+        if isinstance(listed, Err) or isinstance(intake, Err):
+            return False
+        if isinstance(progress, Err):
+            return False
+        for name, (address, service) in self.term.roster.upstreams.items():
+            self._dispatcher.list_upstream(UpstreamEntry(name, service, address))
+            self._dispatcher.unlist_upstream(name)
+        for record in listed.ok_value.records:
+            self._take_registry(record)
+        for name, item in self._dispatcher.upstreams.items():
+            if name not in self._agents:
+                self._add_agent(item.entry)
+        self._load(intake.ok_value.records, progress.ok_value.records)
+        self._watch(self._ports.registry_prefix, listed.ok_value.revision, 0.0)
+        self._watch(INTAKE_PREFIX, intake.ok_value.revision, INTAKE_INTERVAL_S)
+        threading.Thread(target=self._commit_on, name="commits", daemon=True).start()
+        self._mailbox.start()
+        log_event(
+            LOG,
+            "decider: term began",
+            token=self.term.token,
+            term=self.term.number,
+            jobs=len(self._dispatcher.jobs),
+            upstreams=len(self._agents),
+        )
+        return True
+
+    def stop(self) -> None:
+        """End the term."""
+        self._stopped.set()
+        self._commits.release()
+        self._mailbox.stop(1.0)
+        for agent in self._agents.values():
+            agent.stop()
+        self._advisers.stop()
+        log_event(LOG, "decider: term ended", token=self.term.token)
+
+    # Called by other threads
+
+    def submit(self, spec: StagedJobSpec) -> None:
+        """Take in an accepted job."""
+        self._mailbox.post(lambda: self._submit(spec))
+
+    def cancel(self, job_id: str) -> None:
+        """Take in a stored cancellation."""
+        self._mailbox.post(lambda: self._cancel(job_id))
+
+    def set_catalog(self, catalog: Catalog) -> None:
+        """Take in a configuration."""
+        self._mailbox.post(lambda: self._dispatcher.set_catalog(catalog))
+
+    def state_of(self, job_id: str) -> JobState | None:
+        """Return the state of a job, None where it is not known."""
+        return self._dispatcher.state_of(job_id)
+
+    def count_pending(self, queue: str) -> int:
+        """Return the jobs of a queue that have not begun."""
+        for _ in range(3):
+            try:
+                return self._dispatcher.count_pending(queue)
+            except RuntimeError:
+                # The jobs changed while they were counted.
+                continue
+        return self._dispatcher.count_pending(queue)
+
+    def greet(self, address: str) -> None:
+        """Note a VM that may call the advisory service."""
+        self._vms[address] = read_clock()
+
+    # On the decider's thread
+
+    def _submit(self, spec: StagedJobSpec) -> None:
+        age_s = max(0.0, time.time() - spec.accepted_s)
+        now = read_clock()
+        if self._dispatcher.submit(spec, now=now, age_s=age_s):
+            log_event(LOG, "decider: job taken in", request=spec.job_id, age_s=age_s)
+        if spec.job_id in self._early_cancels:
+            self._cancel(spec.job_id)
+
+    def _cancel(self, job_id: str) -> None:
+        if job_id not in self._dispatcher.jobs:
+            self._early_cancels.add(job_id)
+            return
+        self._early_cancels.discard(job_id)
+        if self._dispatcher.cancel(job_id, read_clock()):
+            log_event(LOG, "decider: job cancelled", request=job_id)
+
+    def _tick(self, now: float) -> float | None:
+        if self._stopped.is_set():
+            return None
+        self._use_vms(now)
+        orders = self._dispatcher.tick(now, time.time())
+        for request in orders.advice:
+            self._advisers.ask(request)
+        for order in orders.starts:
+            log_event(
+                LOG,
+                "decider: start",
+                request=order.task.job_id,
+                task=order.task,
+                attempt=order.attempt,
+                upstream=order.upstream_id,
+            )
+            self._agents[order.upstream_id].send(order)
+        for stop in orders.stops:
+            log_event(
+                LOG,
+                "decider: stop",
+                request=stop.task.job_id,
+                task=stop.task,
+                attempt=stop.attempt,
+                upstream=stop.upstream_id,
+                why=stop.reason,
+            )
+            agent = self._agents.get(stop.upstream_id)
+            if agent is not None:
+                agent.send(stop)
+        self._begin_commit(now)
+        self._collect_garbage(now)
+        if self._commit is None and now < self._next_commit_s:
+            return min(now + TICK_S, self._next_commit_s)
+        return now + TICK_S
+
+    def _use_vms(self, now: float) -> None:
+        vms = dict(self._vms)
+        alive = {name for name, seen in vms.items() if now - seen < HELLO_LIFETIME_S}
+        self._advisers.set_vms(alive)
+        self._dispatcher.advice_slots = self._advisers.slots
+
+    def _load(self, intake: list[Record], progress: list[Record]) -> None:
+        now, wall = read_clock(), time.time()
+        stored = {}
+        for record in progress:
+            job_id = record.key.removeprefix(PROGRESS_PREFIX)
+            self._revisions[job_id] = record.revision
+            stored[job_id] = decode_progress(record.value or b"")
+        cancelled = {
+            record.key.removeprefix(CANCEL_PREFIX)
+            for record in intake
+            if record.key.startswith(CANCEL_PREFIX)
+        }
+        for record in intake:
+            if not record.key.startswith(JOB_PREFIX):
+                continue
+            spec = decode_job(record.value or b"")
+            self._dispatcher.load(
+                spec,
+                stored.get(spec.job_id),
+                is_cancelled=spec.job_id in cancelled,
+                age_s=max(0.0, wall - spec.accepted_s),
+                now=now,
+            )
+
+    def _take_intake(self, record: Record) -> None:
+        if record.value is None:
+            return
+        if record.key.startswith(JOB_PREFIX):
+            self._submit(decode_job(record.value))
+        elif record.key.startswith(CANCEL_PREFIX):
+            self._cancel(record.key.removeprefix(CANCEL_PREFIX))
+
+    def _take_registry(self, record: Record) -> None:
+        name = record.key.removeprefix(self._ports.registry_prefix)
+        entry = None
+        if record.value is not None:
+            entry = self._ports.read_upstream(name, record.value)
+        if entry is None:
+            self._dispatcher.unlist_upstream(name)
+            log_event(LOG, "decider: upstream unlisted", upstream=name)
+            return
+        known = self._dispatcher.upstreams.get(name)
+        self._dispatcher.list_upstream(entry)
+        if known is None or known.entry.is_draining != entry.is_draining:
+            log_event(
+                LOG,
+                "decider: upstream listed",
+                upstream=name,
+                draining=entry.is_draining,
+                revision=record.revision,
+            )
+        agent = self._agents.get(name)
+        if agent is not None and agent.address != entry.address:
+            agent.stop()
+            agent = None
+        if agent is None:
+            self._add_agent(entry)
+
+    def _add_agent(self, entry: UpstreamEntry) -> None:
+        agent = UpstreamAgent(
+            entry.upstream_id,
+            address=entry.address,
+            client=self._ports.connect_upstream(entry),
+            token=self.term.token,
+            cfg=self.cfg,
+            calls=self._calls,
+        )
+        self._agents[entry.upstream_id] = agent
+        agent.start()
+
+    def _collect_garbage(self, now: float) -> None:
+        if now < self._next_garbage_s:
+            return
+        self._next_garbage_s = now + GARBAGE_INTERVAL_S
+        for name in self._dispatcher.forget_gone(now):
+            agent = self._agents.pop(name, None)
+            if agent is not None:
+                agent.stop()
+        self._store_roster()
+        old = self._dispatcher.forget_old(time.time())
+        if old:
+            threading.Thread(
+                target=self._remove_jobs, args=(old,), name="garbage", daemon=True
+            ).start()
+
+    def _store_roster(self) -> None:
+        upstreams = {
+            name: (item.entry.address, item.entry.service)
+            for name, item in self._dispatcher.upstreams.items()
+        }
+        if upstreams == self._roster_upstreams:
+            return
+        record = RosterRecord(self.term.number + 1, upstreams)
+        stored = self._ports.store.write(
+            [Write(ROSTER_KEY, encode_record(record))],
+            expected=[(DECIDER_KEY, self.term.token)],
+        )
+        if not isinstance(stored, Err):
+            self._roster_upstreams = upstreams
+
+    def _remove_jobs(self, names: list[str]) -> None:
+        for begin in range(0, len(names), GARBAGE_JOBS):
+            part = names[begin : begin + GARBAGE_JOBS]
+            keys = [JOB_PREFIX + name for name in part]
+            keys += [PROGRESS_PREFIX + name for name in part]
+            self._ports.store.write(
+                [], expected=[(DECIDER_KEY, self.term.token)], removed=keys
+            )
+
+    # Commits
+
+    def _begin_commit(self, now: float) -> None:
+        if self._commit is not None or now < self._next_commit_s:
+            return
+        self._commit = self._dispatcher.take_commit()
+        if self._commit is None:
+            return
+        if not self._commit.progress:
+            self._finish_commit(self._commit, {}, None)
+        else:
+            self._commits.release()
+
+    def _commit_on(self) -> None:
+        while True:
+            self._commits.acquire()
+            commit = self._commit
+            if self._stopped.is_set() or commit is None:
+                return
+            writes = [
+                Write(PROGRESS_PREFIX + name, data)
+                for name, data in commit.progress.items()
+            ]
+            expected = [(DECIDER_KEY, self.term.token)]
+            expected += [
+                (PROGRESS_PREFIX + name, self._revisions.get(name, 0))
+                for name in commit.progress
+            ]
+            stored = self._ports.store.write(writes, expected=expected)
+            self._post_committed(commit, stored)
+
+    def _post_committed(self, commit: Commit, stored: Result[int, StoreError]) -> None:
+        self._mailbox.post(lambda: self._committed(commit, stored))
+
+    def _committed(self, commit: Commit, stored: Result[int, StoreError]) -> None:
+        if isinstance(stored, Err):
+            error = stored.err_value
+            log_event(
+                LOG,
+                "decider: commit failed",
+                kind=error.kind,
+                why=error.detail,
+                jobs=len(commit.progress),
+            )
+            if error.kind is StoreErrorKind.CONFLICT:
+                self._learn_revisions(error.found)
+            self._finish_commit(commit, {}, error)
+            return
+        revisions = dict.fromkeys(commit.progress, stored.ok_value)
+        self._finish_commit(commit, revisions, None)
+
+    def _learn_revisions(self, found: tuple[Record, ...]) -> None:
+        for record in found:
+            if record.key == DECIDER_KEY:
+                if record.revision != self.term.token:
+                    self._depose("the store names another decider")
+            elif record.key.startswith(PROGRESS_PREFIX):
+                name = record.key.removeprefix(PROGRESS_PREFIX)
+                self._revisions[name] = record.revision
+
+    def _finish_commit(
+        self, commit: Commit, revisions: dict[str, int], error: StoreError | None
+    ) -> None:
+        self._commit = None
+        self._revisions.update(revisions)
+        pause_s = COMMIT_INTERVAL_S if error is None else COMMIT_RETRY_S
+        self._next_commit_s = read_clock() + pause_s
+        final = self._dispatcher.committed(commit, is_stored=error is None)
+        for name in final:
+            state = self._dispatcher.jobs[name].state
+            log_event(LOG, "decider: job ended", request=name, state=state)
+        if error is not None:
+            return
+        for name, (life, number) in commit.noted.items():
+            agent = self._agents.get(name)
+            if agent is not None:
+                agent.note_ends(life, number)
+
+    # From agents
+
+    def _reported(self, name: str, report: UpstreamReport) -> None:
+        self._mailbox.post(lambda: self._dispatcher.report(name, report, read_clock()))
+
+    def _lost_contact(self, name: str, detail: str) -> None:
+        self._mailbox.post(lambda: self._dispatcher.lose_contact(name))
+
+    def _note_lease(self, name: str, until_s: float) -> None:
+        self._dispatcher.note_lease(name, until_s)
+
+    def _start_answered(self, order: StartOrder, outcome: StartOutcome) -> None:
+        if outcome is StartOutcome.FENCED:
+            self._depose(f"upstream {order.upstream_id} follows a later decider")
+        self._mailbox.post(
+            lambda: self._dispatcher.start_answered(order, outcome, read_clock())
+        )
+
+    def _stop_answered(self, order: StopOrder) -> None:
+        self._mailbox.post(lambda: self._dispatcher.stop_answered(order, read_clock()))
+
+    def _advised(self, request: AdviceRequest, answer: Result[Advice, str]) -> None:
+        if isinstance(answer, Err):
+            log_event(
+                LOG,
+                "decider: no advice",
+                request=request.step.job_id,
+                step=request.step,
+                why=answer.err_value,
+            )
+            self._mailbox.post(
+                lambda: self._dispatcher.advice_failed(request.step, read_clock())
+            )
+            return
+        advice = answer.ok_value
+        self._mailbox.post(lambda: self._dispatcher.advise(advice))
+
+    def _watch(self, prefix: str, revision: int, interval_s: float) -> None:
+        take = self._take_intake if prefix == INTAKE_PREFIX else self._take_registry
+        threading.Thread(
+            target=watch_prefix,
+            args=(self._ports.store, prefix),
+            kwargs={
+                "revision": revision,
+                "interval_s": interval_s,
+                "stopped": self._stopped,
+                "take": lambda record: self._mailbox.post(lambda: take(record)),
+                "relist": lambda records: self._mailbox.post(
+                    lambda: self._relist(prefix, records)
+                ),
+            },
+            name=f"watch-{prefix}",
+            daemon=True,
+        ).start()
+
+    def _relist(self, prefix: str, records: list[Record]) -> None:
+        """Take in a whole prefix after its history was lost."""
+        if prefix == self._ports.registry_prefix:
+            names = {record.key.removeprefix(prefix) for record in records}
+            for name in self._dispatcher.upstreams.keys() - names:
+                self._dispatcher.unlist_upstream(name)
+            for record in records:
+                self._take_registry(record)
+            return
+        for record in records:
+            self._take_intake(record)
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/edge/_logs.py
@@ -0,0 +1,92 @@
+"""Structured logs that never hold up the one who logs."""
+
+from __future__ import annotations
+
+import logging
+import sys
+import threading
+import time
+from collections import deque
+from typing import Any
+
+import msgspec
+
+MAX_WAITING_LINES = 2000  # lines; more are counted and dropped
+FLUSH_INTERVAL_S = 0.1  # seconds between two writes, to write many lines at once
+
+
+class JsonFormatter(logging.Formatter):
+    """Writes a record as one JSON object."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line of a record."""
+        line: dict[str, Any] = {
+            "ts": round(record.created, 3),
+            "level": record.levelname,
+            "msg": record.getMessage(),
+        }
+        line.update(getattr(record, "fields", {}))
+        if record.exc_info:
+            line["error"] = self.formatException(record.exc_info)
+        return msgspec.json.encode(line, enc_hook=str).decode()
+
+
+class QueueWriter(logging.Handler):
+    """Passes lines to a thread of its own, and drops them where that lags.
+
+    Parameters
+    ----------
+    stream : text stream, default=sys.stdout
+    """
+
+    def __init__(self, stream: Any = None) -> None:
+        super().__init__()
+        self._stream = stream or sys.stdout
+        self._lines: deque[str] = deque()
+        self._dropped = 0
+        self._wake = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="logs", daemon=True)
+        self._thread.start()
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue the line of a record."""
+        if len(self._lines) >= MAX_WAITING_LINES:
+            self._dropped += 1
+            return
+        self._lines.append(self.format(record))
+        self._wake.set()
+
+    def write_out(self) -> None:
+        """Write what is queued."""
+        parts = []
+        while self._lines:
+            parts.append(self._lines.popleft())
+        if self._dropped:
+            parts.append(f'{{"msg":"logs: lines dropped","count":{self._dropped}}}')
+            self._dropped = 0
+        if parts:
+            self._stream.write("\n".join(parts) + "\n")
+            self._stream.flush()
+
+    def _run(self) -> None:
+        while True:
+            self._wake.wait()
+            self._wake.clear()
+            self.write_out()
+            time.sleep(FLUSH_INTERVAL_S)
+
+
+def set_up_edge_logs(level: str = "INFO") -> QueueWriter:
+    """Send the logs of the program to standard output as JSON lines."""
+    writer = QueueWriter()
+    writer.setFormatter(JsonFormatter())
+    root = logging.getLogger()
+    root.handlers[:] = [writer]
+    root.setLevel(level)
+    logging.getLogger("urllib3").setLevel("ERROR")
+    return writer
+
+
+def log_event(logger: logging.Logger, message: str, **fields: Any) -> None:
+    """Log a decision with the inputs that decided it."""
+    logger.info(message, extra={"fields": fields})
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/edge/_messages.py
@@ -0,0 +1,148 @@
+"""Messages between the VMs."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Message(msgspec.Struct, tag=True, array_like=True):
+    """Base of all messages."""
+
+
+class Hello(Message):
+    """A VM tells the decider that it is there.
+
+    Parameters
+    ----------
+    vm, address : str
+    reaches_store : bool
+    decider : int
+        Fencing token of the decider that it follows.
+    """
+
+    vm: str
+    address: str
+    reaches_store: bool
+    decider: int
+
+
+class HelloReply(Message):
+    """The one that was greeted tells whether it decides."""
+
+    is_decider: bool
+    decider: int
+
+
+class Submitted(Message):
+    """Jobs that were accepted and stored."""
+
+    jobs: list[bytes]
+
+
+class Cancelled(Message):
+    """Jobs whose cancellation was stored."""
+
+    job_ids: list[str]
+
+
+class Ack(Message):
+    """A message was taken in, by the decider or not."""
+
+    is_decider: bool
+
+
+class AskState(Message):
+    """Ask for the state of a job."""
+
+    job_id: str
+
+
+class StateReply(Message):
+    """State of a job; empty where it is not known."""
+
+    is_decider: bool
+    state: str = ""
+
+
+class AskPending(Message):
+    """Ask how many jobs of a queue have not begun."""
+
+    queue: str
+
+
+class PendingReply(Message):
+    """Jobs of a queue that have not begun."""
+
+    is_decider: bool
+    count: int = 0
+
+
+class StoreJob(Message):
+    """Store an accepted job for a VM that does not reach the store."""
+
+    job: bytes
+
+
+class StoreCancel(Message):
+    """Store a cancellation for a VM that does not reach the store."""
+
+    job_id: str
+
+
+class StoreReply(Message):
+    """What became of it; the text of an `IntakeOutcome`."""
+
+    outcome: str
+
+
+class AskAdvice(Message):
+    """Ask the advisory service from this VM, which it serves by itself."""
+
+    job_id: str
+    occurrence: int
+    step: int
+    upstream_ids: list[str]
+
+
+class AdviceReply(Message):
+    """Answer of the advisory service, or the reason that there is none."""
+
+    tickets: dict[str, str]
+    valid_s: float
+    error: str = ""
+
+
+AnyMessage = (
+    Hello
+    | HelloReply
+    | Submitted
+    | Cancelled
+    | Ack
+    | AskState
+    | StateReply
+    | AskPending
+    | PendingReply
+    | StoreJob
+    | StoreCancel
+    | StoreReply
+    | AskAdvice
+    | AdviceReply
+)
+
+_decoder = msgspec.msgpack.Decoder(AnyMessage)
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the bytes of a message."""
+    return msgspec.msgpack.encode(message)
+
+
+def decode_message(data: bytes) -> Message:
+    """Read a message.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If the bytes are not one of the messages.
+    """
+    return _decoder.decode(data)
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/edge/_peers.py
@@ -0,0 +1,104 @@
+"""Calls between the VMs over pynng."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Callable
+
+import msgspec
+import pynng
+from result import Err, Ok, Result
+
+from papayadyke_daemon.edge._messages import Message, decode_message, encode_message
+from papayadyke_daemon.peers._link import Link
+from papayadyke_daemon.peers._settings import PeerSettings
+from papayadyke_daemon.peers._stats import Counters
+
+LOG = logging.getLogger(__name__)
+
+SERVING_THREADS = 6  # calls at a time; one may wait for the advisory service
+CALL_TIMEOUT_S = 0.4  # seconds; VMs answer each other in a few milliseconds
+
+
+class PeerServer:
+    """Answers calls of other VMs.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port to listen on.
+    handle : callable
+        Takes a message and returns the reply.
+    """
+
+    def __init__(self, address: str, handle: Callable[[Message], Message]) -> None:
+        self.address = address
+        self._handle = handle
+        self._socket = pynng.Rep0()
+        self._is_closed = False
+
+    def start(self) -> None:
+        """Listen and serve in the background."""
+        self._socket.listen(f"tcp://{self.address}")
+        for number in range(SERVING_THREADS):
+            threading.Thread(
+                target=self._serve, name=f"peer-{number}", daemon=True
+            ).start()
+
+    def close(self) -> None:
+        """Serve no more calls."""
+        self._is_closed = True
+        self._socket.close()
+
+    def _serve(self) -> None:
+        with self._socket.new_context() as context:
+            while not self._is_closed:
+                try:
+                    data = context.recv()
+                    reply = self._handle(decode_message(data))
+                    context.send(encode_message(reply))
+                except pynng.Closed:
+                    return
+                except pynng.NNGException as exc:
+                    LOG.warning("peers: a call was lost: %s", exc)
+                except msgspec.DecodeError as exc:
+                    LOG.warning("peers: a call could not be read: %s", exc)
+                except Exception:
+                    LOG.exception("peers: a call failed")
+
+
+class PeerClients:
+    """Keeps a link to each VM that was called."""
+
+    def __init__(self) -> None:
+        self._links: dict[str, Link] = {}
+        self._lock = threading.Lock()
+        self._counters = Counters()
+        self._settings = PeerSettings()
+
+    def call(
+        self, address: str, message: Message, *, timeout_s: float = CALL_TIMEOUT_S
+    ) -> Result[Message, str]:
+        """Call a VM and wait for its reply."""
+        with self._lock:
+            link = self._links.get(address)
+            if link is None:
+                link = self._links[address] = Link(
+                    address, settings=self._settings, counters=self._counters
+                )
+        answer = link.call(encode_message(message), timeout_s=timeout_s)
+        if isinstance(answer, Err):
+            return Err(answer.err_value.detail)
+        try:
+            return Ok(decode_message(answer.ok_value))
+        except msgspec.DecodeError as exc:
+            return Err(str(exc))
+
+    def keep_only(self, addresses: set[str]) -> None:
+        """Close the links to VMs that are gone."""
+        with self._lock:
+            gone = [name for name in self._links if name not in addresses]
+            links = [self._links.pop(name) for name in gone]
+        for link in links:
+            link.close()
