Test the dispatcher in a world of fake upstreams

Cause: the dispatcher had no tests. The world keeps the platform's rules (tokens, rising attempts, leases, ends listed until noted) and asserts capacity, no task twice, order and budget at each start.

--- /dev/null
+++ b/packages/core/src/papayadyke_core/dispatch/tests/conftest.py
@@ -0,0 +1,6 @@
+"""Makes the world of these tests importable."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent))
--- /dev/null
+++ b/packages/core/src/papayadyke_core/dispatch/tests/dispatch_world.py
@@ -0,0 +1,340 @@
+"""Upstreams and a store in memory, to drive dispatchers through faults.
+
+The upstreams keep the platform's rules: fencing tokens, attempts that only rise,
+leases, ends that stay listed until they are noted. The world checks what the
+dispatcher must hold, from what upstreams see.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from papayadyke_core.dispatch import (
+    Advice,
+    AdvicePolicy,
+    Catalog,
+    Dispatcher,
+    DispatchSettings,
+    EndedRow,
+    JobProgress,
+    QueuePolicy,
+    RunEnd,
+    RunningRow,
+    StagedJobSpec,
+    StartOrder,
+    StartOutcome,
+    StepSpec,
+    StopOrder,
+    TaskId,
+    UpstreamEntry,
+    UpstreamReport,
+    decode_progress,
+)
+
+QUEUE = "host/queue/"
+LEASE_S = 6.0
+
+
+def make_catalog(**changes):
+    """Return a configuration with one queue."""
+    policy = {"max_attempts": 2, "stretch": 2.0, "allowance_s": 1.0, **changes}
+    queue = QueuePolicy("queue", "host", "/queue/", "service", **policy)
+    return Catalog(1, {QUEUE: queue})
+
+
+def make_job(job_id, *steps, queue=QUEUE, repeat=None):
+    """Return a job of steps, one task of a core where none is given."""
+    steps = steps or (make_step(),)
+    return StagedJobSpec(job_id, queue, "payload", tuple(steps), 0.0, repeat)
+
+
+def make_step(count=1, **changes):
+    """Return a step whose tasks need a core and a second each."""
+    needs = {"cpu_millis": 1000, "memory_mb": 100, "estimate_s": 1.0, **changes}
+    return StepSpec(count, **needs)
+
+
+def make_entry(name, *, cores=4, **changes):
+    """Return an entry of the registry."""
+    return UpstreamEntry(
+        name, "service", f"{name}:1", "zone", cores * 1000, 100_000, 0, **changes
+    )
+
+
+@dataclass
+class FakeUpstream:
+    """An upstream that runs what it is told, as the platform's do."""
+
+    entry: UpstreamEntry
+    life: int = 1
+    token: int = 0
+    lease_until_s: float = 0.0
+    running: dict[TaskId, int] = field(default_factory=dict)
+    highest: dict[TaskId, int] = field(default_factory=dict)
+    ended: list[EndedRow] = field(default_factory=list)
+    ends: int = 0
+    is_cut: bool = False
+
+    def start(self, order: StartOrder, token: int, deadline_s: float, now: float):
+        if token < self.token:
+            return StartOutcome.FENCED
+        self.token = token
+        if now > deadline_s:
+            return StartOutcome.STALE
+        self.lease_until_s = max(self.lease_until_s, deadline_s)
+        if order.attempt <= self.highest.get(order.task, 0):
+            is_there = self.running.get(order.task) == order.attempt
+            return StartOutcome.STARTED if is_there else StartOutcome.STALE
+        self.highest[order.task] = order.attempt
+        self.running[order.task] = order.attempt
+        return StartOutcome.STARTED
+
+    def stop(self, order: StopOrder, token: int) -> bool:
+        if token < self.token:
+            return False
+        self.token = token
+        highest = self.highest.get(order.task, 0)
+        self.highest[order.task] = max(highest, order.attempt)
+        if self.running.get(order.task) == order.attempt:
+            self.end(order.task, RunEnd.STOPPED)
+        return True
+
+    def look(self, token, noted_end, lease_until_s, asked_s, now):
+        """Return a report, or None where the token is too low."""
+        if token < self.token:
+            return None
+        self.token = token
+        self.ended = [row for row in self.ended if row.number > noted_end]
+        if lease_until_s is not None:
+            self.lease_until_s = max(self.lease_until_s, lease_until_s)
+        running = [RunningRow(task, attempt) for task, attempt in self.running.items()]
+        return UpstreamReport(self.life, asked_s, now, running, list(self.ended))
+
+    def end(self, task: TaskId, how: RunEnd) -> None:
+        attempt = self.running.pop(task)
+        self.ends += 1
+        self.ended.append(EndedRow(self.ends, task, attempt, how))
+
+    def expire(self, now: float) -> None:
+        if now > self.lease_until_s:
+            for task in list(self.running):
+                self.end(task, RunEnd.LAPSED)
+
+    def crash(self) -> None:
+        self.life += 1
+        self.token = self.ends = 0
+        self.running, self.highest, self.ended = {}, {}, []
+
+
+class World:
+    """Upstreams, a store and one dispatcher at a time."""
+
+    def __init__(self, catalog=None, *entries):
+        self.now = 100.0
+        self.catalog = catalog or make_catalog()
+        self.upstreams = {item.upstream_id: FakeUpstream(item) for item in entries}
+        self.jobs: dict[str, StagedJobSpec] = {}
+        self.cancelled: dict[str, float] = {}
+        self.progress: dict[str, bytes] = {}
+        self.specs: dict[TaskId, StepSpec] = {}
+        self.late: list[tuple[float, FakeUpstream, int, StartOrder, int, float]] = []
+        self.noted: dict[str, tuple[int, int]] = {}
+        self.done: set[TaskId] = set()
+        self.failed: dict[TaskId, int] = {}
+        self.starts = 0
+        self.store_is_away = False
+        self.lose_next_start: str | None = None
+        self.term = 0
+        self.dispatcher = self.make_dispatcher()
+
+    def make_dispatcher(self):
+        """Begin a term, as a new decider does."""
+        self.term += 1
+        self.noted = {}
+        self.lost_for: dict[str, float] = {}
+        settings = DispatchSettings(lease_s=LEASE_S)
+        made = Dispatcher(settings, term=self.term - 1, now=self.now)
+        made.set_catalog(self.catalog)
+        for item in self.upstreams.values():
+            made.list_upstream(item.entry)
+        for name, spec in self.jobs.items():
+            data = self.progress.get(name)
+            stored = None if data is None else decode_progress(data)
+            made.load(
+                spec,
+                stored,
+                is_cancelled=name in self.cancelled,
+                age_s=0.0,
+                now=self.now,
+            )
+        return made
+
+    def take_over(self):
+        """Replace the dispatcher by one that knows only store and upstreams."""
+        self.dispatcher = self.make_dispatcher()
+
+    def submit(self, spec):
+        self.jobs[spec.job_id] = spec
+        for number, step in enumerate(spec.steps):
+            for index in range(step.count):
+                self.specs[TaskId(spec.job_id, 0, number, index)] = step
+        self.dispatcher.submit(spec, now=self.now)
+
+    def cancel(self, job_id):
+        self.cancelled[job_id] = self.now
+        self.dispatcher.cancel(job_id, self.now)
+
+    def step(self, seconds=0.05):
+        """Let time pass, look everywhere, decide, and carry out."""
+        self.now += seconds
+        self._run_late_starts()
+        for upstream in self.upstreams.values():
+            upstream.expire(self.now)
+        self.look()
+        self._commit()
+        self._carry_out(self.dispatcher.tick(self.now, self.now))
+        self.check()
+
+    def run(self, seconds, *, end=RunEnd.DONE, after_s=1.0):
+        """Let tasks end by themselves after a time."""
+        begun: dict[tuple[str, TaskId, int], float] = {}
+        until = self.now + seconds
+        while self.now < until:
+            self.step()
+            for upstream in self.upstreams.values():
+                for task, attempt in list(upstream.running.items()):
+                    key = (upstream.entry.upstream_id, task, attempt)
+                    since = begun.setdefault(key, self.now)
+                    if self.now - since >= after_s:
+                        self.end(upstream, task, end)
+
+    def end(self, upstream, task, how):
+        """End a run; a gang ends together."""
+        if how is RunEnd.FAILED:
+            self.failed[task] = self.failed.get(task, 0) + 1
+        if how is RunEnd.DONE:
+            self.done.add(task)
+        upstream.end(task, how)
+
+    def state_of(self, job_id):
+        return self.dispatcher.state_of(job_id)
+
+    def running(self):
+        """Return every run as (upstream, task, attempt)."""
+        return [
+            (upstream.entry.upstream_id, task, attempt)
+            for upstream in self.upstreams.values()
+            for task, attempt in upstream.running.items()
+        ]
+
+    def check(self):
+        """Assert what holds at every moment."""
+        seen: set[TaskId] = set()
+        for upstream in self.upstreams.values():
+            used = sum(self.specs[task].cpu_millis for task in upstream.running)
+            assert used <= upstream.entry.cpu_millis, "over the capacity"
+            for task in upstream.running:
+                if not self.specs[task].is_speculative:
+                    assert task not in seen, f"{task} runs twice"
+                seen.add(task)
+
+    def look(self):
+        """Have the dispatcher look at every upstream that can be reached."""
+        for name, upstream in self.upstreams.items():
+            if upstream.is_cut:
+                self.dispatcher.lose_contact(name)
+                self.lost_for[name] = self.now
+                continue
+            life, number = self.noted.get(name, (0, 0))
+            noted = number if life == upstream.life else 0
+            lease = None
+            known = self.dispatcher.upstreams[name]
+            if known.is_reachable:
+                lease = self.now + LEASE_S
+                self.dispatcher.note_lease(name, lease + 0.5)
+            report = upstream.look(self.term, noted, lease, self.now - 0.001, self.now)
+            if report is not None:
+                self.dispatcher.report(name, report, self.now)
+
+    def _commit(self):
+        commit = self.dispatcher.take_commit()
+        if commit is None:
+            return
+        is_stored = not self.store_is_away or not commit.progress
+        if is_stored:
+            self.progress.update(commit.progress)
+            self.noted.update(commit.noted)
+        self.dispatcher.committed(commit, is_stored=is_stored)
+
+    def _carry_out(self, orders):
+        for request in orders.advice:
+            tickets = dict.fromkeys(request.upstream_ids, "ticket")
+            self.dispatcher.advise(
+                Advice(request.step, request.upstream_ids, tickets, 2.0, self.now)
+            )
+        for order in orders.starts:
+            self._start(order)
+        for order in orders.stops:
+            upstream = self.upstreams[order.upstream_id]
+            if not upstream.is_cut and upstream.stop(order, self.term):
+                self.dispatcher.stop_answered(order, self.now)
+
+    def _start(self, order):
+        upstream = self.upstreams[order.upstream_id]
+        deadline = self.now + LEASE_S
+        self.dispatcher.note_lease(order.upstream_id, deadline + 0.5)
+        fate, self.lose_next_start = self.lose_next_start, None
+        if fate == "late":
+            self.late.append(
+                (self.now + 3.0, upstream, upstream.life, order, self.term, deadline)
+            )
+        if upstream.is_cut or fate in ("late", "lost"):
+            outcome = StartOutcome.UNKNOWN
+        else:
+            outcome = self._start_there(upstream, order, self.term, deadline)
+            if fate == "answer":
+                outcome = StartOutcome.UNKNOWN
+        self.dispatcher.start_answered(order, outcome, self.now)
+
+    def _start_there(self, upstream, order, token, deadline):
+        is_new = order.task not in upstream.running
+        outcome = upstream.start(order, token, deadline, self.now)
+        if outcome is StartOutcome.STARTED and is_new:
+            self.starts += 1
+            self._judge_start(order.task)
+        return outcome
+
+    def _judge_start(self, task):
+        assert task not in self.done, f"{task} started after it was done"
+        limit = self.catalog.queues[QUEUE].max_attempts
+        assert self.failed.get(task, 0) < limit, f"{task} started too often"
+        for number in self.jobs[task.job_id].steps[task.step].after:
+            for index in range(self.jobs[task.job_id].steps[number].count):
+                earlier = TaskId(task.job_id, task.occurrence, number, index)
+                assert earlier in self.done, f"{task} started before {earlier}"
+
+    def _run_late_starts(self):
+        due = [item for item in self.late if item[0] <= self.now]
+        self.late = [item for item in self.late if item[0] > self.now]
+        for _, upstream, life, order, token, deadline in due:
+            if upstream.life == life:
+                self._start_there(upstream, order, token, deadline)
+
+
+def stored_state(world, job_id):
+    """Return the stored progress of a job."""
+    data = world.progress.get(job_id)
+    return None if data is None else decode_progress(data)
+
+
+__all__ = [
+    "QUEUE",
+    "AdvicePolicy",
+    "JobProgress",
+    "World",
+    "make_catalog",
+    "make_entry",
+    "make_job",
+    "make_step",
+    "stored_state",
+]
--- /dev/null
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher.py
@@ -0,0 +1,228 @@
+"""What the dispatcher does on calm days and in single faults."""
+
+from dispatch_world import World, make_catalog, make_entry, make_job, make_step
+
+from papayadyke_core.dispatch import AdvicePolicy, JobState, RunEnd, TaskId
+
+
+def two_upstreams(**policy):
+    return World(make_catalog(**policy), make_entry("a"), make_entry("b"))
+
+
+def test_job_runs_to_completion():
+    world = two_upstreams()
+    world.submit(make_job("j", make_step(3)))
+    assert world.state_of("j") is JobState.QUEUED
+    world.run(3.0)
+    assert world.state_of("j") is JobState.COMPLETE
+    assert world.starts == 3
+
+
+def test_step_waits_for_the_steps_before():
+    world = two_upstreams()
+    world.submit(make_job("j", make_step(2), make_step(1, after=(0,))))
+    world.run(0.5)
+    assert {task.step for _, task, _ in world.running()} == {0}
+    world.run(4.0)
+    assert world.state_of("j") is JobState.COMPLETE
+
+
+def test_gang_starts_whole_or_not_at_all():
+    world = two_upstreams()
+    world.submit(make_job("small", make_step(3)))
+    world.run(0.2)
+    world.submit(make_job("gang", make_step(8, is_gang=True)))
+    world.run(0.5)
+    assert not [task for _, task, _ in world.running() if task.job_id == "gang"]
+    world.run(1.5)
+    assert len([t for _, t, _ in world.running() if t.job_id == "gang"]) == 8
+
+
+def test_members_of_a_gang_share_their_attempt():
+    world = two_upstreams()
+    world.submit(make_job("gang", make_step(5, is_gang=True)))
+    world.run(0.3)
+    assert {attempt for _, _, attempt in world.running()} == {1}
+
+
+def test_gang_that_lost_a_member_starts_again_whole():
+    world = two_upstreams()
+    world.submit(make_job("gang", make_step(5, is_gang=True)))
+    world.run(0.3)
+    world.upstreams["a"].crash()
+    world.run(0.5)
+    assert len(world.running()) == 5
+    assert {attempt for _, _, attempt in world.running()} == {2}
+
+
+def test_one_end_of_a_gang_stands_for_all():
+    world = two_upstreams()
+    world.submit(make_job("gang", make_step(5, is_gang=True)))
+    world.run(0.3)
+    name, task, _ = world.running()[0]
+    world.end(world.upstreams[name], task, RunEnd.DONE)
+    world.run(0.3)
+    assert world.state_of("gang") is JobState.COMPLETE
+
+
+def test_job_fails_after_its_attempts():
+    world = two_upstreams(max_attempts=2)
+    world.submit(make_job("j"))
+    world.run(5.0, end=RunEnd.FAILED, after_s=0.2)
+    assert world.state_of("j") is JobState.FAILED
+    assert world.starts == 2
+
+
+def test_second_attempt_goes_to_another_upstream():
+    world = two_upstreams()
+    world.submit(make_job("j"))
+    world.run(0.2)
+    first, task, _ = world.running()[0]
+    world.end(world.upstreams[first], task, RunEnd.FAILED)
+    world.run(0.2)
+    assert world.running()[0][0] != first
+
+
+def test_cancelled_job_is_stopped_and_starts_no_more():
+    world = two_upstreams()
+    world.submit(make_job("j", make_step(3), make_step(1, after=(0,))))
+    world.run(0.2)
+    world.cancel("j")
+    world.run(1.0)
+    assert not world.running()
+    assert world.state_of("j") is JobState.CANCELLED
+
+
+def test_final_state_is_told_only_once_stored():
+    world = two_upstreams()
+    world.submit(make_job("j"))
+    world.run(0.2)
+    world.store_is_away = True
+    world.run(2.0)
+    assert world.state_of("j") is JobState.ACTIVE
+    world.store_is_away = False
+    world.run(0.2)
+    assert world.state_of("j") is JobState.COMPLETE
+
+
+def test_ends_are_noted_only_once_stored():
+    world = two_upstreams()
+    world.submit(make_job("j"))
+    world.run(0.2)
+    world.store_is_away = True
+    world.run(2.0)
+    assert sum(len(item.ended) for item in world.upstreams.values()) == 1
+    world.store_is_away = False
+    world.run(0.3)
+    assert sum(len(item.ended) for item in world.upstreams.values()) == 0
+
+
+def test_successor_finds_an_end_that_was_not_stored():
+    world = two_upstreams()
+    world.submit(make_job("j"))
+    world.run(0.2)
+    world.store_is_away = True
+    world.run(2.0)
+    world.store_is_away = False
+    world.take_over()
+    world.run(1.0)
+    assert world.state_of("j") is JobState.COMPLETE
+    assert world.starts == 1
+
+
+def test_successor_adopts_what_runs():
+    world = two_upstreams()
+    world.submit(make_job("j", make_step(4)))
+    world.run(0.3)
+    world.take_over()
+    world.run(0.5, after_s=10.0)
+    assert len(world.running()) == 4
+    assert world.starts == 4
+
+
+def test_successor_waits_for_upstreams_it_can_not_see():
+    world = two_upstreams()
+    world.submit(make_job("j"))
+    world.run(0.2)
+    name = world.running()[0][0]
+    world.upstreams[name].is_cut = True
+    world.take_over()
+    world.run(4.0, after_s=30.0)
+    assert world.starts == 1
+    world.run(4.0, after_s=30.0)
+    assert world.starts == 2
+
+
+def test_task_of_a_silent_upstream_runs_again_after_its_lease():
+    world = two_upstreams()
+    world.submit(make_job("j"))
+    world.run(0.2)
+    world.upstreams[world.running()[0][0]].is_cut = True
+    world.run(12.0, after_s=30.0)
+    assert world.starts == 2
+
+
+def test_start_whose_answer_is_lost_is_adopted():
+    world = two_upstreams()
+    world.lose_next_start = "answer"
+    world.submit(make_job("j"))
+    world.run(3.0)
+    assert world.state_of("j") is JobState.COMPLETE
+    assert world.starts == 1
+
+
+def test_start_that_may_come_late_is_prevented_before_the_next():
+    world = two_upstreams()
+    world.lose_next_start = "late"
+    world.submit(make_job("j"))
+    world.run(5.0)
+    assert world.state_of("j") is JobState.COMPLETE
+    assert world.starts == 1
+
+
+def test_draining_upstream_gets_no_new_work():
+    world = two_upstreams()
+    world.dispatcher.list_upstream(make_entry("a", is_draining=True))
+    world.submit(make_job("j", make_step(6)))
+    world.run(0.3)
+    assert {name for name, _, _ in world.running()} == {"b"}
+
+
+def test_at_most_so_many_tasks_of_a_step_on_one_upstream():
+    world = two_upstreams()
+    world.submit(make_job("j", make_step(4, max_per_upstream=1)))
+    world.run(0.3)
+    assert sorted(name for name, _, _ in world.running()) == ["a", "b"]
+
+
+def test_label_is_needed():
+    world = World(None, make_entry("a"), make_entry("b", labels=frozenset({"fast"})))
+    world.submit(make_job("j", make_step(2, label="fast")))
+    world.run(0.3)
+    assert {name for name, _, _ in world.running()} == {"b"}
+
+
+def test_start_carries_a_ticket_where_the_queue_needs_advice():
+    world = two_upstreams(advice=AdvicePolicy(0.01, 0.0, 2.0))
+    world.submit(make_job("j"))
+    world.run(2.0)
+    assert world.state_of("j") is JobState.COMPLETE
+
+
+def test_unknown_run_is_stopped_and_its_upstream_counts_as_full():
+    world = two_upstreams()
+    task = TaskId("stranger", 0, 0, 0)
+    world.specs[task] = make_step()
+    world.upstreams["a"].running[task] = 1
+    world.look()
+    assert world.dispatcher.upstreams["a"].slots_for(make_step()) == 0
+    world.step()
+    assert not world.running()
+
+
+def test_attempts_of_a_later_term_are_higher():
+    world = two_upstreams()
+    world.take_over()
+    world.submit(make_job("j"))
+    world.run(0.3)
+    assert world.running()[0][2] > 1
