Resume after a takeover at once for new jobs, and follow an own dead process

Followers took a compacted history for an outage of the store.

Change: jobs stored after the takeover are not suspect; a VM that finds its own earlier process as decider follows it at once; the watch of the decider goes on from the revision of the read, not of the record; term lease 1.2 s, upstream lease 5 s.

Ruled out: dropping the wait for upstreams that the registry does not list, since one that is cut off from the store runs on.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -150,13 +150,27 @@
         if not job.is_final:
             self._open_steps(job)
 
-    def submit(self, spec: StagedJobSpec, *, now: float, age_s: float = 0.0) -> bool:
-        """Take in an accepted job; return whether it is new."""
+    def submit(
+        self,
+        spec: StagedJobSpec,
+        *,
+        now: float,
+        age_s: float = 0.0,
+        is_suspect: bool = False,
+    ) -> bool:
+        """Take in an accepted job; return whether it is new.
+
+        Parameters
+        ----------
+        spec : StagedJobSpec
+        now, age_s : float
+        is_suspect : bool, default=False
+            The decider before this one may have started it.
+        """
         if spec.job_id in self.jobs:
             return False
         job = StagedJob(spec, now=now, age_s=age_s)
-        # The decider before this one may still have started it.
-        job.is_suspect = self._barrier_s is not None
+        job.is_suspect = is_suspect and self._barrier_s is not None
         self.jobs[spec.job_id] = job
         self._open_steps(job)
         return True
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher.py
@@ -226,3 +226,12 @@
     world.submit(make_job("j"))
     world.run(0.3)
     assert world.running()[0][2] > 1
+
+
+def test_successor_starts_jobs_that_were_accepted_after_it_at_once():
+    world = two_upstreams()
+    world.upstreams["a"].is_cut = True
+    world.take_over()
+    world.submit(make_job("j"))
+    world.run(0.3)
+    assert [name for name, _, _ in world.running()] == ["b"]
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -189,9 +189,9 @@
 
     # Called by other threads
 
-    def submit(self, spec: StagedJobSpec) -> None:
-        """Take in an accepted job."""
-        self._mailbox.post(lambda: self._submit(spec))
+    def submit(self, spec: StagedJobSpec, revision: int) -> None:
+        """Take in a job that was stored at a revision; 0 where that is not known."""
+        self._mailbox.post(lambda: self._submit(spec, revision))
 
     def cancel(self, job_id: str) -> None:
         """Take in a stored cancellation."""
@@ -221,10 +221,11 @@
 
     # On the decider's thread
 
-    def _submit(self, spec: StagedJobSpec) -> None:
+    def _submit(self, spec: StagedJobSpec, revision: int) -> None:
         age_s = max(0.0, time.time() - spec.accepted_s)
         now = read_clock()
-        if self._dispatcher.submit(spec, now=now, age_s=age_s):
+        is_new = revision > self.term.token
+        if self._dispatcher.submit(spec, now=now, age_s=age_s, is_suspect=not is_new):
             log_event(LOG, "decider: job taken in", request=spec.job_id, age_s=age_s)
         if spec.job_id in self._early_cancels:
             self._cancel(spec.job_id)
@@ -307,7 +308,7 @@
         if record.value is None:
             return
         if record.key.startswith(JOB_PREFIX):
-            self._submit(decode_job(record.value))
+            self._submit(decode_job(record.value), record.revision)
         elif record.key.startswith(CANCEL_PREFIX):
             self._cancel(record.key.removeprefix(CANCEL_PREFIX))
 
--- a/packages/daemon/src/papayadyke_daemon/edge/_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_intake.py
@@ -56,6 +56,10 @@
 NOTICE_JOBS = 50  # jobs told in one message
 
 
+# A stored job with its revision, or the id of a cancelled one.
+Notice = tuple[StagedJobSpec, int] | str
+
+
 class IntakeOutcome(StrEnum):
     """What became of a job or of a cancellation.
 
@@ -101,14 +105,14 @@
         self._ports = ports
         self._clients = clients
         self._parts = parts
-        self._notices: queue.SimpleQueue[StagedJobSpec | str] = queue.SimpleQueue()
+        self._notices: queue.SimpleQueue[Notice] = queue.SimpleQueue()
         self._final: dict[str, JobState] = {}
         threading.Thread(target=self._notify_on, name="notices", daemon=True).start()
 
     def accept(self, spec: StagedJobSpec, *, may_relay: bool = True) -> IntakeOutcome:
         """Store a job; it is accepted once that is certain."""
         data = encode_record(spec)
-        outcome = self._store(JOB_PREFIX + spec.job_id, data)
+        outcome, revision = self._store(JOB_PREFIX + spec.job_id, data)
         if outcome is not IntakeOutcome.ACCEPTED and may_relay:
             outcome = self._relay(StoreJob(data), outcome)
         log_event(
@@ -120,7 +124,7 @@
             version=self.catalog.version if self.catalog else 0,
         )
         if outcome is IntakeOutcome.ACCEPTED:
-            self._notices.put(spec)
+            self._notices.put((spec, revision))
         return outcome
 
     def accept_bytes(self, data: bytes) -> IntakeOutcome:
@@ -164,18 +168,18 @@
             return reply.ok_value.count if reply.ok_value.is_decider else None
         return None
 
-    def take_notice(self, jobs: list[bytes]) -> bool:
+    def take_notice(self, jobs: list[tuple[bytes, int]]) -> bool:
         """Take in jobs that another VM accepted; return whether this VM decides."""
         own = self._parts.own_decider()
         if own is None:
             return False
-        for data in jobs:
-            own.submit(decode_job(data))
+        for data, revision in jobs:
+            own.submit(decode_job(data), revision)
         return True
 
     # Parts
 
-    def _store(self, key: str, data: bytes) -> IntakeOutcome:
+    def _store(self, key: str, data: bytes) -> tuple[IntakeOutcome, int]:
         outcome = IntakeOutcome.REFUSED
         for number in range(STORE_TRIES):
             if number:
@@ -184,14 +188,14 @@
                 [Write(key, data)], expected=[(key, 0)], timeout_s=STORE_TIMEOUT_S
             )
             if isinstance(stored, Ok):
-                return IntakeOutcome.ACCEPTED
+                return IntakeOutcome.ACCEPTED, stored.ok_value
             error = stored.err_value
             if error.kind is StoreErrorKind.CONFLICT:
                 # Stored by an earlier try, of this VM or of another.
-                return IntakeOutcome.ACCEPTED
+                return IntakeOutcome.ACCEPTED, 0
             if error.kind is StoreErrorKind.UNKNOWN:
                 outcome = IntakeOutcome.UNKNOWN
-        return outcome
+        return outcome, 0
 
     def _store_cancel(self, job_id: str) -> IntakeOutcome:
         found = self._ports.store.read(JOB_PREFIX + job_id)
@@ -199,7 +203,8 @@
             return IntakeOutcome.REFUSED
         if found.ok_value is None:
             return IntakeOutcome.NO_SUCH_JOB
-        return self._store(CANCEL_PREFIX + job_id, b"{}")
+        outcome, _ = self._store(CANCEL_PREFIX + job_id, b"{}")
+        return outcome
 
     def _relay(
         self, message: StoreJob | StoreCancel, outcome: IntakeOutcome
@@ -242,19 +247,19 @@
 
     def _notify_on(self) -> None:
         while True:
-            waiting = [self._notices.get()]
+            waiting: list[Notice] = [self._notices.get()]
             while not self._notices.empty() and len(waiting) < NOTICE_JOBS:
                 waiting.append(self._notices.get())
             self._notify(waiting)
 
-    def _notify(self, waiting: list[StagedJobSpec | str]) -> None:
+    def _notify(self, waiting: list[Notice]) -> None:
         """Tell the decider; it also reads the store, so a lost notice only delays."""
-        jobs = [item for item in waiting if isinstance(item, StagedJobSpec)]
+        jobs = [item for item in waiting if not isinstance(item, str)]
         cancelled = [item for item in waiting if isinstance(item, str)]
         own = self._parts.own_decider()
         if own is not None:
-            for spec in jobs:
-                own.submit(spec)
+            for spec, revision in jobs:
+                own.submit(spec, revision)
             for job_id in cancelled:
                 own.cancel(job_id)
             return
@@ -262,7 +267,7 @@
         if not known.token:
             return
         if jobs:
-            data = [encode_record(spec) for spec in jobs]
+            data = [(encode_record(spec), revision) for spec, revision in jobs]
             self._clients.call(known.address, Submitted(data))
         if cancelled:
             self._clients.call(known.address, Cancelled(cancelled))
--- a/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
@@ -171,23 +171,33 @@
             self._ports.store.end_lease(self._lease)
 
     def _follow(self) -> None:
-        found = self._ports.store.read(DECIDER_KEY)
+        found = self._ports.store.read_prefix(DECIDER_KEY)
         self._note_store(found)
         if isinstance(found, Err):
             self._stopped.wait(RETRY_S)
             return
-        record = found.ok_value
-        if record is not None:
+        page = found.ok_value
+        record = page.records[0] if page.records else None
+        if record is not None and not self._is_own_past(record):
             self._know(record)
-            self._watch_decider(record.revision)
+            self._watch_decider(page.revision)
             return
         self.known = KnownDecider()
         if not self._may_lead():
             self._stopped.wait(RETRY_S)
             return
-        weakness = max(0.0, 1 - self.cfg.strength / FULL_STRENGTH)
-        self._stopped.wait(weakness * WEAKEST_DELAY_S)
-        self._try_to_lead()
+        if record is None:
+            weakness = max(0.0, 1 - self.cfg.strength / FULL_STRENGTH)
+            self._stopped.wait(weakness * WEAKEST_DELAY_S)
+        self._try_to_lead(0 if record is None else record.revision)
+
+    def _is_own_past(self, record: Record) -> bool:
+        """Tell whether an earlier process of this VM holds the key.
+
+        That process is dead, so its lease need not be waited for.
+        """
+        holder = decode_decider(record.value or b"")
+        return holder.vm == self.cfg.vm and holder.incarnation != self._incarnation
 
     def _note_store(self, found: Result[object, StoreError]) -> None:
         is_reached = isinstance(found, Ok)
@@ -206,10 +216,13 @@
             changes = self._ports.store.watch(
                 DECIDER_KEY, after=revision, wait_s=WATCH_WAIT_S
             )
-            self._note_store(changes)
             if isinstance(changes, Err):
+                error = changes.err_value
+                if error.kind is not StoreErrorKind.COMPACTED:
+                    self._note_store(changes)
                 self._stopped.wait(RETRY_S)
                 return
+            self._note_store(changes)
             page = changes.ok_value
             if page.records:
                 last = page.records[-1]
@@ -218,7 +231,7 @@
                 self._know(last)
             revision = max(revision, page.revision)
 
-    def _try_to_lead(self) -> None:
+    def _try_to_lead(self, past_revision: int) -> None:
         store = self._ports.store
         granted = store.grant_lease(self.cfg.decider_ttl_s)
         roster = store.read(ROSTER_KEY)
@@ -238,7 +251,7 @@
                 Write(DECIDER_KEY, encode_record(own), granted.ok_value),
                 Write(ROSTER_KEY, encode_record(following)),
             ],
-            expected=[(DECIDER_KEY, 0), (ROSTER_KEY, revision)],
+            expected=[(DECIDER_KEY, past_revision), (ROSTER_KEY, revision)],
         )
         if isinstance(written, Err):
             log_event(LOG, "leadership: not taken", why=written.err_value.kind)
--- a/packages/daemon/src/papayadyke_daemon/edge/_messages.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_messages.py
@@ -34,9 +34,15 @@
 
 
 class Submitted(Message):
-    """Jobs that were accepted and stored."""
+    """Jobs that were accepted and stored.
 
-    jobs: list[bytes]
+    Parameters
+    ----------
+    jobs : list of (bytes, int)
+        Each with the revision at which it was stored, 0 where that is not known.
+    """
+
+    jobs: list[tuple[bytes, int]]
 
 
 class Cancelled(Message):
--- a/packages/daemon/src/papayadyke_daemon/edge/_ports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_ports.py
@@ -199,9 +199,9 @@
     peers_port: int
     metrics_port: int = 0
     strength: float = 1.0
-    decider_ttl_s: float = 2.0
-    renew_s: float = 0.5
-    lease_s: float = 6.0
+    decider_ttl_s: float = 1.2
+    renew_s: float = 0.3
+    lease_s: float = 5.0
     drain_s: float = 3.0
     hello_s: float = 0.5
     status_kept_s: float = 120.0
