Relay and refuse at once where a VM has lost the store

Cause: a VM that the store turned away held each request through three tries of 0.7 s; two in three such requests reached the caller's deadline. VMs cut from the store went on asking a decider whose lease had run out.

Change: while the store is lost a VM has the decider's VM store for it, or refuses at once; hellos tell who decides, and other VMs are asked where the decider is silent; a decider without a valid lease places nothing, and gives its term up after three seconds unless the store is away from all; a VM that can store in neither way is not ready.

--- /dev/null
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher_machine.py
@@ -0,0 +1,119 @@
+"""Random faults against the dispatcher; the world asserts what must hold.
+
+A long run: `PAPAYADYKE_STEPS=2000 python -m pytest -k dispatcher_machine
+--hypothesis-seed=N` from the root; the number of starts is printed with `-s`.
+"""
+
+import os
+
+from dispatch_world import World, make_catalog, make_entry, make_job, make_step
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from papayadyke_core.dispatch import (
+    FINAL_STATES,
+    AdvicePolicy,
+    JobState,
+    RunEnd,
+)
+
+STEPS = int(os.environ.get("PAPAYADYKE_STEPS", "60"))
+EXAMPLES = int(os.environ.get("PAPAYADYKE_EXAMPLES", "40"))
+NAMES = ("a", "b", "c")
+SETTLE_S = 40.0  # seconds; leases, attempts and queues are over well before
+
+
+class DispatcherMachine(RuleBasedStateMachine):
+    """Jobs, ends and faults in any order, then calm until everything has ended."""
+
+    def __init__(self):
+        super().__init__()
+        catalog = make_catalog(max_attempts=2, advice=AdvicePolicy(0.01, 0.0, 2.0))
+        self.world = World(catalog, *(make_entry(name) for name in NAMES))
+        self.count = 0
+
+    @rule(
+        tasks=st.integers(1, 6),
+        is_gang=st.booleans(),
+        has_second=st.booleans(),
+        spread=st.integers(0, 2),
+    )
+    def submit(self, tasks, is_gang, has_second, spread):
+        if self.count >= 12:
+            return
+        self.count += 1
+        steps = [make_step(tasks, is_gang=is_gang, max_per_upstream=spread * 2)]
+        if has_second:
+            steps.append(make_step(1, after=(0,)))
+        self.world.submit(make_job(f"j{self.count}", *steps))
+
+    @rule(seconds=st.sampled_from([0.05, 0.05, 0.3, 2.0]))
+    def pass_time(self, seconds):
+        self.world.step(seconds)
+
+    @rule(pick=st.integers(0, 1000), how=st.sampled_from(list(RunEnd)[:4]))
+    def end_a_run(self, pick, how):
+        runs = self.world.running()
+        if runs:
+            name, task, _ = runs[pick % len(runs)]
+            self.world.end(self.world.upstreams[name], task, how)
+
+    @rule(fate=st.sampled_from(["answer", "lost", "late"]))
+    def lose_the_next_start(self, fate):
+        self.world.lose_next_start = fate
+
+    @rule(name=st.sampled_from(NAMES))
+    def cut_or_heal(self, name):
+        upstream = self.world.upstreams[name]
+        upstream.is_cut = not upstream.is_cut
+
+    @rule(name=st.sampled_from(NAMES))
+    def crash(self, name):
+        self.world.upstreams[name].crash()
+
+    @rule()
+    def store_goes_or_comes(self):
+        self.world.store_is_away = not self.world.store_is_away
+
+    @precondition(lambda self: not self.world.store_is_away)
+    @rule()
+    def take_over(self):
+        self.world.take_over()
+
+    @rule(number=st.integers(1, 12))
+    def cancel(self, number):
+        name = f"j{number}"
+        if name in self.world.jobs:
+            self.world.cancel(name)
+
+    @invariant()
+    def holds(self):
+        self.world.check()
+
+    def teardown(self):
+        """After the faults every job comes to its end."""
+        self.world.store_is_away = False
+        for upstream in self.world.upstreams.values():
+            upstream.is_cut = False
+        self.world.run(SETTLE_S, after_s=0.5)
+        for name in self.world.jobs:
+            state = self.world.state_of(name)
+            assert state in FINAL_STATES, f"{name} is {state}"
+            if name in self.world.cancelled:
+                continue
+            if state is JobState.FAILED:
+                failed = [t for t in self.world.failed if t.job_id == name]
+                assert failed, f"{name} failed without a failed run"
+        assert not self.world.running()
+        if STEPS > 60:
+            print("starts:", self.world.starts)
+
+
+TestDispatcherMachine = DispatcherMachine.TestCase
+TestDispatcherMachine.settings = settings(
+    max_examples=EXAMPLES,
+    stateful_step_count=STEPS,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
--- a/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
@@ -6,13 +6,13 @@
 import threading
 from collections.abc import Callable
 
-from result import Err, Ok
+from result import Ok
 
 from papayadyke_core.dispatch import Catalog, StepId
 from papayadyke_daemon.edge._clock import read_clock
 from papayadyke_daemon.edge._decider import Decider, Term
 from papayadyke_daemon.edge._intake import Intake, IntakeParts
-from papayadyke_daemon.edge._leadership import Leadership
+from papayadyke_daemon.edge._leadership import KnownDecider, Leadership
 from papayadyke_daemon.edge._logs import log_event
 from papayadyke_daemon.edge._messages import (
     Ack,
@@ -65,6 +65,8 @@
         self._is_draining = False
         self._catalog: Catalog | None = None
         self._decider: Decider | None = None
+        self._peers: list[str] = []
+        self._relay_until_s = 0.0
         self._peers_said: dict[str, tuple[float, bool, int]] = {}
         self._clients = PeerClients()
         self._leadership = Leadership(
@@ -78,7 +80,11 @@
         self.intake = Intake(
             ports,
             self._clients,
-            IntakeParts(lambda: self._decider, lambda: self._leadership.known),
+            IntakeParts(
+                lambda: self._decider,
+                lambda: self._leadership.known,
+                lambda: self._leadership.reaches_store,
+            ),
         )
         self._peer_server = PeerServer(
             f"{cfg.host}:{cfg.peers_port}", self._answer_peer
@@ -144,6 +150,7 @@
     def _end_term(self) -> None:
         decider, self._decider = self._decider, None
         if decider is not None:
+            self._peers = decider.list_vms()
             decider.stop()
 
     def _peers_lost_store(self) -> bool:
@@ -208,21 +215,56 @@
     # Readiness
 
     def _answer_readiness(self, req: HttpRequest) -> HttpAnswer:
-        is_ready = not self._is_draining and self._catalog is not None
+        is_ready = (
+            not self._is_draining and self._catalog is not None and self._can_store()
+        )
         return HttpAnswer(200 if is_ready else 503, b"{}")
 
+    def _can_store(self) -> bool:
+        """Tell whether jobs can be stored, by this VM or by the decider's."""
+        return self._leadership.reaches_store or read_clock() < self._relay_until_s
+
     # Peers
 
     def _greet_on(self) -> None:
-        own = f"{self.cfg.host}:{self.cfg.peers_port}"
         while not self._stopped.wait(self.cfg.hello_s):
             known = self._leadership.known
-            if not known.token or known.address == own or self._is_draining:
+            if self._leadership.is_decider or self._is_draining:
                 continue
-            hello = Hello(self.cfg.vm, own, self._leadership.reaches_store, known.token)
-            reply = self._clients.call(known.address, hello)
-            if isinstance(reply, Err):
-                log_event(LOG, "edge: decider silent", vm=known.vm, why=reply.err_value)
+            reply = self._greet(known.address) if known.token else None
+            if reply is not None and reply.is_decider:
+                self._peers = reply.peers
+                self._relay_until_s = read_clock() + HELLO_KEPT_S * reply.reaches_store
+                continue
+            if known.token:
+                log_event(LOG, "edge: decider silent", vm=known.vm, token=known.token)
+            if not self._leadership.reaches_store:
+                self._ask_peers()
+
+    def _ask_peers(self) -> None:
+        """Ask other VMs who decides, since the store can not be asked."""
+        for address in self._peers:
+            reply = self._greet(address)
+            if reply is not None and reply.decider > self._leadership.known.token:
+                self._leadership.learn(
+                    KnownDecider(reply.decider, reply.vm, reply.address)
+                )
+                return
+
+    def _greet(self, address: str) -> HelloReply | None:
+        own = f"{self.cfg.host}:{self.cfg.peers_port}"
+        if address == own:
+            return None
+        hello = Hello(
+            self.cfg.vm,
+            own,
+            self._leadership.reaches_store,
+            self._leadership.known.token,
+        )
+        reply = self._clients.call(address, hello)
+        if isinstance(reply, Ok) and isinstance(reply.ok_value, HelloReply):
+            return reply.ok_value
+        return None
 
     def _answer_peer(self, message: Message) -> Message:
         decider = self._decider
@@ -255,12 +297,21 @@
     def _greeted(self, hello: Hello, decider: Decider | None) -> Message:
         now = read_clock()
         self._peers_said[hello.vm] = (now, hello.reaches_store, hello.decider)
-        if decider is None:
-            return HelloReply(False, self._leadership.known.token)
-        if hello.decider > decider.term.token:
-            self._leadership.depose(f"{hello.vm} follows a later decider")
-        decider.greet(hello.address)
-        return HelloReply(True, decider.term.token)
+        peers: list[str] = []
+        if decider is not None:
+            if hello.decider > decider.term.token:
+                self._leadership.depose(f"{hello.vm} follows a later decider")
+            decider.greet(hello.address)
+            peers = decider.list_vms()
+        known = self._leadership.known
+        return HelloReply(
+            decider is not None and self._leadership.may_order(),
+            self._leadership.reaches_store,
+            known.token,
+            known.vm,
+            known.address,
+            peers,
+        )
 
     def _advise(self, message: AskAdvice) -> Message:
         step = StepId(message.job_id, message.occurrence, message.step)
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -219,6 +219,10 @@
         """Note a VM that may call the advisory service."""
         self._vms[address] = read_clock()
 
+    def list_vms(self) -> list[str]:
+        """Return the addresses of the VMs that greeted lately."""
+        return list(self._vms)
+
     # On the decider's thread
 
     def _submit(self, spec: StagedJobSpec, revision: int) -> None:
@@ -242,6 +246,9 @@
         if self._stopped.is_set():
             return None
         self._use_vms(now)
+        if not self._may_order():
+            # Nothing may be sent now; placing would only take room.
+            return now + TICK_S
         orders = self._dispatcher.tick(now, time.time())
         for request in orders.advice:
             self._advisers.ask(request)
--- a/packages/daemon/src/papayadyke_daemon/edge/_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_intake.py
@@ -18,6 +18,7 @@
     StagedJobSpec,
     decode_progress,
 )
+from papayadyke_daemon.edge._clock import read_clock
 from papayadyke_daemon.edge._decider import Decider
 from papayadyke_daemon.edge._keys import (
     CANCEL_PREFIX,
@@ -49,8 +50,9 @@
 
 LOG = logging.getLogger(__name__)
 
-STORE_TRIES = 3  # tries of one write; each lost answer is followed by another
+STORE_TRIES = 2  # tries of one write; each lost answer is followed by another
 STORE_TIMEOUT_S = 0.7  # seconds for one write; callers wait a few seconds in all
+LOST_STORE_S = 0.5  # seconds without a try after all tries of a write have failed
 STORE_PAUSE_S = 0.1  # seconds between two tries
 RELAY_TIMEOUT_S = 1.5  # seconds for another VM to store a job
 NOTICE_JOBS = 50  # jobs told in one message
@@ -72,6 +74,14 @@
     NO_SUCH_JOB = "no_such_job"
 
 
+@dataclass(frozen=True, slots=True)
+class StoredJob:
+    """What became of a write, and its revision, 0 where that is not known."""
+
+    outcome: IntakeOutcome
+    revision: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class IntakeParts:
     """What intake works with.
@@ -82,10 +92,13 @@
         The decider of this VM, or None.
     known_decider : callable
         The decider as far as this VM knows.
+    reaches_store : callable
+        Tells whether the store answered this VM lately.
     """
 
     own_decider: Callable[[], Decider | None]
     known_decider: Callable[[], KnownDecider]
+    reaches_store: Callable[[], bool]
 
 
 class Intake:
@@ -107,14 +120,15 @@
         self._parts = parts
         self._notices: queue.SimpleQueue[Notice] = queue.SimpleQueue()
         self._final: dict[str, JobState] = {}
+        self._lost_until_s = 0.0
         threading.Thread(target=self._notify_on, name="notices", daemon=True).start()
 
     def accept(self, spec: StagedJobSpec, *, may_relay: bool = True) -> IntakeOutcome:
         """Store a job; it is accepted once that is certain."""
         data = encode_record(spec)
-        outcome, revision = self._store(JOB_PREFIX + spec.job_id, data)
-        if outcome is not IntakeOutcome.ACCEPTED and may_relay:
-            outcome = self._relay(StoreJob(data), outcome)
+        key = JOB_PREFIX + spec.job_id
+        stored = self._store_job(key, data, may_relay=may_relay)
+        outcome = stored.outcome
         log_event(
             LOG,
             "intake: job",
@@ -124,7 +138,7 @@
             version=self.catalog.version if self.catalog else 0,
         )
         if outcome is IntakeOutcome.ACCEPTED:
-            self._notices.put((spec, revision))
+            self._notices.put((spec, stored.revision))
         return outcome
 
     def accept_bytes(self, data: bytes) -> IntakeOutcome:
@@ -135,7 +149,9 @@
         """Store a cancellation of a job that exists."""
         outcome = self._store_cancel(job_id)
         if outcome in (IntakeOutcome.REFUSED, IntakeOutcome.UNKNOWN) and may_relay:
-            outcome = self._relay(StoreCancel(job_id), outcome)
+            relayed = self._relay(StoreCancel(job_id))
+            if relayed is not IntakeOutcome.REFUSED:
+                outcome = relayed
         log_event(LOG, "intake: cancellation", request=job_id, outcome=outcome)
         if outcome is IntakeOutcome.ACCEPTED:
             self._notices.put(job_id)
@@ -179,7 +195,24 @@
 
     # Parts
 
-    def _store(self, key: str, data: bytes) -> tuple[IntakeOutcome, int]:
+    def _store_job(self, key: str, data: bytes, *, may_relay: bool) -> StoredJob:
+        """Store by this VM, or by the decider's where this one can not."""
+        if self._is_store_lost():
+            # Waiting for a silent store would take most of the caller's time.
+            if may_relay:
+                return StoredJob(self._relay(StoreJob(data)))
+            return StoredJob(IntakeOutcome.REFUSED)
+        stored = self._store(key, data)
+        if stored.outcome is IntakeOutcome.ACCEPTED or not may_relay:
+            return stored
+        relayed = self._relay(StoreJob(data))
+        if relayed is IntakeOutcome.ACCEPTED:
+            return StoredJob(relayed)
+        if IntakeOutcome.UNKNOWN in (relayed, stored.outcome):
+            return StoredJob(IntakeOutcome.UNKNOWN)
+        return stored
+
+    def _store(self, key: str, data: bytes) -> StoredJob:
         outcome = IntakeOutcome.REFUSED
         for number in range(STORE_TRIES):
             if number:
@@ -188,38 +221,38 @@
                 [Write(key, data)], expected=[(key, 0)], timeout_s=STORE_TIMEOUT_S
             )
             if isinstance(stored, Ok):
-                return IntakeOutcome.ACCEPTED, stored.ok_value
+                return StoredJob(IntakeOutcome.ACCEPTED, stored.ok_value)
             error = stored.err_value
             if error.kind is StoreErrorKind.CONFLICT:
                 # Stored by an earlier try, of this VM or of another.
-                return IntakeOutcome.ACCEPTED, 0
+                return StoredJob(IntakeOutcome.ACCEPTED)
             if error.kind is StoreErrorKind.UNKNOWN:
                 outcome = IntakeOutcome.UNKNOWN
-        return outcome, 0
+        self._lost_until_s = read_clock() + LOST_STORE_S
+        return StoredJob(outcome)
+
+    def _is_store_lost(self) -> bool:
+        return not self._parts.reaches_store() or read_clock() < self._lost_until_s
 
     def _store_cancel(self, job_id: str) -> IntakeOutcome:
+        if self._is_store_lost():
+            return IntakeOutcome.REFUSED
         found = self._ports.store.read(JOB_PREFIX + job_id)
         if isinstance(found, Err):
             return IntakeOutcome.REFUSED
         if found.ok_value is None:
             return IntakeOutcome.NO_SUCH_JOB
-        outcome, _ = self._store(CANCEL_PREFIX + job_id, b"{}")
-        return outcome
+        return self._store(CANCEL_PREFIX + job_id, b"{}").outcome
 
-    def _relay(
-        self, message: StoreJob | StoreCancel, outcome: IntakeOutcome
-    ) -> IntakeOutcome:
-        """Have the decider's VM store what this one could not."""
+    def _relay(self, message: StoreJob | StoreCancel) -> IntakeOutcome:
+        """Have the decider's VM store what this one can not."""
         known = self._parts.known_decider()
         if not known.token or self._parts.own_decider() is not None:
-            return outcome
+            return IntakeOutcome.REFUSED
         reply = self._clients.call(known.address, message, timeout_s=RELAY_TIMEOUT_S)
         if isinstance(reply, Err) or not isinstance(reply.ok_value, StoreReply):
             return IntakeOutcome.UNKNOWN
-        relayed = IntakeOutcome(reply.ok_value.outcome)
-        if relayed is IntakeOutcome.REFUSED:
-            return outcome
-        return relayed
+        return IntakeOutcome(reply.ok_value.outcome)
 
     def _ask_decider(self, job_id: str) -> JobState | None:
         own = self._parts.own_decider()
--- a/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
@@ -34,7 +34,9 @@
 
 LOG = logging.getLogger(__name__)
 
+RENEWAL_TIMEOUT_S = 0.4  # seconds; two renewals fit into a lease if one is lost
 LEASE_MARGIN_S = 0.2  # seconds by which a decider stops before its lease lapses
+IDLE_TERM_S = 3.0  # seconds; other VMs notice that the store is away in less
 WEAKEST_DELAY_S = 0.4  # seconds that the weakest VM lets stronger ones go first
 FULL_STRENGTH = 2.0  # cores; a VM with this many does not wait
 
@@ -87,6 +89,7 @@
         self._lease = 0
         self._token = 0
         self._valid_until_s = 0.0
+        self._idle_since_s: float | None = None
         self._deposed = threading.Event()
         self._stopped = threading.Event()
         self._thread = threading.Thread(
@@ -116,6 +119,12 @@
         # Nobody can follow while the store is away from all.
         return not self.reaches_store and self._peers_lost_store()
 
+    def learn(self, known: KnownDecider) -> None:
+        """Take in a later decider that another VM told of."""
+        if known.token > self.known.token and not self.is_decider:
+            self.known = known
+            log_event(LOG, "leadership: decider told", vm=known.vm, token=known.token)
+
     def depose(self, reason: str) -> None:
         """End the term because another VM decides."""
         if not self._deposed.is_set():
@@ -142,11 +151,14 @@
                 self._end_term(is_planned=False)
             return
         sent_s = read_clock()
-        renewed = self._ports.store.renew_lease(self._lease)
+        renewed = self._ports.store.renew_lease(
+            self._lease, timeout_s=RENEWAL_TIMEOUT_S
+        )
         if isinstance(renewed, Ok):
             if not self.reaches_store:
                 log_event(LOG, "leadership: store regained", token=self._token)
             self.reaches_store = True
+            self._idle_since_s = None
             self._extend(sent_s)
             return
         if renewed.err_value.kind is StoreErrorKind.NO_LEASE:
@@ -160,6 +172,12 @@
                 why=renewed.err_value.detail,
             )
         self.reaches_store = False
+        if self.may_order():
+            self._idle_since_s = None
+        elif self._idle_since_s is None:
+            self._idle_since_s = sent_s
+        elif sent_s - self._idle_since_s > IDLE_TERM_S:
+            self.depose("the lease ran out, and other VMs reach the store")
 
     def _extend(self, sent_s: float) -> None:
         self._valid_until_s = sent_s + self.cfg.decider_ttl_s - LEASE_MARGIN_S
@@ -207,7 +225,7 @@
 
     def _know(self, record: Record) -> None:
         decider = decode_decider(record.value or b"")
-        if record.revision != self.known.token:
+        if record.revision > self.known.token:
             self.known = KnownDecider(record.revision, decider.vm, decider.address)
             log_event(LOG, "leadership: decider", vm=decider.vm, token=record.revision)
 
--- a/packages/daemon/src/papayadyke_daemon/edge/_messages.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_messages.py
@@ -27,10 +27,26 @@
 
 
 class HelloReply(Message):
-    """The one that was greeted tells whether it decides."""
+    """What the one that was greeted knows of the decider.
+
+    Parameters
+    ----------
+    is_decider, reaches_store : bool
+        Of the one that was greeted.
+    decider : int
+        Fencing token of the decider that it knows; 0 for none.
+    vm, address : str
+        Of that decider.
+    peers : list of str
+        Addresses of the VMs that the decider heard of lately.
+    """
 
     is_decider: bool
+    reaches_store: bool
     decider: int
+    vm: str = ""
+    address: str = ""
+    peers: list[str] = []
 
 
 class Submitted(Message):
--- a/packages/daemon/src/papayadyke_daemon/edge/_ports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_ports.py
@@ -106,7 +106,9 @@
     def grant_lease(self, ttl_s: float) -> Result[int, StoreError]:
         """Return a new lease."""
 
-    def renew_lease(self, lease: int) -> Result[None, StoreError]:
+    def renew_lease(
+        self, lease: int, *, timeout_s: float | None = None
+    ) -> Result[None, StoreError]:
         """Keep a lease for another time to live."""
 
     def end_lease(self, lease: int) -> Result[None, StoreError]:
