Shorten terms, and stop runs before their upstream leaves

Cause: a killed decider cost 1.2 to 1.6 s; runs on an upstream that left had to wait out its lease.

Change: the term lease is 1.0 s with four renewals; the weakest VM lets stronger ones go 0.15 s first; what can not end is stopped 0.8 s before its upstream leaves.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -98,14 +98,16 @@
             self.catalog = catalog
             self._changed = True
 
-    def list_upstream(self, entry: UpstreamEntry) -> None:
+    def list_upstream(self, entry: UpstreamEntry, now: float = 0.0) -> None:
         """Take in an entry of the registry."""
         known = self.upstreams.get(entry.upstream_id)
         if known is None:
-            self.upstreams[entry.upstream_id] = Upstream(entry)
-        else:
-            known.entry = entry
-            known.is_listed = True
+            known = self.upstreams[entry.upstream_id] = Upstream(entry)
+        known.entry = entry
+        known.is_listed = True
+        known.leaves_s = None
+        if entry.is_draining and entry.remaining_s is not None:
+            known.leaves_s = now + entry.remaining_s
         self._changed = True
 
     def unlist_upstream(self, upstream_id: str) -> None:
@@ -298,6 +300,7 @@
         self._lift_barrier(now)
         self._open_due(wall_s)
         self._expire_leases(now)
+        self._evacuate(now)
         self._repeat_stops(now)
         orders = Orders()
         self._place(orders, now)
@@ -613,6 +616,20 @@
                 if asked is not None and now - asked > STOP_RETRY_S:
                     self._stop(run, now, "repeated")
 
+    def _evacuate(self, now: float) -> None:
+        """Stop what can not end before its upstream leaves, at the last moment.
+
+        A stop brings a checkpoint, and its end is listed at once; what is lost
+        with the upstream would have to wait for the end of its lease.
+        """
+        for upstream in self.upstreams.values():
+            leaves_s = upstream.leaves_s
+            if leaves_s is None or now < leaves_s - self.settings.evacuation_s:
+                continue
+            for run in upstream.runs.values():
+                if run.stop_asked_s is None:
+                    self._stop(run, now, "the upstream leaves")
+
     def _expire_leases(self, now: float) -> None:
         for upstream in self.upstreams.values():
             if upstream.is_reachable or not upstream.runs:
--- a/packages/core/src/papayadyke_core/dispatch/_settings.py
+++ b/packages/core/src/papayadyke_core/dispatch/_settings.py
@@ -31,6 +31,9 @@
         A task this short may still start on an upstream reserved for a gang.
     reserving_gangs : int
         Gangs that may reserve upstreams at a time.
+    evacuation_s : float
+        Time before an upstream leaves at which its runs are stopped; covers the
+        time that a stop may take and two calls.
     commit_jobs : int
         Jobs of one commit; two entries each must fit in one transaction.
     """
@@ -44,4 +47,5 @@
     quick_advice_slots: int = 2
     short_task_s: float = 1.5
     reserving_gangs: int = 2
+    evacuation_s: float = 0.8
     commit_jobs: int = 14
--- a/packages/core/src/papayadyke_core/dispatch/_upstream.py
+++ b/packages/core/src/papayadyke_core/dispatch/_upstream.py
@@ -24,6 +24,7 @@
     def __init__(self, entry: UpstreamEntry) -> None:
         self.entry = entry
         self.is_listed = True
+        self.leaves_s: float | None = None
         self.life: int | None = None
         self.is_reachable = False
         self.is_verified = False
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher.py
@@ -235,3 +235,16 @@
     world.submit(make_job("j"))
     world.run(0.3)
     assert [name for name, _, _ in world.running()] == ["b"]
+
+
+def test_run_is_stopped_with_its_checkpoint_before_its_upstream_leaves():
+    world = two_upstreams()
+    world.submit(make_job("j"))
+    world.run(0.2, after_s=30.0)
+    name = world.running()[0][0]
+    entry = make_entry(name, is_draining=True, remaining_s=2.0)
+    world.dispatcher.list_upstream(entry, world.now)
+    world.run(1.0, after_s=30.0)
+    assert world.running()[0][0] == name
+    world.run(1.0, after_s=30.0)
+    assert world.running()[0][0] != name
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -329,7 +329,7 @@
             log_event(LOG, "decider: upstream unlisted", upstream=name)
             return
         known = self._dispatcher.upstreams.get(name)
-        self._dispatcher.list_upstream(entry)
+        self._dispatcher.list_upstream(entry, read_clock())
         if known is None or known.entry.is_draining != entry.is_draining:
             log_event(
                 LOG,
--- a/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
@@ -34,10 +34,10 @@
 
 LOG = logging.getLogger(__name__)
 
-RENEWAL_TIMEOUT_S = 0.4  # seconds; two renewals fit into a lease if one is lost
-LEASE_MARGIN_S = 0.2  # seconds by which a decider stops before its lease lapses
+RENEWAL_TIMEOUT_S = 0.3  # seconds; two renewals fit into a lease if one is lost
+LEASE_MARGIN_S = 0.1  # seconds by which a decider stops before its lease lapses
 IDLE_TERM_S = 3.0  # seconds; other VMs notice that the store is away in less
-WEAKEST_DELAY_S = 0.4  # seconds that the weakest VM lets stronger ones go first
+WEAKEST_DELAY_S = 0.15  # seconds that the weakest VM lets stronger ones go first
 FULL_STRENGTH = 2.0  # cores; a VM with this many does not wait
 
 
--- a/packages/daemon/src/papayadyke_daemon/edge/_ports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_ports.py
@@ -201,8 +201,8 @@
     peers_port: int
     metrics_port: int = 0
     strength: float = 1.0
-    decider_ttl_s: float = 1.2
-    renew_s: float = 0.3
+    decider_ttl_s: float = 1.0
+    renew_s: float = 0.25
     lease_s: float = 5.0
     drain_s: float = 3.0
     hello_s: float = 0.5
