Let a decider without a lease go on only when others say the store is lost

A decider whose renewals were slow took the silence of VMs that had not greeted it yet for an outage of the store, ordered on without its lease, and its successor started the same task 125 ms later.

Change: StoreReports asks for fresh words of at least half of the VMs that are known, and one that reaches the store or follows another is enough to stop; a VM that has not tried yet does not say lost; failed renewals are repeated at once; new jobs wait 1.2 s after a takeover while an upstream has not seen the new decider.

Ruled out: the lease itself; it ends 0.1 s after the decider's own permit, and the successor needs three calls, which took 100 ms each.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -87,6 +87,7 @@
         self._stops: list[StopOrder] = []
         self._changed = True
         self._barrier_s: float | None = None
+        self._handover_s = now + settings.handover_s
         if term:
             self._barrier_s = now + settings.lease_s * (1 + settings.lease_drift)
 
@@ -145,7 +146,7 @@
         job = StagedJob(spec, now=now, age_s=age_s)
         if progress is not None:
             job.read_progress(progress)
-        job.is_suspect = self._barrier_s is not None
+        job.suspect_until_s = self._barrier_s or 0.0
         self.jobs[spec.job_id] = job
         if is_cancelled and not job.is_final:
             self._finish(job, JobState.CANCELLED, now)
@@ -172,7 +173,8 @@
         if spec.job_id in self.jobs:
             return False
         job = StagedJob(spec, now=now, age_s=age_s)
-        job.is_suspect = is_suspect and self._barrier_s is not None
+        if self._barrier_s is not None:
+            job.suspect_until_s = self._barrier_s if is_suspect else self._handover_s
         self.jobs[spec.job_id] = job
         self._open_steps(job)
         return True
@@ -399,9 +401,6 @@
         if not (is_known and self.upstreams) and now < self._barrier_s:
             return
         self._barrier_s = None
-        for job in self.jobs.values():
-            if job.is_suspect:
-                job.is_suspect = False
         self._changed = True
 
     def _begin_life(self, upstream: Upstream, now: float) -> None:
@@ -674,7 +673,9 @@
         for step in self._open.values():
             job = step.job
             queue = self._queue_of(job)
-            if queue is None or job.is_suspect:
+            if queue is None:
+                continue
+            if self._barrier_s is not None and now < job.suspect_until_s:
                 continue
             rank = ranks.get(job.job_id)
             if rank is None:
--- a/packages/core/src/papayadyke_core/dispatch/_job.py
+++ b/packages/core/src/papayadyke_core/dispatch/_job.py
@@ -117,7 +117,8 @@
         self.state = JobState.QUEUED
         self.stored_state = JobState.QUEUED
         self.ended_s = 0.0
-        self.is_suspect = False
+        # Until then a decider before this one may have started it.
+        self.suspect_until_s = 0.0
         self.steps: dict[tuple[int, int], StepRun] = {}
         repeat = spec.repeat
         self.occurrences = 1 if repeat is None else repeat.count
--- a/packages/core/src/papayadyke_core/dispatch/_settings.py
+++ b/packages/core/src/papayadyke_core/dispatch/_settings.py
@@ -16,6 +16,9 @@
         takeover, and is what a cut-off upstream costs its tasks.
     lease_drift : float
         Share by which an upstream's clock may be slow.
+    handover_s : float
+        Time after a takeover in which the decider before may still act on what
+        is accepted, unless every upstream has seen the new one.
     status_kept_s : float
         How long the state of an ended job is told.
     early_s : float
@@ -40,6 +43,7 @@
 
     lease_s: float = 6.0
     lease_drift: float = 0.03
+    handover_s: float = 1.2
     status_kept_s: float = 120.0
     early_s: float = 0.0
     advice_slots: int = 1
--- a/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
@@ -33,6 +33,7 @@
 )
 from papayadyke_daemon.edge._peers import PeerClients, PeerServer
 from papayadyke_daemon.edge._ports import EdgePorts, EdgeSettings, Record
+from papayadyke_daemon.edge._reports import StoreReport, StoreReports
 from papayadyke_daemon.edge._watch import watch_prefix
 from papayadyke_platform.http import HttpAnswer, HttpLimits, HttpRequest, HttpServer
 
@@ -67,7 +68,7 @@
         self._decider: Decider | None = None
         self._peers: list[str] = []
         self._relay_until_s = 0.0
-        self._peers_said: dict[str, tuple[float, bool, int]] = {}
+        self._reports = StoreReports()
         self._clients = PeerClients()
         self._leadership = Leadership(
             cfg,
@@ -154,23 +155,11 @@
             decider.stop()
 
     def _peers_lost_store(self) -> bool:
-        """Tell whether at least half of the other VMs say the store is away.
-
-        A VM that is cut off alone, or with its zone, hears too few of them.
-        """
-        now = read_clock()
-        said = list(self._peers_said.values())
-        if not said:
-            return True
-        token = self._leadership.known.token
-        fresh = [
-            (reaches, known)
-            for seen, reaches, known in said
-            if now - seen < HELLO_KEPT_S
-        ]
-        if any(reaches or known > token for reaches, known in fresh):
-            return False
-        return 2 * len(fresh) >= len(said)
+        return self._reports.is_lost_for_all(
+            read_clock(),
+            token=self._leadership.known.token,
+            vms=len(self._peers),
+        )
 
     # Configuration
 
@@ -227,13 +216,14 @@
     # Peers
 
     def _greet_on(self) -> None:
+        own = f"{self.cfg.host}:{self.cfg.peers_port}"
         while not self._stopped.wait(self.cfg.hello_s):
             known = self._leadership.known
             if self._leadership.is_decider or self._is_draining:
                 continue
             reply = self._greet(known.address) if known.token else None
             if reply is not None and reply.is_decider:
-                self._peers = reply.peers
+                self._peers = [name for name in reply.peers if name != own]
                 self._relay_until_s = read_clock() + HELLO_KEPT_S * reply.reaches_store
                 continue
             if known.token:
@@ -258,7 +248,7 @@
         hello = Hello(
             self.cfg.vm,
             own,
-            self._leadership.reaches_store,
+            self._leadership.has_lost_store,
             self._leadership.known.token,
         )
         reply = self._clients.call(address, hello)
@@ -295,8 +285,8 @@
         return Ack(decides)
 
     def _greeted(self, hello: Hello, decider: Decider | None) -> Message:
-        now = read_clock()
-        self._peers_said[hello.vm] = (now, hello.reaches_store, hello.decider)
+        report = StoreReport(read_clock(), hello.has_lost_store, hello.decider)
+        self._reports.note(hello.vm, report)
         peers: list[str] = []
         if decider is not None:
             if hello.decider > decider.term.token:
--- a/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
@@ -34,7 +34,8 @@
 
 LOG = logging.getLogger(__name__)
 
-RENEWAL_TIMEOUT_S = 0.3  # seconds; two renewals fit into a lease if one is lost
+RENEWAL_TIMEOUT_S = 0.45  # seconds; a store that is 60 times slower takes 0.25
+RENEWAL_RETRY_S = 0.05  # seconds before a renewal that failed is tried again
 LEASE_MARGIN_S = 0.1  # seconds by which a decider stops before its lease lapses
 IDLE_TERM_S = 3.0  # seconds; other VMs notice that the store is away in less
 WEAKEST_DELAY_S = 0.15  # seconds that the weakest VM lets stronger ones go first
@@ -80,6 +81,7 @@
         self.cfg = cfg
         self.known = KnownDecider()
         self.reaches_store = False
+        self.has_lost_store = False
         self._ports = ports
         self._may_lead = may_lead
         self._begin = begin
@@ -145,7 +147,7 @@
             self._end_term(is_planned=True)
 
     def _lead(self) -> None:
-        self._deposed.wait(self.cfg.renew_s)
+        self._deposed.wait(RENEWAL_RETRY_S if self.has_lost_store else self.cfg.renew_s)
         if self._deposed.is_set() or self._stopped.is_set():
             if self._deposed.is_set():
                 self._end_term(is_planned=False)
@@ -158,6 +160,7 @@
             if not self.reaches_store:
                 log_event(LOG, "leadership: store regained", token=self._token)
             self.reaches_store = True
+            self.has_lost_store = False
             self._idle_since_s = None
             self._extend(sent_s)
             return
@@ -172,6 +175,7 @@
                 why=renewed.err_value.detail,
             )
         self.reaches_store = False
+        self.has_lost_store = True
         if self.may_order():
             self._idle_since_s = None
         elif self._idle_since_s is None:
@@ -219,6 +223,7 @@
 
     def _note_store(self, found: Result[object, StoreError]) -> None:
         is_reached = isinstance(found, Ok)
+        self.has_lost_store = not is_reached
         if is_reached != self.reaches_store:
             log_event(LOG, "leadership: store", reached=is_reached)
         self.reaches_store = is_reached
--- a/packages/daemon/src/papayadyke_daemon/edge/_messages.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_messages.py
@@ -15,14 +15,15 @@
     Parameters
     ----------
     vm, address : str
-    reaches_store : bool
+    has_lost_store : bool
+        It tried, and the store did not answer.
     decider : int
         Fencing token of the decider that it follows.
     """
 
     vm: str
     address: str
-    reaches_store: bool
+    has_lost_store: bool
     decider: int
 
 
