Serve counters and histograms, and log one line for a step's starts and ends

Cause: an engineer has only logs and metrics; a line for each task grows with the width of a job, and run ends were not logged.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,8 +9,12 @@
 fi
 for source in packages/core/src/papayadyke_core packages/platform/src/papayadyke_platform \
     packages/daemon/src/papayadyke_daemon platform/src/papayadyke_adapter; do
-    rm -rf "$deps/$(basename $source)"
-    cp -R $source $deps/
+    copy="$deps/$(basename $source)"
+    # Days that are being played start processes from these files.
+    if ! diff -rq -x __pycache__ $source "$copy" > /dev/null 2>&1; then
+        rm -rf "$copy"
+        cp -R $source $deps/
+    fi
 done
 # VMs mount this read-only: without compiled files each start would compile anew.
 python3 -m compileall -q $deps
--- a/packages/daemon/src/papayadyke_daemon/edge/_agents.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_agents.py
@@ -18,6 +18,7 @@
 )
 from papayadyke_daemon.edge._clock import read_clock
 from papayadyke_daemon.edge._logs import log_event
+from papayadyke_daemon.edge._metrics import METRICS
 from papayadyke_daemon.edge._ports import EdgeSettings, FencedError, UpstreamClient
 
 LOG = logging.getLogger(__name__)
@@ -163,6 +164,7 @@
                 return
             if isinstance(order, StartOrder):
                 outcome = self._start(order)
+                METRICS.count("papayadyke_starts", outcome=outcome)
                 if outcome is not StartOutcome.STARTED:
                     log_event(
                         LOG,
--- a/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
@@ -31,6 +31,7 @@
     StoreReply,
     Submitted,
 )
+from papayadyke_daemon.edge._metrics import CONTENT_TYPE, METRICS
 from papayadyke_daemon.edge._peers import PeerClients, PeerServer
 from papayadyke_daemon.edge._ports import EdgePorts, EdgeSettings, Record
 from papayadyke_daemon.edge._reports import StoreReport, StoreReports
@@ -39,6 +40,8 @@
 
 LOG = logging.getLogger(__name__)
 
+DEADLINE_HEADER = "x-deadline-ms"
+REFUSED_STATUS = 400  # answers from here on are logged with their reason
 CALLER_THREADS = 12  # requests at a time; each waits for the store a few milliseconds
 HELLO_KEPT_S = 2.0  # seconds for which what another VM said of itself holds
 
@@ -91,8 +94,9 @@
             f"{cfg.host}:{cfg.peers_port}", self._answer_peer
         )
         limits = HttpLimits(threads=CALLER_THREADS)
+        self._answer_caller = answer_caller
         self._callers = HttpServer(
-            lambda req: answer_caller(self.intake, req),
+            self._serve_caller,
             host=cfg.host,
             port=cfg.callers_port,
             limits=limits,
@@ -104,8 +108,16 @@
             limits=HttpLimits(threads=2),
         )
 
+        self._metrics = HttpServer(
+            lambda _: HttpAnswer(200, METRICS.render(), CONTENT_TYPE),
+            host=cfg.host,
+            port=cfg.metrics_port,
+            limits=HttpLimits(threads=1),
+        )
+
     def start(self) -> None:
         """Start serving."""
+        self._metrics.start()
         self._readiness.start()
         self._peer_server.start()
         self._leadership.start()
@@ -128,6 +140,29 @@
         self._peer_server.close()
         log_event(LOG, "edge: stopped", vm=self.cfg.vm)
 
+    def _serve_caller(self, req: HttpRequest) -> HttpAnswer:
+        begun_s = read_clock()
+        answer = self._answer_caller(self.intake, req)
+        taken_s = read_clock() - begun_s
+        METRICS.count(
+            "papayadyke_requests", method=req.method, status=str(answer.status)
+        )
+        METRICS.observe("papayadyke_request_seconds", taken_s, method=req.method)
+        if answer.status >= REFUSED_STATUS:
+            log_event(
+                LOG,
+                "callers: refused",
+                method=req.method,
+                path=req.path,
+                status=answer.status,
+                why=answer.body.decode(),
+                taken_s=round(taken_s, 3),
+                deadline_ms=req.headers.get(DEADLINE_HEADER),
+                decider=self._leadership.known.token,
+                reaches_store=self._leadership.reaches_store,
+            )
+        return answer
+
     # Terms
 
     def _begin_term(self, term: Term) -> bool:
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 import msgspec
-from result import Err, Result
+from result import Err, Ok, Result
 
 from papayadyke_core.dispatch import (
     Advice,
@@ -17,10 +17,13 @@
     Commit,
     Dispatcher,
     DispatchSettings,
+    EndedRow,
     JobState,
+    RunEnd,
     StagedJobSpec,
     StartOrder,
     StartOutcome,
+    StepId,
     StopOrder,
     UpstreamEntry,
     UpstreamReport,
@@ -41,6 +44,7 @@
     encode_record,
 )
 from papayadyke_daemon.edge._logs import log_event
+from papayadyke_daemon.edge._metrics import METRICS
 from papayadyke_daemon.edge._peers import PeerClients
 from papayadyke_daemon.edge._ports import (
     EdgePorts,
@@ -252,15 +256,8 @@
         orders = self._dispatcher.tick(now, time.time())
         for request in orders.advice:
             self._advisers.ask(request)
+        self._log_starts(orders.starts)
         for order in orders.starts:
-            log_event(
-                LOG,
-                "decider: start",
-                request=order.task.job_id,
-                task=order.task,
-                attempt=order.attempt,
-                upstream=order.upstream_id,
-            )
             self._agents[order.upstream_id].send(order)
         for stop in orders.stops:
             log_event(
@@ -281,6 +278,41 @@
             return min(now + TICK_S, self._next_commit_s)
         return now + TICK_S
 
+    def _log_starts(self, starts: list[StartOrder]) -> None:
+        """Log one line for the tasks of a step, which keeps the volume bounded."""
+        steps: dict[StepId, list[StartOrder]] = {}
+        for order in starts:
+            steps.setdefault(StepId(*order.task[:3]), []).append(order)
+        for step, orders in steps.items():
+            job = self._dispatcher.jobs[step.job_id]
+            log_event(
+                LOG,
+                "decider: start",
+                request=step.job_id,
+                step=step,
+                runs=[[o.task.number, o.attempt, o.upstream_id] for o in orders],
+                age_s=round(read_clock() - job.since_s, 3),
+                version=self._dispatcher.catalog.version,
+                token=self.term.token,
+            )
+
+    def _log_ends(self, name: str, ended: list[EndedRow]) -> None:
+        groups: dict[tuple[StepId, RunEnd], list[int]] = {}
+        for row in ended:
+            METRICS.count("papayadyke_run_ends", end=row.end)
+            key = StepId(*row.task[:3]), row.end
+            groups.setdefault(key, []).append(row.task.number)
+        for (step, end), numbers in groups.items():
+            log_event(
+                LOG,
+                "decider: runs ended",
+                request=step.job_id,
+                step=step,
+                tasks=numbers,
+                upstream=name,
+                end=end,
+            )
+
     def _use_vms(self, now: float) -> None:
         vms = dict(self._vms)
         alive = {name for name, seen in vms.items() if now - seen < HELLO_LIFETIME_S}
@@ -424,7 +456,10 @@
                 (PROGRESS_PREFIX + name, self._revisions.get(name, 0))
                 for name in commit.progress
             ]
+            begun_s = read_clock()
             stored = self._ports.store.write(writes, expected=expected)
+            METRICS.observe("papayadyke_commit_seconds", read_clock() - begun_s)
+            METRICS.count("papayadyke_commits", stored=str(isinstance(stored, Ok)))
             self._post_committed(commit, stored)
 
     def _post_committed(self, commit: Commit, stored: Result[int, StoreError]) -> None:
@@ -465,8 +500,16 @@
         self._next_commit_s = read_clock() + pause_s
         final = self._dispatcher.committed(commit, is_stored=error is None)
         for name in final:
-            state = self._dispatcher.jobs[name].state
-            log_event(LOG, "decider: job ended", request=name, state=state)
+            job = self._dispatcher.jobs[name]
+            age_s = read_clock() - job.since_s
+            METRICS.observe("papayadyke_job_seconds", age_s, state=job.state)
+            log_event(
+                LOG,
+                "decider: job ended",
+                request=name,
+                state=job.state,
+                age_s=round(age_s, 3),
+            )
         if error is not None:
             return
         for name, (life, number) in commit.noted.items():
--- a/packages/daemon/src/papayadyke_daemon/edge/_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_intake.py
@@ -40,6 +40,7 @@
     StoreReply,
     Submitted,
 )
+from papayadyke_daemon.edge._metrics import METRICS
 from papayadyke_daemon.edge._peers import PeerClients
 from papayadyke_daemon.edge._ports import (
     EdgePorts,
@@ -137,6 +138,7 @@
             outcome=outcome,
             version=self.catalog.version if self.catalog else 0,
         )
+        METRICS.count("papayadyke_intake", outcome=outcome)
         if outcome is IntakeOutcome.ACCEPTED:
             self._notices.put((spec, stored.revision))
         return outcome
--- a/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
@@ -22,6 +22,7 @@
     encode_record,
 )
 from papayadyke_daemon.edge._logs import log_event
+from papayadyke_daemon.edge._metrics import METRICS
 from papayadyke_daemon.edge._ports import (
     EdgePorts,
     EdgeSettings,
@@ -285,6 +286,7 @@
         self._extend(sent_s)
         self._token = written.ok_value
         self.known = KnownDecider(written.ok_value, self.cfg.vm, own.address)
+        METRICS.count("papayadyke_terms")
         term = Term(written.ok_value, known.terms, known, written.ok_value)
         if not self._begin(term):
             log_event(LOG, "leadership: term could not begin", token=self._token)
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/edge/_metrics.py
@@ -0,0 +1,76 @@
+"""Counters and latency histograms, as text for the metrics address."""
+
+from __future__ import annotations
+
+import threading
+from bisect import bisect_left
+from dataclasses import dataclass, field
+
+CONTENT_TYPE = "text/plain; version=0.0.4"
+# Upper bounds in seconds: a call takes milliseconds, a wait may take many seconds.
+BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0)
+
+Labels = tuple[tuple[str, str], ...]
+
+
+@dataclass(slots=True)
+class _Histogram:
+    counts: list[int] = field(default_factory=lambda: [0] * (len(BUCKETS_S) + 1))
+    total_s: float = 0.0
+
+
+class EdgeMetrics:
+    """Counters and histograms, which every thread may raise."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._counters: dict[tuple[str, Labels], int] = {}
+        self._histograms: dict[tuple[str, Labels], _Histogram] = {}
+
+    def count(self, name: str, amount: int = 1, **labels: str) -> None:
+        """Raise a counter."""
+        key = name, tuple(sorted(labels.items()))
+        with self._lock:
+            self._counters[key] = self._counters.get(key, 0) + amount
+
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Add a duration to a histogram."""
+        key = name, tuple(sorted(labels.items()))
+        with self._lock:
+            found = self._histograms.setdefault(key, _Histogram())
+            found.counts[bisect_left(BUCKETS_S, seconds)] += 1
+            found.total_s += seconds
+
+    def render(self) -> bytes:
+        """Return everything in the text format that Prometheus reads."""
+        with self._lock:
+            lines = [
+                f"{name}_total{_write_labels(labels)} {value}"
+                for (name, labels), value in sorted(self._counters.items())
+            ]
+            for (name, labels), found in sorted(
+                self._histograms.items(), key=lambda item: item[0]
+            ):
+                lines += _write_histogram(name, labels, found)
+        return ("\n".join(lines) + "\n").encode()
+
+
+def _write_labels(labels: Labels) -> str:
+    if not labels:
+        return ""
+    return "{" + ",".join(f'{name}="{value}"' for name, value in labels) + "}"
+
+
+def _write_histogram(name: str, labels: Labels, found: _Histogram) -> list[str]:
+    lines = []
+    below = 0
+    for bound, count in zip((*BUCKETS_S, "+Inf"), found.counts, strict=True):
+        below += count
+        marked = _write_labels((*labels, ("le", str(bound))))
+        lines.append(f"{name}_bucket{marked} {below}")
+    lines.append(f"{name}_sum{_write_labels(labels)} {found.total_s:.6f}")
+    lines.append(f"{name}_count{_write_labels(labels)} {below}")
+    return lines
+
+
+METRICS = EdgeMetrics()
