Let the strongest VM by processor and link decide

Change: strength is the smaller of cores and link; a decider hands its term to a VM that greets it and is much stronger; starts that waited too long no longer mark their upstream as unreachable; looks at a fleet of more than 48 upstreams are further apart.

--- a/packages/core/src/papayadyke_core/dispatch/_messages.py
+++ b/packages/core/src/papayadyke_core/dispatch/_messages.py
@@ -99,10 +99,11 @@
     """What became of a start.
 
     `UNKNOWN` may have started, or may start later. The others have not, but for
-    `STARTED`.
+    `STARTED`. `EXPIRED` waited too long to be sent; `NOT_SENT` found no connection.
     """
 
     STARTED = "started"
+    EXPIRED = "expired"
     NOT_SENT = "not_sent"
     NO_ROOM = "no_room"
     BAD_TICKET = "bad_ticket"
--- a/packages/daemon/src/papayadyke_daemon/edge/__init__.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/__init__.py
@@ -15,6 +15,7 @@
     StoreErrorKind,
     UpstreamClient,
     Write,
+    measure_strength,
 )
 
 __all__ = [
@@ -32,6 +33,7 @@
     "UpstreamClient",
     "Write",
     "log_event",
+    "measure_strength",
     "read_clock",
     "set_up_edge_logs",
 ]
--- a/packages/daemon/src/papayadyke_daemon/edge/_agents.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_agents.py
@@ -37,6 +37,8 @@
     ----------
     may_order : callable
         Tells at the last moment whether this VM still decides.
+    look_gap_s : callable
+        Returns the least time between two looks, in seconds.
     report, lose_contact, start_answered, stop_answered, note_lease, fenced : callable
     """
 
@@ -46,6 +48,7 @@
     start_answered: Callable[[StartOrder, StartOutcome], None]
     stop_answered: Callable[[StopOrder], None]
     note_lease: Callable[[str, float], None]
+    look_gap_s: Callable[[], float]
     fenced: Callable[[str], None]
 
 
@@ -139,7 +142,7 @@
                 self.noted_end, last_end, self._life = 0, 0, report.life
             self._calls.report(self.upstream_id, report)
             newest = max((row.number for row in report.ended), default=0)
-            pause_s = self._cfg.hold_floor_s
+            pause_s = self._calls.look_gap_s()
             if newest and newest <= last_end:
                 pause_s = REPEATED_LOOK_S
             last_end = max(last_end, newest)
@@ -184,6 +187,6 @@
     def _start(self, order: StartOrder) -> StartOutcome:
         now = read_clock()
         if now - order.ordered_s > MAX_ORDER_AGE_S or not self._calls.may_order():
-            return StartOutcome.NOT_SENT
+            return StartOutcome.EXPIRED
         self._grant(now)
         return self._client.start(order, token=self._token, lease_s=self._cfg.lease_s)
--- a/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
@@ -285,6 +285,7 @@
             own,
             self._leadership.has_lost_store,
             self._leadership.known.token,
+            self.cfg.strength,
         )
         reply = self._clients.call(address, hello)
         if isinstance(reply, Ok) and isinstance(reply.ok_value, HelloReply):
@@ -327,6 +328,8 @@
             if hello.decider > decider.term.token:
                 self._leadership.depose(f"{hello.vm} follows a later decider")
             decider.greet(hello.address)
+            if not hello.has_lost_store:
+                self._leadership.consider_handover(hello.vm, hello.strength)
             peers = decider.list_vms()
         known = self._leadership.known
         return HelloReply(
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -145,6 +145,7 @@
             start_answered=self._start_answered,
             stop_answered=self._stop_answered,
             note_lease=self._note_lease,
+            look_gap_s=self._look_gap_s,
             fenced=lambda name: depose(f"upstream {name} follows a later decider"),
         )
 
@@ -536,6 +537,10 @@
     def _lost_contact(self, name: str, detail: str) -> None:
         self._mailbox.post(lambda: self._dispatcher.lose_contact(name))
 
+    def _look_gap_s(self) -> float:
+        gap_s = len(self._agents) / self.cfg.looks_per_s
+        return max(self.cfg.look_gap_s, gap_s)
+
     def _note_lease(self, name: str, until_s: float) -> None:
         self._dispatcher.note_lease(name, until_s)
 
--- a/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
@@ -39,7 +39,9 @@
 RENEWAL_RETRY_S = 0.05  # seconds before a renewal that failed is tried again
 LEASE_MARGIN_S = 0.1  # seconds by which a decider stops before its lease lapses
 IDLE_TERM_S = 3.0  # seconds; other VMs notice that the store is away in less
-WEAKEST_DELAY_S = 0.15  # seconds that the weakest VM lets stronger ones go first
+HANDOVER_SHARE = 0.6  # of another VM's strength; less is worth a short pause
+SETTLED_S = 1.0  # seconds of a term before it is handed over, or sought again
+WEAKEST_DELAY_S = 0.3  # seconds that the weakest VM lets stronger ones go first
 FULL_STRENGTH = 2.0  # cores; a VM with this many does not wait
 
 
@@ -93,6 +95,8 @@
         self._token = 0
         self._valid_until_s = 0.0
         self._idle_since_s: float | None = None
+        self._began_s = 0.0
+        self._gives_back = False
         self._deposed = threading.Event()
         self._stopped = threading.Event()
         self._thread = threading.Thread(
@@ -128,6 +132,22 @@
             self.known = known
             log_event(LOG, "leadership: decider told", vm=known.vm, token=known.token)
 
+    def consider_handover(self, vm: str, strength: float) -> None:
+        """Give the term back where a much stronger VM could have it."""
+        if not self.is_decider or self.cfg.strength >= HANDOVER_SHARE * strength:
+            return
+        if read_clock() - self._began_s > SETTLED_S:
+            log_event(
+                LOG,
+                "leadership: hand over",
+                to=vm,
+                strength=strength,
+                own=self.cfg.strength,
+                token=self._token,
+            )
+            self._gives_back = True
+            self._deposed.set()
+
     def depose(self, reason: str) -> None:
         """End the term because another VM decides."""
         if not self._deposed.is_set():
@@ -151,7 +171,7 @@
         self._deposed.wait(RENEWAL_RETRY_S if self.has_lost_store else self.cfg.renew_s)
         if self._deposed.is_set() or self._stopped.is_set():
             if self._deposed.is_set():
-                self._end_term(is_planned=False)
+                self._end_term(is_planned=self._gives_back)
             return
         sent_s = read_clock()
         renewed = self._ports.store.renew_lease(
@@ -209,6 +229,10 @@
         if not self._may_lead():
             self._stopped.wait(RETRY_S)
             return
+        if self._gives_back:
+            self._gives_back = False
+            self._stopped.wait(SETTLED_S)
+            return
         if record is None:
             weakness = max(0.0, 1 - self.cfg.strength / FULL_STRENGTH)
             self._stopped.wait(weakness * WEAKEST_DELAY_S)
@@ -283,6 +307,8 @@
             return
         self._lease = granted.ok_value
         self._deposed.clear()
+        self._gives_back = False
+        self._began_s = sent_s
         self._extend(sent_s)
         self._token = written.ok_value
         self.known = KnownDecider(written.ok_value, self.cfg.vm, own.address)
--- a/packages/daemon/src/papayadyke_daemon/edge/_messages.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_messages.py
@@ -19,12 +19,15 @@
         It tried, and the store did not answer.
     decider : int
         Fencing token of the decider that it follows.
+    strength : float
+        How many cores' worth of deciding it can carry.
     """
 
     vm: str
     address: str
     has_lost_store: bool
     decider: int
+    strength: float
 
 
 class HelloReply(Message):
--- a/packages/daemon/src/papayadyke_daemon/edge/_ports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_ports.py
@@ -164,6 +164,24 @@
     registry_prefix: str
 
 
+# A decider that is busy for a whole core sends and receives looks and starts of
+# about a kilobyte each, 3,000 a second.
+LINK_MBPS_PER_CORE = 25.0
+
+
+def measure_strength(*, cores: float, link_mbps: float) -> float:
+    """Return how many cores' worth of deciding a VM can carry.
+
+    Parameters
+    ----------
+    cores : float
+        Processor time that the VM may use, in cores.
+    link_mbps : float
+        Bandwidth of its link, in megabits a second.
+    """
+    return min(cores, link_mbps / LINK_MBPS_PER_CORE)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class EdgeSettings:
     """Settings of one VM. Times are in seconds.
@@ -177,7 +195,7 @@
         IP number of the VM.
     callers_port, readiness_port, peers_port, metrics_port : int
     strength : float
-        Cores that the VM may use; the strongest becomes the decider.
+        As of `measure_strength`; a strong VM becomes the decider.
     decider_ttl_s : float
         A decider that does not renew for this long is replaced.
     renew_s : float
@@ -189,8 +207,10 @@
     hello_s : float
         Interval of the messages to the decider.
     status_kept_s : float
-    hold_floor_s : float
-        Least time between two looks at an upstream.
+    look_gap_s : float
+        Least time between two looks at an upstream; more ends share each.
+    looks_per_s : float
+        Looks at all upstreams together; a large fleet has a longer gap.
     """
 
     vm: str
@@ -207,5 +227,6 @@
     drain_s: float = 3.0
     hello_s: float = 0.5
     status_kept_s: float = 120.0
-    hold_floor_s: float = 0.03
+    look_gap_s: float = 0.03
+    looks_per_s: float = 1600.0
     log_level: str = field(default="INFO")
