--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_intake.py
@@ -0,0 +1,84 @@
+"""Accepting and cancelling jobs over a store that fails."""
+
+import pytest
+
+from papayadyke_core.dispatch import JobState, StagedJobSpec, StepSpec
+from papayadyke_daemon.edge import EdgePorts, Intake, IntakeOutcome, StoreErrorKind
+from papayadyke_daemon.edge._intake import IntakeParts
+from papayadyke_daemon.edge._keys import CANCEL_PREFIX, JOB_PREFIX
+from papayadyke_daemon.edge._leadership import KnownDecider
+from papayadyke_daemon.edge._peers import PeerClients
+from papayadyke_daemon.edge.tests.fake_store import FakeStore
+
+SPEC = StagedJobSpec("5c0e7a21d94b36f8", "h/q/", "text", (StepSpec(1),))
+KEY = JOB_PREFIX + SPEC.job_id
+
+
+@pytest.fixture
+def store():
+    return FakeStore()
+
+
+def make_intake(store, *, reaches_store=True):
+    ports = EdgePorts(
+        store=store,
+        connect_upstream=lambda entry: None,
+        advise=lambda step, names: None,
+        read_catalog=lambda data: None,
+        read_upstream=lambda name, data: None,
+        catalog_key="config",
+        registry_prefix="upstreams/",
+    )
+    parts = IntakeParts(lambda: None, KnownDecider, lambda: reaches_store)
+    return Intake(ports, PeerClients(), parts)
+
+
+def test_accepted_job_is_stored(store):
+    assert make_intake(store).accept(SPEC) is IntakeOutcome.ACCEPTED
+    assert KEY in store.records
+
+
+def test_job_that_comes_again_is_accepted_and_stored_once(store):
+    intake = make_intake(store)
+    intake.accept(SPEC)
+    revision = store.records[KEY].revision
+    assert intake.accept(SPEC) is IntakeOutcome.ACCEPTED
+    assert store.records[KEY].revision == revision
+
+
+def test_refused_job_is_not_stored(store):
+    store.fault = StoreErrorKind.NOT_DONE
+    assert make_intake(store).accept(SPEC) is IntakeOutcome.REFUSED
+    assert KEY not in store.records
+
+
+def test_lost_answer_is_never_told_as_a_refusal(store):
+    store.fault = StoreErrorKind.UNKNOWN
+    store.takes_effect = True
+    intake = make_intake(store)
+    # The second try finds what the first has stored.
+    assert intake.accept(SPEC) is IntakeOutcome.ACCEPTED
+    store.records.clear()
+    store.takes_effect = False
+    assert intake.accept(SPEC) is not IntakeOutcome.ACCEPTED
+
+
+def test_vm_that_has_lost_the_store_refuses_without_a_call(store):
+    intake = make_intake(store, reaches_store=False)
+    assert intake.accept(SPEC) is IntakeOutcome.REFUSED
+    assert store.calls == 0
+
+
+def test_only_a_job_that_exists_is_cancelled(store):
+    intake = make_intake(store)
+    assert intake.cancel(SPEC.job_id) is IntakeOutcome.NO_SUCH_JOB
+    intake.accept(SPEC)
+    assert intake.cancel(SPEC.job_id) is IntakeOutcome.ACCEPTED
+    assert CANCEL_PREFIX + SPEC.job_id in store.records
+
+
+def test_state_is_read_from_the_store_where_nobody_decides(store):
+    intake = make_intake(store)
+    assert intake.state_of(SPEC.job_id) is None
+    intake.accept(SPEC)
+    assert intake.state_of(SPEC.job_id) is JobState.QUEUED
