--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_intake.py
@@ -1,6 +1,7 @@
 """Accepting and cancelling jobs over a store that fails."""
 
 import pytest
+from result import Err
 
 from papayadyke_core.dispatch import JobState, StagedJobSpec, StepSpec
 from papayadyke_daemon.edge import EdgePorts, Intake, IntakeOutcome, StoreErrorKind
@@ -19,11 +20,15 @@
     return FakeStore()
 
 
+def connect_nowhere(entry):
+    raise AssertionError("intake speaks to no upstream")
+
+
 def make_intake(store, *, reaches_store=True):
     ports = EdgePorts(
         store=store,
-        connect_upstream=lambda entry: None,
-        advise=lambda step, names: None,
+        connect_upstream=connect_nowhere,
+        advise=lambda step, names: Err("no advisory service"),
         read_catalog=lambda data: None,
         read_upstream=lambda name, data: None,
         catalog_key="config",
