--- a/packages/core/src/papayadyke_core/dispatch/tests/dispatch_world.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/dispatch_world.py
@@ -142,6 +142,7 @@
         self.done: set[TaskId] = set()
         self.ever_done: set[TaskId] = set()
         self.failed: dict[TaskId, int] = {}
+        self.begun: dict[tuple[str, TaskId, int], float] = {}
         self.starts = 0
         self.store_is_away = False
         self.lose_next_start: str | None = None
@@ -198,14 +199,13 @@
 
     def run(self, seconds, *, end=RunEnd.DONE, after_s=1.0):
         """Let tasks end by themselves after a time."""
-        begun: dict[tuple[str, TaskId, int], float] = {}
         until = self.now + seconds
         while self.now < until:
             self.step()
             for upstream in self.upstreams.values():
                 for task, attempt in list(upstream.running.items()):
                     key = (upstream.entry.upstream_id, task, attempt)
-                    since = begun.setdefault(key, self.now)
+                    since = self.begun.setdefault(key, self.now)
                     if self.now - since >= after_s:
                         self.end(upstream, task, end)
 
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher.py
@@ -34,7 +34,7 @@
     world.submit(make_job("gang", make_step(8, is_gang=True)))
     world.run(0.5)
     assert not [task for _, task, _ in world.running() if task.job_id == "gang"]
-    world.run(1.5)
+    world.run(1.0)
     assert len([t for _, t, _ in world.running() if t.job_id == "gang"]) == 8
 
 
