Give a fenced partition up before its appends are told

Change: the listener runs first, on all three paths.

Ruled out: a wrong expectation of the tests; the owner must not own what it has been told is lost.

--- a/packages/daemon/src/papayadyke_daemon/journal/_writer.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/_writer.py
@@ -209,9 +209,10 @@
             self._confirmed_s[partition] = now
             _count(log, flown, appended.revision)
         settled = self._commit.report(partition, result, now, call_s=now - started)
-        self._settle(settled, flown.segment.at_s)
         if result is CallResult.TAKEN:
+            # Whoever is told that it was fenced finds the partition given up.
             self._lose(partition)
+        self._settle(settled, flown.segment.at_s)
 
     def _make_segment(
         self, log: OwnedLog, entries: tuple[Entry, ...], now: float
@@ -242,13 +243,12 @@
             return True
         lost = confirmed.err_value.kind is ErrorKind.CONFLICT
         settled = self._commit.report(partition, CallResult.NOT_WRITTEN, now)
-        self._settle(settled, 0.0)
         if lost:
-            self._settle(
-                self._commit.remove_partition(partition, result=AppendResult.FENCED),
-                0.0,
+            settled += self._commit.remove_partition(
+                partition, result=AppendResult.FENCED
             )
             self._lose(partition)
+        self._settle(settled, 0.0)
         return False
 
     def _begin_compaction(self, now: float) -> None:
@@ -276,8 +276,8 @@
             settled = self._commit.remove_partition(
                 partition, result=AppendResult.FENCED
             )
-            self._settle(settled, 0.0)
             self._lose(partition)
+            self._settle(settled, 0.0)
 
     def _settle(self, settled: list[Settled], at_s: float) -> None:
         for item in settled:
--- a/packages/daemon/src/papayadyke_daemon/journal/tests/test_log_writer.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/tests/test_log_writer.py
@@ -254,3 +254,17 @@
     assert results == [AppendResult.DURABLE] * 3
     assert journal.owned() == ()
     journal.stop()
+
+
+def test_partition_is_given_up_before_the_fenced_append_is_told(bench):
+    first, second = bench.writer("vm1"), bench.writer("vm2")
+    first.take_over(0).unwrap()
+    second.take_over(0).unwrap()
+    known_when_told = []
+    first.append(
+        0,
+        (KeyClaimed("a", "w", b"", "r"),),
+        lambda result, at_s: known_when_told.append((result, list(bench.fenced))),
+    )
+    bench.run(first, 1)
+    assert known_when_told == [(AppendResult.FENCED, [("vm1", 0)])]
