Wait for leases that the decider before gave during the handover

The store was away until 33.7 s and a zone was cut at 33.5 s; the decider in that zone went on, by the words of VMs that it had heard up to a second before, and gave leases until 34.5 s. Its successor began at 33.8 s and waited for a lease from there: at 39.0 s it started a task again whose run had ended as done at 31.2 s on an upstream of the cut zone, and noted that end when the cut healed, before the upstream's lease had lapsed.

Change: the wait of a successor is the handover and then the lease.

Ruled out: noting of ends before they were stored; the end was noted only by the successor, at 39.2 s.

Measured: the new test fails on the former wait and passes; 38 tests of the dispatcher pass.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -104,7 +104,9 @@
         self._barrier_s: float | None = None
         self._handover_s = now + settings.handover_s
         if term:
-            self._barrier_s = now + settings.lease_s * (1 + settings.lease_drift)
+            # The decider before may have given a lease as late as the handover.
+            lease_s = settings.lease_s * (1 + settings.lease_drift)
+            self._barrier_s = self._handover_s + lease_s
 
     # Configuration and registry
 
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher.py
@@ -1,6 +1,6 @@
 """What the dispatcher does on calm days and in single faults."""
 
-from dispatch_world import World, make_catalog, make_entry, make_job, make_step
+from dispatch_world import LEASE_S, World, make_catalog, make_entry, make_job, make_step
 
 from papayadyke_core.dispatch import AdvicePolicy, JobState, RunEnd, TaskId
 
@@ -259,3 +259,21 @@
     world.submit(make_job("j"))
     world.run(0.1)
     assert world.running()
+
+
+def test_successor_waits_for_a_lease_that_was_given_during_the_handover():
+    # Seen on limonadi-ajo-grown trouble-1: a decider that was cut off with its zone
+    # went on for a second after its successor had begun. A run on an upstream of
+    # that zone had ended as done, and was started again before its lease lapsed.
+    world = two_upstreams()
+    world.submit(make_job("j"))
+    world.run(0.2)
+    name, task, _ = world.running()[0]
+    upstream = world.upstreams[name]
+    world.take_over()
+    handover_s = world.dispatcher.settings.handover_s
+    upstream.lease_until_s = world.now + handover_s + LEASE_S
+    world.end(upstream, task, RunEnd.DONE)
+    upstream.is_cut = True
+    world.run(handover_s + LEASE_S - 0.1, after_s=30.0)
+    assert world.starts == 1
