--- a/benchmarks/dispatch_speed.py
+++ b/benchmarks/dispatch_speed.py
@@ -33,7 +33,7 @@
     """Return a dispatcher with a full fleet and a backlog, and what runs."""
     advice = AdvicePolicy(0.01, 0.0001, 2.0)
     queue = QueuePolicy("q", "h", "/q/", "s", 0, 2, 1.5, 0.25, advice)
-    made = Dispatcher(DispatchSettings(advice_slots=30))
+    made = Dispatcher(DispatchSettings(lease_s=5.0, advice_slots=30))
     made.set_catalog(Catalog(1, {queue.key: queue}))
     for number in range(upstreams):
         name = f"u{number}"
--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass, field
 
 from papayadyke_core.dispatch._advice import AdviceBook
 from papayadyke_core.dispatch._job import StagedJob, StepRun
 from papayadyke_core.dispatch._messages import (
     Advice,
-    AdviceRequest,
     Commit,
     EndedRow,
     Orders,
@@ -21,12 +19,6 @@
     UpstreamEntry,
     UpstreamReport,
 )
-from papayadyke_core.dispatch._placement import (
-    list_candidates,
-    place_gang,
-    place_singles,
-    reserve_for_gang,
-)
 from papayadyke_core.dispatch._progress import (
     FINAL_STATES,
     JobProgress,
@@ -34,10 +26,10 @@
     encode_progress,
 )
 from papayadyke_core.dispatch._rank import rank_job
+from papayadyke_core.dispatch._round import PlacementRound
 from papayadyke_core.dispatch._run import Run, RunPhase
 from papayadyke_core.dispatch._settings import DispatchSettings
 from papayadyke_core.dispatch._spec import (
-    AdvicePolicy,
     Catalog,
     QueuePolicy,
     StagedJobSpec,
@@ -51,7 +43,6 @@
 
 ATTEMPTS_A_TERM = 1000  # a task's attempts under one decider stay far below
 STOP_RETRY_S = 0.5  # seconds between two stops of a run that goes on
-MAX_ASKED = 100  # upstreams of one advisory call, by the platform's interface
 PLACE_INTERVAL_S = 0.1  # seconds; tickets and set-aside times run out unnoticed
 ADVICE_RETRY_S = 0.3  # seconds; a failed advisory call is not repeated at once
 ESTIMATE_WEIGHT = 0.05  # share of the newest run in the learned run time
@@ -61,14 +52,6 @@
 _UNKNOWN_STEP = StepSpec(count=1, cpu_millis=10**9, memory_mb=10**9)
 
 
-@dataclass(slots=True)
-class _Pool:
-    """Upstreams of a service that may get work now."""
-
-    members: dict[str, Upstream] = field(default_factory=dict)
-    free_cpu: int = 0
-
-
 class Dispatcher:
     """All jobs, all upstreams, and what runs where. Times are in seconds.
 
@@ -105,8 +88,7 @@
         self._handover_s = now + settings.handover_s
         if term:
             # The decider before may have given a lease as late as the handover.
-            lease_s = settings.lease_s * (1 + settings.lease_drift)
-            self._barrier_s = self._handover_s + lease_s
+            self._barrier_s = self._handover_s + settings.longest_lease_s
 
     # Configuration and registry
 
@@ -226,17 +208,24 @@
 
     # What upstreams tell
 
-    def note_lease(self, upstream_id: str, until_s: float) -> None:
-        """Note a lease that was sent to an upstream, answered or not."""
+    def note_lease(self, upstream_id: str, sent_s: float) -> None:
+        """Note that a lease is sent to an upstream, answered or not.
+
+        May be called by any thread, and is to be called before the lease is sent:
+        no step may see the lease that went before as the last one.
+        """
         upstream = self.upstreams.get(upstream_id)
         if upstream is not None:
+            until_s = sent_s + self.settings.longest_lease_s
             upstream.lease_until_s = max(upstream.lease_until_s, until_s)
 
-    def report(self, upstream_id: str, report: UpstreamReport, now: float) -> None:
-        """Take in what an upstream lists."""
+    def report(
+        self, upstream_id: str, report: UpstreamReport, now: float
+    ) -> list[EndedRow]:
+        """Take in what an upstream lists; return the ends that are new."""
         upstream = self.upstreams.get(upstream_id)
         if upstream is None:
-            return
+            return []
         if upstream.life is not None and upstream.life != report.life:
             self._begin_life(upstream, now)
         upstream.life = report.life
@@ -245,16 +234,17 @@
             self._changed = True
         upstream.is_reachable = True
         upstream.is_verified = True
-        for row in report.ended:
-            if row.number > upstream.last_end:
-                upstream.last_end = row.number
-                self._end(upstream, row, now)
+        news = [row for row in report.ended if row.number > upstream.last_end]
+        for row in news:
+            upstream.last_end = row.number
+            self._end(upstream, row, now)
         listed = set()
         for running in report.running:
             listed.add((running.task, running.attempt))
             self._see_running(upstream, running, now)
         for run in [run for run in upstream.runs.values() if run.key not in listed]:
             self._check_absent(upstream, run, report, now)
+        return news
 
     def lose_contact(self, upstream_id: str) -> None:
         """Note that an upstream does not answer."""
@@ -682,30 +672,20 @@
             return
         self._changed = False
         self._next_place_s = now + PLACE_INTERVAL_S
-        pools = self._pool_upstreams(now)
-        blocked: set[str] = set()
-        reserving = 0
-        for place, (step, queue) in enumerate(self._ranked(now)):
-            pool = pools.get(queue.service)
-            if pool is None or (step.spec.is_gang and step.live):
-                continue
-            fits = step.spec.fills_spare or step.spec.cpu_millis <= pool.free_cpu
-            if queue.advice is not None and (fits or place < self.advice_slots):
-                self._ask(step, queue, queue.advice, pool, orders, now)
-            if fits and self._place_step(step, queue, pool, blocked, orders, now):
-                continue
-            if step.spec.is_gang and reserving < self.settings.reserving_gangs:
-                reserving += 1
-                blocked |= self._reserve(step, queue, pool, blocked)
-
-    def _pool_upstreams(self, now: float) -> dict[str, _Pool]:
-        pools: dict[str, _Pool] = {}
-        for name, item in self.upstreams.items():
-            if item.may_start(now):
-                pool = pools.setdefault(item.entry.service, _Pool())
-                pool.members[name] = item
-                pool.free_cpu = max(pool.free_cpu, item.free_cpu)
-        return pools
+        placing = PlacementRound(
+            self.settings,
+            book=self.book,
+            upstreams=self.upstreams,
+            fleet=self._fleet,
+            advice_slots=self.advice_slots,
+            attempt_floor=self.attempt_floor,
+            now=now,
+        )
+        for step, queue in self._ranked(now):
+            if placing.place(step, queue, factor=self.factor_of(queue.key)):
+                self._close_or_open(step)
+        orders.starts += placing.starts
+        orders.advice += placing.advice
 
     def _ranked(self, now: float) -> list[tuple[StepRun, QueuePolicy]]:
         ranked = []
@@ -720,112 +700,3 @@
             ranked.append((rank, step.step_id, step, queue))
         ranked.sort(key=lambda item: item[:2])
         return [(step, queue) for _, _, step, queue in ranked]
-
-    def _place_step(
-        self,
-        step: StepRun,
-        queue: QueuePolicy,
-        pool: _Pool,
-        blocked: set[str],
-        orders: Orders,
-        now: float,
-    ) -> bool:
-        if queue.advice is None:
-            able = list(pool.members.values())
-        else:
-            names = self.book.valid_tickets(step.step_id, now)
-            able = [pool.members[name] for name in names if name in pool.members]
-        expected_s = step.spec.estimate_s * self.factor_of(queue.key)
-        is_short = expected_s <= self.settings.short_task_s
-        candidates = list_candidates(step, able, blocked=set() if is_short else blocked)
-        if step.spec.is_gang:
-            placed = place_gang(step, candidates)
-        else:
-            placed = place_singles(step, candidates)
-        for index, upstream in placed or ():
-            self._start(step, index, upstream, orders, now)
-        self._close_or_open(step)
-        return bool(placed)
-
-    def _start(
-        self,
-        step: StepRun,
-        index: int,
-        upstream: Upstream,
-        orders: Orders,
-        now: float,
-    ) -> None:
-        task = step.task_id(index)
-        name = upstream.upstream_id
-        if step.spec.is_gang:
-            attempt = step.next_attempt(index, self.attempt_floor)
-            if step.live:
-                attempt = next(iter(step.live.values())).attempt
-        else:
-            attempt = step.next_attempt(index, self.attempt_floor)
-        run = Run(task, attempt, name, step.spec, RunPhase.ORDERED, now, now)
-        upstream.add(run)
-        if not upstream.slots_for(step.spec) >= 0 or (
-            not step.spec.fills_spare and upstream.cpu_used > upstream.entry.cpu_millis
-        ):
-            raise AssertionError(f"upstream {name} would be over its capacity")
-        step.note_attempt(index, attempt)
-        step.live[index] = run
-        step.waiting.discard(index)
-        ticket = self.book.ticket(step.step_id, name, now) or ""
-        checkpoint = step.checkpoints.get(index, "")
-        if step.spec.is_gang:
-            checkpoint = max(step.checkpoints.values(), default="", key=len)
-        orders.starts.append(
-            StartOrder(
-                name, task, attempt, step.job.spec.payload, checkpoint, ticket, now
-            )
-        )
-
-    def _ask(
-        self,
-        step: StepRun,
-        queue: QueuePolicy,
-        policy: AdvicePolicy,
-        pool: _Pool,
-        orders: Orders,
-        now: float,
-    ) -> None:
-        """Ask the advisory service where tickets are missing or run out soon."""
-        known = self.book.of(step.step_id)
-        if known.is_asking or now < known.retry_at_s:
-            return
-        soonest_s = policy.decide_s + policy.per_upstream_s * len(known.allowed)
-        if known.fleet == self._fleet and now + soonest_s < known.valid_until_s:
-            return
-        fresh = [name for name in pool.members if name not in known.asked]
-        stale = [
-            name
-            for name in pool.members
-            if name in known.allowed
-            and self.book.ticket(step.step_id, name, now + soonest_s) is None
-        ]
-        wanted = tuple((fresh + stale)[:MAX_ASKED])
-        known.fleet = self._fleet
-        if not wanted:
-            return
-        cost_s = policy.decide_s + policy.per_upstream_s * len(wanted)
-        free = self.advice_slots - self.book.asking
-        if cost_s > self.settings.slow_advice_s:
-            free -= min(self.settings.quick_advice_slots, self.advice_slots - 1)
-        if free <= 0:
-            known.fleet = -1
-            return
-        self.book.begin(step.step_id, self._fleet)
-        orders.advice.append(AdviceRequest(step.step_id, wanted, cost_s))
-
-    def _reserve(
-        self, step: StepRun, queue: QueuePolicy, pool: _Pool, blocked: set[str]
-    ) -> set[str]:
-        known = self.book.of(step.step_id)
-        able = [
-            item
-            for name, item in pool.members.items()
-            if name not in blocked and (queue.advice is None or name in known.allowed)
-        ]
-        return reserve_for_gang(step, able)
--- a/packages/core/src/papayadyke_core/dispatch/_placement.py
+++ b/packages/core/src/papayadyke_core/dispatch/_placement.py
@@ -56,26 +56,28 @@
     step: StepRun, candidates: list[tuple[Upstream, int]]
 ) -> list[tuple[int, Upstream]]:
     """Give each waiting task of a step an upstream, as far as there is room."""
-    room = [[upstream, slots] for upstream, slots in candidates]
+    slots = {upstream.upstream_id: count for upstream, count in candidates}
     placed: list[tuple[int, Upstream]] = []
     for index in sorted(step.waiting):
-        avoided = step.avoid.get(index, ())
-        choice = _choose(room, avoided)
+        avoided = step.avoid.get(index, set())
+        choice = _choose(candidates, slots, avoided)
         if choice is None:
             break
-        choice[1] -= 1
-        placed.append((index, choice[0]))
+        slots[choice.upstream_id] -= 1
+        placed.append((index, choice))
     return placed
 
 
-def _choose(room, avoided):
+def _choose(
+    candidates: list[tuple[Upstream, int]], slots: dict[str, int], avoided: set[str]
+) -> Upstream | None:
     fallback = None
-    for item in room:
-        if item[1] <= 0:
+    for upstream, _ in candidates:
+        if slots[upstream.upstream_id] <= 0:
             continue
-        if item[0].upstream_id not in avoided:
-            return item
-        fallback = fallback or item
+        if upstream.upstream_id not in avoided:
+            return upstream
+        fallback = fallback or upstream
     return fallback
 
 
--- a/packages/core/src/papayadyke_core/dispatch/_settings.py
+++ b/packages/core/src/papayadyke_core/dispatch/_settings.py
@@ -16,6 +16,8 @@
         takeover, and is what a cut-off upstream costs its tasks.
     lease_drift : float
         Share by which an upstream's clock may be slow.
+    lease_call_s : float
+        Time by which a call may reach an upstream later than it was sent.
     handover_s : float
         Time after a takeover in which the decider before may still act on what
         is accepted, unless every upstream has seen the new one.
@@ -41,8 +43,9 @@
         Jobs of one commit; two entries each must fit in one transaction.
     """
 
-    lease_s: float = 6.0
+    lease_s: float
     lease_drift: float = 0.03
+    lease_call_s: float = 0.5
     handover_s: float = 1.2
     status_kept_s: float = 120.0
     early_s: float = 0.0
@@ -53,3 +56,8 @@
     reserving_gangs: int = 2
     evacuation_s: float = 0.8
     commit_jobs: int = 14
+
+    @property
+    def longest_lease_s(self) -> float:
+        """Time after which a lease has ended that a call sent now may give."""
+        return self.lease_s * (1 + self.lease_drift) + self.lease_call_s
--- a/packages/core/src/papayadyke_core/dispatch/_spec.py
+++ b/packages/core/src/papayadyke_core/dispatch/_spec.py
@@ -201,14 +201,12 @@
     version : int
     queues : dict of str to QueuePolicy
         By `QueuePolicy.key`.
-    standby_services : frozenset of str
-        Pools whose machines are off.
     max_body_bytes : int
+        A longer submission is refused.
     """
 
     version: int = 0
     queues: dict[str, QueuePolicy] = field(default_factory=dict)
-    standby_services: frozenset[str] = frozenset()
     max_body_bytes: int = 262_144
 
     def find_queue(self, host: str, path: str) -> QueuePolicy | None:
--- a/packages/core/src/papayadyke_core/dispatch/tests/dispatch_world.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/dispatch_world.py
@@ -153,7 +153,6 @@
         """Begin a term, as a new decider does."""
         self.term += 1
         self.noted = {}
-        self.lost_for: dict[str, float] = {}
         settings = DispatchSettings(lease_s=LEASE_S)
         made = Dispatcher(settings, term=self.term - 1, now=self.now)
         made.set_catalog(self.catalog)
@@ -177,9 +176,10 @@
 
     def submit(self, spec):
         self.jobs[spec.job_id] = spec
-        for number, step in enumerate(spec.steps):
-            for index in range(step.count):
-                self.specs[TaskId(spec.job_id, 0, number, index)] = step
+        for occurrence in range(spec.repeat.count if spec.repeat else 1):
+            for number, step in enumerate(spec.steps):
+                for index in range(step.count):
+                    self.specs[TaskId(spec.job_id, occurrence, number, index)] = step
         self.dispatcher.submit(spec, now=self.now)
 
     def cancel(self, job_id):
@@ -204,6 +204,8 @@
             self.step()
             for upstream in self.upstreams.values():
                 for task, attempt in list(upstream.running.items()):
+                    if self.specs[task].is_long_running:
+                        continue
                     key = (upstream.entry.upstream_id, task, attempt)
                     since = self.begun.setdefault(key, self.now)
                     if self.now - since >= after_s:
@@ -265,7 +267,6 @@
         for name, upstream in self.upstreams.items():
             if upstream.is_cut:
                 self.dispatcher.lose_contact(name)
-                self.lost_for[name] = self.now
                 continue
             life, number = self.noted.get(name, (0, 0))
             noted = number if life == upstream.life else 0
@@ -273,7 +274,7 @@
             known = self.dispatcher.upstreams[name]
             if known.is_reachable:
                 lease = self.now + LEASE_S
-                self.dispatcher.note_lease(name, lease + 0.5)
+                self.dispatcher.note_lease(name, self.now)
             report = upstream.look(self.term, noted, lease, self.now - 0.001, self.now)
             if report is not None:
                 self.dispatcher.report(name, report, self.now)
@@ -304,7 +305,7 @@
     def _start(self, order):
         upstream = self.upstreams[order.upstream_id]
         deadline = self.now + LEASE_S
-        self.dispatcher.note_lease(order.upstream_id, deadline + 0.5)
+        self.dispatcher.note_lease(order.upstream_id, self.now)
         fate, self.lose_next_start = self.lose_next_start, None
         if fate == "late":
             self.late.append(
@@ -329,7 +330,8 @@
     def _judge_start(self, task):
         assert task not in self.done, f"{task} started after it was done"
         limit = self.catalog.queues[QUEUE].max_attempts
-        assert self.failed.get(task, 0) < limit, f"{task} started too often"
+        if not self.specs[task].is_long_running:
+            assert self.failed.get(task, 0) < limit, f"{task} started too often"
         for number in self.jobs[task.job_id].steps[task.step].after:
             for index in range(self.jobs[task.job_id].steps[number].count):
                 earlier = TaskId(task.job_id, task.occurrence, number, index)
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher.py
@@ -2,7 +2,15 @@
 
 from dispatch_world import LEASE_S, World, make_catalog, make_entry, make_job, make_step
 
-from papayadyke_core.dispatch import AdvicePolicy, JobState, RunEnd, TaskId
+from papayadyke_core.dispatch import (
+    AdvicePolicy,
+    EndedRow,
+    JobState,
+    Repeat,
+    RunEnd,
+    TaskId,
+    UpstreamReport,
+)
 
 
 def two_upstreams(**policy):
@@ -277,3 +285,55 @@
     upstream.is_cut = True
     world.run(handover_s + LEASE_S - 0.1, after_s=30.0)
     assert world.starts == 1
+
+
+def test_report_returns_the_ends_that_are_new():
+    world = two_upstreams()
+    dispatcher = world.dispatcher
+    ends = [EndedRow(n, TaskId("x", 0, 0, n), 1, RunEnd.STOPPED, "") for n in (1, 2)]
+    report = UpstreamReport(1, 0.0, 0.0, [], ends[:1])
+    assert dispatcher.report("a", report, 1.0) == ends[:1]
+    report = UpstreamReport(1, 1.0, 1.0, [], ends)
+    assert dispatcher.report("a", report, 2.0) == ends[1:]
+
+
+def test_occurrences_start_at_their_times():
+    world = two_upstreams()
+    due_s = world.now + 2.0
+    world.submit(make_job("j", make_step(1), repeat=Repeat(2, due_s, 3.0)))
+    world.run(1.9)
+    assert world.starts == 0
+    world.run(0.3)
+    assert [task.occurrence for _, task, _ in world.running()] == [0]
+    world.run(2.5)
+    assert world.starts == 1
+    world.run(3.0)
+    assert world.state_of("j") is JobState.COMPLETE
+    assert world.starts == 2
+
+
+def test_late_occurrences_of_a_takeover_overlap():
+    world = two_upstreams()
+    repeat = Repeat(3, world.now + 0.5, 0.5)
+    world.submit(make_job("j", make_step(1), repeat=repeat))
+    world.run(0.7)
+    world.take_over()
+    world.run(9.0)
+    assert world.state_of("j") is JobState.COMPLETE
+    assert world.starts == 3
+
+
+def test_lasting_task_is_restarted_however_it_ends():
+    world = two_upstreams(max_attempts=2)
+    world.submit(make_job("j", make_step(1, is_long_running=True)))
+    for end in (RunEnd.FAILED, RunEnd.FAILED, RunEnd.FAILED, RunEnd.STOPPED):
+        world.run(8.0)
+        name, task, _ = world.running()[0]
+        world.end(world.upstreams[name], task, end)
+    world.run(8.0)
+    assert len(world.running()) == 1
+    assert world.state_of("j") is JobState.ACTIVE
+    world.cancel("j")
+    world.run(1.0)
+    assert world.running() == []
+    assert world.state_of("j") is JobState.CANCELLED
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
@@ -22,7 +22,7 @@
         URGENT: QueuePolicy("u", "h", "/urgent/", "service", 0, 2, 1.5, 0.25, advice),
         BATCH: QueuePolicy("b", "h", "/batch/", "service", 1, 2, 4.0, 3.0, advice),
     }
-    made = Dispatcher(DispatchSettings(**settings))
+    made = Dispatcher(DispatchSettings(lease_s=5.0, **settings))
     made.set_catalog(Catalog(1, queues))
     for number in range(upstreams):
         made.list_upstream(make_entry(f"u{number}", cores=cores))
