Log ends of runs, and store commits and roster off the decider's thread

Cause: OPERATIONS.md follows a request by 'runs ended', but nothing called the function that logs it: found while splitting the file. The roster was stored on the decider's thread, which held up placing while the store was slow. - Committer and decision log are modules of their own; housekeeping has a thread. - VMs that were silent for a minute no longer raise the number that must confirm an outage; sooner would count out VMs that are cut off and may follow another decider.

--- a/packages/daemon/src/papayadyke_daemon/edge/_agents.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_agents.py
@@ -120,7 +120,7 @@
             # must come to its end before it may run elsewhere.
             grants = self._is_reached
             if grants:
-                self._grant(read_clock())
+                self._calls.note_lease(self.upstream_id, read_clock())
             try:
                 found = self._client.look(
                     token=self._token,
@@ -157,10 +157,6 @@
         self._calls.lose_contact(self.upstream_id, detail)
         self._stopped.wait(RETRY_S)
 
-    def _grant(self, now: float) -> None:
-        until_s = now + self._cfg.lease_s * 1.03 + 0.5
-        self._calls.note_lease(self.upstream_id, until_s)
-
     def _order_on(self) -> None:
         while (order := self._orders.get()) is not None:
             if self._stopped.is_set():
@@ -188,5 +184,5 @@
         now = read_clock()
         if now - order.ordered_s > MAX_ORDER_AGE_S or not self._calls.may_order():
             return StartOutcome.EXPIRED
-        self._grant(now)
+        self._calls.note_lease(self.upstream_id, now)
         return self._client.start(order, token=self._token, lease_s=self._cfg.lease_s)
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/edge/_committer.py
@@ -0,0 +1,143 @@
+"""Stores the progress of jobs, one commit at a time."""
+
+from __future__ import annotations
+
+import logging
+import queue
+import threading
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from papayadyke_core.dispatch import Commit
+from papayadyke_daemon.edge._clock import read_clock
+from papayadyke_daemon.edge._keys import DECIDER_KEY, PROGRESS_PREFIX
+from papayadyke_daemon.edge._logs import log_event
+from papayadyke_daemon.edge._metrics import METRICS
+from papayadyke_daemon.edge._ports import (
+    Record,
+    RecordStore,
+    StoreError,
+    StoreErrorKind,
+    Write,
+)
+
+LOG = logging.getLogger(__name__)
+
+COMMIT_INTERVAL_S = 0.03  # seconds between two commits; more ends share each
+COMMIT_RETRY_S = 0.15  # seconds before a commit that failed is tried again
+
+
+class Committer:
+    """Writes commits under the condition that this VM still decides.
+
+    All methods are called on the decider's thread.
+
+    Parameters
+    ----------
+    store : RecordStore
+    token : int
+        Fencing token of the decider, and revision of its key.
+    post : callable
+        Has a function called on the decider's thread.
+    finished : callable
+        Takes a commit, and whether it was stored.
+    depose : callable
+        Called with a reason when another VM decides.
+    """
+
+    def __init__(
+        self,
+        store: RecordStore,
+        *,
+        token: int,
+        post: Callable[[Callable[[], None]], None],
+        finished: Callable[[Commit, bool], None],
+        depose: Callable[[str], None],
+    ) -> None:
+        self._store = store
+        self._token = token
+        self._post = post
+        self._finished = finished
+        self._depose = depose
+        self._revisions: dict[str, int] = {}
+        self._commits: queue.SimpleQueue[Commit | None] = queue.SimpleQueue()
+        self._is_busy = False
+        self._next_s = 0.0
+
+    def start(self) -> None:
+        """Start the thread that waits for the store."""
+        threading.Thread(target=self._run, name="commits", daemon=True).start()
+
+    def stop(self) -> None:
+        """End the thread after the commit that is under way."""
+        self._commits.put(None)
+
+    def note_revision(self, job_id: str, revision: int) -> None:
+        """Note at which revision the progress of a job is stored."""
+        self._revisions[job_id] = revision
+
+    def may_begin(self, now: float) -> bool:
+        """Tell whether a commit may begin."""
+        return not self._is_busy and now >= self._next_s
+
+    def due(self, latest_s: float) -> float:
+        """Return when the next commit may begin, at the latest a given time."""
+        return latest_s if self._is_busy else min(latest_s, self._next_s)
+
+    def begin(self, commit: Commit) -> None:
+        """Store a commit in the background."""
+        self._is_busy = True
+        if commit.progress:
+            self._commits.put(commit)
+        else:
+            # Ends that change nothing stored need no call.
+            self._finish(commit, Ok(0))
+
+    def _run(self) -> None:
+        while (commit := self._commits.get()) is not None:
+            self._write(commit)
+
+    def _write(self, commit: Commit) -> None:
+        writes = [
+            Write(PROGRESS_PREFIX + name, data)
+            for name, data in commit.progress.items()
+        ]
+        expected = [(DECIDER_KEY, self._token)]
+        expected += [
+            (PROGRESS_PREFIX + name, self._revisions.get(name, 0))
+            for name in commit.progress
+        ]
+        begun_s = read_clock()
+        stored = self._store.write(writes, expected=expected)
+        METRICS.observe("papayadyke_commit_seconds", read_clock() - begun_s)
+        METRICS.count("papayadyke_commits", stored=str(isinstance(stored, Ok)))
+        self._post(lambda: self._finish(commit, stored))
+
+    def _finish(self, commit: Commit, stored: Result[int, StoreError]) -> None:
+        self._is_busy = False
+        if isinstance(stored, Err):
+            error = stored.err_value
+            log_event(
+                LOG,
+                "decider: commit failed",
+                kind=error.kind,
+                why=error.detail,
+                jobs=len(commit.progress),
+            )
+            if error.kind is StoreErrorKind.CONFLICT:
+                self._learn_revisions(error.found)
+            self._next_s = read_clock() + COMMIT_RETRY_S
+        else:
+            self._revisions.update(dict.fromkeys(commit.progress, stored.ok_value))
+            self._next_s = read_clock() + COMMIT_INTERVAL_S
+        self._finished(commit, isinstance(stored, Ok))
+
+    def _learn_revisions(self, found: tuple[Record, ...]) -> None:
+        for record in found:
+            if record.key == DECIDER_KEY:
+                if record.revision != self._token:
+                    self._depose("the store names another decider")
+            elif record.key.startswith(PROGRESS_PREFIX):
+                name = record.key.removeprefix(PROGRESS_PREFIX)
+                self._revisions[name] = record.revision
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 import msgspec
-from result import Err, Ok, Result
+from result import Err, Result
 
 from papayadyke_core.dispatch import (
     Advice,
@@ -17,13 +17,10 @@
     Commit,
     Dispatcher,
     DispatchSettings,
-    EndedRow,
     JobState,
-    RunEnd,
     StagedJobSpec,
     StartOrder,
     StartOutcome,
-    StepId,
     StopOrder,
     UpstreamEntry,
     UpstreamReport,
@@ -32,6 +29,8 @@
 from papayadyke_daemon.edge._advisers import Advisers
 from papayadyke_daemon.edge._agents import AgentCalls, UpstreamAgent
 from papayadyke_daemon.edge._clock import read_clock
+from papayadyke_daemon.edge._committer import Committer
+from papayadyke_daemon.edge._decision_log import log_ends, log_starts, log_stop
 from papayadyke_daemon.edge._keys import (
     CANCEL_PREFIX,
     DECIDER_KEY,
@@ -50,8 +49,6 @@
     EdgePorts,
     EdgeSettings,
     Record,
-    StoreError,
-    StoreErrorKind,
     Write,
 )
 from papayadyke_daemon.edge._watch import list_prefix, watch_prefix
@@ -59,14 +56,15 @@
 
 LOG = logging.getLogger(__name__)
 
-COMMIT_INTERVAL_S = 0.03  # seconds between two commits; more ends share each
-COMMIT_RETRY_S = 0.15  # seconds before a commit that failed is tried again
 INTAKE_INTERVAL_S = 0.5  # seconds between two reads of what was accepted
 MIN_STEP_GAP_S = 0.002  # seconds between two steps; a call takes as long
 TICK_S = 0.1  # seconds; the longest time between two steps of the dispatcher
 GARBAGE_INTERVAL_S = 5.0  # seconds between two removals of old records
 GARBAGE_JOBS = 15  # jobs of one removal; two keys each must fit in a transaction
 HELLO_LIFETIME_S = 2.0  # seconds; four missed messages mean that a VM is gone
+# Seconds after which a silent VM no longer counts among those that could decide;
+# one that is cut off from this VM may follow another decider for as long.
+VM_KEPT_S = 60.0
 
 
 class Term(msgspec.Struct, frozen=True):
@@ -79,13 +77,12 @@
     number : int
         Deciders before.
     roster : RosterRecord
-    roster_revision : int
+        Upstreams that the deciders before knew.
     """
 
     token: int
     number: int
     roster: RosterRecord
-    roster_revision: int
 
 
 class Decider:
@@ -128,23 +125,26 @@
         self._mailbox = Mailbox("decider", self._tick, clock=read_clock)
         self._agents: dict[str, UpstreamAgent] = {}
         self._advisers = Advisers(ports, clients, self._advised)
-        self._revisions: dict[str, int] = {}
         self._early_cancels: set[str] = set()
         self._vms: dict[str, float] = {}
-        self._commits: threading.Semaphore = threading.Semaphore(0)
-        self._commit: Commit | None = None
-        self._next_commit_s = 0.0
+        self._committer = Committer(
+            ports.store,
+            token=term.token,
+            post=self._mailbox.post,
+            finished=self._committed,
+            depose=depose,
+        )
         self._next_step_s = 0.0
         self._next_garbage_s = read_clock() + GARBAGE_INTERVAL_S
         self._roster_upstreams = dict(term.roster.upstreams)
-        self._roster_revision = term.roster_revision
+        self._housekeeping = threading.Event()
         self._calls = AgentCalls(
             may_order=may_order,
             report=self._reported,
             lose_contact=self._lost_contact,
             start_answered=self._start_answered,
             stop_answered=self._stop_answered,
-            note_lease=self._note_lease,
+            note_lease=self._dispatcher.note_lease,
             look_gap_s=self._look_gap_s,
             fenced=lambda name: depose(f"upstream {name} follows a later decider"),
         )
@@ -172,7 +172,7 @@
         self._load(intake.ok_value.records, progress.ok_value.records)
         self._watch(self._ports.registry_prefix, listed.ok_value.revision, 0.0)
         self._watch(INTAKE_PREFIX, intake.ok_value.revision, INTAKE_INTERVAL_S)
-        threading.Thread(target=self._commit_on, name="commits", daemon=True).start()
+        self._committer.start()
         self._mailbox.start()
         log_event(
             LOG,
@@ -187,7 +187,7 @@
     def stop(self) -> None:
         """End the term."""
         self._stopped.set()
-        self._commits.release()
+        self._committer.stop()
         self._mailbox.stop(1.0)
         for agent in self._agents.values():
             agent.stop()
@@ -227,8 +227,11 @@
         self._vms[address] = read_clock()
 
     def list_vms(self) -> list[str]:
-        """Return the addresses of the VMs that greeted lately."""
-        return list(self._vms)
+        """Return the addresses of the VMs that greeted in the last minute."""
+        now = read_clock()
+        return [
+            name for name, seen in self._vms.copy().items() if now - seen < VM_KEPT_S
+        ]
 
     # On the decider's thread
 
@@ -268,62 +271,23 @@
         orders = self._dispatcher.tick(now, time.time())
         for request in orders.advice:
             self._advisers.ask(request)
-        self._log_starts(orders.starts)
+        log_starts(
+            orders.starts,
+            self._dispatcher.jobs,
+            now=now,
+            version=self._dispatcher.catalog.version,
+            token=self.term.token,
+        )
         for order in orders.starts:
             self._agents[order.upstream_id].send(order)
         for stop in orders.stops:
-            log_event(
-                LOG,
-                "decider: stop",
-                request=stop.task.job_id,
-                task=stop.task,
-                attempt=stop.attempt,
-                upstream=stop.upstream_id,
-                why=stop.reason,
-            )
+            log_stop(stop)
             agent = self._agents.get(stop.upstream_id)
             if agent is not None:
                 agent.send(stop)
         self._begin_commit(now)
         self._collect_garbage(now)
-        if self._commit is None and now < self._next_commit_s:
-            return min(now + TICK_S, self._next_commit_s)
-        return now + TICK_S
-
-    def _log_starts(self, starts: list[StartOrder]) -> None:
-        """Log one line for the tasks of a step, which keeps the volume bounded."""
-        steps: dict[StepId, list[StartOrder]] = {}
-        for order in starts:
-            steps.setdefault(StepId(*order.task[:3]), []).append(order)
-        for step, orders in steps.items():
-            job = self._dispatcher.jobs[step.job_id]
-            log_event(
-                LOG,
-                "decider: start",
-                request=step.job_id,
-                step=step,
-                runs=[[o.task.number, o.attempt, o.upstream_id] for o in orders],
-                age_s=round(read_clock() - job.since_s, 3),
-                version=self._dispatcher.catalog.version,
-                token=self.term.token,
-            )
-
-    def _log_ends(self, name: str, ended: list[EndedRow]) -> None:
-        groups: dict[tuple[StepId, RunEnd], list[int]] = {}
-        for row in ended:
-            METRICS.count("papayadyke_run_ends", end=row.end)
-            key = StepId(*row.task[:3]), row.end
-            groups.setdefault(key, []).append(row.task.number)
-        for (step, end), numbers in groups.items():
-            log_event(
-                LOG,
-                "decider: runs ended",
-                request=step.job_id,
-                step=step,
-                tasks=numbers,
-                upstream=name,
-                end=end,
-            )
+        return self._committer.due(now + TICK_S)
 
     def _use_vms(self, now: float) -> None:
         vms = dict(self._vms)
@@ -336,7 +300,7 @@
         stored = {}
         for record in progress:
             job_id = record.key.removeprefix(PROGRESS_PREFIX)
-            self._revisions[job_id] = record.revision
+            self._committer.note_revision(job_id, record.revision)
             stored[job_id] = decode_progress(record.value or b"")
         cancelled = {
             record.key.removeprefix(CANCEL_PREFIX)
@@ -409,18 +373,34 @@
             agent = self._agents.pop(name, None)
             if agent is not None:
                 agent.stop()
-        self._store_roster()
+        if self._housekeeping.is_set():
+            # The last round still waits for the store.
+            return
         old = self._dispatcher.forget_old(time.time())
-        if old:
-            threading.Thread(
-                target=self._remove_jobs, args=(old,), name="garbage", daemon=True
-            ).start()
-
-    def _store_roster(self) -> None:
         upstreams = {
             name: (item.entry.address, item.entry.service)
             for name, item in self._dispatcher.upstreams.items()
         }
+        if old or upstreams != self._roster_upstreams:
+            self._housekeeping.set()
+            threading.Thread(
+                target=self._keep_house,
+                args=(old, upstreams),
+                name="housekeeping",
+                daemon=True,
+            ).start()
+
+    def _keep_house(
+        self, old: list[str], upstreams: dict[str, tuple[str, str]]
+    ) -> None:
+        """Store the roster where it changed, and remove the records of old jobs."""
+        try:
+            self._store_roster(upstreams)
+            self._remove_jobs(old)
+        finally:
+            self._housekeeping.clear()
+
+    def _store_roster(self, upstreams: dict[str, tuple[str, str]]) -> None:
         if upstreams == self._roster_upstreams:
             return
         record = RosterRecord(self.term.number + 1, upstreams)
@@ -428,90 +408,39 @@
             [Write(ROSTER_KEY, encode_record(record))],
             expected=[(DECIDER_KEY, self.term.token)],
         )
-        if not isinstance(stored, Err):
-            self._roster_upstreams = upstreams
+        if isinstance(stored, Err):
+            log_event(LOG, "decider: roster not stored", why=stored.err_value.detail)
+            return
+        self._roster_upstreams = upstreams
 
-    def _remove_jobs(self, names: list[str]) -> None:
-        for begin in range(0, len(names), GARBAGE_JOBS):
-            part = names[begin : begin + GARBAGE_JOBS]
+    def _remove_jobs(self, old: list[str]) -> None:
+        for begin in range(0, len(old), GARBAGE_JOBS):
+            part = old[begin : begin + GARBAGE_JOBS]
             keys = [JOB_PREFIX + name for name in part]
             keys += [PROGRESS_PREFIX + name for name in part]
-            self._ports.store.write(
+            removed = self._ports.store.write(
                 [], expected=[(DECIDER_KEY, self.term.token)], removed=keys
             )
+            if isinstance(removed, Err):
+                # A successor loads these jobs and removes them in its time.
+                log_event(
+                    LOG,
+                    "decider: old jobs not removed",
+                    jobs=len(part),
+                    why=removed.err_value.detail,
+                )
 
     # Commits
 
     def _begin_commit(self, now: float) -> None:
-        if self._commit is not None or now < self._next_commit_s:
+        if not self._committer.may_begin(now):
             return
-        self._commit = self._dispatcher.take_commit()
-        if self._commit is None:
-            return
-        if not self._commit.progress:
-            self._finish_commit(self._commit, {}, None)
-        else:
-            self._commits.release()
-
-    def _commit_on(self) -> None:
-        while True:
-            self._commits.acquire()
-            commit = self._commit
-            if self._stopped.is_set() or commit is None:
-                return
-            writes = [
-                Write(PROGRESS_PREFIX + name, data)
-                for name, data in commit.progress.items()
-            ]
-            expected = [(DECIDER_KEY, self.term.token)]
-            expected += [
-                (PROGRESS_PREFIX + name, self._revisions.get(name, 0))
-                for name in commit.progress
-            ]
-            begun_s = read_clock()
-            stored = self._ports.store.write(writes, expected=expected)
-            METRICS.observe("papayadyke_commit_seconds", read_clock() - begun_s)
-            METRICS.count("papayadyke_commits", stored=str(isinstance(stored, Ok)))
-            self._post_committed(commit, stored)
-
-    def _post_committed(self, commit: Commit, stored: Result[int, StoreError]) -> None:
-        self._mailbox.post(lambda: self._committed(commit, stored))
-
-    def _committed(self, commit: Commit, stored: Result[int, StoreError]) -> None:
-        if isinstance(stored, Err):
-            error = stored.err_value
-            log_event(
-                LOG,
-                "decider: commit failed",
-                kind=error.kind,
-                why=error.detail,
-                jobs=len(commit.progress),
-            )
-            if error.kind is StoreErrorKind.CONFLICT:
-                self._learn_revisions(error.found)
-            self._finish_commit(commit, {}, error)
-            return
-        revisions = dict.fromkeys(commit.progress, stored.ok_value)
-        self._finish_commit(commit, revisions, None)
-
-    def _learn_revisions(self, found: tuple[Record, ...]) -> None:
-        for record in found:
-            if record.key == DECIDER_KEY:
-                if record.revision != self.term.token:
-                    self._depose("the store names another decider")
-            elif record.key.startswith(PROGRESS_PREFIX):
-                name = record.key.removeprefix(PROGRESS_PREFIX)
-                self._revisions[name] = record.revision
-
-    def _finish_commit(
-        self, commit: Commit, revisions: dict[str, int], error: StoreError | None
-    ) -> None:
-        self._commit = None
-        self._revisions.update(revisions)
-        pause_s = COMMIT_INTERVAL_S if error is None else COMMIT_RETRY_S
-        self._next_commit_s = read_clock() + pause_s
-        final = self._dispatcher.committed(commit, is_stored=error is None)
-        for name in final:
+        commit = self._dispatcher.take_commit()
+        if commit is not None:
+            self._committer.begin(commit)
+
+    def _committed(self, commit: Commit, is_stored: bool) -> None:
+        for name in self._dispatcher.committed(commit, is_stored=is_stored):
             job = self._dispatcher.jobs[name]
             age_s = read_clock() - job.since_s
             METRICS.observe("papayadyke_job_seconds", age_s, state=job.state)
@@ -522,7 +451,7 @@
                 state=job.state,
                 age_s=round(age_s, 3),
             )
-        if error is not None:
+        if not is_stored:
             return
         for name, (life, number) in commit.noted.items():
             agent = self._agents.get(name)
@@ -532,7 +461,12 @@
     # From agents
 
     def _reported(self, name: str, report: UpstreamReport) -> None:
-        self._mailbox.post(lambda: self._dispatcher.report(name, report, read_clock()))
+        self._mailbox.post(lambda: self._take_report(name, report))
+
+    def _take_report(self, name: str, report: UpstreamReport) -> None:
+        ended = self._dispatcher.report(name, report, read_clock())
+        if ended:
+            log_ends(name, ended)
 
     def _lost_contact(self, name: str, detail: str) -> None:
         self._mailbox.post(lambda: self._dispatcher.lose_contact(name))
@@ -541,9 +475,6 @@
         gap_s = len(self._agents) / self.cfg.looks_per_s
         return max(self.cfg.look_gap_s, gap_s)
 
-    def _note_lease(self, name: str, until_s: float) -> None:
-        self._dispatcher.note_lease(name, until_s)
-
     def _start_answered(self, order: StartOrder, outcome: StartOutcome) -> None:
         if outcome is StartOutcome.FENCED:
             self._depose(f"upstream {order.upstream_id} follows a later decider")
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decision_log.py
@@ -0,0 +1,88 @@
+"""Log lines of what the decider orders and learns; one line a step or job."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable, Mapping
+
+from papayadyke_core.dispatch import (
+    EndedRow,
+    RunEnd,
+    StagedJob,
+    StartOrder,
+    StepId,
+    StopOrder,
+)
+from papayadyke_daemon.edge._logs import log_event
+from papayadyke_daemon.edge._metrics import METRICS
+
+LOG = logging.getLogger(__name__)
+
+
+def log_starts(
+    starts: Iterable[StartOrder],
+    jobs: Mapping[str, StagedJob],
+    *,
+    now: float,
+    version: int,
+    token: int,
+) -> None:
+    """Log one line for the tasks of a step, which keeps the volume bounded.
+
+    Parameters
+    ----------
+    starts : iterable of StartOrder
+    jobs : mapping of str to StagedJob
+    now : float
+        Seconds, on the clock of the jobs.
+    version : int
+        Of the configuration.
+    token : int
+        Fencing token of the decider.
+    """
+    steps: dict[StepId, list[StartOrder]] = {}
+    for order in starts:
+        steps.setdefault(StepId(*order.task[:3]), []).append(order)
+    for step, orders in steps.items():
+        log_event(
+            LOG,
+            "decider: start",
+            request=step.job_id,
+            step=step,
+            runs=[[o.task.number, o.attempt, o.upstream_id] for o in orders],
+            age_s=round(now - jobs[step.job_id].since_s, 3),
+            version=version,
+            token=token,
+        )
+
+
+def log_stop(stop: StopOrder) -> None:
+    """Log one stop and its reason."""
+    log_event(
+        LOG,
+        "decider: stop",
+        request=stop.task.job_id,
+        task=stop.task,
+        attempt=stop.attempt,
+        upstream=stop.upstream_id,
+        why=stop.reason,
+    )
+
+
+def log_ends(upstream_id: str, ended: Iterable[EndedRow]) -> None:
+    """Log one line for the runs of a step that ended in the same way."""
+    groups: dict[tuple[StepId, RunEnd], list[int]] = {}
+    for row in ended:
+        METRICS.count("papayadyke_run_ends", end=row.end)
+        key = StepId(*row.task[:3]), row.end
+        groups.setdefault(key, []).append(row.task.number)
+    for (step, end), numbers in groups.items():
+        log_event(
+            LOG,
+            "decider: runs ended",
+            request=step.job_id,
+            step=step,
+            tasks=numbers,
+            upstream=upstream_id,
+            end=end,
+        )
--- a/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
@@ -313,7 +313,7 @@
         self._token = written.ok_value
         self.known = KnownDecider(written.ok_value, self.cfg.vm, own.address)
         METRICS.count("papayadyke_terms")
-        term = Term(written.ok_value, known.terms, known, written.ok_value)
+        term = Term(written.ok_value, known.terms, known)
         if not self._begin(term):
             log_event(LOG, "leadership: term could not begin", token=self._token)
             self._end_term(is_planned=True)
