--- a/benchmarks/config_daemons.py
+++ b/benchmarks/config_daemons.py
@@ -16,10 +16,10 @@
 import time
 from pathlib import Path
 
+from papayadyke_clients.keys import KeyFile, load_key_file
+from papayadyke_clients.operators import OperatorsClient, OperatorsSettings
 from papayadyke_core.configuration import PutPreset, SwitchPreset
 from papayadyke_core.workloads import PresetModel
-from papayadyke_platform.keys import KeyFile, load_key_file
-from papayadyke_platform.operators import OperatorsClient, OperatorsSettings
 from papayadyke_standins.cell import Cell, CellPlan, ZonePlan
 
 ZONES = ("hobart", "launceston", "devonport")
--- a/benchmarks/config_spread.py
+++ b/benchmarks/config_spread.py
@@ -14,6 +14,7 @@
 import time
 from dataclasses import dataclass
 
+from papayadyke_clients.store import HttpStore, StoreSettings
 from papayadyke_core.configuration import ConfigLog, PutPreset, SwitchPreset
 from papayadyke_core.workloads import PresetModel
 from papayadyke_daemon.configuration import (
@@ -25,7 +26,6 @@
     ConfigWriter,
     neighbours_of,
 )
-from papayadyke_platform.store import HttpStore, StoreSettings
 from papayadyke_standins.store import Faults, StoreStandin
 
 ZONES = 3
--- a/benchmarks/journal.py
+++ b/benchmarks/journal.py
@@ -12,6 +12,7 @@
 import time
 import tracemalloc
 
+from papayadyke_clients.store import HttpStore, StoreSettings
 from papayadyke_core.idempotency import KeyTable
 from papayadyke_core.jobs import TaskDone, TaskResult
 from papayadyke_core.journal import (
@@ -26,7 +27,6 @@
 from papayadyke_core.workloads import Kind, Workload
 from papayadyke_daemon.jobs import JobHooks, JobService, JobSettings, parse_job
 from papayadyke_daemon.journal import JournalSettings, JournalWriter
-from papayadyke_platform.store import HttpStore, StoreSettings
 from papayadyke_standins.store import StoreStandin
 
 WORKLOADS = {
--- a/benchmarks/peer_calls.py
+++ b/benchmarks/peer_calls.py
@@ -18,8 +18,8 @@
 from hdrh.histogram import HdrHistogram
 from msgspec import Struct
 
+from papayadyke_clients.keys import Authenticator, KeyEntry, KeyFile, Keyring
 from papayadyke_daemon.peers import Handler, PeerEndpoint, PeerSettings
-from papayadyke_platform.keys import Authenticator, KeyEntry, KeyFile, Keyring
 
 MAX_LATENCY_US = 10_000_000
 TIMEOUT_S = 10.0
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -29,13 +29,13 @@
 import msgspec
 import numpy as np
 
+from papayadyke_clients.upstream import OpenMessage, TaskCall, UpstreamClient
 from papayadyke_core.membership import MembershipSettings
 from papayadyke_core.placement import UpstreamSpec
 from papayadyke_core.resources import Resources
 from papayadyke_core.scheduling import Request
 from papayadyke_core.slo import Observation, Recorder, encode_bucket
 from papayadyke_core.workloads import SloTarget
-from papayadyke_platform.upstream import OpenMessage, TaskCall, UpstreamClient
 from papayadyke_standins.cell import Cell, CellPlan, Load, Mix, ZonePlan
 from papayadyke_standins.upstream import UpstreamStandin
 
--- a/benchmarks/through_daemon.py
+++ b/benchmarks/through_daemon.py
@@ -22,8 +22,8 @@
 import urllib3
 from hdrh.histogram import HdrHistogram
 
+from papayadyke_clients.upstream import OpenMessage, TaskCall, UpstreamClient
 from papayadyke_core.resources import Resources
-from papayadyke_platform.upstream import OpenMessage, TaskCall, UpstreamClient
 
 UPSTREAMS = 6
 START_TIMEOUT_S = 30.0
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -7,7 +7,7 @@
     python3 -m pip install --quiet --require-hashes --target $deps -r deploy/requirements.txt
     touch $deps/.libraries
 fi
-for source in packages/core/src/papayadyke_core packages/platform/src/papayadyke_platform \
+for source in packages/core/src/papayadyke_core packages/clients/src/papayadyke_clients \
     packages/daemon/src/papayadyke_daemon platform/src/papayadyke_adapter; do
     copy="$deps/$(basename $source)"
     # Days that are being played start processes from these files.
--- a/packages/cli/src/papayadyke_cli/_callers.py
+++ b/packages/cli/src/papayadyke_cli/_callers.py
@@ -12,8 +12,8 @@
 from papayadyke_cli._output import JsonFlag, print_json, print_table
 from papayadyke_cli._settings import Session
 from papayadyke_cli._values import read_bytes
+from papayadyke_clients.http import HttpExchange, HttpReply
 from papayadyke_core.verdicts import Verdict
-from papayadyke_platform.http import HttpExchange, HttpReply
 
 CONNECT_TIMEOUT_S = 2.0
 ANSWER_MARGIN_S = 10.0
--- a/packages/cli/src/papayadyke_cli/_changes.py
+++ b/packages/cli/src/papayadyke_cli/_changes.py
@@ -11,8 +11,8 @@
 from papayadyke_cli._exits import fail_on_problem
 from papayadyke_cli._output import print_json
 from papayadyke_cli._settings import Session
+from papayadyke_clients.operators import ConfigView, OperatorsClient
 from papayadyke_core.configuration import AnyChange
-from papayadyke_platform.operators import ConfigView, OperatorsClient
 
 ChangeId = Annotated[
     str | None,
--- a/packages/cli/src/papayadyke_cli/_exits.py
+++ b/packages/cli/src/papayadyke_cli/_exits.py
@@ -7,7 +7,7 @@
 
 import typer
 
-from papayadyke_platform.operators import OperatorsProblem, ProblemCode
+from papayadyke_clients.operators import OperatorsProblem, ProblemCode
 
 
 class ExitCode(IntEnum):
--- a/packages/cli/src/papayadyke_cli/_items.py
+++ b/packages/cli/src/papayadyke_cli/_items.py
@@ -21,13 +21,13 @@
 from papayadyke_cli._output import JsonFlag, print_json, print_table, tell_stamp
 from papayadyke_cli._settings import Session
 from papayadyke_cli._values import assign, read_object, remove
+from papayadyke_clients.operators import ConfigView
 from papayadyke_core.configuration import (
     AnyChange,
     DeleteItem,
     ItemKind,
     problems_of,
 )
-from papayadyke_platform.operators import ConfigView
 
 ItemName = Annotated[str, typer.Argument(help="Name of the item.")]
 File = Annotated[str | None, typer.Option(help='JSON file, or "-" to read it.')]
--- a/packages/cli/src/papayadyke_cli/_output.py
+++ b/packages/cli/src/papayadyke_cli/_output.py
@@ -8,8 +8,8 @@
 import msgspec
 import typer
 
+from papayadyke_clients.operators import encode_json
 from papayadyke_core.configuration import Stamp
-from papayadyke_platform.operators import encode_json
 
 JsonFlag = Annotated[bool, typer.Option("--json", help="Print JSON.")]
 
--- a/packages/cli/src/papayadyke_cli/_questions.py
+++ b/packages/cli/src/papayadyke_cli/_questions.py
@@ -12,7 +12,7 @@
 from papayadyke_cli._output import JsonFlag, print_json, print_table
 from papayadyke_cli._settings import Session
 from papayadyke_cli._values import parse_since
-from papayadyke_platform.operators import RefusedView, StatusView
+from papayadyke_clients.operators import RefusedView, StatusView
 
 
 def status(ctx: typer.Context, as_json: JsonFlag = False) -> None:
--- a/packages/cli/src/papayadyke_cli/_settings.py
+++ b/packages/cli/src/papayadyke_cli/_settings.py
@@ -11,9 +11,9 @@
 from result import Err
 
 from papayadyke_cli._exits import ExitCode, fail
+from papayadyke_clients.keys import load_key_file
+from papayadyke_clients.operators import OperatorsClient, OperatorsSettings
 from papayadyke_core.configuration import problems_of
-from papayadyke_platform.keys import load_key_file
-from papayadyke_platform.operators import OperatorsClient, OperatorsSettings
 
 SETTINGS_VARIABLE = "PAPAYADYKE_SETTINGS"
 
--- a/packages/cli/src/papayadyke_cli/tests/test_cli.py
+++ b/packages/cli/src/papayadyke_cli/tests/test_cli.py
@@ -9,6 +9,18 @@
 
 from papayadyke_cli._settings import Session
 from papayadyke_cli.main import app
+from papayadyke_clients.http import CloseConnection, HttpAnswer, HttpServer
+from papayadyke_clients.keys import Authenticator, Keyring, generate_key_file
+from papayadyke_clients.operators import (
+    Explanation,
+    QueueStatus,
+    RefusedCount,
+    RefusedRequest,
+    RefusedView,
+    StatusView,
+    UpstreamStatus,
+    VmStatus,
+)
 from papayadyke_core.configuration import ConfigLog
 from papayadyke_core.slo import Observation, Recorder, make_report
 from papayadyke_core.verdicts import Reason, Refusal, Verdict
@@ -19,18 +31,6 @@
     ConfigWriterSettings,
 )
 from papayadyke_daemon.operators import OPERATORS_LIMITS, OperatorsApp
-from papayadyke_platform.http import CloseConnection, HttpAnswer, HttpServer
-from papayadyke_platform.keys import Authenticator, Keyring, generate_key_file
-from papayadyke_platform.operators import (
-    Explanation,
-    QueueStatus,
-    RefusedCount,
-    RefusedRequest,
-    RefusedView,
-    StatusView,
-    UpstreamStatus,
-    VmStatus,
-)
 from papayadyke_standins.store import Faults, MemoryStore, StoreService
 
 EXAMPLES = Path(__file__).parents[5] / "examples"
--- /dev/null
+++ b/packages/clients/src/papayadyke_clients/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of our own protocols: store, upstreams, list of VMs."""
--- a/packages/platform/src/papayadyke_platform/http/__init__.py
+++ b/packages/clients/src/papayadyke_clients/http/__init__.py
@@ -1,7 +1,7 @@
 """HTTP for small requests: a server in threads, and a client."""
 
-from papayadyke_platform.http._exchange import ExchangeError, HttpExchange, HttpReply
-from papayadyke_platform.http._server import (
+from papayadyke_clients.http._exchange import ExchangeError, HttpExchange, HttpReply
+from papayadyke_clients.http._server import (
     BodyError,
     CloseConnection,
     Handler,
--- a/packages/platform/src/papayadyke_platform/keys/__init__.py
+++ b/packages/clients/src/papayadyke_clients/keys/__init__.py
@@ -1,22 +1,22 @@
 """Shared secrets: key files, signatures and protection from replay."""
 
-from papayadyke_platform.keys._file import (
+from papayadyke_clients.keys._file import (
     KeyEntry,
     KeyFile,
     KeyFileError,
     generate_key_file,
     load_key_file,
 )
-from papayadyke_platform.keys._keyring import Keyring, Signature
-from papayadyke_platform.keys._replay import ReplayGuard, ReplaySettings, Stamp
-from papayadyke_platform.keys._seal import (
+from papayadyke_clients.keys._keyring import Keyring, Signature
+from papayadyke_clients.keys._replay import ReplayGuard, ReplaySettings, Stamp
+from papayadyke_clients.keys._seal import (
     Authenticator,
     Seal,
     SealFault,
     format_seal,
     parse_seal,
 )
-from papayadyke_platform.keys._watch import KeyFileWatch, reload_keys
+from papayadyke_clients.keys._watch import KeyFileWatch, reload_keys
 
 __all__ = [
     "Authenticator",
--- a/packages/platform/src/papayadyke_platform/keys/_keyring.py
+++ b/packages/clients/src/papayadyke_clients/keys/_keyring.py
@@ -6,7 +6,7 @@
 import hmac
 from dataclasses import dataclass
 
-from papayadyke_platform.keys._file import KeyEntry, KeyFile
+from papayadyke_clients.keys._file import KeyEntry, KeyFile
 
 MAC_BYTES = hashlib.sha256().digest_size
 
--- a/packages/platform/src/papayadyke_platform/keys/_seal.py
+++ b/packages/clients/src/papayadyke_clients/keys/_seal.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from papayadyke_platform.keys._keyring import MAC_BYTES, Keyring, Signature
-from papayadyke_platform.keys._replay import ReplayGuard, ReplaySettings, Stamp
+from papayadyke_clients.keys._keyring import MAC_BYTES, Keyring, Signature
+from papayadyke_clients.keys._replay import ReplayGuard, ReplaySettings, Stamp
 
 MAX_NAME_CHARS = 128
 MAX_COUNTER = 2**63 - 1
--- a/packages/platform/src/papayadyke_platform/keys/_watch.py
+++ b/packages/clients/src/papayadyke_clients/keys/_watch.py
@@ -8,8 +8,8 @@
 
 from result import Err, Ok, Result
 
-from papayadyke_platform.keys._file import KeyFileError, load_key_file
-from papayadyke_platform.keys._keyring import Keyring
+from papayadyke_clients.keys._file import KeyFileError, load_key_file
+from papayadyke_clients.keys._keyring import Keyring
 
 JOIN_TIMEOUT_S = 5.0
 
--- a/packages/platform/src/papayadyke_platform/keys/tests/test_keys.py
+++ b/packages/clients/src/papayadyke_clients/keys/tests/test_keys.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from papayadyke_platform.keys import (
+from papayadyke_clients.keys import (
     Authenticator,
     KeyEntry,
     KeyFile,
--- a/packages/platform/src/papayadyke_platform/operators/__init__.py
+++ b/packages/clients/src/papayadyke_clients/operators/__init__.py
@@ -1,7 +1,7 @@
 """The operators' interface: its messages and its client."""
 
-from papayadyke_platform.operators._client import OperatorsClient, OperatorsSettings
-from papayadyke_platform.operators._messages import (
+from papayadyke_clients.operators._client import OperatorsClient, OperatorsSettings
+from papayadyke_clients.operators._messages import (
     BURN_PATH,
     CHANGES_PATH,
     CONFIG_PATH,
--- a/packages/platform/src/papayadyke_platform/operators/_client.py
+++ b/packages/clients/src/papayadyke_clients/operators/_client.py
@@ -12,11 +12,11 @@
 import msgspec
 from result import Err, Ok, Result
 
+from papayadyke_clients.http import HttpExchange, HttpReply
+from papayadyke_clients.keys import Authenticator, KeyFile, Keyring, format_seal
+from papayadyke_clients.operators import _messages as m
 from papayadyke_core.configuration import AnyChange, encode_change
 from papayadyke_core.slo import BurnReport
-from papayadyke_platform.http import HttpExchange, HttpReply
-from papayadyke_platform.keys import Authenticator, KeyFile, Keyring, format_seal
-from papayadyke_platform.operators import _messages as m
 
 T = TypeVar("T")
 
--- a/packages/platform/src/papayadyke_platform/store/__init__.py
+++ b/packages/clients/src/papayadyke_clients/store/__init__.py
@@ -1,8 +1,8 @@
 """The platform's key-value service, as the daemon sees it."""
 
-from papayadyke_platform.store._http import HttpStore, StoreSettings
-from papayadyke_platform.store._none import NoStore
-from papayadyke_platform.store._types import (
+from papayadyke_clients.store._http import HttpStore, StoreSettings
+from papayadyke_clients.store._none import NoStore
+from papayadyke_clients.store._types import (
     MAX_VALUE_BYTES,
     Entry,
     ErrorKind,
--- a/packages/platform/src/papayadyke_platform/store/_http.py
+++ b/packages/clients/src/papayadyke_clients/store/_http.py
@@ -11,8 +11,8 @@
 from result import Err, Ok, Result
 from urllib3.exceptions import ClosedPoolError, HTTPError, NewConnectionError
 
-from papayadyke_platform.store import _wire as wire
-from papayadyke_platform.store._types import Entry, ErrorKind, Event, StoreError
+from papayadyke_clients.store import _wire as wire
+from papayadyke_clients.store._types import Entry, ErrorKind, Event, StoreError
 
 T = TypeVar("T")
 
--- a/packages/platform/src/papayadyke_platform/store/_none.py
+++ b/packages/clients/src/papayadyke_clients/store/_none.py
@@ -4,7 +4,7 @@
 
 from result import Err, Result
 
-from papayadyke_platform.store._types import Entry, ErrorKind, Event, StoreError
+from papayadyke_clients.store._types import Entry, ErrorKind, Event, StoreError
 
 _AWAY = Err(StoreError(ErrorKind.UNAVAILABLE, "the settings name no store"))
 
--- a/packages/platform/src/papayadyke_platform/store/_wire.py
+++ b/packages/clients/src/papayadyke_clients/store/_wire.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from papayadyke_platform.store._types import Entry, ErrorKind, Event
+from papayadyke_clients.store._types import Entry, ErrorKind, Event
 
 CALL_PATH = "/v1/call"
 CLIENT_HEADER = "Store-Client"
--- a/packages/platform/src/papayadyke_platform/store/tests/test_http_store.py
+++ b/packages/clients/src/papayadyke_clients/store/tests/test_http_store.py
@@ -5,7 +5,7 @@
 import pytest
 from urllib3.exceptions import ClosedPoolError
 
-from papayadyke_platform.store import (
+from papayadyke_clients.store import (
     MAX_VALUE_BYTES,
     ErrorKind,
     HttpStore,
--- a/packages/platform/src/papayadyke_platform/upstream/__init__.py
+++ b/packages/clients/src/papayadyke_clients/upstream/__init__.py
@@ -1,6 +1,6 @@
 """The protocol of an upstream, and its client."""
 
-from papayadyke_platform.upstream._client import (
+from papayadyke_clients.upstream._client import (
     Answered,
     CallResult,
     Failed,
@@ -11,7 +11,7 @@
     TaskCall,
     UpstreamClient,
 )
-from papayadyke_platform.upstream._messages import (
+from papayadyke_clients.upstream._messages import (
     OUTCOME_HEADER,
     START_HEADER,
     EndsReport,
--- a/packages/platform/src/papayadyke_platform/upstream/_client.py
+++ b/packages/clients/src/papayadyke_clients/upstream/_client.py
@@ -9,9 +9,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from papayadyke_core.resources import Resources
-from papayadyke_platform.http import HttpExchange, HttpReply
-from papayadyke_platform.upstream._messages import (
+from papayadyke_clients.http import HttpExchange, HttpReply
+from papayadyke_clients.upstream._messages import (
     OUTCOME_HEADER,
     START_HEADER,
     EndsReport,
@@ -21,6 +20,7 @@
     StartMessage,
     TaskEnd,
 )
+from papayadyke_core.resources import Resources
 
 CONNECT_TIMEOUT_S = 0.5
 CONTROL_TIMEOUT_S = 1.0
--- a/packages/platform/src/papayadyke_platform/vm_list/__init__.py
+++ b/packages/clients/src/papayadyke_clients/vm_list/__init__.py
@@ -1,6 +1,6 @@
 """The platform's list of live and leaving VMs, which lags."""
 
-from papayadyke_platform.vm_list._client import (
+from papayadyke_clients.vm_list._client import (
     VmListClient,
     VmListError,
     VmListSettings,
--- a/packages/platform/src/papayadyke_platform/vm_list/tests/test_vm_list_client.py
+++ b/packages/clients/src/papayadyke_clients/vm_list/tests/test_vm_list_client.py
@@ -6,8 +6,8 @@
 import pytest
 import urllib3
 
+from papayadyke_clients.vm_list import VmListClient, VmListSettings
 from papayadyke_core.membership import ListedState, ListedVm
-from papayadyke_platform.vm_list import VmListClient, VmListSettings
 from papayadyke_standins.vm_list import VmListServer, VmListServerSettings
 
 ENTRY = ListedVm("a", "z", "r", "10.0.0.1:1", ListedState.LEAVING)
--- a/packages/daemon/src/papayadyke_daemon/_logs.py
+++ b/packages/daemon/src/papayadyke_daemon/_logs.py
@@ -12,7 +12,7 @@
     "papayadyke",
     "papayadyke_core",
     "papayadyke_daemon",
-    "papayadyke_platform",
+    "papayadyke_clients",
     "papayadyke_standins",
 )
 PLAIN_FORMAT = "%(asctime)s %(levelname)s %(message)s"
--- a/packages/daemon/src/papayadyke_daemon/backend.py
+++ b/packages/daemon/src/papayadyke_daemon/backend.py
@@ -10,6 +10,18 @@
 
 from result import Err, Result
 
+from papayadyke_clients.operators import (
+    Explanation,
+    QueueStatus,
+    RefusedCount,
+    RefusedRequest,
+    RefusedView,
+    StatusView,
+    UpstreamStatus,
+    VmStatus,
+)
+from papayadyke_clients.store import StoreError
+from papayadyke_clients.upstream import read_demand
 from papayadyke_core.membership import Member, Snapshot
 from papayadyke_core.resources import NOTHING
 from papayadyke_core.scheduling import LoadSummary, WorkloadLoad
@@ -20,18 +32,6 @@
 from papayadyke_daemon.fleet import Fleet
 from papayadyke_daemon.levels import LevelArchive
 from papayadyke_daemon.serving import RequestHistory, RequestRecord
-from papayadyke_platform.operators import (
-    Explanation,
-    QueueStatus,
-    RefusedCount,
-    RefusedRequest,
-    RefusedView,
-    StatusView,
-    UpstreamStatus,
-    VmStatus,
-)
-from papayadyke_platform.store import StoreError
-from papayadyke_platform.upstream import read_demand
 
 # Minutes are summed, and their refused requests dropped, once their hour and a
 # little more is over.
--- a/packages/daemon/src/papayadyke_daemon/callers/_app.py
+++ b/packages/daemon/src/papayadyke_daemon/callers/_app.py
@@ -12,6 +12,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from papayadyke_clients.http import BodyError, HttpAnswer, HttpRequest
 from papayadyke_core.verdicts import Reason, Refusal, Verdict
 from papayadyke_daemon.callers._headers import read_headers, read_request_id
 from papayadyke_daemon.callers._jobs import JobHome, JobRoutes
@@ -31,7 +32,6 @@
     refuse_draining,
 )
 from papayadyke_daemon.settings import CallersSettings
-from papayadyke_platform.http import BodyError, HttpAnswer, HttpRequest
 
 LOG = logging.getLogger("papayadyke.callers")
 
--- a/packages/daemon/src/papayadyke_daemon/callers/_jobs.py
+++ b/packages/daemon/src/papayadyke_daemon/callers/_jobs.py
@@ -9,6 +9,7 @@
 import msgspec
 from result import Err, Result
 
+from papayadyke_clients.http import HttpAnswer, HttpRequest
 from papayadyke_core.verdicts import Refusal
 from papayadyke_daemon.callers._problem import (
     make_bad_request,
@@ -16,7 +17,6 @@
     refuse_method,
 )
 from papayadyke_daemon.jobs import JobAnswer, JobModel, parse_job
-from papayadyke_platform.http import HttpAnswer, HttpRequest
 
 JOBS_PATH = "/v1/jobs"
 MAX_WAIT_S = 60.0
--- a/packages/daemon/src/papayadyke_daemon/callers/_problem.py
+++ b/packages/daemon/src/papayadyke_daemon/callers/_problem.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
+from papayadyke_clients.http import HttpAnswer
 from papayadyke_core.verdicts import Reason, Refusal, Verdict
-from papayadyke_platform.http import HttpAnswer
 
 PROBLEM_TYPE = "application/problem+json"
 
--- a/packages/daemon/src/papayadyke_daemon/callers/tests/test_callers_input.py
+++ b/packages/daemon/src/papayadyke_daemon/callers/tests/test_callers_input.py
@@ -3,10 +3,10 @@
 
 import pytest
 
+from papayadyke_clients.http import HttpExchange
 from papayadyke_core.workloads import ConfigModel
 from papayadyke_daemon.daemon import Daemon
 from papayadyke_daemon.settings import Address, CallersSettings, Settings
-from papayadyke_platform.http import HttpExchange
 
 CONFIG = {
     "workloads": [
--- a/packages/daemon/src/papayadyke_daemon/cell_keys.py
+++ b/packages/daemon/src/papayadyke_daemon/cell_keys.py
@@ -6,13 +6,13 @@
 
 from result import Err
 
-from papayadyke_daemon.settings import Settings
-from papayadyke_platform.keys import (
+from papayadyke_clients.keys import (
     Authenticator,
     KeyFileWatch,
     Keyring,
     load_key_file,
 )
+from papayadyke_daemon.settings import Settings
 
 
 class KeysError(Exception):
--- a/packages/daemon/src/papayadyke_daemon/configuration/_reader.py
+++ b/packages/daemon/src/papayadyke_daemon/configuration/_reader.py
@@ -9,6 +9,7 @@
 
 from result import Err
 
+from papayadyke_clients.store import ErrorKind
 from papayadyke_core.configuration import ConfigState, LogEntry
 from papayadyke_daemon.configuration._follower import Follower, NewEntries, NewState
 from papayadyke_daemon.configuration._messages import ConfigRequest
@@ -20,7 +21,6 @@
     parse_entry,
 )
 from papayadyke_daemon.configuration._settings import ConfigSyncSettings
-from papayadyke_platform.store import ErrorKind
 
 logger = logging.getLogger(__name__)
 
--- a/packages/daemon/src/papayadyke_daemon/configuration/_repository.py
+++ b/packages/daemon/src/papayadyke_daemon/configuration/_repository.py
@@ -13,6 +13,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from papayadyke_clients.store import Entry, ErrorKind, Store, StoreError
 from papayadyke_core.configuration import (
     MAX_CHUNKS,
     ConfigState,
@@ -25,7 +26,6 @@
     make_snapshot,
     read_snapshot,
 )
-from papayadyke_platform.store import Entry, ErrorKind, Store, StoreError
 
 LOG_PREFIX = "config/log/"
 HEAD_KEY = "config/snapshot-head"
--- a/packages/daemon/src/papayadyke_daemon/configuration/_writer.py
+++ b/packages/daemon/src/papayadyke_daemon/configuration/_writer.py
@@ -12,6 +12,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from papayadyke_clients.store import ErrorKind, StoreError
 from papayadyke_core.configuration import (
     AnyChange,
     ChangeError,
@@ -23,7 +24,6 @@
     check_change,
 )
 from papayadyke_daemon.configuration._repository import ConfigRepository
-from papayadyke_platform.store import ErrorKind, StoreError
 
 logger = logging.getLogger(__name__)
 
--- a/packages/daemon/src/papayadyke_daemon/configuration/tests/test_config_machine.py
+++ b/packages/daemon/src/papayadyke_daemon/configuration/tests/test_config_machine.py
@@ -9,6 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from result import Err
 
+from papayadyke_clients.store import ErrorKind, StoreError
 from papayadyke_core.configuration import (
     ConfigLog,
     ConfigState,
@@ -31,7 +32,6 @@
     Unavailable,
     Unresolved,
 )
-from papayadyke_platform.store import ErrorKind, StoreError
 from papayadyke_standins.store import Faults, MemoryStore, StoreService
 
 VMS = st.integers(0, 2)
--- a/packages/daemon/src/papayadyke_daemon/configuration/tests/test_config_writer.py
+++ b/packages/daemon/src/papayadyke_daemon/configuration/tests/test_config_writer.py
@@ -3,6 +3,7 @@
 import pytest
 from result import Err, Ok
 
+from papayadyke_clients.store import ErrorKind, StoreError
 from papayadyke_core.configuration import (
     ConfigLog,
     ConfigState,
@@ -20,7 +21,6 @@
     Unavailable,
     Unresolved,
 )
-from papayadyke_platform.store import ErrorKind, StoreError
 from papayadyke_standins.store import Faults, MemoryStore, StoreService
 
 LOG = "config/log/"
--- a/packages/daemon/src/papayadyke_daemon/daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/daemon.py
@@ -11,6 +11,8 @@
 
 from result import Err
 
+from papayadyke_clients.http import HttpAnswer, HttpLimits, HttpRequest, HttpServer
+from papayadyke_clients.store import HttpStore, NoStore, Store, StoreSettings
 from papayadyke_core.configuration import ReplaceConfig
 from papayadyke_core.scheduling import LoadSummary, Scheduler
 from papayadyke_core.slo import UNKNOWN_WORKLOAD, Observation, VmUsage
@@ -43,8 +45,6 @@
     refuse_draining,
 )
 from papayadyke_daemon.settings import Settings
-from papayadyke_platform.http import HttpAnswer, HttpLimits, HttpRequest, HttpServer
-from papayadyke_platform.store import HttpStore, NoStore, Store, StoreSettings
 
 LOG = logging.getLogger(__name__)
 DRAIN_POLL_S = 0.05
--- a/packages/daemon/src/papayadyke_daemon/durable.py
+++ b/packages/daemon/src/papayadyke_daemon/durable.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 
+from papayadyke_clients.store import Store
 from papayadyke_core.idempotency import UnresolvedKey
 from papayadyke_core.jobs import TaskDone, TaskResult, task_id_of
 from papayadyke_core.workloads import Workload
@@ -16,7 +17,6 @@
 from papayadyke_daemon.partitions import PartitionKeeper
 from papayadyke_daemon.scheduler import SchedulerLoop
 from papayadyke_daemon.serving import MAX_ATTEMPTS, TaskRunner
-from papayadyke_platform.store import Store
 
 LEASE_MARGIN = 2.0
 PACE_PERIOD_S = 5.0
--- a/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
@@ -8,6 +8,7 @@
 
 from result import Ok
 
+from papayadyke_clients.http import HttpAnswer, HttpLimits, HttpRequest, HttpServer
 from papayadyke_core.dispatch import Catalog, StepId
 from papayadyke_daemon.edge._clock import read_clock
 from papayadyke_daemon.edge._decider import Decider, Term
@@ -36,7 +37,6 @@
 from papayadyke_daemon.edge._ports import EdgePorts, EdgeSettings, Record
 from papayadyke_daemon.edge._reports import StoreReport, StoreReports
 from papayadyke_daemon.edge._watch import watch_prefix
-from papayadyke_platform.http import HttpAnswer, HttpLimits, HttpRequest, HttpServer
 
 LOG = logging.getLogger(__name__)
 
--- a/packages/daemon/src/papayadyke_daemon/embedded.py
+++ b/packages/daemon/src/papayadyke_daemon/embedded.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from papayadyke_clients.keys import generate_key_file
 from papayadyke_core.placement import UpstreamSpec
 from papayadyke_core.resources import Resources
 from papayadyke_core.workloads import ConfigModel
@@ -19,7 +20,6 @@
     StoreAddress,
     UpstreamAddress,
 )
-from papayadyke_platform.keys import generate_key_file
 from papayadyke_standins.store import StoreStandin
 from papayadyke_standins.upstream import UpstreamStandin
 
--- a/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
@@ -12,6 +12,14 @@
 
 from result import Err, Ok, Result
 
+from papayadyke_clients.upstream import (
+    OpenMessage,
+    RunningTaskMessage,
+    SessionRefused,
+    SessionReport,
+    UpstreamClient,
+    read_demand,
+)
 from papayadyke_core.ownership import (
     Granted,
     OpenRefusal,
@@ -34,14 +42,6 @@
     RemoveUpstream,
 )
 from papayadyke_daemon.settings import FleetSettings, UpstreamAddress
-from papayadyke_platform.upstream import (
-    OpenMessage,
-    RunningTaskMessage,
-    SessionRefused,
-    SessionReport,
-    UpstreamClient,
-    read_demand,
-)
 
 LOG = logging.getLogger("papayadyke.fleet")
 STOP_TIMEOUT_S = 10.0
--- a/packages/daemon/src/papayadyke_daemon/fleet/_fleet.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_fleet.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable, Iterable
 
+from papayadyke_clients.upstream import CallResult, Lost, UpstreamClient
 from papayadyke_daemon.fleet._agent import (
     UNREACHABLE,
     Holder,
@@ -13,7 +14,6 @@
     UpstreamAgent,
 )
 from papayadyke_daemon.settings import FleetSettings, UpstreamAddress
-from papayadyke_platform.upstream import CallResult, Lost, UpstreamClient
 
 # No session has this token, so that asking to renew it changes nothing.
 NO_TOKEN = 0
--- a/packages/daemon/src/papayadyke_daemon/fleet/tests/test_upstream_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/tests/test_upstream_agent.py
@@ -4,6 +4,13 @@
 import msgspec
 import pytest
 
+from papayadyke_clients.upstream import (
+    NotStarted,
+    OpenMessage,
+    Running,
+    TaskCall,
+    UpstreamClient,
+)
 from papayadyke_core.placement import UpstreamSpec
 from papayadyke_core.resources import Resources
 from papayadyke_core.scheduling import Outcome
@@ -16,13 +23,6 @@
     RemoveUpstream,
 )
 from papayadyke_daemon.settings import Address, FleetSettings, UpstreamAddress
-from papayadyke_platform.upstream import (
-    NotStarted,
-    OpenMessage,
-    Running,
-    TaskCall,
-    UpstreamClient,
-)
 from papayadyke_standins.upstream import Faults, UpstreamStandin
 
 LIMIT_S = 60.0
--- a/packages/daemon/src/papayadyke_daemon/idempotency/tests/test_key_service.py
+++ b/packages/daemon/src/papayadyke_daemon/idempotency/tests/test_key_service.py
@@ -2,13 +2,13 @@
 
 import pytest
 
+from papayadyke_clients.store import ErrorKind
 from papayadyke_core.idempotency import ClaimKind
 from papayadyke_core.jobs import TaskDone, TaskResult
 from papayadyke_core.journal import Answer, partition_of
 from papayadyke_core.verdicts import Reason, Refusal, Verdict
 from papayadyke_daemon.idempotency import KeyService, KeyServiceSettings
 from papayadyke_daemon.journal import JournalSettings, JournalWriter
-from papayadyke_platform.store import ErrorKind
 from papayadyke_standins.store import Faults, MemoryStore, StoreService
 
 KEY = next(f"k{n}" for n in range(10_000) if partition_of(f"k{n}") == 0)
--- a/packages/daemon/src/papayadyke_daemon/journal/_certain.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/_certain.py
@@ -4,10 +4,10 @@
 
 from dataclasses import dataclass
 
+from papayadyke_platform.store import Entry, ErrorKind, Store, StoreError
 from result import Err, Ok, Result
 
 from papayadyke_core.journal import CallResult, decode_segment
-from papayadyke_platform.store import Entry, ErrorKind, Store, StoreError
 
 MAX_TRIES = 8
 
--- a/packages/daemon/src/papayadyke_daemon/journal/_compaction.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/_compaction.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 
 import msgspec
+from papayadyke_platform.store import Entry, ErrorKind, Store
 from result import Err, Ok
 
 from papayadyke_core.journal import (
@@ -21,7 +22,6 @@
 )
 from papayadyke_daemon.journal._takeover import OwnedLog, new_id, write_manifest
 from papayadyke_daemon.journal._types import JournalSettings
-from papayadyke_platform.store import Entry, ErrorKind, Store
 
 TAKEOVER_RETENTION_S = 24 * 3600.0
 LEFTOVER_PAGE = 4
--- a/packages/daemon/src/papayadyke_daemon/journal/_takeover.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/_takeover.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 import msgspec
+from papayadyke_platform.store import ErrorKind, Store, StoreError
 from result import Err, Ok, Result
 
 from papayadyke_core.journal import (
@@ -29,7 +30,6 @@
 )
 from papayadyke_daemon.journal._certain import read_present, replace_certainly
 from papayadyke_daemon.journal._types import JournalSettings, Replay
-from papayadyke_platform.store import ErrorKind, Store, StoreError
 
 PAGE_SEGMENTS = 8
 MAX_ROUNDS = 20
--- a/packages/daemon/src/papayadyke_daemon/journal/_thread.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/_thread.py
@@ -7,13 +7,13 @@
 from collections.abc import Callable, Sequence
 from typing import TypeVar
 
+from papayadyke_platform.store import ErrorKind, Store, StoreError
 from result import Err, Result
 
 from papayadyke_core.journal import Entry
 from papayadyke_daemon.journal._types import JournalSettings, Replay
 from papayadyke_daemon.journal._writer import LogWriter, OnSettled
 from papayadyke_daemon.mailbox import Mailbox
-from papayadyke_platform.store import ErrorKind, Store, StoreError
 
 T = TypeVar("T")
 
--- a/packages/daemon/src/papayadyke_daemon/journal/_writer.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/_writer.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
+from papayadyke_platform.store import ErrorKind, Store, StoreError
 from result import Err, Ok, Result
 
 from papayadyke_core.journal import (
@@ -33,7 +34,6 @@
     take_over,
 )
 from papayadyke_daemon.journal._types import JournalSettings, Replay
-from papayadyke_platform.store import ErrorKind, Store, StoreError
 
 FENCE_HORIZON_S = 3600.0
 COMPACTION_RETRY_S = 30.0
--- a/packages/daemon/src/papayadyke_daemon/journal/tests/journal_world.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/tests/journal_world.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from papayadyke_platform.store import ErrorKind
+
 from papayadyke_core.jobs import TaskDone, TaskResult
 from papayadyke_core.journal import (
     PARTITIONS,
@@ -29,7 +31,6 @@
 from papayadyke_daemon.idempotency import KeyService, KeyServiceSettings
 from papayadyke_daemon.jobs import JobHooks, JobService, JobSettings, parse_job
 from papayadyke_daemon.journal import JournalSettings, JournalWriter
-from papayadyke_platform.store import ErrorKind
 from papayadyke_standins.store import MemoryStore, StoreService
 
 START_LIMIT_S = 10.0
--- a/packages/daemon/src/papayadyke_daemon/levels/_archive.py
+++ b/packages/daemon/src/papayadyke_daemon/levels/_archive.py
@@ -7,6 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from papayadyke_clients.store import Entry, ErrorKind, Store, StoreError
 from papayadyke_core.slo import (
     Bucket,
     BurnReport,
@@ -19,7 +20,6 @@
     make_report,
     roll_up,
 )
-from papayadyke_platform.store import Entry, ErrorKind, Store, StoreError
 
 MINUTE_PREFIX = "slo/minute/"
 HOUR_PREFIX = "slo/hour/"
--- a/packages/daemon/src/papayadyke_daemon/membership/_records.py
+++ b/packages/daemon/src/papayadyke_daemon/membership/_records.py
@@ -15,6 +15,7 @@
 
 from result import Err, Ok
 
+from papayadyke_clients.store import ErrorKind, Store
 from papayadyke_core.membership import Snapshot
 from papayadyke_core.ownership import (
     ProposalSettings,
@@ -24,7 +25,6 @@
     decode_record,
     encode_record,
 )
-from papayadyke_platform.store import ErrorKind, Store
 
 JOIN_TIMEOUT_S = 10.0
 WAKE_S = 0.5
--- a/packages/daemon/src/papayadyke_daemon/membership/_service.py
+++ b/packages/daemon/src/papayadyke_daemon/membership/_service.py
@@ -13,6 +13,8 @@
 
 from result import Err, Ok
 
+from papayadyke_clients.store import Store
+from papayadyke_clients.vm_list import VmListClient
 from papayadyke_core.membership import (
     Exchange,
     Identity,
@@ -41,8 +43,6 @@
 from papayadyke_daemon.membership._records import RecordKeeper, RecordKeeperSettings
 from papayadyke_daemon.membership._view import View
 from papayadyke_daemon.peers import Ack, CallError, Handler, PeerEndpoint
-from papayadyke_platform.store import Store
-from papayadyke_platform.vm_list import VmListClient
 
 JOIN_TIMEOUT_S = 5.0
 # A handler waits no longer for the thread of the membership.
--- a/packages/daemon/src/papayadyke_daemon/membership/tests/test_membership_service.py
+++ b/packages/daemon/src/papayadyke_daemon/membership/tests/test_membership_service.py
@@ -5,6 +5,9 @@
 import pytest
 from result import Err, Ok
 
+from papayadyke_clients.keys import Authenticator, KeyEntry, KeyFile, Keyring
+from papayadyke_clients.store import Entry, ErrorKind, StoreError
+from papayadyke_clients.vm_list import VmListClient, VmListSettings
 from papayadyke_core.membership import (
     Identity,
     ListedState,
@@ -20,9 +23,6 @@
     RecordKeeperSettings,
 )
 from papayadyke_daemon.peers import PeerEndpoint, PeerSettings
-from papayadyke_platform.keys import Authenticator, KeyEntry, KeyFile, Keyring
-from papayadyke_platform.store import Entry, ErrorKind, StoreError
-from papayadyke_platform.vm_list import VmListClient, VmListSettings
 from papayadyke_standins.vm_list import VmListServer, VmListServerSettings
 
 LIMIT_S = 60.0
--- a/packages/daemon/src/papayadyke_daemon/operators/_app.py
+++ b/packages/daemon/src/papayadyke_daemon/operators/_app.py
@@ -14,24 +14,9 @@
 import msgspec
 from result import Err, Result
 
-from papayadyke_core.configuration import (
-    MAX_CHANGE_BYTES,
-    AnyChange,
-    ConfigState,
-    Conflict,
-    Invalid,
-    ItemKind,
-    decode_change,
-)
-from papayadyke_core.slo import BurnReport
-from papayadyke_daemon.configuration import (
-    Accepted,
-    SubmitError,
-    Unresolved,
-)
-from papayadyke_platform.http import BodyError, HttpAnswer, HttpLimits, HttpRequest
-from papayadyke_platform.keys import Authenticator, parse_seal
-from papayadyke_platform.operators import (
+from papayadyke_clients.http import BodyError, HttpAnswer, HttpLimits, HttpRequest
+from papayadyke_clients.keys import Authenticator, parse_seal
+from papayadyke_clients.operators import (
     BURN_PATH,
     CHANGES_PATH,
     CONFIG_PATH,
@@ -55,7 +40,22 @@
     signed_bytes,
     view_config,
 )
-from papayadyke_platform.store import StoreError
+from papayadyke_clients.store import StoreError
+from papayadyke_core.configuration import (
+    MAX_CHANGE_BYTES,
+    AnyChange,
+    ConfigState,
+    Conflict,
+    Invalid,
+    ItemKind,
+    decode_change,
+)
+from papayadyke_core.slo import BurnReport
+from papayadyke_daemon.configuration import (
+    Accepted,
+    SubmitError,
+    Unresolved,
+)
 
 LOG = logging.getLogger("papayadyke.operators")
 
--- a/packages/daemon/src/papayadyke_daemon/operators/tests/test_operators.py
+++ b/packages/daemon/src/papayadyke_daemon/operators/tests/test_operators.py
@@ -6,38 +6,21 @@
 import pytest
 from result import Ok
 
-from papayadyke_core.configuration import (
-    ConfigLog,
-    PutTeam,
-    SwitchPreset,
-    encode_change,
-)
-from papayadyke_core.slo import Observation, Recorder, make_report
-from papayadyke_core.verdicts import Reason, Refusal, Verdict
-from papayadyke_core.workloads import SloTarget, TeamModel
-from papayadyke_daemon.configuration import (
-    Accepted,
-    ConfigRepository,
-    ConfigWriter,
-    ConfigWriterSettings,
-)
-from papayadyke_daemon.operators import OPERATORS_LIMITS, OperatorsApp
-from papayadyke_daemon.operators._app import MAX_CHANGES_AT_ONCE
-from papayadyke_platform.http import (
+from papayadyke_clients.http import (
     BodyError,
     CloseConnection,
     HttpExchange,
     HttpRequest,
     HttpServer,
 )
-from papayadyke_platform.keys import (
+from papayadyke_clients.keys import (
     Authenticator,
     KeyEntry,
     KeyFile,
     Keyring,
     format_seal,
 )
-from papayadyke_platform.operators import (
+from papayadyke_clients.operators import (
     CHANGES_PATH,
     CONFIG_PATH,
     SEAL_HEADER,
@@ -53,6 +36,23 @@
     decode_json,
     signed_bytes,
 )
+from papayadyke_core.configuration import (
+    ConfigLog,
+    PutTeam,
+    SwitchPreset,
+    encode_change,
+)
+from papayadyke_core.slo import Observation, Recorder, make_report
+from papayadyke_core.verdicts import Reason, Refusal, Verdict
+from papayadyke_core.workloads import SloTarget, TeamModel
+from papayadyke_daemon.configuration import (
+    Accepted,
+    ConfigRepository,
+    ConfigWriter,
+    ConfigWriterSettings,
+)
+from papayadyke_daemon.operators import OPERATORS_LIMITS, OperatorsApp
+from papayadyke_daemon.operators._app import MAX_CHANGES_AT_ONCE
 from papayadyke_standins.store import Faults, MemoryStore, StoreService
 
 
--- a/packages/daemon/src/papayadyke_daemon/peering.py
+++ b/packages/daemon/src/papayadyke_daemon/peering.py
@@ -12,6 +12,8 @@
 from msgspec import Struct
 from result import Ok
 
+from papayadyke_clients.store import Store
+from papayadyke_clients.vm_list import VmListClient, VmListSettings
 from papayadyke_core.journal import PARTITIONS
 from papayadyke_core.membership import (
     Identity,
@@ -48,8 +50,6 @@
 from papayadyke_daemon.routing import HomeMap, PeerPicker
 from papayadyke_daemon.serving import RequestHistory, RequestRecord
 from papayadyke_daemon.settings import Settings
-from papayadyke_platform.store import Store
-from papayadyke_platform.vm_list import VmListClient, VmListSettings
 
 LOG = logging.getLogger(__name__)
 CONFIG_WATCHERS = 2
--- a/packages/daemon/src/papayadyke_daemon/peers/_endpoint.py
+++ b/packages/daemon/src/papayadyke_daemon/peers/_endpoint.py
@@ -11,6 +11,7 @@
 from msgspec import Struct
 from result import Err, Ok, Result
 
+from papayadyke_clients.keys import Authenticator
 from papayadyke_core.verdicts import Verdict
 from papayadyke_daemon.peers._envelope import open_envelope, seal_envelope
 from papayadyke_daemon.peers._link import Link
@@ -26,7 +27,6 @@
 from papayadyke_daemon.peers._server import PeerServer
 from papayadyke_daemon.peers._settings import PeerSettings
 from papayadyke_daemon.peers._stats import Counters, PeerStats
-from papayadyke_platform.keys import Authenticator
 
 JOIN_TIMEOUT_S = 2.0
 
--- a/packages/daemon/src/papayadyke_daemon/peers/_envelope.py
+++ b/packages/daemon/src/papayadyke_daemon/peers/_envelope.py
@@ -9,7 +9,7 @@
 from msgspec import Struct
 from result import Err, Ok, Result
 
-from papayadyke_platform.keys import Authenticator, Seal, SealFault, Signature, Stamp
+from papayadyke_clients.keys import Authenticator, Seal, SealFault, Signature, Stamp
 
 
 class _Content(Struct, frozen=True, array_like=True):
--- a/packages/daemon/src/papayadyke_daemon/peers/_server.py
+++ b/packages/daemon/src/papayadyke_daemon/peers/_server.py
@@ -16,6 +16,7 @@
 import pynng
 from msgspec import Struct
 
+from papayadyke_clients.keys import Authenticator, SealFault
 from papayadyke_daemon.peers._envelope import (
     Malformed,
     Opened,
@@ -25,7 +26,6 @@
 from papayadyke_daemon.peers._messages import Ack, Busy, Failed, Handler, Unsupported
 from papayadyke_daemon.peers._settings import PeerSettings
 from papayadyke_daemon.peers._stats import Counters
-from papayadyke_platform.keys import Authenticator, SealFault
 
 STOP_TIMEOUT_S = 5.0
 FLUSH_S = 0.1
--- a/packages/daemon/src/papayadyke_daemon/peers/tests/test_peers.py
+++ b/packages/daemon/src/papayadyke_daemon/peers/tests/test_peers.py
@@ -8,10 +8,10 @@
 import pytest
 from result import Ok
 
+from papayadyke_clients.keys import Authenticator, KeyEntry, KeyFile, Keyring
 from papayadyke_core.verdicts import Verdict
 from papayadyke_daemon.peers import Ack, Handler, PeerEndpoint, PeerSettings
 from papayadyke_daemon.peers._envelope import seal_envelope
-from papayadyke_platform.keys import Authenticator, KeyEntry, KeyFile, Keyring
 
 TIMEOUT_S = 5.0
 
--- a/packages/daemon/src/papayadyke_daemon/serving/_run.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/_run.py
@@ -11,15 +11,7 @@
 
 from result import Err, Ok, Result
 
-from papayadyke_core.ownership import StartPermit
-from papayadyke_core.scheduling import Outcome, Refuse, Request
-from papayadyke_core.verdicts import Refusal, Verdict
-from papayadyke_core.workloads import Config, Workload
-from papayadyke_daemon.fleet import Fleet, UpstreamAgent
-from papayadyke_daemon.scheduler import Finish, Placed, SchedulerLoop, Submit
-from papayadyke_daemon.serving import _refusals as refusals
-from papayadyke_daemon.serving._ids import IdSource
-from papayadyke_platform.upstream import (
+from papayadyke_clients.upstream import (
     Answered,
     CallResult,
     Failed,
@@ -29,6 +21,14 @@
     Stopped,
     TaskCall,
 )
+from papayadyke_core.ownership import StartPermit
+from papayadyke_core.scheduling import Outcome, Refuse, Request
+from papayadyke_core.verdicts import Refusal, Verdict
+from papayadyke_core.workloads import Config, Workload
+from papayadyke_daemon.fleet import Fleet, UpstreamAgent
+from papayadyke_daemon.scheduler import Finish, Placed, SchedulerLoop, Submit
+from papayadyke_daemon.serving import _refusals as refusals
+from papayadyke_daemon.serving._ids import IdSource
 
 LOG = logging.getLogger("papayadyke.serving")
 PROBE_AFTER_S = 2.0
--- a/packages/daemon/src/papayadyke_daemon/serving/_tasks.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/_tasks.py
@@ -8,13 +8,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 
-from papayadyke_core.jobs import TaskDone, TaskOrder, TaskResult, TaskSpec
-from papayadyke_core.journal import Answer
-from papayadyke_core.scheduling import Outcome, Refuse, Request, Stop
-from papayadyke_daemon.fleet import Fleet
-from papayadyke_daemon.mailbox import Mailbox
-from papayadyke_daemon.scheduler import Finish, Placed, SchedulerLoop, Submit
-from papayadyke_platform.upstream import (
+from papayadyke_clients.upstream import (
     Answered,
     CallResult,
     Failed,
@@ -24,6 +18,12 @@
     Stopped,
     TaskCall,
 )
+from papayadyke_core.jobs import TaskDone, TaskOrder, TaskResult, TaskSpec
+from papayadyke_core.journal import Answer
+from papayadyke_core.scheduling import Outcome, Refuse, Request, Stop
+from papayadyke_daemon.fleet import Fleet
+from papayadyke_daemon.mailbox import Mailbox
+from papayadyke_daemon.scheduler import Finish, Placed, SchedulerLoop, Submit
 
 LOG = logging.getLogger(__name__)
 CALL_THREADS = 16
--- a/packages/daemon/src/papayadyke_daemon/serving/tests/test_refused_starts.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/tests/test_refused_starts.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from papayadyke_clients.upstream import Failed, Lost, NotStarted
 from papayadyke_core.jobs import TaskOrder, TaskSpec
 from papayadyke_core.ownership import StartPermit
 from papayadyke_core.resources import Resources
@@ -14,7 +15,6 @@
 from papayadyke_core.workloads import Kind, Workload
 from papayadyke_daemon.scheduler import Finish, Placed, Submit
 from papayadyke_daemon.serving import IdSource, RunOrder, RunService, TaskRunner
-from papayadyke_platform.upstream import Failed, Lost, NotStarted
 
 DEMAND = Resources(1000, 512)
 TOKEN = 7
--- a/packages/platform/src/papayadyke_platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Clients of the platform: store, upstreams, list of VMs."""
--- a/packages/standins/src/papayadyke_standins/cell/_cell.py
+++ b/packages/standins/src/papayadyke_standins/cell/_cell.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from papayadyke_platform.http import HttpExchange, HttpReply
+from papayadyke_clients.http import HttpExchange, HttpReply
 from papayadyke_standins.cell._load import Target
 from papayadyke_standins.cell._process import ManagedProcess
 from papayadyke_standins.upstream import Faults, RunRecord
--- a/packages/standins/src/papayadyke_standins/cell/_load.py
+++ b/packages/standins/src/papayadyke_standins/cell/_load.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from papayadyke_platform.http import HttpExchange
+from papayadyke_clients.http import HttpExchange
 from papayadyke_standins.upstream import RunRecord, TaskState
 
 CONNECT_TIMEOUT_S = 1.0
--- a/packages/standins/src/papayadyke_standins/store/_http.py
+++ b/packages/standins/src/papayadyke_standins/store/_http.py
@@ -9,8 +9,8 @@
 from cheroot.server import Gateway, HTTPServer
 from result import Err, Result
 
-from papayadyke_platform.store import ErrorKind, StoreError
-from papayadyke_platform.store import _wire as wire
+from papayadyke_clients.store import ErrorKind, StoreError
+from papayadyke_clients.store import _wire as wire
 from papayadyke_standins.store._faults import Faults
 from papayadyke_standins.store._memory import MemoryStore, StoreService
 
--- a/packages/standins/src/papayadyke_standins/store/_memory.py
+++ b/packages/standins/src/papayadyke_standins/store/_memory.py
@@ -11,7 +11,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from papayadyke_platform.store import Entry, ErrorKind, Event, StoreError
+from papayadyke_clients.store import Entry, ErrorKind, Event, StoreError
 from papayadyke_standins.store._faults import Counts, Faults, RateLimit
 from papayadyke_standins.store._state import StoreState
 
--- a/packages/standins/src/papayadyke_standins/store/_state.py
+++ b/packages/standins/src/papayadyke_standins/store/_state.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok, Result
 
-from papayadyke_platform.store import (
+from papayadyke_clients.store import (
     MAX_VALUE_BYTES,
     Entry,
     ErrorKind,
--- a/packages/standins/src/papayadyke_standins/store/tests/test_store_standin.py
+++ b/packages/standins/src/papayadyke_standins/store/tests/test_store_standin.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from papayadyke_platform.store import ErrorKind, HttpStore, StoreSettings
+from papayadyke_clients.store import ErrorKind, HttpStore, StoreSettings
 from papayadyke_standins.store import Faults, MemoryStore, StoreService
 
 KEYS = st.sampled_from(["a/1", "a/2", "a/3", "b/1"])
--- a/packages/standins/src/papayadyke_standins/upstream/_server.py
+++ b/packages/standins/src/papayadyke_standins/upstream/_server.py
@@ -10,17 +10,14 @@
 
 import msgspec
 
-from papayadyke_core.ownership import Granted, Refused, SessionGate
-from papayadyke_core.placement import UpstreamSpec
-from papayadyke_core.resources import Resources
-from papayadyke_platform.http import (
+from papayadyke_clients.http import (
     CloseConnection,
     HttpAnswer,
     HttpLimits,
     HttpRequest,
     HttpServer,
 )
-from papayadyke_platform.upstream import (
+from papayadyke_clients.upstream import (
     OUTCOME_HEADER,
     START_HEADER,
     OpenMessage,
@@ -31,6 +28,9 @@
     StartMessage,
     TaskEnd,
 )
+from papayadyke_core.ownership import Granted, Refused, SessionGate
+from papayadyke_core.placement import UpstreamSpec
+from papayadyke_core.resources import Resources
 from papayadyke_standins.upstream._execution import (
     THROTTLE_FACTOR,
     Checkpoints,
--- a/packages/standins/src/papayadyke_standins/upstream/_tasks.py
+++ b/packages/standins/src/papayadyke_standins/upstream/_tasks.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from papayadyke_clients.upstream import EndsReport
 from papayadyke_core.placement import UpstreamSpec
 from papayadyke_core.resources import NOTHING, Resources
-from papayadyke_platform.upstream import EndsReport
 
 FINISHED_KEPT = 20_000
 TOMBSTONES_KEPT = 20_000
--- a/packages/standins/src/papayadyke_standins/upstream/tests/test_upstream_standin.py
+++ b/packages/standins/src/papayadyke_standins/upstream/tests/test_upstream_standin.py
@@ -4,9 +4,7 @@
 import msgspec
 import pytest
 
-from papayadyke_core.placement import UpstreamSpec
-from papayadyke_core.resources import Resources
-from papayadyke_platform.upstream import (
+from papayadyke_clients.upstream import (
     Answered,
     Failed,
     Lost,
@@ -17,6 +15,8 @@
     TaskCall,
     UpstreamClient,
 )
+from papayadyke_core.placement import UpstreamSpec
+from papayadyke_core.resources import Resources
 from papayadyke_standins.upstream import Faults, UpstreamStandin
 from papayadyke_standins.upstream._execution import LaggingUsage
 
--- a/tests/test_cell_config.py
+++ b/tests/test_cell_config.py
@@ -11,14 +11,14 @@
 
 from cell_plans import CONFIG
 
-from papayadyke_core.configuration import PutPreset, PutTeam, SwitchPreset
-from papayadyke_core.workloads import PresetModel, TeamModel
-from papayadyke_platform.keys import load_key_file
-from papayadyke_platform.operators import (
+from papayadyke_clients.keys import load_key_file
+from papayadyke_clients.operators import (
     OperatorsClient,
     OperatorsSettings,
     ProblemCode,
 )
+from papayadyke_core.configuration import PutPreset, PutTeam, SwitchPreset
+from papayadyke_core.workloads import PresetModel, TeamModel
 from papayadyke_standins.cell import Cell, CellPlan, ZonePlan
 
 pytestmark = pytest.mark.processes
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -10,10 +10,10 @@
 from pydantic import BaseModel
 from pydantic_core import PydanticUndefined
 
+from papayadyke_clients.http import HttpExchange
 from papayadyke_core.verdicts import HTTP_STATUS, Reason
 from papayadyke_daemon.embedded import Embedded
 from papayadyke_daemon.settings import SettingsModel
-from papayadyke_platform.http import HttpExchange
 
 ROOT = Path(__file__).parents[1]
 ROW = re.compile(r"\| `([a-z_.]+)` \| (?:`(.*?)`)? ?\| (.*)\|")
