--- a/packages/core/src/papayadyke_core/dispatch/__init__.py
+++ b/packages/core/src/papayadyke_core/dispatch/__init__.py
@@ -24,6 +24,7 @@
     decode_progress,
     encode_progress,
 )
+from papayadyke_core.dispatch._retry import choose_retry_after
 from papayadyke_core.dispatch._settings import DispatchSettings
 from papayadyke_core.dispatch._spec import (
     AdvicePolicy,
@@ -71,6 +72,7 @@
     "UpstreamEntry",
     "UpstreamReport",
     "check_job_spec",
+    "choose_retry_after",
     "decode_progress",
     "encode_progress",
 ]
--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -634,9 +634,10 @@
         A stop brings a checkpoint, and its end is listed at once; what is lost
         with the upstream would have to wait for the end of its lease.
         """
+        ahead_s = self.settings.stop_s + self.settings.evacuation_calls_s
         for upstream in self.upstreams.values():
             leaves_s = upstream.leaves_s
-            if leaves_s is None or now < leaves_s - self.settings.evacuation_s:
+            if leaves_s is None or now < leaves_s - ahead_s:
                 continue
             for run in upstream.runs.values():
                 if run.stop_asked_s is None:
--- /dev/null
+++ b/packages/core/src/papayadyke_core/dispatch/_retry.py
@@ -0,0 +1,36 @@
+"""When a caller whose job was refused should come back."""
+
+from __future__ import annotations
+
+import math
+
+from papayadyke_core.dispatch._spec import QueuePolicy, StagedJobSpec
+
+# Tries that a caller makes after a refusal, by the users' sheets.
+CALLER_RETRIES = 4
+# Share of the time that a job may take which its caller's tries should outlast.
+# The rest is left for the job to run in.
+WAITING_SHARE = 0.5
+SOONEST_S = 1  # seconds; a store or a decider that was lost is rarely back before
+LATEST_S = 5  # seconds; past the usual outage of the store
+
+
+def choose_retry_after(spec: StagedJobSpec, queue: QueuePolicy) -> int:
+    """Return after how many seconds a refused job should be handed in again.
+
+    A short check is worth something only if it comes back at once; a long job
+    should spread its few tries over an outage instead of spending them all in
+    its first seconds.
+
+    Parameters
+    ----------
+    spec : StagedJobSpec
+    queue : QueuePolicy
+    """
+    longest: list[float] = []
+    for step in spec.steps:
+        before = max((longest[number] for number in step.after), default=0.0)
+        longest.append(before + step.estimate_s)
+    allowed_s = queue.stretch * max(longest, default=0.0) + queue.allowance_s
+    wait_s = math.floor(allowed_s * WAITING_SHARE / CALLER_RETRIES)
+    return max(SOONEST_S, min(LATEST_S, wait_s))
--- a/packages/core/src/papayadyke_core/dispatch/_settings.py
+++ b/packages/core/src/papayadyke_core/dispatch/_settings.py
@@ -36,9 +36,11 @@
         A task this short may still start on an upstream reserved for a gang.
     reserving_gangs : int
         Gangs that may reserve upstreams at a time.
-    evacuation_s : float
-        Time before an upstream leaves at which its runs are stopped; covers the
-        time that a stop may take and two calls.
+    stop_s : float
+        How long a stop of a run may take.
+    evacuation_calls_s : float
+        Time for the calls that empty an upstream: its runs are stopped this and
+        `stop_s` before it leaves.
     commit_jobs : int
         Jobs of one commit; two entries each must fit in one transaction.
     """
@@ -54,7 +56,8 @@
     quick_advice_slots: int = 2
     short_task_s: float = 1.5
     reserving_gangs: int = 2
-    evacuation_s: float = 0.8
+    stop_s: float = 0.4
+    evacuation_calls_s: float = 0.4
     commit_jobs: int = 14
 
     @property
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
@@ -12,6 +12,7 @@
     QueuePolicy,
     StagedJobSpec,
     UpstreamReport,
+    choose_retry_after,
 )
 
 URGENT, BATCH = "h/urgent/", "h/batch/"
@@ -146,3 +147,18 @@
     assert not world.running()
     assert world.dispatcher.count_pending("other/queue/") == 1
     assert world.dispatcher.count_pending(QUEUE) == 0
+
+
+def test_outage_of_the_store_spreads_the_return_of_long_jobs():
+    """Pattern: all submissions are refused for six seconds, callers try four times."""
+    outage_s = 6.0
+    check = QueuePolicy("check", "host", "/check/", "service", 0, 2, 1.5, 0.25)
+    board = QueuePolicy("board", "host", "/board/", "service", 1, 2, 2.2, 1.0)
+    short = StagedJobSpec("a", check.key, "", (make_step(2, estimate_s=0.64),), 0.0)
+    steps = (make_step(8, estimate_s=5.0), make_step(8, estimate_s=5.0, after=(0,)))
+    long = StagedJobSpec("b", board.key, "", steps, 0.0)
+    assert choose_retry_after(short, check) == 1
+    wait_s = choose_retry_after(long, board)
+    assert 4 * wait_s > outage_s
+    # What is left of its time is enough to run in.
+    assert 4 * wait_s + 10.0 <= 2.2 * 10.0 + 1.0
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -118,7 +118,11 @@
         self._depose = depose
         self._stopped = threading.Event()
         self._dispatcher = Dispatcher(
-            DispatchSettings(lease_s=cfg.lease_s, status_kept_s=cfg.status_kept_s),
+            DispatchSettings(
+                lease_s=cfg.lease_s,
+                status_kept_s=cfg.status_kept_s,
+                stop_s=cfg.stop_s,
+            ),
             term=term.number,
             now=read_clock(),
         )
--- a/packages/daemon/src/papayadyke_daemon/edge/_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_intake.py
@@ -6,6 +6,7 @@
 import queue
 import threading
 import time
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
@@ -56,6 +57,7 @@
 LOST_STORE_S = 0.5  # seconds without a try after all tries of a write have failed
 STORE_PAUSE_S = 0.1  # seconds between two tries
 RELAY_TIMEOUT_S = 1.5  # seconds for another VM to store a job
+KNOWN_FINAL = 10_000  # ended jobs whose state is told without asking; about 2 MB
 NOTICE_JOBS = 50  # jobs told in one message
 
 
@@ -120,7 +122,7 @@
         self._clients = clients
         self._parts = parts
         self._notices: queue.SimpleQueue[Notice] = queue.SimpleQueue()
-        self._final: dict[str, JobState] = {}
+        self._final: OrderedDict[str, JobState] = OrderedDict()
         self._lost_until_s = 0.0
         threading.Thread(target=self._notify_on, name="notices", daemon=True).start()
 
@@ -171,6 +173,8 @@
             state = found
         if state in (JobState.COMPLETE, JobState.FAILED):
             self._final[job_id] = state
+            while len(self._final) > KNOWN_FINAL:
+                self._final.popitem(last=False)
         return state
 
     def count_pending(self, queue_key: str) -> int | None:
--- a/packages/daemon/src/papayadyke_daemon/edge/_keys.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_keys.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 
 from papayadyke_core.dispatch import StagedJobSpec
@@ -63,3 +65,15 @@
 def decode_decider(data: bytes) -> DeciderRecord:
     """Read a stored decider."""
     return msgspec.json.decode(data, type=DeciderRecord)
+
+
+def read_decider_vm(read: Callable[[str], bytes | None]) -> str:
+    """Return the name of the VM that decides, empty for none.
+
+    Parameters
+    ----------
+    read : callable
+        Returns the value of a key of the store.
+    """
+    data = read(DECIDER_KEY)
+    return "" if data is None else decode_decider(data).vm
--- a/packages/daemon/src/papayadyke_daemon/edge/_ports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_ports.py
@@ -201,6 +201,8 @@
     renew_s : float
     lease_s : float
         Lease of what runs at upstreams.
+    stop_s : float
+        How long a stop of a run may take at an upstream.
     drain_s : float
         Time that a VM that was told to stop goes on serving, until the
         platform's balancer has noticed.
@@ -224,6 +226,7 @@
     decider_ttl_s: float = 1.0
     renew_s: float = 0.25
     lease_s: float = 5.0
+    stop_s: float = 0.4
     drain_s: float = 3.0
     hello_s: float = 0.5
     status_kept_s: float = 120.0
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_committer.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_committer.py
@@ -17,9 +17,9 @@
     def __init__(self):
         self.store = FakeStore()
         self.store.write([Write(DECIDER_KEY, b"")])
-        self.posted = queue.Queue()
-        self.finished = []
-        self.deposed = []
+        self.posted: queue.Queue = queue.Queue()
+        self.finished: list[bool] = []
+        self.deposed: list[str] = []
         self.committer = Committer(
             self.store,
             token=self.store.records[DECIDER_KEY].revision,
--- a/packages/daemon/src/papayadyke_daemon/journal/_certain.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/_certain.py
@@ -4,9 +4,9 @@
 
 from dataclasses import dataclass
 
-from papayadyke_platform.store import Entry, ErrorKind, Store, StoreError
 from result import Err, Ok, Result
 
+from papayadyke_clients.store import Entry, ErrorKind, Store, StoreError
 from papayadyke_core.journal import CallResult, decode_segment
 
 MAX_TRIES = 8
--- a/packages/daemon/src/papayadyke_daemon/journal/_compaction.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/_compaction.py
@@ -6,9 +6,9 @@
 from collections.abc import Iterator
 
 import msgspec
-from papayadyke_platform.store import Entry, ErrorKind, Store
 from result import Err, Ok
 
+from papayadyke_clients.store import Entry, ErrorKind, Store
 from papayadyke_core.journal import (
     SEGMENT_DIGITS,
     Takeover,
--- a/packages/daemon/src/papayadyke_daemon/journal/_takeover.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/_takeover.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass
 
 import msgspec
-from papayadyke_platform.store import ErrorKind, Store, StoreError
 from result import Err, Ok, Result
 
+from papayadyke_clients.store import ErrorKind, Store, StoreError
 from papayadyke_core.journal import (
     Entry,
     LiveEntries,
--- a/packages/daemon/src/papayadyke_daemon/journal/_thread.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/_thread.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable, Sequence
 from typing import TypeVar
 
-from papayadyke_platform.store import ErrorKind, Store, StoreError
 from result import Err, Result
 
+from papayadyke_clients.store import ErrorKind, Store, StoreError
 from papayadyke_core.journal import Entry
 from papayadyke_daemon.journal._types import JournalSettings, Replay
 from papayadyke_daemon.journal._writer import LogWriter, OnSettled
--- a/packages/daemon/src/papayadyke_daemon/journal/_writer.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/_writer.py
@@ -10,9 +10,9 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from papayadyke_platform.store import ErrorKind, Store, StoreError
 from result import Err, Ok, Result
 
+from papayadyke_clients.store import ErrorKind, Store, StoreError
 from papayadyke_core.journal import (
     AppendResult,
     CallResult,
--- a/packages/daemon/src/papayadyke_daemon/journal/tests/journal_world.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/tests/journal_world.py
@@ -7,8 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from papayadyke_platform.store import ErrorKind
-
+from papayadyke_clients.store import ErrorKind
 from papayadyke_core.jobs import TaskDone, TaskResult
 from papayadyke_core.journal import (
     PARTITIONS,
--- /dev/null
+++ b/packages/soak/src/papayadyke_soak/_injector.py
@@ -0,0 +1,204 @@
+"""Carries out faults, and ends them."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import logging
+import threading
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from functools import partial
+
+from papayadyke_adapter_standins import StoreFault, StoreServer, UpstreamFault
+from papayadyke_soak._faults import Fault, FaultKind
+from papayadyke_soak._fleet import Fleet
+from papayadyke_soak._ledger import read_now
+from papayadyke_soak._proxy import LinkMode
+from papayadyke_soak._vms import VmProcess
+
+LOG = logging.getLogger(__name__)
+
+RESTART_S = 0.5  # seconds until a process that ended is started again
+SLOW_LINK_S = 0.3  # seconds that a slow link holds each chunk
+DRAIN_S = 3.0  # seconds that a draining upstream goes on
+
+_STORE_FAULTS = {
+    FaultKind.STORE_BUSY: StoreFault.BUSY,
+    FaultKind.STORE_CLOSED: StoreFault.CLOSED,
+    FaultKind.STORE_LOST: StoreFault.LOST,
+    FaultKind.STORE_SLOW: StoreFault.SLOW,
+}
+_LINK_MODES = {
+    FaultKind.STORE_LINK_SILENT: LinkMode.SILENT,
+    FaultKind.STORE_LINK_NO_ANSWERS: LinkMode.NO_ANSWERS,
+    FaultKind.STORE_LINK_SLOW: LinkMode.SLOW,
+    FaultKind.UPSTREAM_LINK_SILENT: LinkMode.SILENT,
+    FaultKind.UPSTREAM_LINK_NO_ANSWERS: LinkMode.NO_ANSWERS,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Targets:
+    """What faults act on.
+
+    Parameters
+    ----------
+    vms : sequence of VmProcess
+    fleet : Fleet
+    store : StoreServer
+    find_decider : callable
+        Returns the VM that decides, or None.
+    change_catalog : callable
+        Puts the next version in force.
+    """
+
+    vms: Sequence[VmProcess]
+    fleet: Fleet
+    store: StoreServer
+    find_decider: Callable[[], VmProcess | None]
+    change_catalog: Callable[[], None]
+
+
+class Injector:
+    """A thread that begins and ends faults at their times.
+
+    Parameters
+    ----------
+    targets : Targets
+    faults : sequence of Fault
+    """
+
+    def __init__(self, targets: Targets, faults: Sequence[Fault]) -> None:
+        self.counts: Counter[str] = Counter()
+        self._targets = targets
+        self._numbers = itertools.count()
+        self._due: list[tuple[float, int, Callable[[], None]]] = []
+        self._begun_s = read_now()
+        for fault in faults:
+            self._at(fault.at_s, partial(self._begin, fault))
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="faults", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End all faults, and start every VM that is down."""
+        self._stopped.set()
+        self._thread.join(timeout=30.0)
+        self._targets.store.fault = StoreFault.NONE
+        for vm in self._targets.vms:
+            vm.heal()
+            vm.resume()
+            # A planned stop that is under way comes to its end first.
+            if vm.stop_sent_s is not None:
+                vm.wait(30.0)
+            vm.start()
+        self._targets.fleet.heal()
+
+    def _at(self, at_s: float, act: Callable[[], None]) -> None:
+        heapq.heappush(self._due, (at_s, next(self._numbers), act))
+
+    def _run(self) -> None:
+        while not self._stopped.wait(0.02):
+            now = read_now() - self._begun_s
+            while self._due and self._due[0][0] <= now and not self._stopped.is_set():
+                _, _, act = heapq.heappop(self._due)
+                act()
+            for vm in self._targets.vms:
+                if vm.is_wanted and not vm.is_running():
+                    vm.is_wanted = False
+                    self._at(now + RESTART_S, vm.start)
+
+    def _begin(self, fault: Fault) -> None:
+        self.counts[fault.kind] += 1
+        LOG.info("fault %s target %d for %.2f s", fault.kind, fault.target, fault.for_s)
+        end = self._carry_out(fault)
+        if end is not None:
+            self._at(read_now() - self._begun_s + fault.for_s, end)
+
+    def _carry_out(self, fault: Fault) -> Callable[[], None] | None:
+        """Begin a fault; return what ends it."""
+        kind = fault.kind
+        vms, fleet, store = (
+            self._targets.vms,
+            self._targets.fleet,
+            self._targets.store,
+        )
+        vm: VmProcess | None = vms[fault.target % len(vms)]
+        if kind in (FaultKind.DECIDER_KILL, FaultKind.DECIDER_PAUSE):
+            vm = self._targets.find_decider()
+        if kind in _STORE_FAULTS:
+            store.fault_share = fault.share if kind is FaultKind.STORE_LOST else 1.0
+            store.fault = _STORE_FAULTS[kind]
+            self._disturb_all()
+            return self._end_store_fault
+        if kind is FaultKind.STORE_COMPACT:
+            store.forget_history()
+        elif kind is FaultKind.CONFIG_CHANGE:
+            self._targets.change_catalog()
+        elif kind is FaultKind.ALL_KILL:
+            for each in vms:
+                each.kill()
+        elif kind.startswith("upstream"):
+            return self._hit_upstream(fault, fleet)
+        elif vm is not None:
+            return self._hit_vm(kind, vm)
+        return None
+
+    def _hit_vm(self, kind: FaultKind, vm: VmProcess) -> Callable[[], None] | None:
+        if kind in (FaultKind.VM_KILL, FaultKind.DECIDER_KILL):
+            vm.kill()
+        elif kind in (FaultKind.VM_PAUSE, FaultKind.DECIDER_PAUSE):
+            vm.pause()
+            return vm.resume
+        elif kind is FaultKind.VM_STOP:
+            vm.terminate()
+        elif kind is FaultKind.RELOAD:
+            vm.reload()
+        elif kind is FaultKind.CALLER_LINK_RESET:
+            vm.disturb()
+            vm.callers_link.reset()
+        elif kind is FaultKind.STORE_LINK_RESET:
+            vm.disturb()
+            vm.store_link.reset()
+        else:
+            vm.disturb()
+            vm.store_link.set_mode(_LINK_MODES[kind], delay_s=SLOW_LINK_S)
+            return vm.heal
+        return None
+
+    def _hit_upstream(self, fault: Fault, fleet: Fleet) -> Callable[[], None] | None:
+        member = fleet.members[fault.target % len(fleet.members)]
+        kind = fault.kind
+        if kind is FaultKind.UPSTREAM_CRASH:
+            member.server.crash()
+        elif kind is FaultKind.UPSTREAM_DRAIN:
+            fleet.drain(member)
+            self._at(
+                read_now() - self._begun_s + DRAIN_S, lambda: fleet.replace(member)
+            )
+        elif kind is FaultKind.UPSTREAM_LATE:
+            member.server.fault_share = fault.share
+            member.server.fault = UpstreamFault.LATE
+            return fleet.heal
+        elif kind is FaultKind.UPSTREAM_FAILS:
+            member.server.fault = UpstreamFault.FAILS
+            return fleet.heal
+        elif kind is FaultKind.UPSTREAM_LINK_RESET:
+            member.link.reset()
+        else:
+            member.link.set_mode(_LINK_MODES[kind])
+            return fleet.heal
+        return None
+
+    def _end_store_fault(self) -> None:
+        self._targets.store.fault = StoreFault.NONE
+        self._disturb_all()
+
+    def _disturb_all(self) -> None:
+        for vm in self._targets.vms:
+            vm.disturb()
--- /dev/null
+++ b/packages/soak/src/papayadyke_soak/_ledger.py
@@ -0,0 +1,72 @@
+"""What callers did and were told, job by job."""
+
+from __future__ import annotations
+
+import threading
+import time
+from dataclasses import dataclass, field
+
+from papayadyke_core.dispatch import StagedJobSpec
+
+
+@dataclass(slots=True)
+class JobRecord:
+    """One job as its caller knows it. Times are in seconds.
+
+    Parameters
+    ----------
+    spec : StagedJobSpec
+    can_succeed : bool
+    tries, refusals : int
+        Submissions, and those that were told to have had no effect.
+    accepted_s, cancel_sent_s, cancelled_s : float or None
+    state : str
+        The last that was told.
+    """
+
+    spec: StagedJobSpec
+    can_succeed: bool
+    tries: int = 0
+    refusals: int = 0
+    accepted_s: float | None = None
+    cancel_sent_s: float | None = None
+    cancelled_s: float | None = None
+    state: str = ""
+
+    @property
+    def is_refused(self) -> bool:
+        """Tell whether every submission was told to have had no effect."""
+        return self.tries > 0 and self.tries == self.refusals
+
+    @property
+    def is_owed(self) -> bool:
+        """Tell whether the job must come to its end."""
+        return self.accepted_s is not None and self.cancel_sent_s is None
+
+
+@dataclass(slots=True)
+class Ledger:
+    """All jobs, by id."""
+
+    jobs: dict[str, JobRecord] = field(default_factory=dict)
+    lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def add(self, record: JobRecord) -> None:
+        """Take in a job before its first submission."""
+        with self.lock:
+            self.jobs[record.spec.job_id] = record
+
+    def snapshot(self) -> list[JobRecord]:
+        """Return all jobs."""
+        with self.lock:
+            return list(self.jobs.values())
+
+    def find(self, job_id: str) -> JobRecord | None:
+        """Return a job."""
+        with self.lock:
+            return self.jobs.get(job_id)
+
+
+def read_now() -> float:
+    """Return the time on the clock of all records, in seconds."""
+    return time.monotonic()
--- /dev/null
+++ b/packages/soak/src/papayadyke_soak/_load.py
@@ -0,0 +1,164 @@
+"""Callers: they hand in jobs, ask for them, cancel some, and try again."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from dataclasses import replace
+
+import msgspec
+
+from papayadyke_adapter_standins import CallerClient, CallerReply
+from papayadyke_core.dispatch import StagedJobSpec, StepSpec
+from papayadyke_soak._ledger import JobRecord, Ledger, read_now
+from papayadyke_soak._promises import Needs, Promises
+from papayadyke_soak._vms import VmProcess
+
+PAUSE_S = (0.05, 0.6)  # seconds between two calls of a caller
+MOST_TRIES = 5  # submissions of a job
+CANCEL_SHARE = 0.08  # of the jobs
+FAIL_SHARE = 0.05  # of the jobs, which can never succeed
+GANG_SHARE = 0.25  # of the jobs
+REPEAT_SHARE = 0.1  # of the accepted submissions are sent again
+# Seconds before a VM's exit at which a request that was sent counts as read.
+READ_MARGIN_S = 0.5
+# Seconds after a disturbance in which a cut request is no fault of a planned stop.
+DISTURBED_S = 5.0
+
+
+def draw_job(rng: random.Random, queue: str) -> JobRecord:
+    """Return a job of one to three steps, or a gang."""
+    succeeds = rng.random() >= FAIL_SHARE
+    is_gang = rng.random() < GANG_SHARE
+    cpu = rng.choice((1000, 2000, 4000, 8000))
+    duration_s = rng.uniform(0.1, 1.5)
+    count = rng.randint(2, 6) if is_gang else rng.randint(1, 4)
+    needs = Needs(duration_s, cpu, count if is_gang else 0, succeeds)
+    step = StepSpec(
+        count, cpu_millis=cpu, memory_mb=100, estimate_s=duration_s, is_gang=is_gang
+    )
+    steps = [step]
+    if not is_gang:
+        for number in range(1, rng.randint(1, 3)):
+            steps.append(replace(step, after=(number - 1,)))
+    payload = msgspec.json.encode(needs).decode()
+    job_id = f"{rng.getrandbits(64):016x}"
+    spec = StagedJobSpec(job_id, queue, payload, tuple(steps), time.time())
+    return JobRecord(spec, succeeds)
+
+
+class Caller:
+    """One thread of calls.
+
+    Parameters
+    ----------
+    number, seed : int
+    vms : list of VmProcess
+    clients : list of CallerClient
+        One a VM, in the same order.
+    ledger : Ledger
+    promises : Promises
+    queue : str
+    """
+
+    def __init__(
+        self,
+        number: int,
+        *,
+        seed: int,
+        vms: list[VmProcess],
+        clients: list[CallerClient],
+        ledger: Ledger,
+        promises: Promises,
+        queue: str,
+    ) -> None:
+        self._rng = random.Random(seed * 1000 + number)
+        self._vms = vms
+        self._clients = clients
+        self._ledger = ledger
+        self._promises = promises
+        self._queue = queue
+        self._open: list[JobRecord] = []
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name=f"caller-{number}", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start calling."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop calling, and wait for the last answer."""
+        self._stopped.set()
+        self._thread.join(timeout=30.0)
+
+    def _run(self) -> None:
+        while not self._stopped.wait(self._rng.uniform(*PAUSE_S)):
+            if self._rng.random() < 0.5 or not self._open:
+                self._submit(draw_job(self._rng, self._queue))
+            else:
+                self._ask(self._rng.choice(self._open))
+
+    def _submit(self, record: JobRecord) -> None:
+        self._ledger.add(record)
+        for _ in range(MOST_TRIES):
+            if self._stopped.is_set():
+                return
+            record.tries += 1
+            reply = self._call("submit", record)
+            if reply.status == 200:
+                record.accepted_s = read_now()
+                self._open.append(record)
+                if self._rng.random() < REPEAT_SHARE:
+                    self._call("submit", record)
+                return
+            if reply.status in (404, 429, 503) or not reply.was_sent:
+                record.refusals += 1
+            pause_s = reply.retry_after_s or 0.2
+            self._stopped.wait(pause_s * self._rng.uniform(0.5, 1.5))
+
+    def _ask(self, record: JobRecord) -> None:
+        wants_end = self._rng.random() < CANCEL_SHARE and not record.state
+        if wants_end:
+            record.cancel_sent_s = read_now()
+            if self._call("cancel", record).status == 200:
+                record.cancelled_s = read_now()
+            return
+        reply = self._call("ask", record)
+        ask_state(self._promises, record, reply)
+        if record.state in ("complete", "failed", "canceled"):
+            self._open.remove(record)
+
+    def _call(self, what: str, record: JobRecord) -> CallerReply:
+        number = self._rng.randrange(len(self._vms))
+        vm, client = self._vms[number], self._clients[number]
+        sent_s = read_now()
+        if what == "submit":
+            reply = client.submit(record.spec)
+        elif what == "cancel":
+            reply = client.cancel(record.spec.job_id)
+        else:
+            reply = client.ask(record.spec.job_id)
+        if reply.status == 0 and reply.was_sent:
+            self._judge_cut(vm, sent_s, what)
+        return reply
+
+    def _judge_cut(self, vm: VmProcess, sent_s: float, what: str) -> None:
+        """Report a request that a planned stop, and nothing else, has cut."""
+        stop_s = vm.stop_sent_s
+        cut_s = read_now()
+        if stop_s is None or sent_s < stop_s - DISTURBED_S:
+            return
+        is_read = cut_s - sent_s > READ_MARGIN_S
+        if is_read and cut_s - vm.disturbed_s > DISTURBED_S and vm.exit_code == 0:
+            self._promises.cut_by_stop(vm.plan.name, what)
+
+
+def ask_state(promises: Promises, record: JobRecord, reply: CallerReply) -> None:
+    """Take in the answer to a question for a state."""
+    if reply.status == 200:
+        promises.told(record, reply.state)
+    elif reply.status == 410:
+        promises.told_unknown(record)
--- /dev/null
+++ b/packages/soak/src/papayadyke_soak/_promises.py
@@ -0,0 +1,236 @@
+"""The promises, checked from what upstreams and callers see."""
+
+from __future__ import annotations
+
+import threading
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from papayadyke_adapter_standins import RunSeen
+from papayadyke_core.dispatch import StagedJobSpec
+from papayadyke_soak._ledger import JobRecord, Ledger, read_now
+
+VISIBLE_S = 3.0  # seconds after which every VM knows an accepted job
+
+
+class Needs(msgspec.Struct):
+    """Payload of a soak's job: what each of its tasks needs."""
+
+    duration_s: float
+    cpu_millis: int
+    gang: int = 0
+    succeeds: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """One broken promise."""
+
+    promise: str
+    detail: str
+    at_s: float
+
+
+class Promises:
+    """Sees every start and end, and every answer to a caller.
+
+    Parameters
+    ----------
+    ledger : Ledger
+    capacity_millis : int
+        Of each upstream, in thousandths of a core.
+    max_attempts : int
+    list_running : callable
+        Returns what runs on all upstreams that are up.
+    """
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        *,
+        capacity_millis: int,
+        max_attempts: int,
+        list_running: Callable[[], list[RunSeen]],
+    ) -> None:
+        self.violations: list[Violation] = []
+        self.counts: Counter[str] = Counter()
+        self._ledger = ledger
+        self._capacity_millis = capacity_millis
+        self._max_attempts = max_attempts
+        self._list_running = list_running
+        self._lock = threading.RLock()
+        self._done: set[str] = set()
+        self._ever_done: set[str] = set()
+        self._noted_done: set[str] = set()
+        self._started_after_done: set[str] = set()
+        self._failed: dict[str, int] = {}
+        self._noted_failed: Counter[str] = Counter()
+        self._begun = read_now()
+
+    def needs_of(self, payload: str) -> tuple[float, int, bool]:
+        """Return duration in seconds, members of the gang (0: none), and success."""
+        needs = _read_needs(payload)
+        return needs.duration_s, needs.gang, needs.succeeds
+
+    def started(self, run: RunSeen) -> None:
+        """Check a start, with the run in the list of what runs."""
+        with self._lock:
+            self.counts["started"] += 1
+            job_id, step, _ = _split_task(run.task)
+            record = self._ledger.find(job_id)
+            if record is None:
+                self._break("no start that nobody asked for", run.task)
+                return
+            if record.spec.payload != run.payload:
+                self._break("a task gets what its caller handed in", run.task)
+            self._check_alone(run)
+            self._check_room(run)
+            self._check_order(run, record.spec, step)
+            if run.task in self._noted_done:
+                self._break("nothing starts again once it is done", run.task)
+            elif run.task in self._done:
+                self._started_after_done.add(run.task)
+            if self._noted_failed[run.task] >= self._max_attempts:
+                self._break("no more attempts than allowed", run.task)
+
+    def ended(self, run: RunSeen, how: str) -> None:
+        """Take in an end."""
+        with self._lock:
+            self.counts[how] += 1
+            if how == "done":
+                self._done |= self._group(run.task)
+                self._ever_done |= self._group(run.task)
+            elif how == "failed":
+                self._failed[run.task] = self._failed.get(run.task, 0) + 1
+
+    def noted(self, upstream_id: str, task: str, how: str) -> None:
+        """Take in that an end was taken note of."""
+        with self._lock:
+            if how == "failed":
+                self._noted_failed[task] += 1
+            if how != "done":
+                return
+            group = self._group(task)
+            self._noted_done |= group
+            for name in group & self._started_after_done:
+                self._break("nothing starts again once it is done", name)
+
+    def crashed(self, upstream_id: str, unnoted: list[tuple[str, str]]) -> None:
+        """Forget ends that were lost with their upstream before anyone knew."""
+        with self._lock:
+            self.counts["crashed"] += 1
+            for task, how in unnoted:
+                if how == "done" and task not in self._noted_done:
+                    self._done -= self._group(task)
+                    self._started_after_done -= self._group(task)
+
+    def told(self, record: JobRecord, state: str) -> None:
+        """Check a state that a caller was told."""
+        with self._lock:
+            record.state = state
+            if state == "complete":
+                missing = _list_tasks(record.spec) - self._ever_done
+                if missing:
+                    self._break("complete only when all is done", record.spec.job_id)
+            elif state == "failed" and record.can_succeed:
+                tasks = _list_tasks(record.spec)
+                failed = max((self._failed.get(task, 0) for task in tasks), default=0)
+                if failed < self._max_attempts and not record.spec.steps[0].is_gang:
+                    self._break("failed only after its attempts", record.spec.job_id)
+            elif state == "canceled" and record.cancel_sent_s is None:
+                self._break("cancelled only when asked", record.spec.job_id)
+
+    def told_unknown(self, record: JobRecord) -> None:
+        """Check an answer that there is no such job."""
+        accepted_s = record.accepted_s
+        if accepted_s is not None and read_now() - accepted_s > VISIBLE_S:
+            self._break("an accepted job is known", record.spec.job_id)
+
+    def cut_by_stop(self, vm: str, detail: str) -> None:
+        """Note a request that a planned stop left without an answer."""
+        self._break("a planned stop cuts no request", f"{vm}: {detail}")
+
+    def check_refusals(self) -> None:
+        """Check that nothing of a refused job has started or is known."""
+        for record in self._ledger.snapshot():
+            job_id = record.spec.job_id
+            tasks = _list_tasks(record.spec)
+            if record.is_refused and (
+                tasks & self._ever_done or any(t in tasks for t in self._failed)
+            ):
+                self._break("a refusal is true", job_id)
+
+    def check_finished(self) -> None:
+        """Check that every accepted job came to its end."""
+        for record in self._ledger.snapshot():
+            if record.is_owed and record.state not in ("complete", "failed"):
+                self._break("nothing accepted is lost", record.spec.job_id)
+
+    def check_quiet(self) -> None:
+        """Check that nothing of an ended or cancelled job runs on."""
+        for run in self._list_running():
+            record = self._ledger.find(_split_task(run.task)[0])
+            if record is not None and record.state in (
+                "complete",
+                "failed",
+                "canceled",
+            ):
+                self._break("an ended job leaves nothing running", run.task)
+
+    def _check_alone(self, run: RunSeen) -> None:
+        for other in self._list_running():
+            if other is not run and other.task == run.task:
+                self._break("a task runs once at a time", run.task)
+
+    def _check_room(self, run: RunSeen) -> None:
+        used = sum(
+            _read_needs(other.payload).cpu_millis
+            for other in self._list_running()
+            if other.upstream_id == run.upstream_id
+        )
+        if used > self._capacity_millis:
+            self._break("no upstream over its capacity", run.upstream_id)
+
+    def _check_order(self, run: RunSeen, spec: StagedJobSpec, step: int) -> None:
+        for number in spec.steps[step].after:
+            earlier = {
+                f"{spec.job_id}.0.{number}.{index}"
+                for index in range(spec.steps[number].count)
+            }
+            # An end may be stored although its upstream crashed before it was noted.
+            if earlier - self._ever_done:
+                self._break("steps in order", run.task)
+
+    def _group(self, task: str) -> set[str]:
+        """Return the task, or all members of its gang."""
+        job_id, step, _ = _split_task(task)
+        record = self._ledger.find(job_id)
+        if record is None or not record.spec.steps[step].is_gang:
+            return {task}
+        count = record.spec.steps[step].count
+        return {f"{job_id}.0.{step}.{index}" for index in range(count)}
+
+    def _break(self, promise: str, detail: str) -> None:
+        with self._lock:
+            at_s = round(read_now() - self._begun, 3)
+            self.violations.append(Violation(promise, detail, at_s))
+
+
+def _split_task(task: str) -> tuple[str, int, int]:
+    job_id, _, step, index = task.rsplit(".", 3)
+    return job_id, int(step), int(index)
+
+
+def _list_tasks(spec: StagedJobSpec) -> set[str]:
+    return {
+        f"{spec.job_id}.0.{number}.{index}"
+        for number, step in enumerate(spec.steps)
+        for index in range(step.count)
+    }
+
+
+def _read_needs(payload: str) -> Needs:
+    return msgspec.json.decode(payload, type=Needs)
--- /dev/null
+++ b/packages/soak/src/papayadyke_soak/_soak.py
@@ -0,0 +1,245 @@
+"""One run: real processes, load, faults, and the judgement at the end."""
+
+from __future__ import annotations
+
+import itertools
+import os
+import random
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from papayadyke_adapter_standins import (
+    AdvisoryServer,
+    CallerClient,
+    StoreServer,
+    VmPlan,
+    write_catalog,
+)
+from papayadyke_daemon.edge import read_decider_vm
+from papayadyke_soak._faults import draw_faults
+from papayadyke_soak._fleet import Fleet
+from papayadyke_soak._injector import Injector, Targets
+from papayadyke_soak._ledger import Ledger, read_now
+from papayadyke_soak._load import Caller, ask_state
+from papayadyke_soak._promises import Promises, Violation
+from papayadyke_soak._proxy import Proxy, ProxyLoop
+from papayadyke_soak._vms import VmProcess, find_free_ports
+
+QUEUE_HOST = "soak.example"
+PREFIX = "/jobs/"
+CORES = 16  # of an upstream
+MAX_ATTEMPTS = 4
+CALLERS = 6
+START_S = 30.0  # seconds in which the VMs come up
+SETTLE_S = 60.0  # seconds in which all that was accepted must end after the faults
+QUIET_S = 8.0  # seconds after which nothing of an ended job may run; over a lease
+POLL_S = 0.25
+STORE_THREADS_A_VM = 8  # four watches, and short calls
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SoakSettings:
+    """Size of a run.
+
+    Parameters
+    ----------
+    seed : int
+    minutes : float
+        Of load and faults.
+    processes : int
+        VMs, each one process.
+    upstreams : int
+    """
+
+    seed: int
+    minutes: float = 1.0
+    processes: int = 5
+    upstreams: int = 6
+
+
+@dataclass(frozen=True, slots=True)
+class SoakReport:
+    """What a run saw.
+
+    Parameters
+    ----------
+    seed, jobs, accepted, refused : int
+    faults, runs : dict of str to int
+        Counts by kind, and by end.
+    violations : list of Violation
+    """
+
+    seed: int
+    jobs: int
+    accepted: int
+    refused: int
+    faults: dict[str, int]
+    runs: dict[str, int]
+    violations: list[Violation]
+
+
+def run_soak(cfg: SoakSettings, directory: Path) -> SoakReport:
+    """Run processes under load and faults, and judge what was seen.
+
+    Parameters
+    ----------
+    cfg : SoakSettings
+    directory : Path
+        Gets settings files and logs of the VMs.
+
+    Raises
+    ------
+    TimeoutError
+        If the VMs do not come up.
+    """
+    store = StoreServer(threads=16 + STORE_THREADS_A_VM * cfg.processes, seed=cfg.seed)
+    store_port = store.start()
+    advisory = AdvisoryServer()
+    advisory_port = advisory.start()
+    loop = ProxyLoop()
+    loop.start()
+    versions = itertools.count(1)
+
+    def change_catalog() -> None:
+        write_catalog(
+            store,
+            version=next(versions),
+            host=QUEUE_HOST,
+            prefix=PREFIX,
+            max_attempts=MAX_ATTEMPTS,
+        )
+
+    change_catalog()
+    fleet = Fleet(store, loop, cores=CORES, seed=cfg.seed)
+    ledger = Ledger()
+    promises = Promises(
+        ledger,
+        capacity_millis=CORES * 1000,
+        max_attempts=MAX_ATTEMPTS,
+        list_running=fleet.list_running,
+    )
+    fleet.start(cfg.upstreams, promises)
+    vms = [
+        _make_vm(number, loop, store_port, advisory_port, directory)
+        for number in range(cfg.processes)
+    ]
+    clients = [
+        CallerClient(
+            vm.plan.host, vm.callers_link.port, queue_host=QUEUE_HOST, prefix=PREFIX
+        )
+        for vm in vms
+    ]
+    try:
+        for vm in vms:
+            vm.start()
+        _wait_until(lambda: _serves(clients), START_S, "no VM serves")
+        faults = draw_faults(random.Random(cfg.seed), cfg.minutes * 60)
+        targets = Targets(
+            vms, fleet, store, lambda: _find_decider(store, vms), change_catalog
+        )
+        injector = Injector(targets, faults)
+        callers = [
+            Caller(
+                number,
+                seed=cfg.seed,
+                vms=vms,
+                clients=clients,
+                ledger=ledger,
+                promises=promises,
+                queue=QUEUE_HOST + PREFIX,
+            )
+            for number in range(CALLERS)
+        ]
+        for caller in callers:
+            caller.start()
+        injector.start()
+        _sleep(cfg.minutes * 60)
+        injector.stop()
+        for caller in callers:
+            caller.stop()
+        _settle(ledger, promises, clients)
+    finally:
+        for vm in vms:
+            vm.clean_up()
+        fleet.stop()
+        advisory.stop()
+        store.stop()
+        loop.stop()
+    jobs = ledger.snapshot()
+    return SoakReport(
+        cfg.seed,
+        len(jobs),
+        sum(1 for job in jobs if job.accepted_s is not None),
+        sum(1 for job in jobs if job.is_refused),
+        dict(sorted(injector.counts.items())),
+        dict(sorted(promises.counts.items())),
+        promises.violations,
+    )
+
+
+def _make_vm(
+    number: int, loop: ProxyLoop, store_port: int, advisory_port: int, directory: Path
+) -> VmProcess:
+    # A host of its own for each VM and run: several runs may go at a time.
+    pid = os.getpid()
+    host = f"127.{10 + pid // 250 % 200}.{1 + pid % 250}.{number + 1}"
+    callers_port, readiness_port, peers_port = find_free_ports(host, 3)
+    store_link = Proxy(loop, "127.0.0.1", store_port)
+    plan = VmPlan(
+        f"vm-{number}",
+        host,
+        callers_port,
+        readiness_port,
+        peers_port,
+        store_link.address,
+        f"127.0.0.1:{advisory_port}",
+    )
+    callers_link = Proxy(loop, host, callers_port)
+    return VmProcess(
+        plan, store_link=store_link, callers_link=callers_link, directory=directory
+    )
+
+
+def _find_decider(store: StoreServer, vms: list[VmProcess]) -> VmProcess | None:
+    name = read_decider_vm(store.read)
+    return next((vm for vm in vms if vm.plan.name == name), None)
+
+
+def _serves(clients: list[CallerClient]) -> bool:
+    return any(client.ask("0" * 16).status == 410 for client in clients)
+
+
+def _settle(ledger: Ledger, promises: Promises, clients: list[CallerClient]) -> None:
+    """Wait for the end of all that was accepted, then judge."""
+    turns = itertools.cycle(clients)
+    until_s = read_now() + SETTLE_S
+    while read_now() < until_s:
+        waiting = [
+            job
+            for job in ledger.snapshot()
+            if job.accepted_s is not None
+            and job.state not in ("complete", "failed", "canceled")
+        ]
+        if not waiting:
+            break
+        for job in waiting:
+            ask_state(promises, job, next(turns).ask(job.spec.job_id))
+        _sleep(POLL_S)
+    promises.check_finished()
+    promises.check_refusals()
+    _sleep(QUIET_S)
+    promises.check_quiet()
+
+
+def _wait_until(holds: Callable[[], bool], timeout_s: float, what: str) -> None:
+    until_s = read_now() + timeout_s
+    while not holds():
+        if read_now() > until_s:
+            raise TimeoutError(what)
+        _sleep(POLL_S)
+
+
+def _sleep(seconds: float) -> None:
+    threading.Event().wait(seconds)
