Renew the lease while a term begins, and let ended jobs leave the intake

Ruled out: the store (it answered throughout), followers that depose (no such line). - A term begins on a thread of its own, beside renewals (two tests fail before). - The commit that ends a job removes it and its cancellation from the intake; a successor loads only what is open. A job that comes again after its end meets its progress. - A configuration that came while a term began is told to the decider. - Followers watch the key while stronger VMs go first, instead of all trying to take it. - Cancellations no longer stay in the store for good.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -44,6 +44,10 @@
 ATTEMPTS_A_TERM = 1000  # a task's attempts under one decider stay far below
 STOP_RETRY_S = 0.5  # seconds between two stops of a run that goes on
 PLACE_INTERVAL_S = 0.1  # seconds; tickets and set-aside times run out unnoticed
+# Entries of a commit for a job: condition and progress; for one that has ended also
+# the removal of the job and of its cancellation.
+OPEN_ENTRIES = 2
+ENDED_ENTRIES = 4
 ADVICE_RETRY_S = 0.3  # seconds; a failed advisory call is not repeated at once
 ESTIMATE_WEIGHT = 0.05  # share of the newest run in the learned run time
 MAX_ESTIMATE_FACTOR = 5.0  # keeps a few stuck runs from spoiling the estimate
@@ -322,7 +326,7 @@
         """Return progress to store, or None; one commit at a time."""
         if self._committing is not None:
             return None
-        names = list(self._dirty)[: self.settings.commit_jobs]
+        names = self._choose_dirty()
         noted: dict[str, tuple[int, int]] = {}
         if len(names) == len(self._dirty):
             noted = {
@@ -341,7 +345,21 @@
                 continue
             progress[name] = encode_progress(job.write_progress())
             self._committing[name] = job.state
-        return Commit(progress, noted)
+        ended = [n for n, state in self._committing.items() if state in FINAL_STATES]
+        return Commit(progress, noted, tuple(ended))
+
+    def _choose_dirty(self) -> list[str]:
+        """Return the jobs whose progress fits in one commit."""
+        names: list[str] = []
+        entries = 0
+        for name in self._dirty:
+            job = self.jobs.get(name)
+            is_final = job is not None and job.is_final
+            entries += ENDED_ENTRIES if is_final else OPEN_ENTRIES
+            if entries > self.settings.commit_entries:
+                break
+            names.append(name)
+        return names
 
     def committed(self, commit: Commit, *, is_stored: bool) -> list[str]:
         """Take in whether a commit was stored; return the jobs that it ended."""
--- a/packages/core/src/papayadyke_core/dispatch/_messages.py
+++ b/packages/core/src/papayadyke_core/dispatch/_messages.py
@@ -188,7 +188,10 @@
     noted : dict of str to (int, int)
         For each upstream its life and the last end that may be forgotten there
         once the progress is stored.
+    ended : tuple of str
+        Jobs that the progress ends: all else that is stored of them may go.
     """
 
     progress: dict[str, bytes]
     noted: dict[str, tuple[int, int]]
+    ended: tuple[str, ...] = ()
--- a/packages/core/src/papayadyke_core/dispatch/_settings.py
+++ b/packages/core/src/papayadyke_core/dispatch/_settings.py
@@ -41,8 +41,9 @@
     evacuation_calls_s : float
         Time for the calls that empty an upstream: its runs are stopped this and
         `stop_s` before it leaves.
-    commit_jobs : int
-        Jobs of one commit; two entries each must fit in one transaction.
+    commit_entries : int
+        Entries of one commit, which must fit in one transaction with the
+        condition that this VM still decides.
     """
 
     lease_s: float
@@ -58,7 +59,7 @@
     reserving_gangs: int = 2
     stop_s: float = 0.4
     evacuation_calls_s: float = 0.4
-    commit_jobs: int = 14
+    commit_entries: int = 31
 
     @property
     def longest_lease_s(self) -> float:
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher.py
@@ -337,3 +337,16 @@
     world.run(1.0)
     assert world.running() == []
     assert world.state_of("j") is JobState.CANCELLED
+
+
+def test_commit_fits_in_one_transaction_and_names_what_it_ends():
+    world = two_upstreams()
+    for number in range(20):
+        world.submit(make_job(f"j{number}", make_step(1)))
+        world.cancel(f"j{number}")
+    commit = world.dispatcher.take_commit()
+    assert set(commit.ended) == set(commit.progress)
+    # Condition, progress, and the removal of job and cancellation.
+    assert 4 * len(commit.progress) + 1 <= 32
+    world.dispatcher.committed(commit, is_stored=True)
+    assert len(world.dispatcher.take_commit().progress) == len(commit.progress)
--- a/packages/daemon/src/papayadyke_daemon/edge/_committer.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_committer.py
@@ -11,7 +11,12 @@
 
 from papayadyke_core.dispatch import Commit
 from papayadyke_daemon.edge._clock import read_clock
-from papayadyke_daemon.edge._keys import DECIDER_KEY, PROGRESS_PREFIX
+from papayadyke_daemon.edge._keys import (
+    CANCEL_PREFIX,
+    DECIDER_KEY,
+    JOB_PREFIX,
+    PROGRESS_PREFIX,
+)
 from papayadyke_daemon.edge._logs import log_event
 from papayadyke_daemon.edge._metrics import METRICS
 from papayadyke_daemon.edge._ports import (
@@ -108,8 +113,10 @@
             (PROGRESS_PREFIX + name, self._revisions.get(name, 0))
             for name in commit.progress
         ]
+        removed = [JOB_PREFIX + name for name in commit.ended]
+        removed += [CANCEL_PREFIX + name for name in commit.ended]
         begun_s = read_clock()
-        stored = self._store.write(writes, expected=expected)
+        stored = self._store.write(writes, expected=expected, removed=removed)
         METRICS.observe("papayadyke_commit_seconds", read_clock() - begun_s)
         METRICS.count("papayadyke_commits", stored=str(isinstance(stored, Ok)))
         self._post(lambda: self._finish(commit, stored))
--- a/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
@@ -181,6 +181,8 @@
             decider.stop()
             return False
         self._decider = decider
+        # A configuration that came while the term began was told to nobody.
+        decider.set_catalog(self._catalog or catalog)
         return True
 
     def _end_term(self) -> None:
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -11,6 +11,7 @@
 from result import Err, Result
 
 from papayadyke_core.dispatch import (
+    FINAL_STATES,
     Advice,
     AdviceRequest,
     Catalog,
@@ -60,7 +61,8 @@
 MIN_STEP_GAP_S = 0.002  # seconds between two steps; a call takes as long
 TICK_S = 0.1  # seconds; the longest time between two steps of the dispatcher
 GARBAGE_INTERVAL_S = 5.0  # seconds between two removals of old records
-GARBAGE_JOBS = 15  # jobs of one removal; two keys each must fit in a transaction
+GARBAGE_JOBS = 30  # jobs of one removal; with the condition, a transaction holds 32
+EARLY_CANCEL_KEPT_S = 60.0  # seconds; the job is read from the store in less
 HELLO_LIFETIME_S = 2.0  # seconds; four missed messages mean that a VM is gone
 # Seconds after which a silent VM no longer counts among those that could decide;
 # one that is cut off from this VM may follow another decider for as long.
@@ -129,7 +131,10 @@
         self._mailbox = Mailbox("decider", self._tick, clock=read_clock)
         self._agents: dict[str, UpstreamAgent] = {}
         self._advisers = Advisers(ports, clients, self._advised)
-        self._early_cancels: set[str] = set()
+        # Jobs that had ended before this term, with the time of their end.
+        self._ended: dict[str, float] = {}
+        # Cancellations whose job is not known yet, with the time that they came.
+        self._early_cancels: dict[str, float] = {}
         self._vms: dict[str, float] = {}
         self._committer = Committer(
             ports.store,
@@ -159,11 +164,12 @@
         """Read what is stored and begin; return whether that could be read."""
         self._dispatcher.set_catalog(catalog)
         listed = list_prefix(self._ports.store, self._ports.registry_prefix)
+        # Progress last: a job that ends in between leaves the intake and has it.
         intake = list_prefix(self._ports.store, INTAKE_PREFIX)
         progress = list_prefix(self._ports.store, PROGRESS_PREFIX)
         if isinstance(listed, Err) or isinstance(intake, Err):
             return False
-        if isinstance(progress, Err):
+        if isinstance(progress, Err) or not self._may_order():
             return False
         for name, (address, service) in self.term.roster.upstreams.items():
             self._dispatcher.list_upstream(UpstreamEntry(name, service, address))
@@ -240,6 +246,8 @@
     # On the decider's thread
 
     def _submit(self, spec: StagedJobSpec, revision: int) -> None:
+        if spec.job_id in self._ended:
+            return
         age_s = max(0.0, time.time() - spec.accepted_s)
         now = read_clock()
         is_new = revision > self.term.token
@@ -249,10 +257,12 @@
             self._cancel(spec.job_id)
 
     def _cancel(self, job_id: str) -> None:
+        if job_id in self._ended:
+            return
         if job_id not in self._dispatcher.jobs:
-            self._early_cancels.add(job_id)
+            self._early_cancels[job_id] = read_clock()
             return
-        self._early_cancels.discard(job_id)
+        self._early_cancels.pop(job_id, None)
         if self._dispatcher.cancel(job_id, read_clock()):
             log_event(LOG, "decider: job cancelled", request=job_id)
 
@@ -304,8 +314,13 @@
         stored = {}
         for record in progress:
             job_id = record.key.removeprefix(PROGRESS_PREFIX)
-            self._committer.note_revision(job_id, record.revision)
-            stored[job_id] = decode_progress(record.value or b"")
+            found = decode_progress(record.value or b"")
+            if found.state in FINAL_STATES:
+                # Nothing is left to do; any VM tells its state from the store.
+                self._ended[job_id] = found.ended_s
+            else:
+                self._committer.note_revision(job_id, record.revision)
+                stored[job_id] = found
         cancelled = {
             record.key.removeprefix(CANCEL_PREFIX)
             for record in intake
@@ -314,6 +329,8 @@
         for record in intake:
             if not record.key.startswith(JOB_PREFIX):
                 continue
+            if record.key.removeprefix(JOB_PREFIX) in self._ended:
+                continue
             spec = decode_job(record.value or b"")
             self._dispatcher.load(
                 spec,
@@ -373,6 +390,9 @@
         if now < self._next_garbage_s:
             return
         self._next_garbage_s = now + GARBAGE_INTERVAL_S
+        for name, came_s in list(self._early_cancels.items()):
+            if now - came_s > EARLY_CANCEL_KEPT_S:
+                del self._early_cancels[name]
         for name in self._dispatcher.forget_gone(now):
             agent = self._agents.pop(name, None)
             if agent is not None:
@@ -380,7 +400,7 @@
         if self._housekeeping.is_set():
             # The last round still waits for the store.
             return
-        old = self._dispatcher.forget_old(time.time())
+        old = self._dispatcher.forget_old(time.time()) + self._forget_ended()
         upstreams = {
             name: (item.entry.address, item.entry.service)
             for name, item in self._dispatcher.upstreams.items()
@@ -394,6 +414,13 @@
                 daemon=True,
             ).start()
 
+    def _forget_ended(self) -> list[str]:
+        kept_s = time.time() - self.cfg.status_kept_s
+        old = [name for name, ended_s in self._ended.items() if ended_s < kept_s]
+        for name in old:
+            del self._ended[name]
+        return old
+
     def _keep_house(
         self, old: list[str], upstreams: dict[str, tuple[str, str]]
     ) -> None:
@@ -420,8 +447,7 @@
     def _remove_jobs(self, old: list[str]) -> None:
         for begin in range(0, len(old), GARBAGE_JOBS):
             part = old[begin : begin + GARBAGE_JOBS]
-            keys = [JOB_PREFIX + name for name in part]
-            keys += [PROGRESS_PREFIX + name for name in part]
+            keys = [PROGRESS_PREFIX + name for name in part]
             removed = self._ports.store.write(
                 [], expected=[(DECIDER_KEY, self.term.token)], removed=keys
             )
--- a/packages/daemon/src/papayadyke_daemon/edge/_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_intake.py
@@ -7,7 +7,7 @@
 import threading
 import time
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -208,7 +208,9 @@
             if may_relay:
                 return StoredJob(self._relay(StoreJob(data)))
             return StoredJob(IntakeOutcome.REFUSED)
-        stored = self._store(key, data)
+        # Of a job that has ended only the progress is kept.
+        progress_key = PROGRESS_PREFIX + key.removeprefix(JOB_PREFIX)
+        stored = self._store(key, data, expected=[(key, 0), (progress_key, 0)])
         if stored.outcome is IntakeOutcome.ACCEPTED or not may_relay:
             return stored
         relayed = self._relay(StoreJob(data))
@@ -218,19 +220,21 @@
             return StoredJob(IntakeOutcome.UNKNOWN)
         return stored
 
-    def _store(self, key: str, data: bytes) -> StoredJob:
+    def _store(
+        self, key: str, data: bytes, *, expected: Sequence[tuple[str, int]]
+    ) -> StoredJob:
         outcome = IntakeOutcome.REFUSED
         for number in range(STORE_TRIES):
             if number:
                 time.sleep(STORE_PAUSE_S)
             stored = self._ports.store.write(
-                [Write(key, data)], expected=[(key, 0)], timeout_s=STORE_TIMEOUT_S
+                [Write(key, data)], expected=expected, timeout_s=STORE_TIMEOUT_S
             )
             if isinstance(stored, Ok):
                 return StoredJob(IntakeOutcome.ACCEPTED, stored.ok_value)
             error = stored.err_value
             if error.kind is StoreErrorKind.CONFLICT:
-                # Stored by an earlier try, of this VM or of another.
+                # Stored by an earlier try, of this VM or of another, or ended.
                 return StoredJob(IntakeOutcome.ACCEPTED)
             if error.kind is StoreErrorKind.UNKNOWN:
                 outcome = IntakeOutcome.UNKNOWN
@@ -247,8 +251,16 @@
         if isinstance(found, Err):
             return IntakeOutcome.REFUSED
         if found.ok_value is None:
-            return IntakeOutcome.NO_SUCH_JOB
-        return self._store(CANCEL_PREFIX + job_id, b"{}").outcome
+            ended = self._ports.store.read(PROGRESS_PREFIX + job_id)
+            if isinstance(ended, Err):
+                return IntakeOutcome.REFUSED
+            if ended.ok_value is None:
+                return IntakeOutcome.NO_SUCH_JOB
+            return IntakeOutcome.ACCEPTED
+        key = CANCEL_PREFIX + job_id
+        # A job that ends first leaves no cancellation behind.
+        expected = [(key, 0), (JOB_PREFIX + job_id, found.ok_value.revision)]
+        return self._store(key, b"{}", expected=expected).outcome
 
     def _relay(self, message: StoreJob | StoreCancel) -> IntakeOutcome:
         """Have the decider's VM store what this one can not."""
@@ -273,16 +285,24 @@
         return None
 
     def _read_state(self, job_id: str) -> JobState | StoreError | None:
-        store = self._ports.store
-        progress = store.read(PROGRESS_PREFIX + job_id)
-        if isinstance(progress, Err):
-            return progress.err_value
-        if progress.ok_value is not None and progress.ok_value.value is not None:
-            return decode_progress(progress.ok_value.value).state
-        found = store.read(JOB_PREFIX + job_id)
+        state = self._read_progress(job_id)
+        if state is not None:
+            return state
+        found = self._ports.store.read(JOB_PREFIX + job_id)
         if isinstance(found, Err):
             return found.err_value
-        return None if found.ok_value is None else JobState.QUEUED
+        if found.ok_value is not None:
+            return JobState.QUEUED
+        # It may have ended between the two reads.
+        return self._read_progress(job_id)
+
+    def _read_progress(self, job_id: str) -> JobState | StoreError | None:
+        found = self._ports.store.read(PROGRESS_PREFIX + job_id)
+        if isinstance(found, Err):
+            return found.err_value
+        if found.ok_value is None or found.ok_value.value is None:
+            return None
+        return decode_progress(found.ok_value.value).state
 
     def _notify_on(self) -> None:
         while True:
--- a/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
@@ -64,7 +64,8 @@
     may_lead : callable
         Tells whether this VM has what it needs to decide.
     begin : callable
-        Begins a term; returns whether that worked.
+        Begins a term; returns whether that worked. Called on a thread of its own,
+        since reading all that is stored may take longer than the lease lasts.
     end : callable
         Ends it.
     peers_lost_store : callable
@@ -98,6 +99,7 @@
         self._began_s = 0.0
         self._gives_back = False
         self._deposed = threading.Event()
+        self._beginning: threading.Thread | None = None
         self._stopped = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name="leadership", daemon=True
@@ -209,6 +211,10 @@
 
     def _end_term(self, *, is_planned: bool) -> None:
         self._token = 0
+        if self._beginning is not None:
+            # It gives up by itself, since nothing may be ordered any more.
+            self._beginning.join()
+            self._beginning = None
         self._end()
         if is_planned:
             self._ports.store.end_lease(self._lease)
@@ -233,11 +239,22 @@
             self._gives_back = False
             self._stopped.wait(SETTLED_S)
             return
-        if record is None:
-            weakness = max(0.0, 1 - self.cfg.strength / FULL_STRENGTH)
-            self._stopped.wait(weakness * WEAKEST_DELAY_S)
+        if record is None and self._is_outrun(page.revision):
+            return
         self._try_to_lead(0 if record is None else record.revision)
 
+    def _is_outrun(self, revision: int) -> bool:
+        """Let stronger VMs go first; tell whether one of them has the key."""
+        weakness = max(0.0, 1 - self.cfg.strength / FULL_STRENGTH)
+        if not weakness:
+            return False
+        changes = self._ports.store.watch(
+            DECIDER_KEY, after=revision, wait_s=weakness * WEAKEST_DELAY_S
+        )
+        if isinstance(changes, Err):
+            return False
+        return any(item.value is not None for item in changes.ok_value.records)
+
     def _is_own_past(self, record: Record) -> bool:
         """Tell whether an earlier process of this VM holds the key.
 
@@ -314,6 +331,17 @@
         self.known = KnownDecider(written.ok_value, self.cfg.vm, own.address)
         METRICS.count("papayadyke_terms")
         term = Term(written.ok_value, known.terms, known)
-        if not self._begin(term):
-            log_event(LOG, "leadership: term could not begin", token=self._token)
-            self._end_term(is_planned=True)
+        self._beginning = threading.Thread(
+            target=self._begin_term, args=(term,), name="term", daemon=True
+        )
+        self._beginning.start()
+
+    def _begin_term(self, term: Term) -> None:
+        try:
+            has_begun = self._begin(term)
+        except Exception:
+            LOG.exception("leadership: the term %d could not begin", term.token)
+            has_begun = False
+        if not has_begun and self._token == term.token:
+            self._gives_back = True
+            self.depose("the term could not begin")
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_committer.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_committer.py
@@ -5,7 +5,12 @@
 from papayadyke_core.dispatch import Commit
 from papayadyke_daemon.edge import StoreErrorKind, Write
 from papayadyke_daemon.edge._committer import Committer
-from papayadyke_daemon.edge._keys import DECIDER_KEY, PROGRESS_PREFIX
+from papayadyke_daemon.edge._keys import (
+    CANCEL_PREFIX,
+    DECIDER_KEY,
+    JOB_PREFIX,
+    PROGRESS_PREFIX,
+)
 from papayadyke_daemon.edge.tests.fake_store import FakeStore
 
 COMMIT = Commit({"job": b"progress"}, {"upstream": (1, 7)})
@@ -75,3 +80,11 @@
     started.store.write([Write(DECIDER_KEY, b"other")])
     assert not started.commit()
     assert started.deposed == ["the store names another decider"]
+
+
+def test_ended_job_leaves_only_its_progress():
+    started = Started()
+    started.store.write([Write(JOB_PREFIX + "job", b"")])
+    started.store.write([Write(CANCEL_PREFIX + "job", b"")])
+    assert started.commit(Commit({"job": b"progress"}, {}, ("job",)))
+    assert set(started.store.records) == {DECIDER_KEY, PROGRESS_PREFIX + "job"}
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_intake.py
@@ -3,10 +3,22 @@
 import pytest
 from result import Err
 
-from papayadyke_core.dispatch import JobState, StagedJobSpec, StepSpec
-from papayadyke_daemon.edge import EdgePorts, Intake, IntakeOutcome, StoreErrorKind
+from papayadyke_core.dispatch import (
+    JobProgress,
+    JobState,
+    StagedJobSpec,
+    StepSpec,
+    encode_progress,
+)
+from papayadyke_daemon.edge import (
+    EdgePorts,
+    Intake,
+    IntakeOutcome,
+    StoreErrorKind,
+    Write,
+)
 from papayadyke_daemon.edge._intake import IntakeParts
-from papayadyke_daemon.edge._keys import CANCEL_PREFIX, JOB_PREFIX
+from papayadyke_daemon.edge._keys import CANCEL_PREFIX, JOB_PREFIX, PROGRESS_PREFIX
 from papayadyke_daemon.edge._leadership import KnownDecider
 from papayadyke_daemon.edge._peers import PeerClients
 from papayadyke_daemon.edge.tests.fake_store import FakeStore
@@ -87,3 +99,57 @@
     assert intake.state_of(SPEC.job_id) is None
     intake.accept(SPEC)
     assert intake.state_of(SPEC.job_id) is JobState.QUEUED
+
+
+def end_job(store, state=JobState.COMPLETE):
+    """Leave of a job what the commit of its end leaves."""
+    progress = encode_progress(JobProgress(state, 1.0))
+    removed = [KEY, CANCEL_PREFIX + SPEC.job_id]
+    store.write([Write(PROGRESS_PREFIX + SPEC.job_id, progress)], removed=removed)
+
+
+def test_job_that_comes_again_after_its_end_is_not_stored_again(store):
+    intake = make_intake(store)
+    intake.accept(SPEC)
+    end_job(store)
+    assert intake.accept(SPEC) is IntakeOutcome.ACCEPTED
+    assert KEY not in store.records
+
+
+def test_ended_job_is_known_and_needs_no_cancellation(store):
+    intake = make_intake(store)
+    intake.accept(SPEC)
+    end_job(store)
+    assert intake.cancel(SPEC.job_id) is IntakeOutcome.ACCEPTED
+    assert CANCEL_PREFIX + SPEC.job_id not in store.records
+    assert intake.state_of(SPEC.job_id) is JobState.COMPLETE
+
+
+def test_cancellation_after_the_end_leaves_nothing_behind(store):
+    intake = make_intake(store)
+    intake.accept(SPEC)
+    write = store.write
+
+    def end_first(writes, **changes):
+        store.write = write
+        end_job(store)
+        return write(writes, **changes)
+
+    store.write = end_first
+    assert intake.cancel(SPEC.job_id) is IntakeOutcome.ACCEPTED
+    assert CANCEL_PREFIX + SPEC.job_id not in store.records
+
+
+def test_job_that_ends_between_two_reads_is_known(store):
+    intake = make_intake(store)
+    intake.accept(SPEC)
+    read = store.read
+
+    def end_after(key):
+        found = read(key)
+        store.read = read
+        end_job(store)
+        return found
+
+    store.read = end_after
+    assert intake.state_of(SPEC.job_id) is JobState.COMPLETE
