--- a/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
@@ -5,6 +5,7 @@
 import logging
 import threading
 from collections.abc import Callable
+from dataclasses import fields, replace
 
 from result import Ok
 
@@ -43,6 +44,10 @@
 DEADLINE_HEADER = "x-deadline-ms"
 REFUSED_STATUS = 400  # answers from here on are logged with their reason
 CALLER_THREADS = 12  # requests at a time; each waits for the store a few milliseconds
+# Settings that hold until the process starts again.
+FIXED_SETTINGS = frozenset(
+    {"vm", "host", "callers_port", "readiness_port", "peers_port", "metrics_port"}
+)
 HELLO_KEPT_S = 2.0  # seconds for which what another VM said of itself holds
 
 
@@ -128,6 +133,22 @@
         self._callers.start()
         log_event(LOG, "edge: started", vm=self.cfg.vm, zone=self.cfg.availability_zone)
 
+    def reload(self, cfg: EdgeSettings) -> None:
+        """Put other settings in force; where the VM listens needs a restart.
+
+        Leases and intervals of a term hold until the next term.
+        """
+        changed = [
+            item.name
+            for item in fields(cfg)
+            if getattr(cfg, item.name) != getattr(self.cfg, item.name)
+        ]
+        kept = [name for name in changed if name in FIXED_SETTINGS]
+        old = self.cfg
+        self.cfg = replace(cfg, **{name: getattr(old, name) for name in kept})
+        self._leadership.cfg = self.cfg
+        log_event(LOG, "edge: reload", changed=changed, needs_restart=kept)
+
     def drain(self) -> None:
         """Hand over, go on serving until callers go elsewhere, then end."""
         log_event(LOG, "edge: draining", vm=self.cfg.vm)
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/fake_store.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/fake_store.py
@@ -2,9 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from result import Err, Ok
 
-from papayadyke_daemon.edge import Page, Record, StoreError, StoreErrorKind
+from papayadyke_daemon.edge import (
+    EdgePorts,
+    Page,
+    Record,
+    StoreError,
+    StoreErrorKind,
+)
 
 
 class FakeStore:
@@ -21,10 +29,18 @@
         self.fault: StoreErrorKind | None = None
         self.takes_effect = False
         self.calls = 0
+        # Called once, before or after the next call of a kind.
+        self.before_watch: Callable[[], object] | None = None
+        self.before_write: Callable[[], object] | None = None
+        self.after_read: Callable[[], object] | None = None
 
     def read(self, key):
         self.calls += 1
-        return self._failed() or Ok(self.records.get(key))
+        found = self._failed() or Ok(self.records.get(key))
+        act, self.after_read = self.after_read, None
+        if act is not None:
+            act()
+        return found
 
     def read_prefix(self, prefix, *, after=""):
         self.calls += 1
@@ -34,12 +50,18 @@
 
     def watch(self, prefix, *, after, wait_s):
         self.calls += 1
+        act, self.before_watch = self.before_watch, None
+        if act is not None:
+            act()
         found = [item for item in self.records.values() if item.revision > after]
         found = [item for item in found if item.key.startswith(prefix)]
         return self._failed() or Ok(Page(found, self.revision))
 
     def write(self, writes, *, expected=(), removed=(), timeout_s=None):
         self.calls += 1
+        act, self.before_write = self.before_write, None
+        if act is not None:
+            act()
         if self.fault is not None and not self.takes_effect:
             return self._failed()
         for key, revision in expected:
@@ -72,3 +94,20 @@
 
     def _failed(self):
         return None if self.fault is None else Err(StoreError(self.fault))
+
+
+def connect_nowhere(entry):
+    raise AssertionError("no upstream is to be called")
+
+
+def make_ports(store):
+    """Return ports with a store and nothing else."""
+    return EdgePorts(
+        store=store,
+        connect_upstream=connect_nowhere,
+        advise=lambda step, names: Err("no advisory service"),
+        read_catalog=lambda data: None,
+        read_upstream=lambda name, data: None,
+        catalog_key="config",
+        registry_prefix="upstreams/",
+    )
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_intake.py
@@ -1,7 +1,6 @@
 """Accepting and cancelling jobs over a store that fails."""
 
 import pytest
-from result import Err
 
 from papayadyke_core.dispatch import (
     JobProgress,
@@ -11,7 +10,6 @@
     encode_progress,
 )
 from papayadyke_daemon.edge import (
-    EdgePorts,
     Intake,
     IntakeOutcome,
     StoreErrorKind,
@@ -21,7 +19,7 @@
 from papayadyke_daemon.edge._keys import CANCEL_PREFIX, JOB_PREFIX, PROGRESS_PREFIX
 from papayadyke_daemon.edge._leadership import KnownDecider
 from papayadyke_daemon.edge._peers import PeerClients
-from papayadyke_daemon.edge.tests.fake_store import FakeStore
+from papayadyke_daemon.edge.tests.fake_store import FakeStore, make_ports
 
 SPEC = StagedJobSpec("5c0e7a21d94b36f8", "h/q/", "text", (StepSpec(1),))
 KEY = JOB_PREFIX + SPEC.job_id
@@ -32,22 +30,9 @@
     return FakeStore()
 
 
-def connect_nowhere(entry):
-    raise AssertionError("intake speaks to no upstream")
-
-
 def make_intake(store, *, reaches_store=True):
-    ports = EdgePorts(
-        store=store,
-        connect_upstream=connect_nowhere,
-        advise=lambda step, names: Err("no advisory service"),
-        read_catalog=lambda data: None,
-        read_upstream=lambda name, data: None,
-        catalog_key="config",
-        registry_prefix="upstreams/",
-    )
     parts = IntakeParts(lambda: None, KnownDecider, lambda: reaches_store)
-    return Intake(ports, PeerClients(), parts)
+    return Intake(make_ports(store), PeerClients(), parts)
 
 
 def test_accepted_job_is_stored(store):
@@ -128,14 +113,7 @@
 def test_cancellation_after_the_end_leaves_nothing_behind(store):
     intake = make_intake(store)
     intake.accept(SPEC)
-    write = store.write
-
-    def end_first(writes, **changes):
-        store.write = write
-        end_job(store)
-        return write(writes, **changes)
-
-    store.write = end_first
+    store.before_write = lambda: end_job(store)
     assert intake.cancel(SPEC.job_id) is IntakeOutcome.ACCEPTED
     assert CANCEL_PREFIX + SPEC.job_id not in store.records
 
@@ -143,13 +121,5 @@
 def test_job_that_ends_between_two_reads_is_known(store):
     intake = make_intake(store)
     intake.accept(SPEC)
-    read = store.read
-
-    def end_after(key):
-        found = read(key)
-        store.read = read
-        end_job(store)
-        return found
-
-    store.read = end_after
+    store.after_read = lambda: end_job(store)
     assert intake.state_of(SPEC.job_id) is JobState.COMPLETE
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_leadership.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_leadership.py
@@ -4,12 +4,11 @@
 import time
 
 import pytest
-from result import Err
 
-from papayadyke_daemon.edge import EdgePorts, EdgeSettings, Write
+from papayadyke_daemon.edge import EdgeSettings, Write
 from papayadyke_daemon.edge._keys import DECIDER_KEY, DeciderRecord, encode_record
 from papayadyke_daemon.edge._leadership import Leadership
-from papayadyke_daemon.edge.tests.fake_store import FakeStore
+from papayadyke_daemon.edge.tests.fake_store import FakeStore, make_ports
 
 TIMEOUT_S = 20.0  # seconds that any step of a test may take
 
@@ -38,15 +37,6 @@
         self.is_asked = threading.Event()
         self.is_ended = threading.Event()
         self.begins = True
-        ports = EdgePorts(
-            store=self.store,
-            connect_upstream=lambda entry: None,
-            advise=lambda step, names: Err("no advisory service"),
-            read_catalog=lambda data: None,
-            read_upstream=lambda name, data: None,
-            catalog_key="config",
-            registry_prefix="upstreams/",
-        )
         cfg = EdgeSettings(
             vm="vm",
             availability_zone="zone",
@@ -59,7 +49,7 @@
         )
         self.leadership = Leadership(
             cfg,
-            ports,
+            make_ports(self.store),
             may_lead=lambda: True,
             begin=self.begin,
             end=self.is_ended.set,
@@ -108,15 +98,10 @@
 def test_weak_vm_lets_a_stronger_one_have_the_term():
     made = Started(strength=0.4)
     made.may_begin.set()
-    watch = made.store.watch
     other = DeciderRecord("other", "127.0.0.1:1", "incarnation")
-
-    def take_first(prefix, *, after, wait_s):
-        made.store.watch = watch
-        made.store.write([Write(DECIDER_KEY, encode_record(other))])
-        return watch(prefix, after=after, wait_s=wait_s)
-
-    made.store.watch = take_first
+    made.store.before_watch = lambda: made.store.write(
+        [Write(DECIDER_KEY, encode_record(other))]
+    )
     made.leadership.start()
     while not made.leadership.known.token:
         time.sleep(0.01)
