--- a/packages/soak/src/papayadyke_soak/_proxy.py
+++ b/packages/soak/src/papayadyke_soak/_proxy.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 import threading
 from enum import StrEnum
 
 CHUNK_BYTES = 65_536
+RESET_LINGER = struct.pack("ii", 1, 0)  # on, for no time
 SILENCE_POLL_S = 0.02  # seconds between two looks at whether a link works again
 
 
@@ -36,8 +39,17 @@
 
     def stop(self) -> None:
         """End the thread and its connections."""
+        asyncio.run_coroutine_threadsafe(_cancel_others(), self.loop).result(5.0)
         self.loop.call_soon_threadsafe(self.loop.stop)
         self._thread.join(timeout=5.0)
+        self.loop.close()
+
+
+async def _cancel_others() -> None:
+    others = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in others:
+        task.cancel()
+    await asyncio.gather(*others, return_exceptions=True)
 
 
 class Proxy:
@@ -77,6 +89,9 @@
 
     def _abort_all(self) -> None:
         for writer in self._writers:
+            sock = writer.get_extra_info("socket")
+            # Without lingering, closing sends a reset.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
             writer.transport.abort()
 
     async def _open(self) -> int:
--- /dev/null
+++ b/packages/soak/src/papayadyke_soak/tests/test_promises.py
@@ -0,0 +1,152 @@
+"""Each promise is seen to be broken where it is."""
+
+import msgspec
+import pytest
+
+from papayadyke_adapter_standins import RunSeen
+from papayadyke_core.dispatch import StagedJobSpec, StepSpec
+from papayadyke_soak import JobRecord, Ledger, Promises
+from papayadyke_soak._promises import Needs
+
+JOB = "5c0e7a21d94b36f8"
+PAYLOAD = msgspec.json.encode(Needs(1.0, 9000)).decode()
+
+
+class Seen:
+    """Promises over a fleet that is a list."""
+
+    def __init__(self, *steps):
+        steps = steps or (StepSpec(2, cpu_millis=9000),)
+        self.running: list[RunSeen] = []
+        self.ledger = Ledger()
+        self.record = JobRecord(StagedJobSpec(JOB, "q", PAYLOAD, steps), True, tries=1)
+        self.ledger.add(self.record)
+        self.promises = Promises(
+            self.ledger,
+            capacity_millis=16_000,
+            max_attempts=2,
+            list_running=lambda: self.running,
+        )
+
+    def start(self, task="0", upstream="a", step=0, job=JOB, payload=PAYLOAD):
+        run = RunSeen(upstream, f"{job}.0.{step}.{task}", 1, payload, 1, 0.0)
+        self.running.append(run)
+        self.promises.started(run)
+        return run
+
+    def end(self, run, how):
+        self.running.remove(run)
+        self.promises.ended(run, how)
+
+    def broken(self):
+        return {item.promise for item in self.promises.violations}
+
+
+def test_calm_run_breaks_nothing():
+    seen = Seen()
+    for task in ("0", "1"):
+        run = seen.start(task)
+        seen.end(run, "done")
+        seen.promises.noted("a", run.task, "done")
+    seen.promises.told(seen.record, "complete")
+    seen.promises.check_quiet()
+    seen.promises.check_refusals()
+    assert seen.broken() == set()
+
+
+def test_second_run_of_a_task_is_seen():
+    seen = Seen()
+    seen.start(upstream="a")
+    seen.start(upstream="b")
+    assert seen.broken() == {"a task runs once at a time"}
+
+
+def test_start_over_the_capacity_is_seen():
+    seen = Seen()
+    seen.start("0")
+    seen.start("1")
+    assert seen.broken() == {"no upstream over its capacity"}
+
+
+@pytest.mark.parametrize("is_noted_first", [True, False])
+def test_start_after_the_end_is_seen_once_the_end_is_noted(is_noted_first):
+    seen = Seen()
+    run = seen.start()
+    seen.end(run, "done")
+    if is_noted_first:
+        seen.promises.noted("a", run.task, "done")
+    seen.start(upstream="b")
+    if not is_noted_first:
+        assert seen.broken() == set()
+        seen.promises.noted("a", run.task, "done")
+    assert seen.broken() == {"nothing starts again once it is done"}
+
+
+def test_end_that_was_lost_with_its_upstream_may_be_repeated():
+    seen = Seen()
+    run = seen.start()
+    seen.end(run, "done")
+    seen.promises.crashed("a", [(run.task, "done")])
+    seen.start(upstream="b")
+    assert seen.broken() == set()
+
+
+def test_step_before_its_time_is_seen():
+    seen = Seen(StepSpec(1), StepSpec(1, after=(0,)))
+    seen.start(step=1)
+    assert seen.broken() == {"steps in order"}
+
+
+def test_too_many_attempts_are_seen():
+    seen = Seen()
+    for _ in range(2):
+        run = seen.start()
+        seen.end(run, "failed")
+        seen.promises.noted("a", run.task, "failed")
+    assert seen.broken() == set()
+    seen.start()
+    assert seen.broken() == {"no more attempts than allowed"}
+
+
+def test_start_of_an_unknown_job_or_another_payload_is_seen():
+    seen = Seen()
+    seen.start(job="0" * 16)
+    assert seen.broken() == {"no start that nobody asked for"}
+    seen.start(payload=msgspec.json.encode(Needs(2.0, 10)).decode())
+    assert "a task gets what its caller handed in" in seen.broken()
+
+
+def test_untrue_answers_are_seen():
+    seen = Seen()
+    seen.promises.told(seen.record, "complete")
+    seen.promises.told(seen.record, "failed")
+    seen.promises.told(seen.record, "canceled")
+    assert seen.broken() == {
+        "complete only when all is done",
+        "failed only after its attempts",
+        "cancelled only when asked",
+    }
+
+
+def test_untrue_refusal_is_seen():
+    seen = Seen()
+    seen.record.refusals = 1
+    seen.end(seen.start(), "done")
+    seen.promises.check_refusals()
+    assert seen.broken() == {"a refusal is true"}
+
+
+def test_lost_job_is_seen():
+    seen = Seen()
+    seen.record.accepted_s = 0.0
+    seen.promises.told_unknown(seen.record)
+    seen.promises.check_finished()
+    assert seen.broken() == {"an accepted job is known", "nothing accepted is lost"}
+
+
+def test_run_that_outlives_its_job_is_seen():
+    seen = Seen()
+    seen.start()
+    seen.record.state = "failed"
+    seen.promises.check_quiet()
+    assert seen.broken() == {"an ended job leaves nothing running"}
