--- a/packages/cli/src/papayadyke_cli/_html.py
+++ b/packages/cli/src/papayadyke_cli/_html.py
@@ -13,6 +13,7 @@
 from matplotlib.figure import Figure
 
 from papayadyke_cli._causes import list_causes
+from papayadyke_cli._waits import WaitsReport
 from papayadyke_core.slo import ALERT_RULES, BurnReport, WorkloadBurn
 
 PLOT_WIDTH_IN = 9.0
@@ -196,3 +197,45 @@
         figure.savefig(text, format="svg", metadata={"Date": None})
     document = text.getvalue()
     return document[document.index("<svg") :]
+
+
+def write_waits_html(
+    report: WaitsReport,
+    header: tuple[str, ...],
+    rows: list[tuple[object, ...]],
+    queues: list[tuple[object, ...]],
+) -> str:
+    """Return a page with a plot and the tables of a report on waits."""
+    parts = (
+        "<h1>Waits</h1>",
+        _plot_spans(report),
+        "<h2>Over time</h2>",
+        _write_table(header, rows),
+        "<h2>By queue</h2>",
+        _write_table(("queue", "accepted", "complete", "other", *_QUEUE_TIMES), queues),
+        f"<p>{report.unreadable} lines could not be read.</p>",
+    )
+    return (
+        f'<!doctype html><html lang="en"><head><meta charset="utf-8"><title>Waits</title>'
+        f"<style>{_STYLE}</style></head><body>{''.join(parts)}</body></html>"
+    )
+
+
+_QUEUE_TIMES = ("start p50", "start p95", "age p50", "age p95")
+
+
+def _plot_spans(report: WaitsReport) -> str:
+    """Return jobs accepted, ended and waiting, and refusals, over time."""
+    figure = Figure(figsize=(PLOT_WIDTH_IN, 3.6), layout="constrained")
+    axes = figure.subplots()
+    first_s = report.spans[0].begins_s if report.spans else 0.0
+    at_s = [span.begins_s - first_s for span in report.spans]
+    axes.plot(at_s, [span.accepted for span in report.spans], label="accepted")
+    axes.plot(at_s, [span.ended for span in report.spans], label="ended")
+    axes.plot(at_s, [span.waiting for span in report.spans], label="waiting")
+    refused = [sum(span.refused.values()) for span in report.spans]
+    axes.plot(at_s, refused, label="refused", color="#a3161a", linestyle=":")
+    axes.set_xlabel("seconds from the first line")
+    axes.set_ylabel("in a span")
+    axes.legend(frameon=False, fontsize="small")
+    return _write_svg(figure)
--- a/packages/cli/src/papayadyke_cli/_report.py
+++ b/packages/cli/src/papayadyke_cli/_report.py
@@ -1,8 +1,9 @@
-"""`papayadyke report burn`."""
+"""`papayadyke report burn` and `papayadyke report waits`."""
 
 from __future__ import annotations
 
 import time
+from collections import Counter
 from pathlib import Path
 from typing import Annotated
 
@@ -10,13 +11,36 @@
 import typer
 
 from papayadyke_cli._causes import list_causes
-from papayadyke_cli._exits import fail_on_problem
-from papayadyke_cli._html import write_burn_html
+from papayadyke_cli._exits import ExitCode, fail, fail_on_problem
+from papayadyke_cli._html import write_burn_html, write_waits_html
 from papayadyke_cli._output import JsonFlag, print_json, print_table
 from papayadyke_cli._settings import Session
 from papayadyke_cli._values import parse_since
+from papayadyke_cli._waits import COMPLETE, WaitsReport, pick_share, read_waits
 from papayadyke_core.slo import BurnReport, BurnWindow, WorkloadBurn
 
+SPAN_HEADER = (
+    "from s",
+    "accepted",
+    "waiting",
+    "begun",
+    "ended",
+    "age p50",
+    "age p95",
+    "refused",
+    "task seconds in vain",
+)
+QUEUE_HEADER = (
+    "queue",
+    "accepted",
+    "complete",
+    "other ends",
+    "start p50",
+    "start p95",
+    "age p50",
+    "age p95",
+)
+
 report_app = typer.Typer(no_args_is_help=True)
 
 
@@ -52,6 +76,86 @@
         _print_report(report)
 
 
+@report_app.command()
+def waits(
+    logs: Annotated[list[Path], typer.Argument(help="Logs of edge VMs.")],
+    step: Annotated[float, typer.Option(min=0.1, help="Seconds of a row.")] = 2.0,
+    html: Annotated[
+        Path | None, typer.Option(help="Write table and plot as one HTML file.")
+    ] = None,
+) -> None:
+    """Tell from logs who waited, who was refused, and what ran in vain."""
+    lines: list[str] = []
+    for path in logs:
+        try:
+            lines += path.read_text(errors="replace").splitlines()
+        except OSError as exc:
+            fail(ExitCode.USAGE, f"{path}: {exc.strerror}")
+    report = read_waits(lines, step_s=step)
+    rows = _list_spans(report)
+    queues = _list_queues(report)
+    if html is not None:
+        html.write_text(
+            write_waits_html(report, SPAN_HEADER, rows, queues), encoding="utf-8"
+        )
+        typer.echo(f"written to {html}")
+        return
+    print_table(SPAN_HEADER, rows)
+    typer.echo()
+    print_table(QUEUE_HEADER, queues)
+    if report.unreadable:
+        typer.echo(f"{report.unreadable} lines could not be read")
+
+
+def _list_spans(
+    report: WaitsReport,
+) -> tuple[tuple[str, ...], list[tuple[object, ...]]]:
+    first_s = report.spans[0].begins_s if report.spans else 0.0
+    rows: list[tuple[object, ...]] = [
+        (
+            f"{span.begins_s - first_s:.1f}",
+            span.accepted,
+            span.waiting,
+            span.started,
+            span.ended,
+            f"{pick_share(span.ages_s, 0.5):.2f}",
+            f"{pick_share(span.ages_s, 0.95):.2f}",
+            _count(span.refused, "d"),
+            _count(span.in_vain_s, ".1f"),
+        )
+        for span in report.spans
+    ]
+    return rows
+
+
+def _list_queues(report: WaitsReport) -> list[tuple[object, ...]]:
+    rows: list[tuple[object, ...]] = []
+    for queue in sorted({job.queue for job in report.jobs}):
+        jobs = [job for job in report.jobs if job.queue == queue]
+        begun = [
+            job.first_start_s - job.accepted_s for job in jobs if job.first_start_s
+        ]
+        ages = [job.ended_s - job.accepted_s for job in jobs if job.ended_s]
+        states = Counter(job.state for job in jobs)
+        rows.append(
+            (
+                queue,
+                len(jobs),
+                states.pop(COMPLETE, 0),
+                _count(states, "d"),
+                f"{pick_share(begun, 0.5):.2f}",
+                f"{pick_share(begun, 0.95):.2f}",
+                f"{pick_share(ages, 0.5):.2f}",
+                f"{pick_share(ages, 0.95):.2f}",
+            )
+        )
+    return rows
+
+
+def _count(counts: Counter[str], form: str) -> str:
+    return " ".join(f"{name}:{counts[name]:{form}}" for name in sorted(counts)) or "-"
+
+
 def _choose(report: BurnReport, workload: str) -> BurnReport:
     if not workload:
         return report
