--- a/packages/cli/src/papayadyke_cli/_html.py
+++ b/packages/cli/src/papayadyke_cli/_html.py
@@ -216,8 +216,9 @@
         f"<p>{report.unreadable} lines could not be read.</p>",
     )
     return (
-        f'<!doctype html><html lang="en"><head><meta charset="utf-8"><title>Waits</title>'
-        f"<style>{_STYLE}</style></head><body>{''.join(parts)}</body></html>"
+        '<!doctype html><html lang="en"><head><meta charset="utf-8">'
+        f"<title>Waits</title><style>{_STYLE}</style></head>"
+        f"<body>{''.join(parts)}</body></html>"
     )
 
 
