Keep room for more gangs on large fleets, and end a planned stop in time

More gangs reserve until a quarter of the upstreams is kept (test of the pattern fails first). Ruled out: reserving for every waiting gang, which would keep the whole fleet idle.

--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -89,11 +89,17 @@
             self._ask(step, queue.advice, pool)
         if fits and self._place_step(step, queue, pool, factor):
             return True
-        if step.spec.is_gang and self._reserving < self._settings.reserving_gangs:
+        if step.spec.is_gang and self._may_reserve(pool):
             self._reserving += 1
             self._blocked |= self._reserve(step, queue, pool)
         return False
 
+    def _may_reserve(self, pool: _Pool) -> bool:
+        if self._reserving < self._settings.reserving_gangs:
+            return True
+        most = self._settings.reserved_share * len(pool.members)
+        return len(self._blocked) < most
+
     def _place_step(
         self, step: StepRun, queue: QueuePolicy, pool: _Pool, factor: float
     ) -> bool:
--- a/packages/core/src/papayadyke_core/dispatch/_settings.py
+++ b/packages/core/src/papayadyke_core/dispatch/_settings.py
@@ -35,7 +35,9 @@
     short_task_s : float
         A task this short may still start on an upstream reserved for a gang.
     reserving_gangs : int
-        Gangs that may reserve upstreams at a time.
+        Gangs that may reserve upstreams at a time, whatever they need.
+    reserved_share : float
+        More gangs may reserve while a smaller share of the upstreams is reserved.
     stop_s : float
         How long a stop of a run may take.
     evacuation_calls_s : float
@@ -57,6 +59,7 @@
     quick_advice_slots: int = 2
     short_task_s: float = 1.5
     reserving_gangs: int = 2
+    reserved_share: float = 0.25
     stop_s: float = 0.4
     evacuation_calls_s: float = 0.4
     commit_entries: int = 31
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
@@ -162,3 +162,16 @@
     assert 4 * wait_s > outage_s
     # What is left of its time is enough to run in.
     assert 4 * wait_s + 10.0 <= 2.2 * 10.0 + 1.0
+
+
+def test_large_fleet_keeps_room_for_more_than_two_gangs():
+    """Pattern: several gangs wait while a stream of batch work passes them."""
+    made = make_dispatcher(upstreams=24)
+    submit(made, "filler", BATCH, make_step(24, max_per_upstream=1, estimate_s=9.0))
+    made.tick(0.1, 0.1)
+    for number in range(5):
+        needs = make_step(2, cpu_millis=4000, is_gang=True, estimate_s=3.0)
+        submit(made, f"gang{number}", URGENT, needs)
+    submit(made, "stream", BATCH, make_step(24, cpu_millis=3000, estimate_s=3.0))
+    # A quarter of the upstreams is kept: two each for three gangs.
+    assert started(made.tick(0.2, 0.2)).count("stream") == 18
--- a/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
@@ -44,6 +44,7 @@
 DEADLINE_HEADER = "x-deadline-ms"
 REFUSED_STATUS = 400  # answers from here on are logged with their reason
 CALLER_THREADS = 12  # requests at a time; each waits for the store a few milliseconds
+STOP_MARGIN_S = 0.7  # seconds before the platform ends the process; for the last lines
 # Settings that hold until the process starts again.
 FIXED_SETTINGS = frozenset(
     {"vm", "host", "callers_port", "readiness_port", "peers_port", "metrics_port"}
@@ -51,6 +52,12 @@
 HELLO_KEPT_S = 2.0  # seconds for which what another VM said of itself holds
 
 
+def _run_aside(name: str, run: Callable[[], None]) -> threading.Thread:
+    thread = threading.Thread(target=run, name=name, daemon=True)
+    thread.start()
+    return thread
+
+
 class EdgeDaemon:
     """Everything that runs on an edge VM.
 
@@ -150,16 +157,29 @@
         log_event(LOG, "edge: reload", changed=changed, needs_restart=kept)
 
     def drain(self) -> None:
-        """Hand over, go on serving until callers go elsewhere, then end."""
+        """Hand over, go on serving until callers go elsewhere, then end.
+
+        Returns before the platform would end the process, whatever still waits.
+        """
         log_event(LOG, "edge: draining", vm=self.cfg.vm)
+        until_s = read_clock() + self.cfg.grace_s - STOP_MARGIN_S
         self._is_draining = True
-        self._leadership.stop()
+        # A slow store holds up the handover, which must not hold up the callers.
+        handover = _run_aside("handover", self._leadership.stop)
         self._callers.end_keep_alive()
         self._stopped.wait(self.cfg.drain_s)
-        self._callers.stop()
+        last_answers = _run_aside("last-answers", self._callers.stop)
+        for thread in (last_answers, handover):
+            thread.join(timeout=max(0.0, until_s - read_clock()))
         self._stopped.set()
         self._peer_server.close()
-        log_event(LOG, "edge: stopped", vm=self.cfg.vm)
+        log_event(
+            LOG,
+            "edge: stopped",
+            vm=self.cfg.vm,
+            answered=not last_answers.is_alive(),
+            handed_over=not handover.is_alive(),
+        )
 
     def _serve_caller(self, req: HttpRequest) -> HttpAnswer:
         begun_s = read_clock()
--- a/packages/daemon/src/papayadyke_daemon/edge/_ports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_ports.py
@@ -206,6 +206,8 @@
     drain_s : float
         Time that a VM that was told to stop goes on serving, until the
         platform's balancer has noticed.
+    grace_s : float
+        Time after which a VM that was told to stop is ended.
     hello_s : float
         Interval of the messages to the decider.
     status_kept_s : float
@@ -228,6 +230,7 @@
     lease_s: float = 5.0
     stop_s: float = 0.4
     drain_s: float = 3.0
+    grace_s: float = 6.0
     hello_s: float = 0.5
     status_kept_s: float = 120.0
     look_gap_s: float = 0.03
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_reload.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_edge_daemon.py
@@ -1,5 +1,6 @@
-"""Settings that change while the daemon runs."""
+"""Settings that change while the daemon runs, and its planned stop."""
 
+import threading
 from dataclasses import replace
 
 from papayadyke_clients.http import HttpAnswer
@@ -16,8 +17,8 @@
 )
 
 
-def make_daemon():
-    return EdgeDaemon(CFG, make_ports(FakeStore()), lambda *_: HttpAnswer(200, b""))
+def make_daemon(cfg=CFG):
+    return EdgeDaemon(cfg, make_ports(FakeStore()), lambda *_: HttpAnswer(200, b""))
 
 
 def test_changed_settings_are_in_force():
@@ -32,3 +33,26 @@
     daemon.reload(replace(CFG, callers_port=9, strength=3.0))
     assert daemon.cfg.callers_port == CFG.callers_port
     assert daemon.cfg.strength == 3.0
+
+
+def test_planned_stop_ends_in_time_although_the_handover_hangs():
+    daemon = make_daemon(replace(CFG, drain_s=0.01, grace_s=1.0))
+    goes_on = threading.Event()
+    daemon._leadership = Leadership(goes_on)
+    daemon._callers.start()
+    drained = threading.Thread(target=daemon.drain, daemon=True)
+    drained.start()
+    drained.join(timeout=20.0)
+    assert not drained.is_alive()
+    assert daemon._stopped.is_set()
+    goes_on.set()
+
+
+class Leadership:
+    """Hands over once the test lets it."""
+
+    def __init__(self, goes_on):
+        self.goes_on = goes_on
+
+    def stop(self):
+        self.goes_on.wait()
