--- a/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
@@ -167,7 +167,7 @@
         # A slow store holds up the handover, which must not hold up the callers.
         handover = _run_aside("handover", self._leadership.stop)
         self._callers.end_keep_alive()
-        self._stopped.wait(self.cfg.drain_s)
+        self._stopped.wait(min(self.cfg.drain_s, self.cfg.grace_s / 2))
         last_answers = _run_aside("last-answers", self._callers.stop)
         for thread in (last_answers, handover):
             thread.join(timeout=max(0.0, until_s - read_clock()))
