--- a/packages/cli/src/papayadyke_cli/_report.py
+++ b/packages/cli/src/papayadyke_cli/_report.py
@@ -107,9 +107,7 @@
         typer.echo(f"{report.unreadable} lines could not be read")
 
 
-def _list_spans(
-    report: WaitsReport,
-) -> tuple[tuple[str, ...], list[tuple[object, ...]]]:
+def _list_spans(report: WaitsReport) -> list[tuple[object, ...]]:
     first_s = report.spans[0].begins_s if report.spans else 0.0
     rows: list[tuple[object, ...]] = [
         (
