Believe looks asked after the first answer to a stop

Two starts at upstream-6 had no answer; their stops were answered, and repeated every 0.5 s for 70 s. Each answer moved the time after which a look counts, and a look at an upstream without ends waits a second: it was always asked before the last answer, so the room stayed taken for good and a gang that needed it could not start. Measured: tests of dispatch and edge.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -289,7 +289,9 @@
         if upstream is None:
             return
         run = upstream.runs.get((order.task, order.attempt))
-        if run is not None:
+        if run is not None and run.stop_confirmed_s is None:
+            # Later answers to repeated stops tell nothing new: looks that were
+            # asked after the first are to be believed.
             run.stop_confirmed_s = now
 
     def advise(self, advice: Advice) -> None:
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher.py
@@ -8,6 +8,7 @@
     JobState,
     Repeat,
     RunEnd,
+    StartOutcome,
     TaskId,
     UpstreamReport,
 )
@@ -350,3 +351,24 @@
     assert 4 * len(commit.progress) + 1 <= 32
     world.dispatcher.committed(commit, is_stored=True)
     assert len(world.dispatcher.take_commit().progress) == len(commit.progress)
+
+
+def test_room_of_a_lost_start_is_free_again_although_every_look_waits():
+    """Found by the soak (seed 319): repeated stops outdated every look that waited."""
+    world = two_upstreams()
+    world.submit(make_job("j", make_step(1)))
+    dispatcher = world.dispatcher
+    world.look()
+    (order,) = dispatcher.tick(world.now, 0.0).starts
+    name = order.upstream_id
+    dispatcher.start_answered(order, StartOutcome.UNKNOWN, world.now)
+    dispatcher.report(name, UpstreamReport(1, world.now + 0.1, world.now + 0.1), 100.1)
+    asked_s = 100.2
+    for _ in range(6):
+        # A look that waits a second, and stops that are repeated meanwhile.
+        for at_s in (asked_s + 0.05, asked_s + 0.6):
+            for stop in dispatcher.tick(at_s, 0.0).stops:
+                dispatcher.stop_answered(stop, at_s)
+        dispatcher.report(name, UpstreamReport(1, asked_s, asked_s + 1.0), asked_s + 1)
+        asked_s += 1.1
+    assert (order.task, order.attempt) not in dispatcher.upstreams[name].runs
--- a/packages/daemon/src/papayadyke_daemon/edge/_agents.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_agents.py
@@ -112,8 +112,9 @@
 
     def note_ends(self, life: int, number: int) -> None:
         """Let an upstream forget its ends up to a number."""
-        if life == self._life:
-            self.noted_end = number
+        with self._reporting:
+            if life == self._life:
+                self.noted_end = number
 
     def send(self, order: StartOrder | StopOrder) -> None:
         """Queue an order."""
