Keep upstreams that a successor has not seen until its barrier lifts

The housekeeping of every five seconds dropped the zone's upstreams, whose entries had expired: not listed, not reached, nothing known to run, no lease given by this term. All that were left had been seen, so the barrier lifted early and what ran in the zone was started again.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -130,6 +130,8 @@
             and not item.is_reachable
             and not item.runs
             and now > item.lease_until_s
+            # What an earlier decider started there is not known before the barrier.
+            and (item.is_verified or self._barrier_s is None)
         ]
         for name in gone:
             del self.upstreams[name]
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher.py
@@ -372,3 +372,19 @@
         dispatcher.report(name, UpstreamReport(1, asked_s, asked_s + 1.0), asked_s + 1)
         asked_s += 1.1
     assert (order.task, order.attempt) not in dispatcher.upstreams[name].runs
+
+
+def test_successor_forgets_no_upstream_that_it_has_not_seen():
+    """An upstream that is cut off and unlisted may still run earlier starts."""
+    world = two_upstreams()
+    world.submit(make_job("j", make_step(5)))
+    world.step()
+    world.upstreams["a"].is_cut = True
+    world.take_over()
+    world.dispatcher.unlist_upstream("a")
+    starts = world.starts
+    for _ in range(100):
+        world.step()
+        world.dispatcher.forget_gone(world.now)
+    assert world.starts == starts
+    assert "a" in world.dispatcher.upstreams
