Take back the look at once after a lost order

An overloaded decider gives up orders that were carried out, and each costs a look, a stop and a connection more. Ruled out by the figures: the store and the advice (no more errors there). Not shown: which of the three parts weighs most. Kept: the first answer to a stop counts; a new life and what may be forgotten change under a lock.

--- a/packages/core/src/papayadyke_core/dispatch/_messages.py
+++ b/packages/core/src/papayadyke_core/dispatch/_messages.py
@@ -86,8 +86,6 @@
         When the call began and ended, on the dispatcher's clock.
     running : list of RunningRow
     ended : list of EndedRow
-    made_s : float
-        When the upstream made it, on its own clock.
     """
 
     life: int
@@ -95,7 +93,6 @@
     answered_s: float
     running: list[RunningRow] = field(default_factory=list)
     ended: list[EndedRow] = field(default_factory=list)
-    made_s: float = 0.0
 
 
 class StartOutcome(StrEnum):
--- a/packages/daemon/src/papayadyke_daemon/edge/_agents.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_agents.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from result import Err, Ok, Result
+from result import Err
 
 from papayadyke_core.dispatch import (
     StartOrder,
@@ -26,7 +26,6 @@
 LOOK_WAIT_S = 1.0  # seconds a look waits for an end; short, to notice silence
 RETRY_S = 0.3  # seconds between looks at an upstream that does not answer
 REPEATED_LOOK_S = 0.2  # seconds between looks while ends wait to be stored
-ORDER_THREADS = 2  # an order without an answer must not hold up all others
 MAX_ORDER_AGE_S = 0.5  # seconds; an older start is decided anew
 
 
@@ -88,17 +87,12 @@
         self._stopped = threading.Event()
         self._is_reached = False
         self._life: int | None = None
-        self._made_s = 0.0
-        self._last_end = 0
-        self._reporting = threading.Lock()
+        # An upstream's new life and what may be forgotten there change together.
+        self._noting = threading.Lock()
 
     def start(self) -> None:
         """Start the threads."""
-        threads = [
-            ("look", self._look_on),
-            *[("order", self._order_on)] * ORDER_THREADS,
-        ]
-        for name, run in threads:
+        for name, run in (("look", self._look_on), ("order", self._order_on)):
             threading.Thread(
                 target=run, name=f"{name}-{self.upstream_id}", daemon=True
             ).start()
@@ -106,13 +100,12 @@
     def stop(self) -> None:
         """End the threads after the calls that are under way."""
         self._stopped.set()
-        for _ in range(ORDER_THREADS):
-            self._orders.put(None)
+        self._orders.put(None)
         self._client.close()
 
     def note_ends(self, life: int, number: int) -> None:
         """Let an upstream forget its ends up to a number."""
-        with self._reporting:
+        with self._noting:
             if life == self._life:
                 self.noted_end = number
 
@@ -121,57 +114,44 @@
         self._orders.put(order)
 
     def _look_on(self) -> None:
+        last_end = 0
         while not self._stopped.is_set():
             if not self._calls.may_order():
                 self._stopped.wait(RETRY_S)
                 continue
-            found = self._look(LOOK_WAIT_S if self._is_reached else 0.0)
-            if found is None:
+            # An upstream that does not answer gets no new lease: what runs there
+            # must come to its end before it may run elsewhere.
+            grants = self._is_reached
+            if grants:
+                self._calls.note_lease(self.upstream_id, read_clock())
+            try:
+                found = self._client.look(
+                    token=self._token,
+                    noted_end=self.noted_end,
+                    lease_s=self._cfg.lease_s if grants else None,
+                    wait_s=LOOK_WAIT_S if grants else 0.0,
+                )
+            except FencedError:
+                self._calls.fenced(self.upstream_id)
                 self._stopped.wait(RETRY_S)
-            elif isinstance(found, Err):
+                continue
+            if isinstance(found, Err):
                 self._lose(found.err_value)
-            else:
-                self._is_reached = True
-                has_news = self._report(found.ok_value)
-                gap_s = self._calls.look_gap_s()
-                self._stopped.wait(gap_s if has_news else REPEATED_LOOK_S)
-
-    def _look(self, wait_s: float) -> Result[UpstreamReport, str] | None:
-        """Look once; None where the upstream follows a later decider."""
-        # An upstream that does not answer gets no new lease: what runs there
-        # must come to its end before it may run elsewhere.
-        grants = self._is_reached
-        if grants:
-            self._calls.note_lease(self.upstream_id, read_clock())
-        try:
-            return self._client.look(
-                token=self._token,
-                noted_end=self.noted_end,
-                lease_s=self._cfg.lease_s if grants else None,
-                wait_s=wait_s,
-            )
-        except FencedError:
-            self._calls.fenced(self.upstream_id)
-            return None
-
-    def _report(self, report: UpstreamReport) -> bool:
-        """Hand a report on; return whether it lists more than waits to be stored.
-
-        Looks may overtake each other on different connections: what the upstream
-        made before the report that came last is out of date.
-        """
-        with self._reporting:
+                continue
+            report = found.ok_value
+            self._is_reached = True
             if self._life != report.life:
                 # Its numbers of ends begin anew, and its clock must be read first.
-                self.noted_end, self._last_end, self._life = 0, 0, report.life
-            elif report.made_s < self._made_s:
-                return True
-            self._made_s = report.made_s
+                last_end = 0
+                with self._noting:
+                    self.noted_end, self._life = 0, report.life
             self._calls.report(self.upstream_id, report)
             newest = max((row.number for row in report.ended), default=0)
-            has_news = not newest or newest > self._last_end
-            self._last_end = max(self._last_end, newest)
-            return has_news
+            pause_s = self._calls.look_gap_s()
+            if newest and newest <= last_end:
+                pause_s = REPEATED_LOOK_S
+            last_end = max(last_end, newest)
+            self._stopped.wait(pause_s)
 
     def _lose(self, detail: str) -> None:
         if self._is_reached:
@@ -200,26 +180,10 @@
                         outcome=outcome,
                     )
                 self._calls.start_answered(order, outcome)
-                if outcome is StartOutcome.UNKNOWN:
-                    self._look_again()
             elif self._calls.may_order() and self._client.stop(
                 order, token=self._token
             ):
                 self._calls.stop_answered(order)
-                if self._orders.empty():
-                    # Only a later look tells that the run is not there.
-                    self._look_again()
-
-    def _look_again(self) -> None:
-        """Look beside the look that waits, which may wait for another second.
-
-        After a start without an answer it tells a lost order from a lost upstream.
-        """
-        if not self._calls.may_order():
-            return
-        found = self._look(0.0)
-        if isinstance(found, Ok):
-            self._report(found.ok_value)
 
     def _start(self, order: StartOrder) -> StartOutcome:
         now = read_clock()
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -508,16 +508,12 @@
     def _start_answered(self, order: StartOrder, outcome: StartOutcome) -> None:
         if outcome is StartOutcome.FENCED:
             self._depose(f"upstream {order.upstream_id} follows a later decider")
-        # The moment of the answer: a look that is asked later tells of the run.
-        at_s = read_clock()
         self._mailbox.post(
-            lambda: self._dispatcher.start_answered(order, outcome, at_s)
+            lambda: self._dispatcher.start_answered(order, outcome, read_clock())
         )
 
     def _stop_answered(self, order: StopOrder) -> None:
-        # The moment of the answer: a look that is asked later tells of the run.
-        at_s = read_clock()
-        self._mailbox.post(lambda: self._dispatcher.stop_answered(order, at_s))
+        self._mailbox.post(lambda: self._dispatcher.stop_answered(order, read_clock()))
 
     def _advised(self, request: AdviceRequest, answer: Result[Advice, str]) -> None:
         if isinstance(answer, Err):
