--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -352,19 +352,6 @@
         ended = [n for n, state in self._committing.items() if state in FINAL_STATES]
         return Commit(progress, noted, tuple(ended))
 
-    def _choose_dirty(self) -> list[str]:
-        """Return the jobs whose progress fits in one commit."""
-        names: list[str] = []
-        entries = 0
-        for name in self._dirty:
-            job = self.jobs.get(name)
-            is_final = job is not None and job.is_final
-            entries += ENDED_ENTRIES if is_final else OPEN_ENTRIES
-            if entries > self.settings.commit_entries:
-                break
-            names.append(name)
-        return names
-
     def committed(self, commit: Commit, *, is_stored: bool) -> list[str]:
         """Take in whether a commit was stored; return the jobs that it ended."""
         states, self._committing = self._committing or {}, None
@@ -403,6 +390,19 @@
 
     # Parts
 
+    def _choose_dirty(self) -> list[str]:
+        """Return the jobs whose progress fits in one commit."""
+        names: list[str] = []
+        entries = 0
+        for name in self._dirty:
+            job = self.jobs.get(name)
+            is_final = job is not None and job.is_final
+            entries += ENDED_ENTRIES if is_final else OPEN_ENTRIES
+            if entries > self.settings.commit_entries:
+                break
+            names.append(name)
+        return names
+
     def _open_steps(self, job: StagedJob) -> None:
         for (occurrence, _), step in job.steps.items():
             if step.is_done or not step.waiting or not job.is_ready(step):
--- a/packages/core/src/papayadyke_core/dispatch/_job.py
+++ b/packages/core/src/papayadyke_core/dispatch/_job.py
@@ -9,7 +9,13 @@
     StepProgress,
 )
 from papayadyke_core.dispatch._run import Run
-from papayadyke_core.dispatch._spec import StagedJobSpec, StepId, StepSpec, TaskId
+from papayadyke_core.dispatch._spec import (
+    StagedJobSpec,
+    StepId,
+    StepSpec,
+    TaskId,
+    find_longest_chain_s,
+)
 
 
 class StepRun:
@@ -184,16 +190,15 @@
         return self._estimated
 
     def _estimate(self) -> tuple[float, float]:
-        longest: dict[tuple[int, int], float] = {}
+        own_s: list[list[float]] = [[] for _ in range(self.occurrences)]
         work = 0.0
-        for (occurrence, number), step in self.steps.items():
+        for (occurrence, _), step in self.steps.items():
             spec = step.spec
             left = spec.count - len(step.done)
-            before = [longest[occurrence, n] for n in spec.after]
-            own = spec.estimate_s if left else 0.0
-            longest[occurrence, number] = own + max(before, default=0.0)
+            own_s[occurrence].append(spec.estimate_s if left else 0.0)
             work += left * spec.cpu_millis / 1000.0 * spec.estimate_s
-        return max(longest.values(), default=0.0), work
+        chains = [find_longest_chain_s(self.spec.steps, own) for own in own_s]
+        return max(chains, default=0.0), work
 
     def write_progress(self) -> JobProgress:
         """Return what is to be stored."""
--- a/packages/core/src/papayadyke_core/dispatch/_retry.py
+++ b/packages/core/src/papayadyke_core/dispatch/_retry.py
@@ -4,7 +4,11 @@
 
 import math
 
-from papayadyke_core.dispatch._spec import QueuePolicy, StagedJobSpec
+from papayadyke_core.dispatch._spec import (
+    QueuePolicy,
+    StagedJobSpec,
+    find_longest_chain_s,
+)
 
 # Tries that a caller makes after a refusal, by the users' sheets.
 CALLER_RETRIES = 4
@@ -27,10 +31,7 @@
     spec : StagedJobSpec
     queue : QueuePolicy
     """
-    longest: list[float] = []
-    for step in spec.steps:
-        before = max((longest[number] for number in step.after), default=0.0)
-        longest.append(before + step.estimate_s)
-    allowed_s = queue.stretch * max(longest, default=0.0) + queue.allowance_s
+    chain_s = find_longest_chain_s(spec.steps, [step.estimate_s for step in spec.steps])
+    allowed_s = queue.stretch * chain_s + queue.allowance_s
     wait_s = math.floor(allowed_s * WAITING_SHARE / CALLER_RETRIES)
     return max(SOONEST_S, min(LATEST_S, wait_s))
