See requests that a planned stop cuts while the process still ends

Cause, from reading: the soak judged a cut request only if the process had ended with 0 at that moment, which is milliseconds before it does; the promise was hardly checked.

--- a/packages/soak/src/papayadyke_soak/_load.py
+++ b/packages/soak/src/papayadyke_soak/_load.py
@@ -153,7 +153,8 @@
         if stop_s is None or sent_s < stop_s - DISTURBED_S:
             return
         is_read = cut_s - sent_s > READ_MARGIN_S
-        if is_read and cut_s - vm.disturbed_s > DISTURBED_S and vm.exit_code == 0:
+        is_planned = vm.exit_code in (None, 0)
+        if is_read and is_planned and cut_s - vm.disturbed_s > DISTURBED_S:
             self._promises.cut_by_stop(vm.plan.name, what)
 
 
