Keep starts in transit across the restart of an upstream, and unread jobs' runs

(1) When a report named a new incarnation, the dispatcher dropped every run of the upstream at once, also starts that were ordered but not answered. Such an order may reach the new incarnation, and its task was already placed elsewhere: two runs of one task. (2) A decider whose lease has lapsed may start a job for a moment after its successor has read the store. The successor stopped that run as unneeded and, once it read the job, started it a second time while the first one was still being stopped; an end of such a job was acknowledged without effect, so that finished work ran again. Ruled out: a wait for the barrier, which is lifted as soon as all upstreams have reported and does not cover jobs that are not known yet. Change: the report after a restart decides by the same rule as any other (a run that it should list and does not is lost; an unanswered start is stopped first). Until 2 s after the handover, runs and ends of unknown jobs stay as they are and are claimed when the job is read; jobs that ended in earlier terms are known as such.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -37,6 +37,7 @@
     StepSpec,
     TaskId,
 )
+from papayadyke_core.dispatch._unread import UnreadJobEnds
 from papayadyke_core.dispatch._upstream import Upstream
 
 LOG = logging.getLogger(__name__)
@@ -95,7 +96,13 @@
         self._next_placement_s = 0.0
         self._takeover_barrier_s: float | None = None
         self._handover_end_s = now + settings.handover_s
+        self._unread_ends = UnreadJobEnds()
+        self._ended_jobs: set[str] = set()
+        # Until then an upstream may run or list a job that was not read yet; None
+        # once all such jobs are known.
+        self._unread_until_s: float | None = None
         if term:
+            self._unread_until_s = self._handover_end_s + settings.late_read_s
             # The previous decider may grant leases until the end of the handover. Runs
             # under them may be unknown until the last of these leases has expired.
             self._takeover_barrier_s = self._handover_end_s + settings.longest_lease_s
@@ -141,6 +148,7 @@
         ]
         for name in unused:
             del self.upstreams[name]
+            self._unread_ends.remove_upstream(name)
         return unused
 
     # Jobs
@@ -165,6 +173,10 @@
         if not job.is_final:
             self._add_ready_steps(job)
 
+    def record_ended_job(self, job_id: str) -> None:
+        """Record a job that ended in an earlier term; its runs are not needed."""
+        self._ended_jobs.add(job_id)
+
     def submit(
         self,
         spec: StagedJobSpec,
@@ -190,7 +202,9 @@
                 self._takeover_barrier_s if may_have_started else self._handover_end_s
             )
         self.jobs[spec.job_id] = job
-        self._add_ready_steps(job)
+        self._claim_runs(job, now)
+        if not job.is_final:
+            self._add_ready_steps(job)
         return True
 
     def cancel(self, job_id: str, now: float) -> bool:
@@ -248,7 +262,7 @@
             upstream.incarnation is not None
             and upstream.incarnation != report.incarnation
         ):
-            self._handle_restart(upstream, now)
+            self._handle_restart(upstream)
         upstream.incarnation = report.incarnation
         if not (upstream.is_reachable and upstream.has_reported):
             self._fleet_version += 1
@@ -260,7 +274,10 @@
         ]
         for ended in new_ends:
             upstream.last_end_number = ended.number
-            self._process_end(upstream, ended, now)
+            if self._may_be_unread(ended.task.job_id):
+                self._unread_ends.add(upstream_id, ended)
+            else:
+                self._process_end(upstream, ended, now)
         listed = set()
         for running in report.running:
             listed.add((running.task, running.attempt))
@@ -336,6 +353,7 @@
             Wall-clock time, for the due times of occurrences.
         """
         self._lift_barrier(now)
+        self._end_handover(now)
         self._add_due_steps(wall_s)
         self._expire_leases(now)
         self._evacuate(now)
@@ -357,12 +375,7 @@
         # An end may be acknowledged only once the progress that it caused is stored, so
         # there are no acknowledgements while dirty jobs are left for the next commit.
         if len(job_ids) == len(self._dirty_jobs):
-            acknowledged_ends = {
-                name: (upstream.incarnation, upstream.last_end_number)
-                for name, upstream in self.upstreams.items()
-                if upstream.last_end_number > upstream.acknowledged_end_number
-                and upstream.incarnation is not None
-            }
+            acknowledged_ends = self._list_acknowledgements()
         if not job_ids and not acknowledged_ends:
             return None
         progress: dict[str, bytes] = {}
@@ -419,6 +432,56 @@
 
     # Helpers
 
+    def _list_acknowledgements(self) -> dict[str, tuple[int, int]]:
+        """Return the ends to acknowledge: upstream, its incarnation and the number."""
+        acknowledged_ends = {}
+        for name, upstream in self.upstreams.items():
+            if (
+                upstream.incarnation is None
+                or upstream.last_end_number <= upstream.acknowledged_end_number
+            ):
+                continue
+            number = self._unread_ends.limit_acknowledgement(
+                name, upstream.last_end_number
+            )
+            if number > upstream.acknowledged_end_number:
+                acknowledged_ends[name] = (upstream.incarnation, number)
+        return acknowledged_ends
+
+    def _may_be_unread(self, job_id: str) -> bool:
+        """Return whether a job may be stored that this term has not read yet."""
+        return (
+            self._unread_until_s is not None
+            and job_id not in self.jobs
+            and job_id not in self._ended_jobs
+        )
+
+    def _claim_runs(self, job: StagedJob, now: float) -> None:
+        """Adopt the runs and ends of a job that upstreams reported before it."""
+        if self._unread_until_s is None:
+            return
+        for upstream in self.upstreams.values():
+            runs = [r for r in upstream.runs.values() if r.task.job_id == job.job_id]
+            for run in runs:
+                upstream.remove(run)
+                self._process_running(
+                    upstream, RunningRun(run.task, run.attempt, "", run.percent), now
+                )
+        for upstream_id, ended in self._unread_ends.take(job.job_id):
+            self._process_end(self.upstreams[upstream_id], ended, now)
+
+    def _end_handover(self, now: float) -> None:
+        """Stop the runs of jobs that are still unknown after the handover."""
+        if self._unread_until_s is None or now < self._unread_until_s:
+            return
+        self._unread_until_s = None
+        self._unread_ends.clear()
+        self._ended_jobs.clear()
+        for upstream in self.upstreams.values():
+            for run in upstream.runs.values():
+                if run.task.job_id not in self.jobs and run.stop_requested_s is None:
+                    self._stop_run(run, now, "the run is not needed")
+
     def _select_dirty_jobs(self) -> list[str]:
         """Return the dirty jobs whose progress fits in one commit."""
         job_ids: list[str] = []
@@ -466,10 +529,14 @@
         self._takeover_barrier_s = None
         self._needs_placement = True
 
-    def _handle_restart(self, upstream: Upstream, now: float) -> None:
+    def _handle_restart(self, upstream: Upstream) -> None:
+        """Forget what the previous incarnation said of itself.
+
+        Its runs are not dropped here: an order that is still in transit may reach the
+        new incarnation. The report that follows drops the runs that it should list.
+        """
         LOG.info("dispatch: upstream %s restarted", upstream.upstream_id)
-        for run in list(upstream.runs.values()):
-            self._drop_run(upstream, run, RunEnd.LOST, now)
+        self._unread_ends.remove_upstream(upstream.upstream_id)
         upstream.last_end_number = upstream.acknowledged_end_number = 0
         upstream.failures_in_row = 0
         self.advice_cache.remove_upstream(upstream.upstream_id)
@@ -516,7 +583,7 @@
         if is_needed and step is not None:
             step.live[index] = run
             step.waiting.discard(index)
-        else:
+        elif not self._may_be_unread(running.task.job_id):
             self._stop_run(run, now, "the run is not needed")
         return run
 
--- a/packages/core/src/papayadyke_core/dispatch/_settings.py
+++ b/packages/core/src/papayadyke_core/dispatch/_settings.py
@@ -21,6 +21,9 @@
     handover_s : float
         Time after a takeover in which the previous decider may still start
         accepted jobs, unless every upstream has already answered the new decider.
+    late_read_s : float
+        Time after the handover in which a job that the previous decider started may
+        still be unread; runs of unknown jobs are stopped only after it.
     status_kept_s : float
         How long the state of an ended job is kept for callers.
     early_start_s : float
@@ -55,6 +58,7 @@
     lease_drift: float = 0.03
     lease_call_delay_s: float = 0.5
     handover_s: float = 1.2
+    late_read_s: float = 2.0
     status_kept_s: float = 120.0
     early_start_s: float = 0.0
     advice_slots: int = 1
--- /dev/null
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_restarts_and_handovers.py
@@ -0,0 +1,169 @@
+"""Orders and ends that cross a restart of an upstream or a change of the decider.
+
+Each test replays one crossing of messages step by step: a task must never run at two
+places, and a finished task must not run again.
+"""
+
+import pytest
+from dispatch_world import make_catalog, make_entry, make_job
+
+from papayadyke_core.dispatch import (
+    Dispatcher,
+    DispatchSettings,
+    EndedRun,
+    JobState,
+    RunEnd,
+    RunningRun,
+    StartOutcome,
+    TaskId,
+    UpstreamReport,
+)
+
+OLD, NEW = 1, 2  # incarnations of an upstream
+TASK = TaskId("j", 0, 0, 0)
+
+
+def make_dispatcher(*, term=0, now=0.0, upstreams=("a", "b")):
+    settings = DispatchSettings(lease_s=5.0)
+    dispatcher = Dispatcher(settings, term=term, now=now)
+    dispatcher.set_catalog(make_catalog())
+    for name in upstreams:
+        dispatcher.add_or_update_upstream(make_entry(name, cores=1))
+    return dispatcher
+
+
+def report(dispatcher, name, at_s, *, incarnation=OLD, running=(), ended=()):
+    """Process a report that was requested and answered at a time."""
+    dispatcher.process_report(
+        name,
+        UpstreamReport(incarnation, at_s, at_s, list(running), list(ended)),
+        at_s,
+    )
+
+
+def start_job(dispatcher, at_s=0.1):
+    """Submit a job with one task and return the order that starts it."""
+    for name in dispatcher.upstreams:
+        report(dispatcher, name, 0.0)
+    dispatcher.submit(make_job("j"), now=0.0)
+    (order,) = dispatcher.tick(at_s, at_s).starts
+    return order
+
+
+# Restarts of an upstream
+
+
+def test_start_in_transit_during_a_restart_is_not_placed_again():
+    """The new incarnation may still receive the order that is in transit."""
+    dispatcher = make_dispatcher()
+    order = start_job(dispatcher)
+    report(dispatcher, order.upstream_id, 0.2, incarnation=NEW)
+    assert not dispatcher.tick(0.2, 0.2).starts
+    dispatcher.process_start_outcome(order, StartOutcome.STARTED, 0.3)
+    running = [RunningRun(order.task, order.attempt)]
+    report(dispatcher, order.upstream_id, 0.4, incarnation=NEW, running=running)
+    assert not dispatcher.tick(0.5, 0.5).starts
+
+
+def test_unanswered_start_is_stopped_at_the_new_incarnation_before_it_is_repeated():
+    dispatcher = make_dispatcher()
+    order = start_job(dispatcher)
+    dispatcher.process_start_outcome(order, StartOutcome.UNKNOWN, 0.2)
+    report(dispatcher, order.upstream_id, 0.3, incarnation=NEW)
+    orders = dispatcher.tick(0.3, 0.3)
+    assert not orders.starts
+    (stop,) = orders.stops
+    dispatcher.process_stop_answer(stop, 0.4)
+    report(dispatcher, order.upstream_id, 0.5, incarnation=NEW)
+    (repeated,) = dispatcher.tick(0.6, 0.6).starts
+    assert repeated.attempt > order.attempt
+
+
+def test_start_answered_by_the_new_incarnation_survives_an_earlier_report():
+    """A report requested before the start cannot list it."""
+    dispatcher = make_dispatcher()
+    order = start_job(dispatcher)
+    dispatcher.process_start_outcome(order, StartOutcome.STARTED, 0.3)
+    late_report = UpstreamReport(NEW, 0.2, 0.4)
+    dispatcher.process_report(order.upstream_id, late_report, 0.4)
+    assert not dispatcher.tick(0.5, 0.5).starts
+
+
+def test_run_of_the_previous_incarnation_is_repeated_at_once():
+    dispatcher = make_dispatcher()
+    order = start_job(dispatcher)
+    dispatcher.process_start_outcome(order, StartOutcome.STARTED, 0.2)
+    report(dispatcher, order.upstream_id, 0.3, incarnation=NEW)
+    assert [start.task for start in dispatcher.tick(0.3, 0.3).starts] == [order.task]
+
+
+# Jobs that the previous decider started after the successor had read the store
+
+
+@pytest.fixture
+def successor():
+    """A successor to which no upstream has reported yet."""
+    return make_dispatcher(term=1)
+
+
+def test_run_of_a_job_not_yet_known_is_adopted_once_the_job_is_read(successor):
+    report(successor, "a", 0.1, running=[RunningRun(TASK, 1)])
+    report(successor, "b", 0.1)
+    orders = successor.tick(0.1, 0.1)
+    assert not orders.stops
+    successor.submit(make_job("j"), now=0.3)
+    orders = successor.tick(0.3, 0.3)
+    assert not orders.starts
+    assert not orders.stops
+    report(successor, "a", 0.4, ended=[EndedRun(1, TASK, 1, RunEnd.DONE)])
+    successor.tick(0.4, 0.4)
+    assert successor.jobs["j"].state is JobState.COMPLETE
+
+
+def test_end_of_a_job_not_yet_known_counts_once_the_job_is_read(successor):
+    ended = EndedRun(1, TASK, 1, RunEnd.DONE)
+    report(successor, "a", 0.1, ended=[ended])
+    report(successor, "b", 0.1)
+    successor.tick(0.1, 0.1)
+    assert successor.begin_commit() is None  # the end must stay listed
+    successor.submit(make_job("j"), now=0.3)
+    assert not successor.tick(0.3, 0.3).starts
+    assert successor.jobs["j"].state is JobState.COMPLETE
+    commit = successor.begin_commit()
+    assert commit.acknowledged_ends == {"a": (OLD, 1)}
+
+
+def test_end_that_a_crash_removed_does_not_count_for_a_job_read_later(successor):
+    """Only stored or listed ends may end a task."""
+    ended = EndedRun(1, TASK, 1, RunEnd.DONE)
+    report(successor, "a", 0.1, ended=[ended])
+    report(successor, "b", 0.1)
+    report(successor, "a", 0.2, incarnation=NEW)
+    successor.submit(make_job("j"), now=0.3)
+    assert len(successor.tick(0.3, 0.3).starts) == 1
+
+
+def test_run_of_a_job_that_stays_unknown_is_stopped_after_the_handover(successor):
+    running = [RunningRun(TASK, 1)]
+    stops = []
+    for tenth in range(1, 60):
+        at_s = tenth / 10
+        report(successor, "a", at_s, running=running)
+        report(successor, "b", at_s)
+        stops += successor.tick(at_s, at_s).stops
+    assert stops
+    assert stops[0].reason == "the run is not needed"
+
+
+def test_end_of_a_job_that_stays_unknown_is_acknowledged_after_the_handover(successor):
+    report(successor, "a", 0.1, ended=[EndedRun(1, TASK, 1, RunEnd.DONE)])
+    report(successor, "b", 0.1)
+    successor.tick(6.0, 6.0)
+    assert successor.begin_commit().acknowledged_ends == {"a": (OLD, 1)}
+
+
+def test_run_of_a_job_that_has_ended_is_stopped_at_once(successor):
+    successor.record_ended_job("j")
+    report(successor, "a", 0.1, running=[RunningRun(TASK, 1)])
+    (stop,) = successor.tick(0.1, 0.1).stops
+    assert stop.task == TASK
