Bind leases to the check of the permission, and survive unexpected errors

(1) The lease of a start or poll was computed after the check that this VM is still the decider, so a process that was paused between the two granted a whole lease under a permission that had run out. (2) After a pause, heartbeats that had waited in the socket counted as fresh, and a decider that had lost the store before it believed that all other VMs had lost it too. (3) An unexpected error ended a thread without a word: the polls or orders of one upstream, all commits, a watch, the heartbeats. (4) A registry entry with an address like `10.0.0.1:http` raised in the client of the upstream while a term began; no VM could begin a term while it was listed. Unreadable jobs or progress did the same. Ruled out: the store client's transactions, which are conditional on the decider's key.

--- a/packages/daemon/src/papayadyke_daemon/edge/_advisers.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_advisers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import queue
 import threading
 from collections.abc import Callable
@@ -14,6 +15,8 @@
 from papayadyke_daemon.edge._peers import PeerClients
 from papayadyke_daemon.edge._ports import EdgePorts
 
+LOG = logging.getLogger(__name__)
+
 REPLY_MARGIN_S = 0.8  # seconds added to the expected duration of an advisory call
 FAILED_VM_PAUSE_S = 1.0  # seconds without calls through a VM after a failed one
 
@@ -80,7 +83,11 @@
             if stopped.is_set():
                 self._requests.put(request)
                 return
-            answer = self._call(address, request)
+            try:
+                answer = self._call(address, request)
+            except Exception as exc:
+                LOG.exception("advice: a call through %r failed", address)
+                answer = Err(repr(exc))
             self._on_answer(request, answer)
             if isinstance(answer, Err):
                 stopped.wait(FAILED_VM_PAUSE_S if address else 0.1)
--- a/packages/daemon/src/papayadyke_daemon/edge/_agents.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_agents.py
@@ -100,6 +100,7 @@
         self._stopped = threading.Event()
         self._is_reached = False
         self._incarnation: int | None = None
+        self._last_end = 0
         # Guards the incarnation and the acknowledged end, which belongs to it.
         self._acknowledgement_lock = threading.Lock()
 
@@ -133,47 +134,50 @@
         """Queue an order."""
         self._orders.put(order)
 
-    def _poll_loop(self) -> None:
-        last_end = 0
-        while not self._stopped.is_set():
-            if not self._callbacks.may_issue_orders():
-                self._stopped.wait(POLL_RETRY_S)
-                continue
-            # An unreachable upstream gets no new lease: its runs must lapse before
-            # they may be started elsewhere. Nor does the first poll grant one: a lease
-            # is sent as a time on the upstream's clock, which the reply to that poll
-            # contains.
-            extends_lease = self._is_reached
-            if extends_lease:
-                self._callbacks.before_lease(self.upstream_id, read_clock())
-            try:
-                reply = self._client.poll(
-                    token=self._token,
-                    acknowledged_end=self.acknowledged_end,
-                    lease_s=self._cfg.lease_s if extends_lease else None,
-                    wait_s=POLL_WAIT_S if extends_lease else 0.0,
-                )
-            except FencedError:
-                self._callbacks.on_fenced(self.upstream_id)
-                self._stopped.wait(POLL_RETRY_S)
-                continue
-            if isinstance(reply, Err):
-                self._handle_failed_poll(reply.err_value)
-                continue
-            report = reply.ok_value
-            self._is_reached = True
-            if self._incarnation != report.incarnation:
-                # First contact or a restart: the ends are numbered anew.
-                last_end = 0
-                with self._acknowledgement_lock:
-                    self.acknowledged_end, self._incarnation = 0, report.incarnation
-            self._callbacks.on_report(self.upstream_id, report)
-            newest_end = max((run.number for run in report.ended), default=0)
-            pause_s = self._callbacks.poll_interval_s()
-            if newest_end and newest_end <= last_end:
-                pause_s = UNCOMMITTED_POLL_INTERVAL_S
-            last_end = max(last_end, newest_end)
-            self._stopped.wait(pause_s)
+    def poll_once(self) -> None:
+        """Poll the upstream, and wait until the next poll may follow."""
+        checked_s = read_clock()
+        if not self._callbacks.may_issue_orders():
+            self._stopped.wait(POLL_RETRY_S)
+            return
+        # An unreachable upstream gets no new lease: its runs must lapse before
+        # they may be started elsewhere. Nor does the first poll grant one: a lease
+        # is sent as a time on the upstream's clock, which the reply to that poll
+        # contains.
+        extends_lease = self._is_reached
+        if extends_lease:
+            self._callbacks.before_lease(self.upstream_id, checked_s)
+        try:
+            reply = self._client.poll(
+                token=self._token,
+                acknowledged_end=self.acknowledged_end,
+                lease_until_s=checked_s + self._cfg.lease_s if extends_lease else None,
+                wait_s=POLL_WAIT_S if extends_lease else 0.0,
+            )
+        except FencedError:
+            self._callbacks.on_fenced(self.upstream_id)
+            self._stopped.wait(POLL_RETRY_S)
+            return
+        if isinstance(reply, Err):
+            self._handle_failed_poll(reply.err_value)
+            return
+        self._stopped.wait(self._process_report(reply.ok_value))
+
+    def _process_report(self, report: UpstreamReport) -> float:
+        """Pass on a report; return the seconds until the next poll."""
+        self._is_reached = True
+        if self._incarnation != report.incarnation:
+            # First contact or a restart: the ends are numbered anew.
+            self._last_end = 0
+            with self._acknowledgement_lock:
+                self.acknowledged_end, self._incarnation = 0, report.incarnation
+        self._callbacks.on_report(self.upstream_id, report)
+        newest_end = max((run.number for run in report.ended), default=0)
+        pause_s = self._callbacks.poll_interval_s()
+        if newest_end and newest_end <= self._last_end:
+            pause_s = UNCOMMITTED_POLL_INTERVAL_S
+        self._last_end = max(self._last_end, newest_end)
+        return pause_s
 
     def _handle_failed_poll(self, detail: str) -> None:
         if self._is_reached:
@@ -184,35 +188,66 @@
         self._callbacks.on_contact_lost(self.upstream_id, detail)
         self._stopped.wait(POLL_RETRY_S)
 
-    def _order_loop(self) -> None:
-        while (order := self._orders.get()) is not None:
-            if self._stopped.is_set():
-                return
-            if isinstance(order, StartOrder):
-                outcome = self._start(order)
-                METRICS.count("papayadyke_starts", outcome=outcome)
-                if outcome is not StartOutcome.STARTED:
-                    log_event(
-                        LOG,
-                        "upstreams: start refused",
-                        request=order.task.job_id,
-                        task=order.task,
-                        attempt=order.attempt,
-                        upstream=self.upstream_id,
-                        outcome=outcome,
-                    )
-                self._callbacks.on_start_outcome(order, outcome)
-            elif self._callbacks.may_issue_orders() and self._client.stop(
+    def send_next(self) -> bool:
+        """Wait for an order and send it; return False once the agent has stopped."""
+        order = self._orders.get()
+        if order is None or self._stopped.is_set():
+            return False
+        if isinstance(order, StartOrder):
+            self._report_start(order, self._start(order))
+            return True
+        try:
+            is_accepted = self._callbacks.may_issue_orders() and self._client.stop(
                 order, token=self._token
-            ):
-                self._callbacks.on_stop_acknowledged(order)
+            )
+        except Exception:
+            # The dispatcher repeats a stop that is not acknowledged.
+            LOG.exception("upstreams: a stop at %s failed", self.upstream_id)
+            return True
+        if is_accepted:
+            self._callbacks.on_stop_acknowledged(order)
+        return True
+
+    def _report_start(self, order: StartOrder, outcome: StartOutcome) -> None:
+        METRICS.count("papayadyke_starts", outcome=outcome)
+        if outcome is not StartOutcome.STARTED:
+            log_event(
+                LOG,
+                "upstreams: start refused",
+                request=order.task.job_id,
+                task=order.task,
+                attempt=order.attempt,
+                upstream=self.upstream_id,
+                outcome=outcome,
+            )
+        self._callbacks.on_start_outcome(order, outcome)
 
     def _start(self, order: StartOrder) -> StartOutcome:
-        now = read_clock()
+        # The lease counts from here: if the process is paused after the check, the
+        # order arrives after its lease and the upstream refuses it.
+        checked_s = read_clock()
         if (
-            now - order.ordered_s > MAX_ORDER_AGE_S
+            checked_s - order.ordered_s > MAX_ORDER_AGE_S
             or not self._callbacks.may_issue_orders()
         ):
             return StartOutcome.EXPIRED
-        self._callbacks.before_lease(self.upstream_id, now)
-        return self._client.start(order, token=self._token, lease_s=self._cfg.lease_s)
+        self._callbacks.before_lease(self.upstream_id, checked_s)
+        try:
+            return self._client.start(
+                order, token=self._token, lease_until_s=checked_s + self._cfg.lease_s
+            )
+        except Exception:
+            LOG.exception("upstreams: a start at %s failed", self.upstream_id)
+            return StartOutcome.UNKNOWN
+
+    def _poll_loop(self) -> None:
+        while not self._stopped.is_set():
+            try:
+                self.poll_once()
+            except Exception:
+                LOG.exception("upstreams: a poll of %s failed", self.upstream_id)
+                self._handle_failed_poll("unexpected error")
+
+    def _order_loop(self) -> None:
+        while self.send_next():
+            pass
--- a/packages/daemon/src/papayadyke_daemon/edge/_committer.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_committer.py
@@ -117,7 +117,11 @@
         removed = [JOB_PREFIX + job_id for job_id in commit.ended_job_ids]
         removed += [CANCEL_PREFIX + job_id for job_id in commit.ended_job_ids]
         sent_s = read_clock()
-        stored = self._store.write(writes, expected=expected, removed=removed)
+        try:
+            stored = self._store.write(writes, expected=expected, removed=removed)
+        except Exception as exc:
+            LOG.exception("decider: a commit failed unexpectedly")
+            stored = Err(StoreError(StoreErrorKind.UNKNOWN, repr(exc)))
         METRICS.observe("papayadyke_commit_seconds", read_clock() - sent_s)
         METRICS.count("papayadyke_commits", stored=str(isinstance(stored, Ok)))
         self._post(lambda: self._finish(commit, stored))
--- a/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
@@ -303,34 +303,34 @@
     # Peers
 
     def _heartbeat_loop(self) -> None:
-        own_address = f"{self.cfg.host}:{self.cfg.peers_port}"
         while not self._stopped.wait(self.cfg.hello_s):
-            known_decider = self._leadership.known_decider
-            if self._leadership.is_decider or self._is_draining:
-                continue
-            reply = (
-                self._send_heartbeat(known_decider.address)
-                if known_decider.token
-                else None
+            try:
+                self._exchange_heartbeat()
+            except Exception:
+                LOG.exception("edge: a heartbeat failed")
+
+    def _exchange_heartbeat(self) -> None:
+        known_decider = self._leadership.known_decider
+        if self._leadership.is_decider or self._is_draining:
+            return
+        reply = (
+            self._send_heartbeat(known_decider.address) if known_decider.token else None
+        )
+        if reply is not None and reply.is_decider:
+            own_address = f"{self.cfg.host}:{self.cfg.peers_port}"
+            self._peers = [address for address in reply.peers if address != own_address]
+            # Ends at once if the decider's VM does not reach the store either.
+            self._relay_until_s = read_clock() + RELAY_VALIDITY_S * reply.reaches_store
+            return
+        if known_decider.token:
+            log_event(
+                LOG,
+                "edge: no reply from an active decider",
+                vm=known_decider.vm,
+                token=known_decider.token,
             )
-            if reply is not None and reply.is_decider:
-                self._peers = [
-                    address for address in reply.peers if address != own_address
-                ]
-                # Ends at once if the decider's VM does not reach the store either.
-                self._relay_until_s = (
-                    read_clock() + RELAY_VALIDITY_S * reply.reaches_store
-                )
-                continue
-            if known_decider.token:
-                log_event(
-                    LOG,
-                    "edge: no reply from an active decider",
-                    vm=known_decider.vm,
-                    token=known_decider.token,
-                )
-            if not self._leadership.reaches_store:
-                self._find_decider_through_peers()
+        if not self._leadership.reaches_store:
+            self._find_decider_through_peers()
 
     def _find_decider_through_peers(self) -> None:
         """Ask other VMs for the decider, since the store is unreachable."""
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -188,7 +188,7 @@
             self._apply_registry_record(record)
         for name, upstream in self._dispatcher.upstreams.items():
             if name not in self._agents:
-                self._add_agent(upstream.entry)
+                self._try_to_add_agent(upstream.entry)
         self._load_jobs(intake.ok_value.records, progress.ok_value.records)
         self._watch(self._ports.registry_prefix, registry.ok_value.revision, 0.0)
         self._watch(INTAKE_PREFIX, intake.ok_value.revision, INTAKE_WATCH_INTERVAL_S)
@@ -246,6 +246,10 @@
         """Record a heartbeat of a VM, which may then call the advisory service."""
         self._last_heartbeat_s[address] = read_clock()
 
+    def list_upstreams(self) -> list[str]:
+        """Return the ids of the upstreams that this term calls."""
+        return sorted(self._agents)
+
     def list_vms(self) -> list[str]:
         """Return the addresses of VMs with a heartbeat within `VM_RETENTION_S`."""
         now = read_clock()
@@ -330,12 +334,25 @@
     def _load_jobs(self, intake: list[Record], progress: list[Record]) -> None:
         now, wall_s = read_clock(), time.time()
         progress_by_job = {}
+        unreadable: set[str] = set()
         for record in progress:
             job_id = record.key.removeprefix(PROGRESS_PREFIX)
-            job_progress = decode_progress(record.value or b"")
+            try:
+                job_progress = decode_progress(record.value or b"")
+            except (msgspec.DecodeError, ValueError) as exc:
+                # Tasks of the job may be done, so none of them may start.
+                unreadable.add(job_id)
+                log_event(
+                    LOG,
+                    "decider: unreadable progress; the job is not run",
+                    request=job_id,
+                    why=str(exc),
+                )
+                continue
             if job_progress.state in FINAL_STATES:
                 # Ended jobs need no work; any VM reads their state from the store.
                 self._ended_jobs[job_id] = job_progress.ended_s
+                self._dispatcher.record_ended_job(job_id)
             else:
                 self._committer.record_revision(job_id, record.revision)
                 progress_by_job[job_id] = job_progress
@@ -347,9 +364,12 @@
         for record in intake:
             if not record.key.startswith(JOB_PREFIX):
                 continue
-            if record.key.removeprefix(JOB_PREFIX) in self._ended_jobs:
+            job_id = record.key.removeprefix(JOB_PREFIX)
+            if job_id in self._ended_jobs or job_id in unreadable:
+                continue
+            spec = self._decode_job(record)
+            if spec is None:
                 continue
-            spec = decode_job(record.value or b"")
             self._dispatcher.restore_job(
                 spec,
                 progress_by_job.get(spec.job_id),
@@ -362,15 +382,39 @@
         if record.value is None:
             return
         if record.key.startswith(JOB_PREFIX):
-            self._submit(decode_job(record.value), record.revision)
+            spec = self._decode_job(record)
+            if spec is not None:
+                self._submit(spec, record.revision)
         elif record.key.startswith(CANCEL_PREFIX):
             self._cancel(record.key.removeprefix(CANCEL_PREFIX))
 
+    def _decode_job(self, record: Record) -> StagedJobSpec | None:
+        try:
+            return decode_job(record.value or b"")
+        except (msgspec.DecodeError, ValueError) as exc:
+            log_event(
+                LOG,
+                "decider: unreadable job; it is not run",
+                request=record.key.removeprefix(JOB_PREFIX),
+                revision=record.revision,
+                why=str(exc),
+            )
+            return None
+
+    def _decode_upstream(self, record: Record) -> UpstreamEntry | None:
+        upstream_id = record.key.removeprefix(self._ports.registry_prefix)
+        if record.value is None:
+            return None
+        try:
+            return self._ports.decode_upstream(upstream_id, record.value)
+        except Exception:
+            # Other programs write the registry; none of its entries may end a term.
+            LOG.exception("decider: registry entry %s is unreadable", upstream_id)
+            return None
+
     def _apply_registry_record(self, record: Record) -> None:
         upstream_id = record.key.removeprefix(self._ports.registry_prefix)
-        entry = None
-        if record.value is not None:
-            entry = self._ports.decode_upstream(upstream_id, record.value)
+        entry = self._decode_upstream(record)
         if entry is None:
             self._dispatcher.mark_upstream_unlisted(upstream_id)
             log_event(LOG, "decider: upstream unlisted", upstream=upstream_id)
@@ -393,7 +437,15 @@
             agent.stop()
             agent = None
         if agent is None:
+            self._try_to_add_agent(entry)
+
+    def _try_to_add_agent(self, entry: UpstreamEntry) -> None:
+        """Begin to call an upstream; without that it never counts as reachable."""
+        self._agents.pop(entry.upstream_id, None)
+        try:
             self._add_agent(entry)
+        except Exception:
+            LOG.exception("decider: upstream %s cannot be called", entry.upstream_id)
 
     def _add_agent(self, entry: UpstreamEntry) -> None:
         agent = UpstreamAgent(
--- a/packages/daemon/src/papayadyke_daemon/edge/_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_intake.py
@@ -328,7 +328,11 @@
                 not self._notifications.empty() and len(pending) < MAX_NOTIFICATION_JOBS
             ):
                 pending.append(self._notifications.get())
-            self._notify(pending)
+            try:
+                self._notify(pending)
+            except Exception:
+                # The decider finds these jobs in the store.
+                LOG.exception("intake: notifying the decider failed")
 
     def _notify(self, pending: list[Notification]) -> None:
         """Notify the decider of jobs and cancellations.
--- a/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
@@ -31,6 +31,7 @@
     StoreErrorKind,
     Write,
 )
+from papayadyke_daemon.edge._reports import REPORT_VALIDITY_S
 from papayadyke_daemon.edge._watch import WATCH_RETRY_S, WATCH_WAIT_S
 
 LOG = logging.getLogger(__name__)
@@ -38,6 +39,9 @@
 # Seconds; a store that is 60 times slower than usual answers in 0.25 s.
 RENEWAL_TIMEOUT_S = 0.45
 RENEWAL_RETRY_S = 0.05  # seconds before a failed renewal is retried
+# Seconds between two renewals, including the timeout of one; a longer gap means that
+# the process was paused.
+MAX_RENEWAL_GAP_S = 1.5
 LEASE_MARGIN_S = 0.1  # seconds by which a decider stops before its lease lapses
 # Seconds of a term without a valid lease; other VMs detect an unavailable store in
 # less time.
@@ -103,6 +107,9 @@
         self._lease = 0
         self._token = 0
         self._valid_until_s = 0.0
+        self._renewal_attempted_s = 0.0
+        # Reports of other VMs that arrived earlier may have waited through a pause.
+        self._reports_valid_from_s = 0.0
         self._idle_since_s: float | None = None
         self._term_began_s = 0.0
         self._should_yield = False
@@ -131,10 +138,16 @@
         """Return whether this VM may send orders now."""
         if self._token == 0 or self._step_down_requested.is_set():
             return False
-        if read_clock() < self._valid_until_s:
+        now = read_clock()
+        if now < self._valid_until_s:
             return True
         # No other VM can become the decider while none reaches the store.
-        return not self.reaches_store and self._peers_lost_store()
+        return (
+            not self.reaches_store
+            and now - self._renewal_attempted_s < MAX_RENEWAL_GAP_S
+            and now >= self._reports_valid_from_s
+            and self._peers_lost_store()
+        )
 
     def update_from_peer(self, reported: KnownDecider) -> None:
         """Adopt a later decider that another VM reported."""
@@ -176,16 +189,17 @@
         while not self._stopped.is_set():
             try:
                 if self._token:
-                    self._lead()
+                    self.lead_once()
                 else:
-                    self._follow()
+                    self.follow_once()
             except Exception:
                 LOG.exception("leadership: iteration failed")
                 self._stopped.wait(WATCH_RETRY_S)
         if self._token:
             self._end_term(is_planned=True)
 
-    def _lead(self) -> None:
+    def lead_once(self) -> None:
+        """Wait until the lease is due for renewal and renew it, or end the term."""
         self._step_down_requested.wait(
             RENEWAL_RETRY_S if self.has_lost_store else self.cfg.renew_s
         )
@@ -194,9 +208,11 @@
                 self._end_term(is_planned=self._should_yield)
             return
         sent_s = read_clock()
+        self._detect_pause(sent_s)
         renewed = self._ports.store.renew_lease(
             self._lease, timeout_s=RENEWAL_TIMEOUT_S
         )
+        self._renewal_attempted_s = read_clock()
         if isinstance(renewed, Ok):
             if not self.reaches_store:
                 log_event(LOG, "leadership: store regained", token=self._token)
@@ -224,6 +240,12 @@
         elif sent_s - self._idle_since_s > MAX_IDLE_TERM_S:
             self.step_down("the lease ran out, and other VMs reach the store")
 
+    def _detect_pause(self, now: float) -> None:
+        gap_s = now - self._renewal_attempted_s
+        if gap_s > MAX_RENEWAL_GAP_S:
+            self._reports_valid_from_s = now + REPORT_VALIDITY_S
+            log_event(LOG, "leadership: resumed after a pause", gap_s=round(gap_s, 3))
+
     def _extend_validity(self, sent_s: float) -> None:
         self._valid_until_s = sent_s + self.cfg.decider_ttl_s - LEASE_MARGIN_S
 
@@ -238,7 +260,8 @@
         if is_planned:
             self._ports.store.end_lease(self._lease)
 
-    def _follow(self) -> None:
+    def follow_once(self) -> None:
+        """Follow the decider until it changes, or try to become it."""
         listing = self._ports.store.read_prefix(DECIDER_KEY)
         self._update_store_contact(listing)
         if isinstance(listing, Err):
@@ -352,7 +375,7 @@
         self._lease = granted.ok_value
         self._step_down_requested.clear()
         self._should_yield = False
-        self._term_began_s = sent_s
+        self._term_began_s = self._renewal_attempted_s = sent_s
         self._extend_validity(sent_s)
         self._token = written.ok_value
         self.known_decider = KnownDecider(
--- a/packages/daemon/src/papayadyke_daemon/edge/_ports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_ports.py
@@ -125,7 +125,12 @@
     """Client of one upstream."""
 
     def poll(
-        self, *, token: int, acknowledged_end: int, lease_s: float | None, wait_s: float
+        self,
+        *,
+        token: int,
+        acknowledged_end: int,
+        lease_until_s: float | None,
+        wait_s: float,
     ) -> Result[UpstreamReport, str]:
         """Extend the leases of all runs, and list the running and ended ones.
 
@@ -136,8 +141,9 @@
         acknowledged_end : int
             Last end of a run that is stored; the upstream may forget it and all
             before it.
-        lease_s : float or None
-            New lease in seconds; None extends no lease.
+        lease_until_s : float or None
+            End of the new lease in seconds, on the clock of `read_clock`; None
+            extends no lease.
         wait_s : float
             Longest time in seconds to wait for the end of a run.
 
@@ -147,8 +153,10 @@
             If the upstream follows a later decider.
         """
 
-    def start(self, order: StartOrder, *, token: int, lease_s: float) -> StartOutcome:
-        """Start a run."""
+    def start(
+        self, order: StartOrder, *, token: int, lease_until_s: float
+    ) -> StartOutcome:
+        """Start a run, whose lease ends as that of a poll does."""
 
     def stop(self, order: StopOrder, *, token: int) -> bool:
         """Stop a run; return whether the upstream has accepted the order."""
--- a/packages/daemon/src/papayadyke_daemon/edge/_watch.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_watch.py
@@ -73,32 +73,72 @@
     on_contact : callable, optional
         Called after each call with whether the store answered.
     """
-    has_lost_store_contact = False
+    watch = _PrefixWatch(
+        store,
+        prefix,
+        revision=revision,
+        on_change=on_change,
+        on_listing=on_listing,
+    )
     while not stopped.is_set():
-        if revision is None:
-            listing = list_prefix(store, prefix)
-            if isinstance(listing, Ok):
-                on_listing(listing.ok_value.records)
-                revision = listing.ok_value.revision
-            error = listing.err()
-        else:
-            changes = store.watch(prefix, after=revision, wait_s=WATCH_WAIT_S)
-            if isinstance(changes, Ok):
-                revision = max(revision, changes.ok_value.revision)
-                for record in changes.ok_value.records:
-                    on_change(record)
-            error = changes.err()
+        try:
+            error = watch.call_once()
+        except Exception:
+            LOG.exception("store: watching %s failed; it is listed again", prefix)
+            watch.revision = None
+            stopped.wait(WATCH_RETRY_S)
+            continue
         if on_contact is not None:
             on_contact(error is None)
+        stopped.wait(interval_s if error is None else WATCH_RETRY_S)
+
+
+class _PrefixWatch:
+    """Position of a watch, and whether the store answered its last call."""
+
+    def __init__(
+        self,
+        store: RecordStore,
+        prefix: str,
+        *,
+        revision: int | None,
+        on_change: Callable[[Record], None],
+        on_listing: Callable[[list[Record]], None],
+    ) -> None:
+        self.revision = revision
+        self._store = store
+        self._prefix = prefix
+        self._on_change = on_change
+        self._on_listing = on_listing
+        self._has_lost_contact = False
+
+    def call_once(self) -> StoreError | None:
+        """List or watch the prefix once; return the error of the store, if any."""
+        error = self._list() if self.revision is None else self._watch(self.revision)
         if error is None:
-            if has_lost_store_contact:
-                log_event(LOG, "store: regained", prefix=prefix)
-            has_lost_store_contact = False
-            stopped.wait(interval_s)
-            continue
-        if error.kind is StoreErrorKind.COMPACTED:
-            revision = None
-        elif not has_lost_store_contact:
-            has_lost_store_contact = True
-            log_event(LOG, "store: lost", prefix=prefix, why=error.detail)
-        stopped.wait(WATCH_RETRY_S)
+            if self._has_lost_contact:
+                log_event(LOG, "store: regained", prefix=self._prefix)
+            self._has_lost_contact = False
+        elif error.kind is StoreErrorKind.COMPACTED:
+            self.revision = None
+        elif not self._has_lost_contact:
+            self._has_lost_contact = True
+            log_event(LOG, "store: lost", prefix=self._prefix, why=error.detail)
+        return error
+
+    def _list(self) -> StoreError | None:
+        listing = list_prefix(self._store, self._prefix)
+        if isinstance(listing, Err):
+            return listing.err_value
+        self._on_listing(listing.ok_value.records)
+        self.revision = listing.ok_value.revision
+        return None
+
+    def _watch(self, revision: int) -> StoreError | None:
+        changes = self._store.watch(self._prefix, after=revision, wait_s=WATCH_WAIT_S)
+        if isinstance(changes, Err):
+            return changes.err_value
+        for record in changes.ok_value.records:
+            self._on_change(record)
+        self.revision = max(revision, changes.ok_value.revision)
+        return None
