Record an upstream in the roster before it gets work

The roster was stored up to 5 s after an upstream had joined, and the upstream got work at once. If its registry entry lapsed and the decider changed within that time, the successor did not know of it: its barrier lifted without it, and finished or running tasks were started again. A roster write that was carried out late could also replace a newer roster. Ruled out: the barrier itself; it waits for all upstreams that the term knows. Change: the dispatcher places nothing on an upstream that the stored roster does not name; the roster is stored as soon as one joins, conditional on its own revision too.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -115,12 +115,24 @@
             self.catalog = catalog
             self._needs_placement = True
 
-    def add_or_update_upstream(self, entry: UpstreamEntry, now: float = 0.0) -> None:
-        """Add an upstream or update its registry entry."""
+    def add_or_update_upstream(
+        self, entry: UpstreamEntry, now: float = 0.0, *, is_recorded: bool = True
+    ) -> None:
+        """Add an upstream or update its registry entry.
+
+        Parameters
+        ----------
+        entry : UpstreamEntry
+        now : float
+        is_recorded : bool, default=True
+            Whether the stored roster names the upstream. Until then it gets no work: a
+            successor might not know of it, and start its tasks elsewhere.
+        """
         upstream = self.upstreams.get(entry.upstream_id)
         if upstream is None:
             upstream = self.upstreams[entry.upstream_id] = Upstream(entry)
         upstream.entry = entry
+        upstream.is_recorded = is_recorded
         upstream.is_listed = True
         upstream.departs_s = None
         if entry.is_draining and entry.remaining_s is not None:
@@ -128,6 +140,14 @@
         self._fleet_version += 1
         self._needs_placement = True
 
+    def mark_upstream_recorded(self, upstream_id: str) -> None:
+        """Record that the stored roster names an upstream, which may then get work."""
+        upstream = self.upstreams.get(upstream_id)
+        if upstream is not None and not upstream.is_recorded:
+            upstream.is_recorded = True
+            self._fleet_version += 1
+            self._needs_placement = True
+
     def mark_upstream_unlisted(self, upstream_id: str) -> None:
         """Mark an upstream as unlisted; its possible runs still count."""
         upstream = self.upstreams.get(upstream_id)
--- a/packages/core/src/papayadyke_core/dispatch/_upstream.py
+++ b/packages/core/src/papayadyke_core/dispatch/_upstream.py
@@ -25,6 +25,8 @@
     def __init__(self, entry: UpstreamEntry) -> None:
         self.entry = entry
         self.is_listed = True
+        # Whether a successor would know of the upstream and ask it for its runs.
+        self.is_recorded = True
         self.departs_s: float | None = None
         self.incarnation: int | None = None
         self.is_reachable = False
@@ -50,6 +52,7 @@
         """Return whether the upstream accepts new runs."""
         return (
             self.is_listed
+            and self.is_recorded
             and self.is_reachable
             and self.has_reported
             and not self.entry.is_draining
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_restarts_and_handovers.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_restarts_and_handovers.py
@@ -97,6 +97,19 @@
     assert [start.task for start in dispatcher.tick(0.3, 0.3).starts] == [order.task]
 
 
+# Upstreams that a successor would not know of
+
+
+def test_upstream_gets_no_work_until_the_roster_names_it():
+    dispatcher = make_dispatcher(upstreams=())
+    dispatcher.add_or_update_upstream(make_entry("a"), is_recorded=False)
+    report(dispatcher, "a", 0.0)
+    dispatcher.submit(make_job("j"), now=0.0)
+    assert not dispatcher.tick(0.1, 0.1).starts
+    dispatcher.mark_upstream_recorded("a")
+    assert len(dispatcher.tick(0.2, 0.2).starts) == 1
+
+
 # Jobs that the previous decider started after the successor had read the store
 
 
--- a/packages/daemon/src/papayadyke_daemon/edge/_advisers.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_advisers.py
@@ -44,7 +44,11 @@
         self._requests: queue.SimpleQueue[AdviceRequest | None] = queue.SimpleQueue()
         self._stop_events: dict[str, threading.Event] = {}
         # An empty address stands for this VM.
-        self._add_worker("")
+        self._stop_events[""] = threading.Event()
+
+    def start(self) -> None:
+        """Start the thread of this VM; those of other VMs follow their heartbeats."""
+        self._start_worker("")
 
     @property
     def slots(self) -> int:
@@ -54,7 +58,7 @@
     def set_vms(self, addresses: set[str]) -> None:
         """Set the other VMs that are used besides this one."""
         for address in addresses - self._stop_events.keys():
-            self._add_worker(address)
+            self._start_worker(address)
         for address in self._stop_events.keys() - addresses - {""}:
             self._stop_events.pop(address).set()
 
@@ -69,8 +73,8 @@
         for _ in self._stop_events:
             self._requests.put(None)
 
-    def _add_worker(self, address: str) -> None:
-        stopped = self._stop_events[address] = threading.Event()
+    def _start_worker(self, address: str) -> None:
+        stopped = self._stop_events.setdefault(address, threading.Event())
         threading.Thread(
             target=self._serve, args=(address, stopped), name="adviser", daemon=True
         ).start()
--- a/packages/daemon/src/papayadyke_daemon/edge/_agents.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_agents.py
@@ -163,6 +163,10 @@
             return
         self._stopped.wait(self._process_report(reply.ok_value))
 
+    def has_orders(self) -> bool:
+        """Return whether an order waits to be sent."""
+        return not self._orders.empty()
+
     def _process_report(self, report: UpstreamReport) -> float:
         """Pass on a report; return the seconds until the next poll."""
         self._is_reached = True
--- a/packages/daemon/src/papayadyke_daemon/edge/_committer.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_committer.py
@@ -100,9 +100,21 @@
             # Ends of runs that change no progress need no call to the store.
             self._finish(commit, Ok(0))
 
+    def write_next(self) -> bool:
+        """Wait for a commit and store it; return False once stopped."""
+        commit = self._commits.get()
+        if commit is None:
+            return False
+        self._write(commit)
+        return True
+
+    def has_commit(self) -> bool:
+        """Return whether a commit waits to be stored."""
+        return not self._commits.empty()
+
     def _run(self) -> None:
-        while (commit := self._commits.get()) is not None:
-            self._write(commit)
+        while self.write_next():
+            pass
 
     def _write(self, commit: Commit) -> None:
         writes = [
--- a/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
@@ -37,7 +37,7 @@
 from papayadyke_daemon.edge._peers import PeerClients, PeerServer
 from papayadyke_daemon.edge._ports import EdgePorts, EdgeSettings, Record
 from papayadyke_daemon.edge._reports import StoreReport, StoreReports
-from papayadyke_daemon.edge._watch import watch_prefix
+from papayadyke_daemon.edge._watch import PrefixWatch
 
 LOG = logging.getLogger(__name__)
 
@@ -136,6 +136,7 @@
         self._readiness.start()
         self._peer_server.start()
         self._leadership.start()
+        self.intake.start()
         threading.Thread(
             target=self._watch_catalog, name="catalog", daemon=True
         ).start()
@@ -249,16 +250,14 @@
     # Configuration
 
     def _watch_catalog(self) -> None:
-        key = self._ports.catalog_key
-        watch_prefix(
+        watch = PrefixWatch(
             self._ports.store,
-            key,
+            self._ports.catalog_key,
             revision=None,
-            interval_s=0.0,
-            stopped=self._stopped,
             on_change=self._apply_catalog_record,
             on_listing=self._apply_catalog_records,
         )
+        watch.run(self._stopped, interval_s=0.0)
 
     def _apply_catalog_records(self, records: list[Record]) -> None:
         for record in records:
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -50,9 +50,11 @@
     EdgePorts,
     EdgeSettings,
     Record,
+    StoreError,
+    StoreErrorKind,
     Write,
 )
-from papayadyke_daemon.edge._watch import list_prefix, watch_prefix
+from papayadyke_daemon.edge._watch import PrefixWatch, list_prefix
 from papayadyke_daemon.mailbox import Mailbox
 
 LOG = logging.getLogger(__name__)
@@ -61,6 +63,7 @@
 # Least time between two steps in seconds; a call to an upstream takes as long.
 MIN_STEP_INTERVAL_S = 0.002
 MAX_STEP_INTERVAL_S = 0.1  # seconds between two steps without messages
+ROSTER_RETRY_S = 0.15  # seconds before a roster that could not be stored is retried
 GARBAGE_INTERVAL_S = 5.0  # seconds between two removals of old records
 # Jobs per removal. Each is one entry, and the condition is one more; a transaction of
 # the store holds at most 32 entries.
@@ -92,6 +95,11 @@
     roster: RosterRecord
 
 
+def _roster_row(entry: UpstreamEntry) -> tuple[str, str]:
+    """Return what the roster holds of an upstream."""
+    return entry.address, entry.service
+
+
 class Decider:
     """Connect the dispatcher with upstreams, the store and the advisory service.
 
@@ -135,6 +143,8 @@
         )
         self._mailbox = Mailbox("decider", self._tick, clock=read_clock)
         self._agents: dict[str, UpstreamAgent] = {}
+        self._watches: list[PrefixWatch] = []
+        self._is_started = False
         self._advisory_pool = AdvisoryPool(ports, clients, self._handle_advice)
         # Jobs that ended before this term, with their end as wall-clock time.
         self._ended_jobs: dict[str, float] = {}
@@ -151,6 +161,11 @@
         self._next_step_s = 0.0
         self._next_garbage_s = read_clock() + GARBAGE_INTERVAL_S
         self._roster_upstreams = dict(term.roster.upstreams)
+        # The roster was written in the same transaction as the decider's key.
+        self._roster_revision = term.token
+        self._is_roster_outdated = False
+        self._roster_write_active = False
+        self._next_roster_s = 0.0
         self._housekeeping_active = threading.Event()
         self._agent_callbacks = AgentCallbacks(
             may_issue_orders=may_issue_orders,
@@ -169,6 +184,21 @@
 
     def start(self, catalog: Catalog) -> bool:
         """Load the stored state and begin the term; return whether that succeeded."""
+        if not self.load(catalog):
+            return False
+        # Agents that the mailbox's thread adds from here on are started at once.
+        self._is_started = True
+        for agent in self._agents.values():
+            agent.start()
+        for watch in self._watches:
+            self._start_watch(watch)
+        self._committer.start()
+        self._advisory_pool.start()
+        self._mailbox.start()
+        return True
+
+    def load(self, catalog: Catalog) -> bool:
+        """Read the stored state, without any thread; return whether that succeeded."""
         self._dispatcher.set_catalog(catalog)
         registry = list_prefix(self._ports.store, self._ports.registry_prefix)
         # Read progress last: the commit of a job's end removes its intake record and
@@ -190,10 +220,10 @@
             if name not in self._agents:
                 self._try_to_add_agent(upstream.entry)
         self._load_jobs(intake.ok_value.records, progress.ok_value.records)
-        self._watch(self._ports.registry_prefix, registry.ok_value.revision, 0.0)
-        self._watch(INTAKE_PREFIX, intake.ok_value.revision, INTAKE_WATCH_INTERVAL_S)
-        self._committer.start()
-        self._mailbox.start()
+        self._watches = [
+            self._make_watch(self._ports.registry_prefix, registry.ok_value.revision),
+            self._make_watch(INTAKE_PREFIX, intake.ok_value.revision),
+        ]
         log_event(
             LOG,
             "decider: term began",
@@ -318,6 +348,7 @@
             if agent is not None:
                 agent.send(stop)
         self._begin_commit(now)
+        self._update_roster(now)
         self._collect_garbage(now)
         return self._committer.next_commit_s(now + MAX_STEP_INTERVAL_S)
 
@@ -420,7 +451,11 @@
             log_event(LOG, "decider: upstream unlisted", upstream=upstream_id)
             return
         known_upstream = self._dispatcher.upstreams.get(upstream_id)
-        self._dispatcher.add_or_update_upstream(entry, read_clock())
+        is_recorded = self._roster_upstreams.get(upstream_id) == _roster_row(entry)
+        self._is_roster_outdated |= not is_recorded
+        self._dispatcher.add_or_update_upstream(
+            entry, read_clock(), is_recorded=is_recorded
+        )
         if (
             known_upstream is None
             or known_upstream.entry.is_draining != entry.is_draining
@@ -457,7 +492,8 @@
             callbacks=self._agent_callbacks,
         )
         self._agents[entry.upstream_id] = agent
-        agent.start()
+        if self._is_started:
+            agent.start()
 
     def _collect_garbage(self, now: float) -> None:
         if now < self._next_garbage_s:
@@ -470,6 +506,7 @@
             agent = self._agents.pop(name, None)
             if agent is not None:
                 agent.stop()
+            self._is_roster_outdated = True
         if self._housekeeping_active.is_set():
             # The previous housekeeping still waits for the store.
             return
@@ -477,15 +514,11 @@
             self._dispatcher.remove_expired_jobs(time.time())
             + self._expire_ended_jobs()
         )
-        upstreams = {
-            name: (upstream.entry.address, upstream.entry.service)
-            for name, upstream in self._dispatcher.upstreams.items()
-        }
-        if old or upstreams != self._roster_upstreams:
+        if old:
             self._housekeeping_active.set()
             threading.Thread(
                 target=self._run_housekeeping,
-                args=(old, upstreams),
+                args=(old,),
                 name="housekeeping",
                 daemon=True,
             ).start()
@@ -499,28 +532,67 @@
             del self._ended_jobs[job_id]
         return old
 
-    def _run_housekeeping(
-        self, old: list[str], upstreams: dict[str, tuple[str, str]]
-    ) -> None:
-        """Store the roster if it changed, and remove the records of old jobs."""
+    def _run_housekeeping(self, old: list[str]) -> None:
+        """Remove the records of old jobs."""
         try:
-            self._store_roster(upstreams)
             self._remove_jobs(old)
         finally:
             self._housekeeping_active.clear()
 
-    def _store_roster(self, upstreams: dict[str, tuple[str, str]]) -> None:
-        if upstreams == self._roster_upstreams:
+    def _update_roster(self, now: float) -> None:
+        """Store the roster in the background if upstreams came or went."""
+        if (
+            not self._is_roster_outdated
+            or self._roster_write_active
+            or now < self._next_roster_s
+        ):
             return
+        self._is_roster_outdated = False
+        self._roster_write_active = True
+        upstreams = {
+            name: _roster_row(upstream.entry)
+            for name, upstream in self._dispatcher.upstreams.items()
+        }
+        threading.Thread(
+            target=self._store_roster, args=(upstreams,), name="roster", daemon=True
+        ).start()
+
+    def _store_roster(self, upstreams: dict[str, tuple[str, str]]) -> None:
         record = RosterRecord(self.term.number + 1, upstreams)
-        stored = self._ports.store.write(
-            [Write(ROSTER_KEY, encode_record(record))],
-            expected=[(DECIDER_KEY, self.term.token)],
-        )
+        stored: Result[int, StoreError] = Err(StoreError(StoreErrorKind.UNKNOWN))
+        try:
+            # The second condition keeps an earlier write that is carried out late from
+            # replacing this one.
+            stored = self._ports.store.write(
+                [Write(ROSTER_KEY, encode_record(record))],
+                expected=[
+                    (DECIDER_KEY, self.term.token),
+                    (ROSTER_KEY, self._roster_revision),
+                ],
+            )
+        finally:
+            self._mailbox.post(lambda: self._handle_roster(upstreams, stored))
+
+    def _handle_roster(
+        self,
+        upstreams: dict[str, tuple[str, str]],
+        stored: Result[int, StoreError],
+    ) -> None:
+        self._roster_write_active = False
         if isinstance(stored, Err):
-            log_event(LOG, "decider: roster not stored", why=stored.err_value.detail)
+            error = stored.err_value
+            log_event(LOG, "decider: roster not stored", why=error.kind)
+            for record in error.current_records:
+                if record.key == ROSTER_KEY:
+                    self._roster_revision = record.revision
+            self._is_roster_outdated = True
+            self._next_roster_s = read_clock() + ROSTER_RETRY_S
             return
+        self._roster_revision = stored.ok_value
         self._roster_upstreams = upstreams
+        for name, upstream in self._dispatcher.upstreams.items():
+            if upstreams.get(name) == _roster_row(upstream.entry):
+                self._dispatcher.mark_upstream_recorded(name)
 
     def _remove_jobs(self, old: list[str]) -> None:
         for begin in range(0, len(old), GARBAGE_BATCH_JOBS):
@@ -615,29 +687,31 @@
         advice = answer.ok_value
         self._mailbox.post(lambda: self._dispatcher.process_advice(advice))
 
-    def _watch(self, prefix: str, revision: int, interval_s: float) -> None:
+    def _start_watch(self, watch: PrefixWatch) -> None:
+        interval_s = INTAKE_WATCH_INTERVAL_S if watch.prefix == INTAKE_PREFIX else 0.0
+        threading.Thread(
+            target=watch.run,
+            args=(self._stopped,),
+            kwargs={"interval_s": interval_s},
+            name=f"watch-{watch.prefix}",
+            daemon=True,
+        ).start()
+
+    def _make_watch(self, prefix: str, revision: int) -> PrefixWatch:
         apply_record = (
             self._apply_intake_record
             if prefix == INTAKE_PREFIX
             else self._apply_registry_record
         )
-        threading.Thread(
-            target=watch_prefix,
-            args=(self._ports.store, prefix),
-            kwargs={
-                "revision": revision,
-                "interval_s": interval_s,
-                "stopped": self._stopped,
-                "on_change": lambda record: self._mailbox.post(
-                    lambda: apply_record(record)
-                ),
-                "on_listing": lambda records: self._mailbox.post(
-                    lambda: self._apply_listing(prefix, records)
-                ),
-            },
-            name=f"watch-{prefix}",
-            daemon=True,
-        ).start()
+        return PrefixWatch(
+            self._ports.store,
+            prefix,
+            revision=revision,
+            on_change=lambda record: self._mailbox.post(lambda: apply_record(record)),
+            on_listing=lambda records: self._mailbox.post(
+                lambda: self._apply_listing(prefix, records)
+            ),
+        )
 
     def _apply_listing(self, prefix: str, records: list[Record]) -> None:
         """Apply all records of a prefix after its history was compacted."""
--- a/packages/daemon/src/papayadyke_daemon/edge/_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_intake.py
@@ -125,6 +125,9 @@
         self._notifications: queue.SimpleQueue[Notification] = queue.SimpleQueue()
         self._final_states: OrderedDict[str, JobState] = OrderedDict()
         self._store_backoff_until_s = 0.0
+
+    def start(self) -> None:
+        """Start the thread that notifies the decider."""
         threading.Thread(
             target=self._notify_loop, name="notifications", daemon=True
         ).start()
@@ -323,17 +326,21 @@
 
     def _notify_loop(self) -> None:
         while True:
-            pending: list[Notification] = [self._notifications.get()]
-            while (
-                not self._notifications.empty() and len(pending) < MAX_NOTIFICATION_JOBS
-            ):
-                pending.append(self._notifications.get())
+            first = self._notifications.get()
             try:
-                self._notify(pending)
+                self.notify_pending(first)
             except Exception:
                 # The decider finds these jobs in the store.
                 LOG.exception("intake: notifying the decider failed")
 
+    def notify_pending(self, *pending: Notification) -> None:
+        """Notify the decider of the given and of queued jobs and cancellations."""
+        batch = list(pending)
+        while not self._notifications.empty() and len(batch) < MAX_NOTIFICATION_JOBS:
+            batch.append(self._notifications.get())
+        if batch:
+            self._notify(batch)
+
     def _notify(self, pending: list[Notification]) -> None:
         """Notify the decider of jobs and cancellations.
 
--- a/packages/daemon/src/papayadyke_daemon/edge/_watch.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_watch.py
@@ -44,18 +44,8 @@
         after = page.records[-1].key
 
 
-def watch_prefix(
-    store: RecordStore,
-    prefix: str,
-    *,
-    revision: int | None,
-    interval_s: float,
-    stopped: threading.Event,
-    on_change: Callable[[Record], None],
-    on_listing: Callable[[list[Record]], None],
-    on_contact: Callable[[bool], None] | None = None,
-) -> None:
-    """Watch a prefix until `stopped` is set.
+class PrefixWatch:
+    """Position in the changes of a prefix, which are passed on to callbacks.
 
     Parameters
     ----------
@@ -63,38 +53,11 @@
     prefix : str
     revision : int or None
         Revision after which to watch; None lists the whole prefix first.
-    interval_s : float
-        Least time between two calls in seconds; changes in between are batched.
-    stopped : threading.Event
     on_change : callable
         Called with each change.
     on_listing : callable
         Called with all records, at first and after the history was compacted.
-    on_contact : callable, optional
-        Called after each call with whether the store answered.
     """
-    watch = _PrefixWatch(
-        store,
-        prefix,
-        revision=revision,
-        on_change=on_change,
-        on_listing=on_listing,
-    )
-    while not stopped.is_set():
-        try:
-            error = watch.call_once()
-        except Exception:
-            LOG.exception("store: watching %s failed; it is listed again", prefix)
-            watch.revision = None
-            stopped.wait(WATCH_RETRY_S)
-            continue
-        if on_contact is not None:
-            on_contact(error is None)
-        stopped.wait(interval_s if error is None else WATCH_RETRY_S)
-
-
-class _PrefixWatch:
-    """Position of a watch, and whether the store answered its last call."""
 
     def __init__(
         self,
@@ -105,29 +68,48 @@
         on_change: Callable[[Record], None],
         on_listing: Callable[[list[Record]], None],
     ) -> None:
+        self.prefix = prefix
         self.revision = revision
         self._store = store
-        self._prefix = prefix
         self._on_change = on_change
         self._on_listing = on_listing
         self._has_lost_contact = False
 
+    def run(self, stopped: threading.Event, *, interval_s: float) -> None:
+        """Follow the prefix until `stopped` is set.
+
+        Parameters
+        ----------
+        stopped : threading.Event
+        interval_s : float
+            Least time between two calls in seconds; changes in between are batched.
+        """
+        while not stopped.is_set():
+            try:
+                error = self.call_once()
+            except Exception:
+                LOG.exception("store: watching %s failed; listing it", self.prefix)
+                self.revision = None
+                stopped.wait(WATCH_RETRY_S)
+                continue
+            stopped.wait(interval_s if error is None else WATCH_RETRY_S)
+
     def call_once(self) -> StoreError | None:
         """List or watch the prefix once; return the error of the store, if any."""
         error = self._list() if self.revision is None else self._watch(self.revision)
         if error is None:
             if self._has_lost_contact:
-                log_event(LOG, "store: regained", prefix=self._prefix)
+                log_event(LOG, "store: regained", prefix=self.prefix)
             self._has_lost_contact = False
         elif error.kind is StoreErrorKind.COMPACTED:
             self.revision = None
         elif not self._has_lost_contact:
             self._has_lost_contact = True
-            log_event(LOG, "store: lost", prefix=self._prefix, why=error.detail)
+            log_event(LOG, "store: lost", prefix=self.prefix, why=error.detail)
         return error
 
     def _list(self) -> StoreError | None:
-        listing = list_prefix(self._store, self._prefix)
+        listing = list_prefix(self._store, self.prefix)
         if isinstance(listing, Err):
             return listing.err_value
         self._on_listing(listing.ok_value.records)
@@ -135,7 +117,7 @@
         return None
 
     def _watch(self, revision: int) -> StoreError | None:
-        changes = self._store.watch(self._prefix, after=revision, wait_s=WATCH_WAIT_S)
+        changes = self._store.watch(self.prefix, after=revision, wait_s=WATCH_WAIT_S)
         if isinstance(changes, Err):
             return changes.err_value
         for record in changes.ok_value.records:
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_unexpected_errors.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_unexpected_errors.py
@@ -29,7 +29,7 @@
     encode_record,
 )
 from papayadyke_daemon.edge._peers import PeerClients
-from papayadyke_daemon.edge._watch import watch_prefix
+from papayadyke_daemon.edge._watch import PrefixWatch
 from papayadyke_daemon.edge.tests.fake_store import FakeStore, make_ports
 
 TIMEOUT_S = 10.0  # seconds for any wait of a test
@@ -65,18 +65,15 @@
     store.write([Write("prefix/a", b"")])
     stopped = threading.Event()
     callback = FailOnce()
-    ignore = lambda _: None  # noqa: E731
+    watch = PrefixWatch(
+        store,
+        "prefix/",
+        revision=None if failing == "listing" else 0,
+        on_change=callback if failing == "change" else lambda record: None,
+        on_listing=callback,
+    )
     thread = threading.Thread(
-        target=watch_prefix,
-        args=(store, "prefix/"),
-        kwargs={
-            "revision": None if failing == "listing" else 0,
-            "interval_s": 0.01,
-            "stopped": stopped,
-            "on_change": callback if failing == "change" else ignore,
-            "on_listing": callback,
-        },
-        daemon=True,
+        target=watch.run, args=(stopped,), kwargs={"interval_s": 0.01}, daemon=True
     )
     thread.start()
     assert callback.succeeded.wait(TIMEOUT_S)
@@ -124,6 +121,7 @@
         answered.set()
 
     pool = AdvisoryPool(ports, PeerClients(), record)
+    pool.start()
     for expected in (Err, Ok):
         answered.clear()
         pool.submit(AdviceRequest(step, ("u",)))
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/virtual_upstream.py
@@ -0,0 +1,211 @@
+"""Upstream in virtual time that follows the rules of the platform."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from result import Err, Ok
+
+from papayadyke_core.dispatch import (
+    EndedRun,
+    RunEnd,
+    RunningRun,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+    TaskId,
+    UpstreamReport,
+)
+from papayadyke_daemon.edge import FencedError
+from papayadyke_daemon.edge.tests.virtual_store import CallFault
+
+MAX_LEASE_S = 10.0  # longer leases are shortened
+LATE_ORDER_S = 3.0  # delay of an order that is carried out late
+
+
+class Observer(Protocol):
+    """Receiver of the events of upstreams."""
+
+    def started(self, upstream: VirtualUpstream, order: StartOrder) -> None: ...
+
+    def ended(self, upstream: VirtualUpstream, ended: EndedRun) -> None: ...
+
+    def acknowledged(self, upstream: VirtualUpstream, ended: EndedRun) -> None: ...
+
+    def crashed(self, upstream: VirtualUpstream) -> None: ...
+
+
+@dataclass(eq=False)
+class VirtualUpstream:
+    """An upstream without admission control: it starts every valid order.
+
+    Parameters
+    ----------
+    upstream_id : str
+    cpu_millis : int
+    observer : Observer
+    """
+
+    upstream_id: str
+    cpu_millis: int
+    observer: Observer
+    now: float = 0.0
+    incarnation: int = 1
+    clock_origin_s: float = 0.0
+    token: int = 0
+    lease_until_s: float = 0.0
+    lapsed_s: float = 0.0
+    running: dict[TaskId, int] = field(default_factory=dict)
+    highest_attempts: dict[TaskId, int] = field(default_factory=dict)
+    ended: list[EndedRun] = field(default_factory=list)
+    end_count: int = 0
+    is_cut: bool = False
+    is_draining: bool = False
+    is_gone: bool = False
+    late_orders: list[tuple[float, int, Callable[[], object]]] = field(
+        default_factory=list
+    )
+
+    def advance(self, now):
+        """Carry out late orders that are due, and end the runs of a lapsed lease."""
+        self.now = now
+        due = [row for row in self.late_orders if row[0] <= now]
+        self.late_orders = [row for row in self.late_orders if row[0] > now]
+        for _, incarnation, order in due:
+            if incarnation == self.incarnation and not self.is_gone:
+                order()
+        if now > self.lease_until_s:
+            self.lapsed_s = now
+            for task in list(self.running):
+                self.end(task, RunEnd.LAPSED)
+
+    def poll(self, token, acknowledged_end, lease_until_s):
+        self._check_token(token)
+        if lease_until_s is not None:
+            self._extend(lease_until_s)
+        for ended in self.ended:
+            if ended.number <= acknowledged_end:
+                self.observer.acknowledged(self, ended)
+        self.ended = [e for e in self.ended if e.number > acknowledged_end]
+        running = [RunningRun(task, attempt) for task, attempt in self.running.items()]
+        return UpstreamReport(
+            self.incarnation, self.now, self.now, running, list(self.ended)
+        )
+
+    def start(self, order: StartOrder, token, lease_until_s):
+        if token < self.token:
+            return StartOutcome.FENCED
+        self.token = token
+        if lease_until_s < self.now:
+            return StartOutcome.STALE
+        self._extend(lease_until_s)
+        task, attempt = order.task, order.attempt
+        if attempt <= self.highest_attempts.get(task, 0):
+            is_running = self.running.get(task) == attempt
+            return StartOutcome.STARTED if is_running else StartOutcome.STALE
+        self.highest_attempts[task] = attempt
+        self.running[task] = attempt
+        self.observer.started(self, order)
+        return StartOutcome.STARTED
+
+    def stop(self, order: StopOrder, token):
+        if token < self.token:
+            return False
+        self.token = token
+        highest = self.highest_attempts.get(order.task, 0)
+        self.highest_attempts[order.task] = max(highest, order.attempt)
+        if self.running.get(order.task) == order.attempt:
+            self.end(order.task, RunEnd.STOPPED)
+        return True
+
+    def end(self, task, run_end):
+        """End a run and list its end."""
+        attempt = self.running.pop(task)
+        self.end_count += 1
+        ended = EndedRun(self.end_count, task, attempt, run_end)
+        self.ended.append(ended)
+        self.observer.ended(self, ended)
+
+    def crash(self):
+        """Lose everything, and start again under the same id."""
+        self.observer.crashed(self)
+        self.incarnation += 1
+        self.token = self.end_count = 0
+        self.lease_until_s = 0.0
+        self.running, self.highest_attempts, self.ended = {}, {}, []
+
+    def _check_token(self, token):
+        if token < self.token:
+            raise FencedError
+        self.token = token
+
+    def _extend(self, lease_until_s):
+        lease_until_s = min(lease_until_s, self.now + MAX_LEASE_S)
+        self.lease_until_s = max(self.lease_until_s, lease_until_s)
+
+
+class UpstreamCalls:
+    """An upstream as the decider of one VM calls it.
+
+    Parameters
+    ----------
+    upstream : VirtualUpstream
+    next_fault : callable
+        Returns the fault of the next call, or None.
+    pause : callable
+        Pauses the VM of this client.
+    """
+
+    def __init__(self, upstream, *, next_fault, pause):
+        self._upstream = upstream
+        self._next_fault = next_fault
+        self._pause = pause
+
+    def poll(self, *, token, acknowledged_end, lease_until_s, wait_s):
+        fault = self._begin()
+        if fault is CallFault.NOT_DONE:
+            return Err("not sent")
+        report = self._upstream.poll(token, acknowledged_end, lease_until_s)
+        return (
+            Err("no answer")
+            if fault in (CallFault.LOST, CallFault.LATE)
+            else (Ok(report))
+        )
+
+    def start(self, order, *, token, lease_until_s):
+        fault = self._begin()
+        if fault is CallFault.NOT_DONE:
+            return StartOutcome.NOT_SENT
+        call = lambda: self._upstream.start(order, token, lease_until_s)  # noqa: E731
+        if fault is CallFault.LATE:
+            self._delay(call)
+            return StartOutcome.UNKNOWN
+        outcome = call()
+        return StartOutcome.UNKNOWN if fault is CallFault.LOST else outcome
+
+    def stop(self, order, *, token):
+        fault = self._begin()
+        if fault is CallFault.NOT_DONE:
+            return False
+        if fault is CallFault.LATE:
+            self._delay(lambda: self._upstream.stop(order, token))
+            return False
+        return self._upstream.stop(order, token) and fault is not CallFault.LOST
+
+    def close(self):
+        pass
+
+    def _begin(self):
+        fault = self._next_fault()
+        if fault is CallFault.PAUSED:
+            self._pause()
+        if self._upstream.is_cut or self._upstream.is_gone:
+            return CallFault.NOT_DONE
+        return fault
+
+    def _delay(self, call):
+        self._upstream.late_orders.append(
+            (self._upstream.now + LATE_ORDER_S, self._upstream.incarnation, call)
+        )
