--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PACKAGES := core clients standins daemon cli soak
 WORKERS ?= 4
 
-.PHONY: setup run test lint format types
+.PHONY: setup run test lint format types regress
 
 setup: $(STAMP)
 
@@ -33,3 +33,7 @@
 
 types: setup
 	$(BIN)/mypy $(foreach name,$(PACKAGES),packages/$(name)/src) platform/src
+
+# Plays the regression days: make regress BENCH=PROGRAM SITES=FOLDER
+regress: setup
+	$(BIN)/python benchmarks/regress.py --bench $(BENCH) --sites $(SITES)
