Let upstreams restart in the middle of a call in the random histories

Cause: a restart came only between two turns of the machine, so an order in transit never met one. Change: a fault of calls restarts the upstream just before the call arrives.

--- a/packages/daemon/src/papayadyke_daemon/edge/tests/virtual_store.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/virtual_store.py
@@ -21,6 +21,7 @@
     NOT_DONE = "refused, and not carried out"
     LOST = "carried out, and not answered"
     LATE = "carried out later, and not answered"
+    RESTARTED = "an upstream restarts just before the call arrives"
     PAUSED = "the caller is paused before the call is sent"
 
 
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/virtual_upstream.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/virtual_upstream.py
@@ -201,6 +201,8 @@
         fault = self._next_fault()
         if fault is CallFault.PAUSED:
             self._pause()
+        if fault is CallFault.RESTARTED:
+            self._upstream.crash()
         if self._upstream.is_cut or self._upstream.is_gone:
             return CallFault.NOT_DONE
         return fault
