Ask for advice where a step has room, in another order for each step

Cause: each advised step asked for the first hundred upstreams in the order of the registry, and for more only when its tickets ran out after 2 s. On fleets of 175 or 270 upstreams all steps crowded on the same thirty to seventy. A test with 300 upstreams placed 352 of 960 tasks of gangs, and none of 40 when the first 100 were full. Ruled out: the number of calls at a time; it was not at its limit there. Change: a step asks for upstreams with room for it, gangs for the emptiest, in an order of its own, for about twice the tasks that it lacks by the share that its queue's answers allow; a step that still waits looks again each 0.25 s. Searches per pass are bounded. Versions of the fleet are no longer needed. New tests of the three patterns in test_load_patterns, failed before.

--- a/packages/core/src/papayadyke_core/dispatch/_advice.py
+++ b/packages/core/src/papayadyke_core/dispatch/_advice.py
@@ -2,13 +2,37 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
+from typing import NamedTuple
+from zlib import crc32
 
+from papayadyke_core.dispatch._job import StepRun
 from papayadyke_core.dispatch._messages import Advice
-from papayadyke_core.dispatch._spec import StepId
+from papayadyke_core.dispatch._spec import StepId, StepSpec
+from papayadyke_core.dispatch._upstream import Upstream
+
+# Limit of the platform's interface for one advisory call.
+MAX_UPSTREAMS_PER_REQUEST = 100
+# Least upstreams of a call; the time of a call hardly depends on fewer.
+MIN_UPSTREAMS_PER_REQUEST = 10
+# Multiple of a step's tasks for which a call is to find room; other steps may take some
+# of it before the answer arrives.
+ROOM_MARGIN = 2.0
 
 # Seconds; covers the calls that a start needs to reach its upstream.
 TICKET_EXPIRY_MARGIN_S = 0.15
+INITIAL_ALLOWED_SHARE = 0.5  # until answers have shown the share of a queue
+# Weight of the newest answer in the moving average of the allowed share.
+SHARE_WEIGHT = 0.05
+
+
+class _Candidate(NamedTuple):
+    """Upstream that a request may name; the lowest rank comes first."""
+
+    rank: tuple[int, int]
+    slots: int
+    name: str
 
 
 @dataclass(slots=True)
@@ -27,9 +51,8 @@
         Time before which no request is sent, after a failed one.
     valid_until_s : float
         When the tickets of the last answer expire; 0 if one of them was refused.
-    fleet_version : int
-        Version of the fleet for which a request was last considered; -1 if none
-        was yet, or if a request waits for a free slot.
+    next_search_s : float
+        Time before which no further upstreams are looked for.
     """
 
     tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
@@ -38,7 +61,7 @@
     is_request_pending: bool = False
     retry_at_s: float = 0.0
     valid_until_s: float = 0.0
-    fleet_version: int = -1
+    next_search_s: float = 0.0
 
 
 class AdviceCache:
@@ -46,8 +69,13 @@
 
     def __init__(self) -> None:
         self._steps: dict[StepId, StepAdvice] = {}
+        self._allowed_shares: dict[str, float] = {}
         self.pending_requests = 0
 
+    def get_allowed_share(self, queue: str) -> float:
+        """Return the share of the named upstreams that a queue's steps may use."""
+        return self._allowed_shares.get(queue, INITIAL_ALLOWED_SHARE)
+
     def get_or_create(self, step: StepId) -> StepAdvice:
         """Return the entry of a step, creating an empty one if there is none."""
         step_advice = self._steps.get(step)
@@ -55,15 +83,25 @@
             step_advice = self._steps[step] = StepAdvice()
         return step_advice
 
-    def begin_request(self, step: StepId, fleet_version: int) -> None:
-        """Record that a request for a version of the fleet is pending."""
-        step_advice = self.get_or_create(step)
-        step_advice.is_request_pending = True
-        step_advice.fleet_version = fleet_version
+    def begin_request(self, step: StepId) -> None:
+        """Record that a request is pending."""
+        self.get_or_create(step).is_request_pending = True
         self.pending_requests += 1
 
-    def record_answer(self, advice: Advice) -> None:
-        """Store the tickets of an answer."""
+    def record_answer(self, advice: Advice, *, queue: str = "") -> None:
+        """Store the tickets of an answer.
+
+        Parameters
+        ----------
+        advice : Advice
+        queue : str
+            Queue of the step, whose share of allowed upstreams is learned; an empty
+            one is not.
+        """
+        if queue and advice.upstream_ids:
+            share = self.get_allowed_share(queue)
+            sample = len(advice.tickets) / len(advice.upstream_ids)
+            self._allowed_shares[queue] = share + SHARE_WEIGHT * (sample - share)
         step_advice = self._steps.get(advice.step)
         self.pending_requests -= 1
         if step_advice is None:
@@ -116,3 +154,75 @@
     def remove_step(self, step: StepId) -> None:
         """Remove the entry of a step that no longer waits."""
         self._steps.pop(step, None)
+
+
+def choose_upstreams_to_ask(
+    step: StepRun,
+    upstreams: Mapping[str, Upstream],
+    step_advice: StepAdvice,
+    *,
+    allowed_share: float,
+    valid_at_s: float,
+) -> tuple[str, ...]:
+    """Return the upstreams for which a step needs tickets, best first.
+
+    Upstreams with room for the step come before others, and those that are known to be
+    allowed before the rest. The rest is in another order for each step, so that the
+    steps do not all ask for the same upstreams.
+
+    Parameters
+    ----------
+    step : StepRun
+    upstreams : mapping of str to Upstream
+        Upstreams of the service that accept new runs.
+    step_advice : StepAdvice
+    allowed_share : float
+        Expected share of upstreams that the step may use.
+    valid_at_s : float
+        Time up to which a ticket must be valid to count, in seconds.
+    """
+    spec = step.spec
+    missing = float(spec.count if spec.is_gang else len(step.waiting))
+    known: list[_Candidate] = []
+    unknown: list[_Candidate] = []
+    for name, upstream in upstreams.items():
+        ticket = step_advice.tickets.get(name)
+        if ticket is not None and ticket[1] > valid_at_s:
+            missing -= _count_room(spec, upstream.free_slots_for(spec))
+        elif name in step_advice.allowed:
+            known.append(_make_candidate(step, upstream))
+        elif name not in step_advice.queried:
+            unknown.append(_make_candidate(step, upstream))
+    if missing <= 0:
+        return ()
+    has_room = any(candidate.slots for candidate in (*known, *unknown))
+    if not has_room and step_advice.queried and not known:
+        return ()
+    wanted = ROOM_MARGIN * missing
+    requested: list[str] = []
+    for share, candidates in ((1.0, known), (allowed_share, unknown)):
+        for candidate in sorted(candidates, key=lambda c: c.rank):
+            if len(requested) == MAX_UPSTREAMS_PER_REQUEST or (
+                wanted <= 0 and len(requested) >= MIN_UPSTREAMS_PER_REQUEST
+            ):
+                break
+            if has_room and not candidate.slots:
+                break
+            requested.append(candidate.name)
+            slots = candidate.slots or upstreams[candidate.name].total_slots_for(spec)
+            wanted -= share * _count_room(spec, slots)
+    return tuple(requested)
+
+
+def _make_candidate(step: StepRun, upstream: Upstream) -> _Candidate:
+    name = upstream.upstream_id
+    slots = upstream.free_slots_for(step.spec)
+    # Gangs ask for the emptiest upstreams, other steps for any with room, which leaves
+    # whole upstreams to the gangs.
+    preferred = slots if step.spec.is_gang else min(slots, 1)
+    order = crc32(f"{step.step_id.job_id}{name}".encode())
+    return _Candidate((-preferred, order), slots, name)
+
+
+def _count_room(spec: StepSpec, slots: int) -> int:
+    return min(slots, spec.max_per_upstream) if spec.max_per_upstream else slots
--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -91,7 +91,6 @@
         self._committing_states: dict[str, JobState] | None = None
         self._pending_stops: list[StopOrder] = []
         self._stopping_runs: dict[tuple[TaskId, int], Run] = {}
-        self._fleet_version = 0
         self._needs_placement = True
         self._next_placement_s = 0.0
         self._takeover_barrier_s: float | None = None
@@ -137,7 +136,6 @@
         upstream.departs_s = None
         if entry.is_draining and entry.remaining_s is not None:
             upstream.departs_s = now + entry.remaining_s
-        self._fleet_version += 1
         self._needs_placement = True
 
     def mark_upstream_recorded(self, upstream_id: str) -> None:
@@ -145,7 +143,6 @@
         upstream = self.upstreams.get(upstream_id)
         if upstream is not None and not upstream.is_recorded:
             upstream.is_recorded = True
-            self._fleet_version += 1
             self._needs_placement = True
 
     def mark_upstream_unlisted(self, upstream_id: str) -> None:
@@ -285,7 +282,6 @@
             self._handle_restart(upstream)
         upstream.incarnation = report.incarnation
         if not (upstream.is_reachable and upstream.has_reported):
-            self._fleet_version += 1
             self._needs_placement = True
         upstream.is_reachable = True
         upstream.has_reported = True
@@ -354,7 +350,9 @@
 
     def process_advice(self, advice: Advice) -> None:
         """Store an answer of the advisory service."""
-        self.advice_cache.record_answer(advice)
+        job = self.jobs.get(advice.step.job_id)
+        queue = "" if job is None else job.spec.queue
+        self.advice_cache.record_answer(advice, queue=queue)
         self._needs_placement = True
 
     def process_advice_failure(self, step: StepId, now: float) -> None:
@@ -824,7 +822,6 @@
             self.settings,
             advice_cache=self.advice_cache,
             upstreams=self.upstreams,
-            fleet_version=self._fleet_version,
             advice_slots=self.advice_slots,
             attempt_floor=self.attempt_floor,
             now=now,
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from papayadyke_core.dispatch._advice import AdviceCache
+from papayadyke_core.dispatch._advice import AdviceCache, choose_upstreams_to_ask
 from papayadyke_core.dispatch._job import StepRun
 from papayadyke_core.dispatch._messages import AdviceRequest, StartOrder
 from papayadyke_core.dispatch._placement import (
@@ -18,8 +18,9 @@
 from papayadyke_core.dispatch._spec import AdvicePolicy, QueuePolicy
 from papayadyke_core.dispatch._upstream import Upstream
 
-# Limit of the platform's interface for one advisory call.
-MAX_UPSTREAMS_PER_REQUEST = 100
+ADVICE_SEARCH_INTERVAL_S = 0.25  # seconds between two searches for a waiting step
+# Searches per pass; each looks at every upstream of a service.
+MAX_ADVICE_SEARCHES = 40
 
 
 @dataclass(slots=True)
@@ -41,8 +42,6 @@
     settings : DispatchSettings
     advice_cache : AdviceCache
     upstreams : dict of str to Upstream
-    fleet_version : int
-        Version of the fleet; changes when an upstream is listed or reached again.
     advice_slots : int
         Maximum number of concurrent calls to the advisory service.
     attempt_floor : int
@@ -57,7 +56,6 @@
         *,
         advice_cache: AdviceCache,
         upstreams: dict[str, Upstream],
-        fleet_version: int,
         advice_slots: int,
         attempt_floor: int,
         now: float,
@@ -66,7 +64,6 @@
         self.advice: list[AdviceRequest] = []
         self._settings = settings
         self._advice_cache = advice_cache
-        self._fleet_version = fleet_version
         self._advice_slots = advice_slots
         self._attempt_floor = attempt_floor
         self._now = now
@@ -74,6 +71,7 @@
         self._reserved: set[str] = set()
         self._reserving_gangs = 0
         self._position = -1
+        self._searches_left = MAX_ADVICE_SEARCHES
 
     def place(self, step: StepRun, queue: QueuePolicy, *, factor: float) -> bool:
         """Start the tasks of a step that fit; return whether any was started.
@@ -94,13 +92,13 @@
         may_fit = (
             step.spec.fills_spare or step.spec.cpu_millis <= pool.max_free_cpu_millis
         )
+        if may_fit and self._place_step(step, queue, pool, factor):
+            return True
         # The steps of the highest rank get tickets even before they fit.
         if queue.advice is not None and (
             may_fit or self._position < self._advice_slots
         ):
-            self._request_advice(step, queue.advice, pool)
-        if may_fit and self._place_step(step, queue, pool, factor):
-            return True
+            self._request_advice(step, queue, queue.advice, pool)
         if step.spec.is_gang and self._may_reserve_more(pool):
             self._reserving_gangs += 1
             self._reserved |= self._choose_reserved(step, queue, pool)
@@ -159,39 +157,41 @@
             StartOrder(name, task, attempt, payload, checkpoint, ticket, now)
         )
 
-    def _request_advice(self, step: StepRun, policy: AdvicePolicy, pool: _Pool) -> None:
-        """Request tickets for upstreams without an answer or with expiring tickets."""
+    def _request_advice(
+        self, step: StepRun, queue: QueuePolicy, policy: AdvicePolicy, pool: _Pool
+    ) -> None:
+        """Request tickets for a step that has too few upstreams with room."""
         step_advice = self._advice_cache.get_or_create(step.step_id)
-        if step_advice.is_request_pending or self._now < step_advice.retry_at_s:
-            return
-        refresh_s = policy.decide_s + policy.per_upstream_s * len(step_advice.allowed)
-        refreshed_at_s = self._now + refresh_s
         if (
-            step_advice.fleet_version == self._fleet_version
-            and refreshed_at_s < step_advice.valid_until_s
+            step_advice.is_request_pending
+            or self._now < max(step_advice.retry_at_s, step_advice.next_search_s)
+            or self._searches_left <= 0
+            or self._count_free_advice_slots(policy) <= 0
         ):
             return
-        unqueried = [name for name in pool.members if name not in step_advice.queried]
-        expiring = [
-            name
-            for name in pool.members
-            if name in step_advice.allowed
-            and self._advice_cache.find_ticket(step.step_id, name, refreshed_at_s)
-            is None
-        ]
-        requested = tuple((unqueried + expiring)[:MAX_UPSTREAMS_PER_REQUEST])
-        step_advice.fleet_version = self._fleet_version
+        self._searches_left -= 1
+        step_advice.next_search_s = self._now + ADVICE_SEARCH_INTERVAL_S
+        requested = choose_upstreams_to_ask(
+            step,
+            pool.members,
+            step_advice,
+            allowed_share=self._advice_cache.get_allowed_share(queue.key),
+            # Tickets that expire before this one would be answered do not count.
+            valid_at_s=self._now
+            + policy.decide_s
+            + policy.per_upstream_s * len(step_advice.allowed),
+        )
         if not requested:
             return
         expected_s = policy.decide_s + policy.per_upstream_s * len(requested)
+        self._advice_cache.begin_request(step.step_id)
+        self.advice.append(AdviceRequest(step.step_id, requested, expected_s))
+
+    def _count_free_advice_slots(self, policy: AdvicePolicy) -> int:
         free_slots = self._advice_slots - self._advice_cache.pending_requests
-        if expected_s > self._settings.slow_advice_s:
+        if policy.decide_s > self._settings.slow_advice_s:
             free_slots -= min(self._settings.quick_advice_slots, self._advice_slots - 1)
-        if free_slots <= 0:
-            step_advice.fleet_version = -1
-            return
-        self._advice_cache.begin_request(step.step_id, self._fleet_version)
-        self.advice.append(AdviceRequest(step.step_id, requested, expected_s))
+        return free_slots
 
     def _choose_reserved(
         self, step: StepRun, queue: QueuePolicy, pool: _Pool
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
@@ -1,5 +1,7 @@
 """Placement, tickets and retries under the load patterns in which they matter."""
 
+from zlib import crc32
+
 from dispatch_world import QUEUE, World, make_catalog, make_entry, make_job, make_step
 
 from papayadyke_core.dispatch import (
@@ -10,7 +12,9 @@
     DispatchSettings,
     JobState,
     QueuePolicy,
+    RunningRun,
     StagedJobSpec,
+    TaskId,
     UpstreamReport,
     choose_retry_after,
 )
@@ -185,3 +189,66 @@
     submit(dispatcher, "stream", BATCH, make_step(24, cpu_millis=3000, estimate_s=3.0))
     # A quarter of the upstreams is reserved: two for each of three gangs.
     assert list_started_jobs(dispatcher.tick(0.2, 0.2)).count("stream") == 18
+
+
+def answer_advice(dispatcher, requests, *, now, allowed_of_ten=3):
+    """Answer advisory requests; each step may use a fixed share of the upstreams."""
+    for request in requests:
+        tickets = {
+            name: "t"
+            for name in request.upstream_ids
+            if crc32(f"{request.step}{name}".encode()) % 10 < allowed_of_ten
+        }
+        dispatcher.process_advice(
+            Advice(request.step, request.upstream_ids, tickets, 2.0, now)
+        )
+
+
+def test_advised_gangs_use_the_whole_of_a_large_fleet():
+    """Pattern: large gangs on more upstreams than one advisory call may name.
+
+    Without a choice of its own, each step asks for the same first hundred.
+    """
+    advice = AdvicePolicy(0.6, 0.009, 2.0)
+    dispatcher = make_dispatcher(upstreams=300, cores=4, advice=advice, advice_slots=90)
+    for number in range(60):
+        gang_step = make_step(16, is_gang=True, estimate_s=5.0)
+        submit(dispatcher, f"gang{number}", URGENT, gang_step)
+    started = 0
+    for tick in range(10):
+        now = 0.1 + 0.1 * tick
+        orders = dispatcher.tick(now, now)
+        started += len(orders.starts)
+        answer_advice(dispatcher, orders.advice, now=now)
+    # All 60 gangs need 960 of 1,200 cores.
+    assert started >= 0.9 * 960
+
+
+def test_waiting_step_asks_for_upstreams_that_became_free():
+    """Pattern: the upstreams that were asked for are full, others have room again."""
+    advice = AdvicePolicy(0.02, 0.0, 2.0)
+    dispatcher = make_dispatcher(upstreams=200, cores=1, advice=advice, advice_slots=90)
+    for number in range(150):
+        upstream = dispatcher.upstreams[f"u{number}"]
+        dispatcher.process_report(
+            upstream.upstream_id,
+            UpstreamReport(1, 0.0, 0.0, [RunningRun(TaskId("x", 0, 0, number), 1)]),
+            0.0,
+        )
+    submit(dispatcher, "check", URGENT, make_step(40))
+    started = []
+    for tick in range(10):
+        now = 0.1 + 0.1 * tick
+        orders = dispatcher.tick(now, now)
+        started += list_started_jobs(orders)
+        answer_advice(dispatcher, orders.advice, now=now, allowed_of_ten=10)
+    assert len(started) == 40
+
+
+def test_small_job_asks_for_few_upstreams():
+    """Pattern: many quick checks; each upstream that is named takes advisory time."""
+    advice = AdvicePolicy(0.026, 0.0004, 2.0)
+    dispatcher = make_dispatcher(upstreams=300, advice=advice, advice_slots=90)
+    submit(dispatcher, "check", URGENT, make_step(2))
+    (request,) = dispatcher.tick(0.1, 0.1).advice
+    assert 10 <= len(request.upstream_ids) <= 30
