Count the longest lease where an upstream may have restarted unnoticed

Cause: found by reading. A restart sets the clock of an upstream anew, but leases are sent as times on the clock last read; a start or poll that reaches the new incarnation first has a time far ahead and gets the longest lease (10 s) in place of 5 s. If the upstream was cut off right after, its tasks were started elsewhere while they ran on. Ruled out: reading the clock before each start, which would cost a call each. Change: an unanswered start, and all runs of an upstream whose restart was just noticed, count as held for the longest lease of the platform's settings. The lock of the tests' store keeps a watch from seeing the revision of a write without its records: the test of the registry failed once for that.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -279,7 +279,7 @@
             upstream.incarnation is not None
             and upstream.incarnation != report.incarnation
         ):
-            self._handle_restart(upstream)
+            self._handle_restart(upstream, now)
         upstream.incarnation = report.incarnation
         if not (upstream.is_reachable and upstream.has_reported):
             self._needs_placement = True
@@ -547,7 +547,7 @@
         self._takeover_barrier_s = None
         self._needs_placement = True
 
-    def _handle_restart(self, upstream: Upstream) -> None:
+    def _handle_restart(self, upstream: Upstream, now: float) -> None:
         """Forget what the previous incarnation said of itself.
 
         Its runs are not dropped here: an order that is still in transit may reach the
@@ -555,6 +555,9 @@
         """
         LOG.info("dispatch: upstream %s restarted", upstream.upstream_id)
         self._unread_ends.remove_upstream(upstream.upstream_id)
+        # Leases sent since the restart had times of the previous incarnation's clock.
+        held_until_s = now + self.settings.longest_hold_s
+        upstream.lease_until_s = max(upstream.lease_until_s, held_until_s)
         upstream.last_end_number = upstream.acknowledged_end_number = 0
         upstream.failures_in_row = 0
         self.advice_cache.remove_upstream(upstream.upstream_id)
@@ -792,10 +795,19 @@
         for upstream in self.upstreams.values():
             if upstream.is_reachable or not upstream.runs:
                 continue
-            if now > upstream.lease_until_s:
-                for run in list(upstream.runs.values()):
+            for run in list(upstream.runs.values()):
+                if now > self._find_lease_end_s(upstream, run):
                     self._drop_run(upstream, run, RunEnd.LAPSED, now)
 
+    def _find_lease_end_s(self, upstream: Upstream, run: Run) -> float:
+        """Return the time after which an unreachable upstream cannot have a run."""
+        if run.phase is RunPhase.RUNNING:
+            return upstream.lease_until_s
+        # The upstream may have restarted unnoticed before the start arrived; the time
+        # in the order was then one of a clock that had started anew.
+        held_until_s = run.started_s + self.settings.longest_hold_s
+        return max(upstream.lease_until_s, held_until_s)
+
     def _mark_active(self, run: Run) -> None:
         job = self.jobs.get(run.task.job_id)
         if job is not None and job.state is JobState.QUEUED:
--- a/packages/core/src/papayadyke_core/dispatch/_settings.py
+++ b/packages/core/src/papayadyke_core/dispatch/_settings.py
@@ -14,6 +14,9 @@
     lease_s : float
         Lease that each call to an upstream grants to its runs. It must outlast a
         takeover, and delays the restart of tasks whose upstream is unreachable.
+    max_hold_s : float
+        Longest lease that an upstream grants, whatever a call asks for. A call with a
+        time on the clock of an earlier incarnation gets that long.
     lease_drift : float
         Fraction by which an upstream's clock may run slow.
     lease_call_delay_s : float
@@ -55,6 +58,7 @@
     """
 
     lease_s: float
+    max_hold_s: float = 10.0
     lease_drift: float = 0.03
     lease_call_delay_s: float = 0.5
     handover_s: float = 1.2
@@ -75,3 +79,9 @@
     def longest_lease_s(self) -> float:
         """Upper bound of the time until a lease granted by a call sent now expires."""
         return self.lease_s * (1 + self.lease_drift) + self.lease_call_delay_s
+
+    @property
+    def longest_hold_s(self) -> float:
+        """Upper bound of a lease that was sent to an unknown incarnation."""
+        hold_s = max(self.max_hold_s, self.lease_s)
+        return hold_s * (1 + self.lease_drift) + self.lease_call_delay_s
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_restarts_and_handovers.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_restarts_and_handovers.py
@@ -97,6 +97,38 @@
     assert [start.task for start in dispatcher.tick(0.3, 0.3).starts] == [order.task]
 
 
+def test_unanswered_start_may_have_the_longest_lease():
+    """Its time may be one of the clock of an earlier incarnation."""
+    dispatcher = make_dispatcher()
+    order = start_job(dispatcher)
+    dispatcher.record_lease(order.upstream_id, 0.1)
+    dispatcher.process_start_outcome(order, StartOutcome.UNKNOWN, 0.2)
+    dispatcher.mark_unreachable(order.upstream_id)
+    assert not dispatcher.tick(9.9, 9.9).starts
+    assert len(dispatcher.tick(11.0, 11.0).starts) == 1
+
+
+def test_lease_before_a_restart_was_noticed_may_be_the_longest():
+    dispatcher = make_dispatcher()
+    order = start_job(dispatcher)
+    dispatcher.process_start_outcome(order, StartOutcome.STARTED, 0.2)
+    running = [RunningRun(order.task, order.attempt)]
+    report(dispatcher, order.upstream_id, 0.3, incarnation=NEW, running=running)
+    dispatcher.mark_unreachable(order.upstream_id)
+    assert not dispatcher.tick(9.9, 9.9).starts
+    assert len(dispatcher.tick(11.5, 11.5).starts) == 1
+
+
+def test_answered_start_has_the_lease_that_was_sent():
+    dispatcher = make_dispatcher()
+    order = start_job(dispatcher)
+    dispatcher.record_lease(order.upstream_id, 0.1)
+    dispatcher.process_start_outcome(order, StartOutcome.STARTED, 0.2)
+    dispatcher.mark_unreachable(order.upstream_id)
+    assert not dispatcher.tick(5.5, 5.5).starts
+    assert len(dispatcher.tick(6.0, 6.0).starts) == 1
+
+
 # Upstreams that a successor would not know of
 
 
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -135,6 +135,7 @@
         self._dispatcher = Dispatcher(
             DispatchSettings(
                 lease_s=cfg.lease_s,
+                max_hold_s=cfg.max_hold_s,
                 status_kept_s=cfg.status_kept_s,
                 stop_s=cfg.stop_s,
             ),
--- a/packages/daemon/src/papayadyke_daemon/edge/_ports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_ports.py
@@ -236,6 +236,8 @@
         Interval between renewals of the decider's lease.
     lease_s : float
         Lease of runs at upstreams.
+    max_hold_s : float
+        Longest lease that an upstream grants.
     stop_s : float
         Longest time that an upstream takes to stop a run.
     drain_s : float
@@ -266,6 +268,7 @@
     decider_ttl_s: float = 1.0
     renew_s: float = 0.25
     lease_s: float = 5.0
+    max_hold_s: float = 10.0
     stop_s: float = 0.4
     drain_s: float = 3.0
     grace_s: float = 6.0
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/fake_store.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/fake_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Callable
 
 from result import Err, Ok
@@ -29,6 +30,8 @@
         self.fault: StoreErrorKind | None = None
         self.takes_effect = False
         self.calls = 0
+        # A watch must not see the revision of a write without its records.
+        self._lock = threading.Lock()
         # Hooks, each called once, before or after the next call of that kind.
         self.before_watch: Callable[[], object] | None = None
         self.before_write: Callable[[], object] | None = None
@@ -55,17 +58,23 @@
         hook, self.before_watch = self.before_watch, None
         if hook is not None:
             hook()
-        records = [
-            record for record in self.records.values() if record.revision > after
-        ]
-        records = [record for record in records if record.key.startswith(prefix)]
-        return self._error() or Ok(Page(records, self.revision))
+        with self._lock:
+            records = [
+                record
+                for record in self.records.values()
+                if record.revision > after and record.key.startswith(prefix)
+            ]
+            return self._error() or Ok(Page(records, self.revision))
 
     def write(self, writes, *, expected=(), removed=(), timeout_s=None):
         self.calls += 1
         hook, self.before_write = self.before_write, None
         if hook is not None:
             hook()
+        with self._lock:
+            return self._write(writes, expected, removed)
+
+    def _write(self, writes, expected, removed):
         if self.fault is not None and not self.takes_effect:
             return self._error()
         for key, revision in expected:
