--- a/benchmarks/policy_loads.py
+++ b/benchmarks/policy_loads.py
@@ -285,7 +285,7 @@
 
 
 def concerns(scenario: Scenario, deployment: Deployment) -> bool:
-    """Tell whether a scenario changes anything in a deployment."""
+    """Return whether a scenario changes anything in a deployment."""
     racks = {spec.rack for spec in deployment.upstreams}
     return not scenario.loses_rack or LOST_RACK in racks
 
--- a/packages/daemon/src/papayadyke_daemon/backend.py
+++ b/packages/daemon/src/papayadyke_daemon/backend.py
@@ -1,4 +1,4 @@
-"""What the daemon answers operators of its own state and of the cell's."""
+"""Answers to operators about the state of the daemon and of the cell."""
 
 from __future__ import annotations
 
@@ -33,13 +33,13 @@
 from papayadyke_daemon.levels import LevelArchive
 from papayadyke_daemon.serving import RequestHistory, RequestRecord
 
-# Minutes are summed, and their refused requests dropped, once their hour and a
-# little more is over.
+# Minutes are summed, and their refused requests dropped, shortly after the end of
+# their hour.
 EXPLAIN_WINDOW_S = 3600.0 + 120.0
 
 
 class DaemonBackend:
-    """Answers operators' questions; any thread may call.
+    """Answer the requests of operators; any thread may call.
 
     Parameters
     ----------
@@ -99,7 +99,7 @@
         )
 
     def explain(self, request_id: str) -> Explanation | None:
-        """Return what became of a request, or None for an unknown one.
+        """Return the outcome of a request, or None if it is unknown.
 
         This VM is asked first, then its peers, then the store, which keeps the
         refusals of VMs that are gone.
@@ -116,7 +116,7 @@
     def list_refused(
         self, workload: str, *, since_unix_s: float, limit: int
     ) -> RefusedView:
-        """Return who was turned away; an empty workload stands for all."""
+        """Return the refused requests; an empty workload stands for all."""
         oldest = time.time() - EXPLAIN_WINDOW_S
         since = max(since_unix_s, oldest)
         found = self.archive.read_buckets(since)
--- a/packages/daemon/src/papayadyke_daemon/cell_keys.py
+++ b/packages/daemon/src/papayadyke_daemon/cell_keys.py
@@ -53,7 +53,7 @@
             self._watch.start()
 
     def stop(self) -> None:
-        """Read the key file no more."""
+        """Stop watching the key file."""
         if self._watch is not None:
             self._watch.stop()
 
--- a/packages/daemon/src/papayadyke_daemon/daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/daemon.py
@@ -1,4 +1,4 @@
-"""The daemon of one entry VM: its parts, and how they start and stop."""
+"""The daemon of one entry VM: start and stop of its components."""
 
 from __future__ import annotations
 
@@ -58,7 +58,7 @@
 
 
 class Daemon:
-    """All parts of one daemon.
+    """All components of one daemon.
 
     Parameters
     ----------
@@ -96,11 +96,11 @@
 
     @property
     def address(self) -> tuple[str, int]:
-        """Host and port of the callers' listener."""
+        """Host and port of the listener for callers."""
         return self.callers.address
 
     def start(self) -> None:
-        """Start every part; callers are answered last.
+        """Start all components; the listener for callers is the last.
 
         Raises
         ------
@@ -132,7 +132,7 @@
             raise
 
     def apply_config(self, config: Config) -> None:
-        """Take a configuration into force unless a later one is."""
+        """Apply a configuration unless a later one is in force."""
         if config.revision < self.config.revision:
             return
         self.config = config
@@ -145,7 +145,7 @@
         )
 
     def load_first_config(self, model: ConfigModel) -> None:
-        """Put a configuration in force if the store has none.
+        """Store a first configuration if the store has none.
 
         Parameters
         ----------
@@ -166,17 +166,17 @@
             LOG.info("daemon: the first configuration is not written: there is one")
 
     def wait_for_config(self, timeout_s: float) -> bool:
-        """Wait until a configuration is in force; tell whether one is."""
+        """Wait until a configuration is in force; return whether one is."""
         return self._config_in_force.wait(timeout_s)
 
     def tell_readiness(self) -> Readiness:
-        """Tell whether this VM takes requests."""
+        """Return whether this VM accepts requests."""
         if self._draining.is_set():
             return Readiness(False, "draining")
         return Readiness(True)
 
     def drain(self) -> bool:
-        """Take nothing new and wait for the requests in flight.
+        """Accept no new requests and wait for those in flight.
 
         Returns
         -------
@@ -193,7 +193,7 @@
         return not self._in_flight.count
 
     def _wait_for_requests(self, wait_s: float, *, is_least: bool) -> None:
-        """Wait, or less once no request is in flight; hand over what is queued."""
+        """Hand over queued requests; wait until none is in flight, or until a limit."""
         until_s = time.monotonic() + wait_s
         while time.monotonic() < until_s:
             if not is_least and not self._in_flight.count:
@@ -203,7 +203,7 @@
             time.sleep(DRAIN_POLL_S)
 
     def stop(self) -> None:
-        """Close every part; call `drain` first for a graceful stop."""
+        """Stop all components; call `drain` first for a graceful stop."""
         self._draining.set()
         self.callers.stop()
         self.durable.stop()
@@ -309,7 +309,7 @@
         self.operators = self._make_operators()
 
     def _route(self, local: RunService) -> None:
-        """Serve here alone, or here and at peers."""
+        """Serve requests on this VM alone, or on this VM and its peers."""
         self.runs: Runner = local
         self.keys: KeyOwner = self.durable.keys
         self.jobs: JobOwner = self.durable.jobs
@@ -336,7 +336,7 @@
         return self.loop.ask(lambda scheduler, now: scheduler.summary(now))
 
     def _read_usage(self) -> VmUsage:
-        """Return what peers cost, and tell the gauges of this moment."""
+        """Return the cost of calls to peers, and update the gauges."""
         self.metrics.tell_gauges(
             self.loop.read_load(),
             self.peering.read_stats(),
@@ -426,7 +426,7 @@
 
 
 class _InFlight(AbstractContextManager[None]):
-    """Counts the requests that are being answered."""
+    """Count of the requests that are being answered."""
 
     def __init__(self) -> None:
         self.count = 0
--- a/packages/daemon/src/papayadyke_daemon/durable.py
+++ b/packages/daemon/src/papayadyke_daemon/durable.py
@@ -1,4 +1,4 @@
-"""The parts that keep jobs and keys in the store: journal, jobs, keys, partitions."""
+"""Components that keep jobs and keys in the store."""
 
 from __future__ import annotations
 
@@ -104,7 +104,7 @@
         self.partition_manager.start()
 
     def stop(self) -> None:
-        """Release the partitions and end the threads."""
+        """Release the partitions and stop the threads."""
         self.partition_manager.stop()
         self.jobs.stop()
         self.keys.stop()
@@ -130,7 +130,7 @@
 
 
 class _KeyResolver:
-    """Finds out how the request of a key ended whose VM was lost."""
+    """Find the outcome of a keyed request whose VM was lost."""
 
     def __init__(self, tasks: TaskRunner, covers_cell: Callable[[], bool]) -> None:
         self.tasks = tasks
@@ -142,7 +142,7 @@
         self._ask(key, 1, on_done)
 
     def stop(self) -> None:
-        """End the thread."""
+        """Stop the thread."""
         self._calls.shutdown(wait=False, cancel_futures=True)
 
     def _ask(
--- a/packages/daemon/src/papayadyke_daemon/embedded.py
+++ b/packages/daemon/src/papayadyke_daemon/embedded.py
@@ -99,7 +99,7 @@
 
 
 class Embedded:
-    """A daemon, and a small fleet of stand-in upstreams on loopback.
+    """A daemon and a small fleet of stand-in upstreams on loopback.
 
     Parameters
     ----------
@@ -134,7 +134,7 @@
         self._write_operator_settings()
 
     def stop(self) -> bool:
-        """Drain the daemon, then stop everything; tell whether it drained."""
+        """Drain the daemon, then stop everything; return whether it drained."""
         drained = self.daemon.drain()
         self.daemon.stop()
         for upstream in self.upstreams:
--- a/packages/daemon/src/papayadyke_daemon/peering.py
+++ b/packages/daemon/src/papayadyke_daemon/peering.py
@@ -1,4 +1,4 @@
-"""The parts by which a daemon works with its peers, or alone."""
+"""Components of a daemon that work with its peers, if it has any."""
 
 from __future__ import annotations
 
@@ -60,7 +60,7 @@
 
 
 class FindRequest(Struct, tag="find_request", frozen=True, array_like=True):
-    """Ask a peer what became of a request."""
+    """Ask a peer for the outcome of a request."""
 
     request_id: str
 
@@ -134,11 +134,11 @@
 
     @property
     def is_alone(self) -> bool:
-        """Tell whether the settings give no address for peers."""
+        """Return whether the settings have no address for peers."""
         return self.settings.peers is None
 
     def start(self, handlers: list[Handler]) -> None:
-        """Serve peers with these handlers and those of the parts here."""
+        """Serve peers with the given handlers and those of this module."""
         peers = self.settings.peers
         if peers is None:
             self.fleet.own(self.fleet.list_names(), epoch=1)
@@ -157,30 +157,30 @@
         self.owner.start()
 
     def leave(self) -> None:
-        """Tell the peers that this VM is leaving."""
+        """Announce to the peers that this VM is leaving."""
         self._state = MemberState.LEAVING
 
     def release(self) -> None:
-        """Give up every upstream."""
+        """Release all upstreams."""
         if self.is_alone:
             self.fleet.stop()
         else:
             self.owner.stop()
 
     def stop(self) -> None:
-        """End the threads and close the endpoint."""
+        """Stop the threads and close the endpoint."""
         if self.endpoint is not None:
             self.membership.stop()
             self.endpoint.stop()
 
     def get_endpoint(self) -> PeerEndpoint:
-        """Return the endpoint, which stands once `start` was called."""
+        """Return the endpoint, which exists once `start` was called."""
         if self.endpoint is None:
             raise RuntimeError("this daemon works alone")
         return self.endpoint
 
     def read_snapshot(self) -> Snapshot | None:
-        """Return what is known of the members."""
+        """Return the known members."""
         return None if self._view is None else self._view.snapshot
 
     def plan_partitions(self) -> frozenset[int]:
@@ -196,16 +196,16 @@
         return max(1, len(snapshot.members) + others)
 
     def covers_cell(self) -> bool:
-        """Tell whether this zone is the whole cell."""
+        """Return whether this zone is the whole cell."""
         return len(self.router.zones) == 1
 
     @property
     def holder(self) -> str:
-        """Name of this VM and its incarnation, as claims of keys carry it."""
+        """Name and incarnation of this VM, as in claims of keys."""
         return f"{self.settings.vm}/{self.incarnation}"
 
     def is_holder_lost(self, holder: str) -> bool:
-        """Tell whether a holder of a key runs no longer, as far as is known.
+        """Return whether a holder of a key is known to have stopped.
 
         A VM of another zone is not known and so not told as gone.
         """
@@ -218,11 +218,11 @@
         return restarted or member.state is MemberState.DEAD
 
     def is_watcher(self) -> bool:
-        """Tell whether this VM watches the configuration in the store."""
+        """Return whether this VM watches the configuration in the store."""
         return self._ranks_first("config", CONFIG_WATCHERS)
 
     def should_roll_up(self, hour: int) -> bool:
-        """Tell whether this VM sums the service levels of an hour."""
+        """Return whether this VM sums the service levels of an hour."""
         return self._ranks_first(f"hour-{hour}", 1)
 
     def spread_config(self, offer: ConfigOffer) -> None:
@@ -235,7 +235,7 @@
             self.endpoint.post(vm, offer, Ack, timeout_s=CONFIG_TIMEOUT_S)
 
     def ask_for_config(self, request: ConfigRequest) -> None:
-        """Ask a peer for what this VM lacks of the configuration."""
+        """Ask a peer for the changes of the configuration that this VM lacks."""
         vm = self._choose_ahead(request.after)
         if self.endpoint is None or vm is None:
             return
@@ -309,7 +309,7 @@
         )
 
     def _take_view(self, view: View) -> None:
-        """Learn what is known now, and say what this VM is at."""
+        """Apply the latest membership, and announce the revision of this VM."""
         self._view = view
         self.membership.update_self(
             self._state,
--- a/packages/soak/src/papayadyke_soak/_faults.py
+++ b/packages/soak/src/papayadyke_soak/_faults.py
@@ -8,7 +8,7 @@
 
 
 class FaultKind(StrEnum):
-    """Faults that come from outside the processes."""
+    """Faults that are injected from outside the processes."""
 
     VM_KILL = "vm_kill"
     VM_PAUSE = "vm_pause"
--- a/packages/soak/src/papayadyke_soak/_fleet.py
+++ b/packages/soak/src/papayadyke_soak/_fleet.py
@@ -1,4 +1,4 @@
-"""The upstreams of a soak, their links and their entries in the registry."""
+"""The upstreams of a soak, their links and their registry entries."""
 
 from __future__ import annotations
 
@@ -52,27 +52,27 @@
         self._observer: Observer | None = None
 
     def start(self, count: int, observer: Observer) -> None:
-        """Start upstreams and list them."""
+        """Start the upstreams and register them."""
         self._observer = observer
         for _ in range(count):
             self.members.append(self._add())
 
     def stop(self) -> None:
-        """End all upstreams."""
+        """Stop all upstreams."""
         for member in self.members:
             member.server.stop()
 
     def list_running(self) -> list[RunSeen]:
-        """Return what runs on all upstreams."""
+        """Return the runs of all upstreams."""
         with self.lock:
             return [run for s in self._servers.values() for run in s.list_running()]
 
     def drain(self, member: Member) -> None:
-        """Announce that an upstream leaves."""
+        """Mark an upstream as draining."""
         self._list(member, is_draining=True)
 
     def replace(self, member: Member) -> None:
-        """Let an upstream leave with what runs there, and start another."""
+        """Remove an upstream with its runs, and start another."""
         if member not in self.members:
             return
         name = member.server.upstream_id
--- a/packages/soak/src/papayadyke_soak/_injector.py
+++ b/packages/soak/src/papayadyke_soak/_injector.py
@@ -1,4 +1,4 @@
-"""Carries out faults, and ends them."""
+"""Inject faults and end them."""
 
 from __future__ import annotations
 
@@ -41,7 +41,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Targets:
-    """What faults act on.
+    """Targets of faults.
 
     Parameters
     ----------
@@ -62,7 +62,7 @@
 
 
 class Injector:
-    """A thread that begins and ends faults at their times.
+    """Thread that injects and ends faults at their times.
 
     Parameters
     ----------
@@ -86,7 +86,7 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """End all faults, and start every VM that is down."""
+        """End all faults and start every VM that is down."""
         self._stopped.set()
         self._thread.join(timeout=30.0)
         self._targets.store.fault = StoreFault.NONE
@@ -121,7 +121,7 @@
             self._at(read_clock() - self._begun_s + fault.for_s, end)
 
     def _carry_out(self, fault: Fault) -> Callable[[], None] | None:
-        """Begin a fault; return what ends it."""
+        """Inject a fault; return a function that ends it."""
         kind = fault.kind
         vms, fleet, store = (
             self._targets.vms,
--- a/packages/soak/src/papayadyke_soak/_ledger.py
+++ b/packages/soak/src/papayadyke_soak/_ledger.py
@@ -1,4 +1,4 @@
-"""What callers did and were told, job by job."""
+"""Requests of callers and their answers, by job."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 @dataclass(slots=True)
 class JobRecord:
-    """One job as its caller knows it. Times are in seconds.
+    """One job as seen by its caller. Times are in seconds.
 
     Parameters
     ----------
@@ -20,7 +20,7 @@
         Submissions, and those that were told to have had no effect.
     accepted_s, cancel_sent_s, cancelled_s : float or None
     state : JobState or None
-        The last that was told.
+        The last that the caller received.
     """
 
     spec: StagedJobSpec
@@ -34,17 +34,17 @@
 
     @property
     def is_ended(self) -> bool:
-        """Tell whether the caller was told a final state."""
+        """Return whether the caller received a final state."""
         return self.state in FINAL_STATES
 
     @property
     def is_refused(self) -> bool:
-        """Tell whether every submission was told to have had no effect."""
+        """Return whether every submission was answered as not accepted."""
         return self.tries > 0 and self.tries == self.refusals
 
     @property
     def is_owed(self) -> bool:
-        """Tell whether the job must come to its end."""
+        """Return whether the job must end."""
         return self.accepted_s is not None and self.cancel_sent_s is None
 
 
@@ -56,7 +56,7 @@
     lock: threading.Lock = field(default_factory=threading.Lock)
 
     def add(self, record: JobRecord) -> None:
-        """Take in a job before its first submission."""
+        """Record a job before its first submission."""
         with self.lock:
             self.jobs[record.spec.job_id] = record
 
--- a/packages/soak/src/papayadyke_soak/_load.py
+++ b/packages/soak/src/papayadyke_soak/_load.py
@@ -1,4 +1,4 @@
-"""Callers: they hand in jobs, ask for them, cancel some, and try again."""
+"""Callers that submit jobs, query and cancel them, and retry."""
 
 from __future__ import annotations
 
@@ -50,7 +50,7 @@
 
 
 class Caller:
-    """One thread of calls.
+    """Thread of one caller.
 
     Parameters
     ----------
@@ -87,11 +87,11 @@
         )
 
     def start(self) -> None:
-        """Start calling."""
+        """Start the thread."""
         self._thread.start()
 
     def stop(self) -> None:
-        """Stop calling, and wait for the last answer."""
+        """Stop the thread after its current call."""
         self._stopped.set()
         self._thread.join(timeout=30.0)
 
@@ -147,7 +147,7 @@
         return reply
 
     def _judge_cut(self, vm: VmProcess, sent_s: float, what: str) -> None:
-        """Report a request that a planned stop, and nothing else, has cut."""
+        """Report a request that only a planned stop has cut."""
         stop_s = vm.stop_sent_s
         cut_s = read_clock()
         if stop_s is None or sent_s < stop_s - DISTURBED_S:
@@ -159,7 +159,7 @@
 
 
 def ask_state(promises: Promises, record: JobRecord, reply: CallerReply) -> None:
-    """Take in the answer to a question for a state."""
+    """Record the answer to a query for a state."""
     if reply.state is not None:
         promises.told(record, reply.state)
     elif reply.is_unknown_job:
--- a/packages/soak/src/papayadyke_soak/_promises.py
+++ b/packages/soak/src/papayadyke_soak/_promises.py
@@ -1,4 +1,4 @@
-"""The promises, checked from what upstreams and callers see."""
+"""Checks of the promises, from the view of upstreams and callers."""
 
 from __future__ import annotations
 
@@ -42,7 +42,7 @@
 
 
 class Promises:
-    """Sees every start and end, and every answer to a caller.
+    """Observe every start, end and answer to a caller.
 
     Parameters
     ----------
@@ -83,7 +83,7 @@
         return needs.duration_s, needs.gang, needs.succeeds
 
     def started(self, run: RunSeen) -> None:
-        """Check a start, with the run in the list of what runs."""
+        """Check a start; the run is already in the list of running ones."""
         with self._lock:
             self.counts["started"] += 1
             record = self._ledger.find(run.task.job_id)
@@ -103,7 +103,7 @@
                 self._break("no more attempts than allowed", run.task)
 
     def ended(self, run: RunSeen, end: RunEnd) -> None:
-        """Take in an end."""
+        """Record the end of a run."""
         with self._lock:
             self.counts[end] += 1
             if end is RunEnd.DONE:
@@ -113,7 +113,7 @@
                 self._failed[run.task] += 1
 
     def noted(self, upstream_id: str, run: EndedRun) -> None:
-        """Take in that an end was taken note of."""
+        """Record that the decider has acknowledged an end."""
         with self._lock:
             if run.end is RunEnd.FAILED:
                 self._noted_failed[run.task] += 1
@@ -125,7 +125,7 @@
                 self._break("nothing starts again once it is done", name)
 
     def crashed(self, upstream_id: str, unnoted: list[EndedRun]) -> None:
-        """Forget ends that were lost with their upstream before anyone knew."""
+        """Discard ends that were lost in a crash before they were acknowledged."""
         with self._lock:
             self.counts["crashed"] += 1
             for run in unnoted:
@@ -134,7 +134,7 @@
                     self._started_after_done -= self._group(run.task)
 
     def told(self, record: JobRecord, state: JobState) -> None:
-        """Check a state that a caller was told."""
+        """Check a state that a caller received."""
         with self._lock:
             record.state = state
             if state is JobState.COMPLETE:
@@ -150,13 +150,13 @@
                 self._break("cancelled only when asked", record.spec.job_id)
 
     def told_unknown(self, record: JobRecord) -> None:
-        """Check an answer that there is no such job."""
+        """Check an answer that a job does not exist."""
         accepted_s = record.accepted_s
         if accepted_s is not None and read_clock() - accepted_s > VISIBLE_S:
             self._break("an accepted job is known", record.spec.job_id)
 
     def cut_by_stop(self, vm: str, detail: str) -> None:
-        """Note a request that a planned stop left without an answer."""
+        """Record a request that a planned stop left unanswered."""
         self._break("a planned stop cuts no request", f"{vm}: {detail}")
 
     def check_refusals(self) -> None:
@@ -168,14 +168,14 @@
                 self._break("a refusal is true", job_id)
 
     def check_finished(self) -> None:
-        """Check that every accepted job came to its end."""
+        """Check that every accepted job has ended."""
         for record in self._ledger.snapshot():
             ends = (JobState.COMPLETE, JobState.FAILED)
             if record.is_owed and record.state not in ends:
                 self._break("nothing accepted is lost", record.spec.job_id)
 
     def check_quiet(self) -> None:
-        """Check that nothing of an ended or cancelled job runs on."""
+        """Check that no task of an ended or cancelled job is running."""
         for run in self._list_running():
             record = self._ledger.find(run.task.job_id)
             if record is not None and record.is_ended:
--- a/packages/soak/src/papayadyke_soak/_proxy.py
+++ b/packages/soak/src/papayadyke_soak/_proxy.py
@@ -15,7 +15,7 @@
 
 
 class LinkMode(StrEnum):
-    """What a proxy does with the bytes of its connections."""
+    """Behaviour of a proxy towards its connections."""
 
     WORKS = "works"
     SLOW = "slow"  # every chunk is held for `delay_s`
@@ -25,7 +25,7 @@
 
 
 class ProxyLoop:
-    """The thread on which all proxies run."""
+    """Thread that runs all proxies."""
 
     def __init__(self) -> None:
         self.loop = asyncio.new_event_loop()
@@ -38,7 +38,7 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """End the thread and its connections."""
+        """Stop the thread and close its connections."""
         asyncio.run_coroutine_threadsafe(_cancel_others(), self.loop).result(5.0)
         self.loop.call_soon_threadsafe(self.loop.stop)
         self._thread.join(timeout=5.0)
@@ -53,7 +53,7 @@
 
 
 class Proxy:
-    """Forwards connections to one server.
+    """Proxy of one server.
 
     Parameters
     ----------
@@ -80,7 +80,7 @@
         return f"{self.host}:{self.port}"
 
     def set_mode(self, mode: LinkMode, *, delay_s: float = 0.0) -> None:
-        """Change what happens to bytes from now on."""
+        """Change the behaviour from now on."""
         self.mode, self.delay_s = mode, delay_s
 
     def reset(self) -> None:
--- a/packages/soak/src/papayadyke_soak/_soak.py
+++ b/packages/soak/src/papayadyke_soak/_soak.py
@@ -1,4 +1,4 @@
-"""One run: real processes, load, faults, and the judgement at the end."""
+"""One run: real processes, load, faults, and the final checks."""
 
 from __future__ import annotations
 
@@ -61,7 +61,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SoakReport:
-    """What a run saw.
+    """Result of a run.
 
     Parameters
     ----------
@@ -81,7 +81,7 @@
 
 
 def run_soak(cfg: SoakSettings, directory: Path) -> SoakReport:
-    """Run processes under load and faults, and judge what was seen.
+    """Run processes under load and faults, and check the promises.
 
     Parameters
     ----------
@@ -212,7 +212,7 @@
 
 
 def _settle(ledger: Ledger, promises: Promises, clients: list[CallerClient]) -> None:
-    """Wait for the end of all that was accepted, then judge."""
+    """Wait until all accepted jobs have ended, then run the final checks."""
     turns = itertools.cycle(clients)
     until_s = read_clock() + SETTLE_S
     while read_clock() < until_s:
--- a/packages/soak/src/papayadyke_soak/_vms.py
+++ b/packages/soak/src/papayadyke_soak/_vms.py
@@ -1,4 +1,4 @@
-"""Processes of edge VMs: started, paused, stopped, killed and started again."""
+"""Processes of edge VMs, which can be paused, stopped, killed and restarted."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class VmProcess:
-    """The program of one VM, its links, and what was done to them.
+    """Process of one VM, its links, and the faults of both.
 
     Parameters
     ----------
@@ -44,7 +44,7 @@
         )
 
     def start(self) -> None:
-        """Start the program, unless it runs."""
+        """Start the process unless it is running."""
         self.is_wanted = True
         if self.is_running():
             return
@@ -54,47 +54,47 @@
         self._process.start()
 
     def is_running(self) -> bool:
-        """Tell whether the program has not ended."""
+        """Return whether the process is running."""
         return self._process.is_running()
 
     @property
     def exit_code(self) -> int | None:
-        """Exit code, None while it runs or was never started."""
+        """Exit code; None while running or before the first start."""
         return self._process.exit_code
 
     def disturb(self) -> None:
-        """Note that requests may be cut from now on."""
+        """Record that requests may be cut from now on."""
         self.disturbed_s = read_clock()
 
     def kill(self) -> None:
-        """End the program at once."""
+        """Kill the process."""
         self.disturb()
         self._process.kill()
 
     def pause(self) -> None:
-        """Stop the program where it is."""
+        """Pause the process."""
         self.disturb()
         self.is_paused = True
         self._process.pause()
 
     def resume(self) -> None:
-        """Let a paused program go on."""
+        """Resume a paused process."""
         if self.is_paused:
             self.disturb()
             self.is_paused = False
             self._process.resume()
 
     def terminate(self) -> None:
-        """Ask the program to end."""
+        """Ask the process to stop."""
         self.stop_sent_s = read_clock()
         self._process.terminate()
 
     def reload(self) -> None:
-        """Tell the program that its settings file has changed."""
+        """Signal that the settings file has changed."""
         self._process.reload()
 
     def wait(self, timeout_s: float) -> bool:
-        """Return whether the program has ended within a time."""
+        """Return whether the process has ended within a time."""
         try:
             self._process.wait(timeout_s)
         except subprocess.TimeoutExpired:
@@ -102,18 +102,18 @@
         return True
 
     def clean_up(self) -> None:
-        """End the program whatever its state."""
+        """Kill the process in any state."""
         self.is_wanted = False
         self._process.clean_up()
 
     def heal(self) -> None:
-        """End what disturbs the links."""
+        """End the faults of the links."""
         self.store_link.set_mode(LinkMode.WORKS)
         self.callers_link.set_mode(LinkMode.WORKS)
 
 
 def find_free_ports(host: str, count: int) -> list[int]:
-    """Return ports of an address of this run alone that are free now."""
+    """Return free ports on a loopback address that only this run uses."""
     sockets = [socket.socket() for _ in range(count)]
     try:
         for sock in sockets:
