--- a/packages/core/src/papayadyke_core/dispatch/tests/test_restarts_and_handovers.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_restarts_and_handovers.py
@@ -129,6 +129,35 @@
     assert len(dispatcher.tick(6.0, 6.0).starts) == 1
 
 
+def test_upstream_whose_entry_lapsed_keeps_its_runs():
+    """While the store is away, entries lapse of upstreams that run on."""
+    dispatcher = make_dispatcher()
+    order = start_job(dispatcher)
+    dispatcher.process_start_outcome(order, StartOutcome.STARTED, 0.2)
+    dispatcher.mark_upstream_unlisted(order.upstream_id)
+    running = [RunningRun(order.task, order.attempt)]
+    for second in range(1, 20):
+        report(dispatcher, order.upstream_id, float(second), running=running)
+        orders = dispatcher.tick(float(second), float(second))
+        assert not orders.starts
+        assert not orders.stops
+    ended = [EndedRun(1, order.task, order.attempt, RunEnd.DONE)]
+    report(dispatcher, order.upstream_id, 20.0, ended=ended)
+    assert dispatcher.jobs["j"].state is JobState.COMPLETE
+
+
+def test_silent_upstream_keeps_its_runs_until_its_lease_has_lapsed():
+    dispatcher = make_dispatcher()
+    order = start_job(dispatcher)
+    dispatcher.process_start_outcome(order, StartOutcome.STARTED, 0.2)
+    dispatcher.record_lease(order.upstream_id, 1.0)
+    dispatcher.mark_unreachable(order.upstream_id)
+    assert not dispatcher.tick(5.9, 5.9).starts
+    running = [RunningRun(order.task, order.attempt)]
+    report(dispatcher, order.upstream_id, 6.0, running=running)
+    assert not dispatcher.tick(9.0, 9.0).starts
+
+
 # Upstreams that a successor would not know of
 
 
