--- a/benchmarks/dispatch_speed.py
+++ b/benchmarks/dispatch_speed.py
@@ -26,7 +26,7 @@
 )
 
 TICKS = 200
-FLEETS = (24, 100, 176)
+FLEETS = (24, 100, 270, 1000)
 
 
 def build(upstreams: int) -> tuple[Dispatcher, dict[str, list[RunningRun]]]:
