--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_departed.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_departed.py
@@ -3,49 +3,18 @@
 import msgspec
 import pytest
 
-from papayadyke_core.dispatch import Catalog, QueuePolicy, UpstreamEntry
-from papayadyke_daemon.edge import EdgeSettings, Record, Write
-from papayadyke_daemon.edge._decider import Decider, Term
+from papayadyke_core.dispatch import Catalog, QueuePolicy
+from papayadyke_daemon.edge import Record, Write
 from papayadyke_daemon.edge._keys import RosterRecord
-from papayadyke_daemon.edge._peers import PeerClients
-from papayadyke_daemon.edge.tests.fake_store import FakeStore, make_ports
+from papayadyke_daemon.edge.tests.deciders import ADDRESS, SERVICE, make_decider
+from papayadyke_daemon.edge.tests.fake_store import FakeStore
 from papayadyke_daemon.edge.tests.test_edge_daemon import make_daemon
 
-CFG = EdgeSettings(
-    vm="vm",
-    availability_zone="zone",
-    host="127.0.0.1",
-    callers_port=0,
-    readiness_port=0,
-    peers_port=0,
-)
-
-
-class IdleClient:
-    def close(self):
-        pass
-
-
-def decode_upstream(name, data):
-    return UpstreamEntry(
-        name, "service", "127.0.0.1:1", is_draining=data == b"draining"
-    )
-
 
 def take_over(store, *, roster):
     """Return the decider of a later term that knows upstreams from the roster."""
-    ports = make_ports(store)
-    object.__setattr__(ports, "connect_upstream", lambda entry: IdleClient())
-    object.__setattr__(ports, "decode_upstream", decode_upstream)
-    rows = dict.fromkeys(roster, ("127.0.0.1:1", "service"))
-    decider = Decider(
-        CFG,
-        ports,
-        PeerClients(),
-        term=Term(store.revision, 1, RosterRecord(1, rows)),
-        may_issue_orders=lambda: True,
-        step_down=lambda why: None,
-    )
+    rows = dict.fromkeys(roster, (ADDRESS, SERVICE))
+    decider = make_decider(store, roster=RosterRecord(1, rows))
     assert decider.load(Catalog(1))
     return decider
 
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_edge_daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_edge_daemon.py
@@ -4,17 +4,11 @@
 from dataclasses import replace
 
 from papayadyke_clients.http import HttpAnswer
-from papayadyke_daemon.edge import EdgeDaemon, EdgeSettings
+from papayadyke_daemon.edge import EdgeDaemon
+from papayadyke_daemon.edge.tests.deciders import make_settings
 from papayadyke_daemon.edge.tests.fake_store import FakeStore, make_ports
 
-CFG = EdgeSettings(
-    vm="vm",
-    availability_zone="zone",
-    host="127.0.0.1",
-    callers_port=0,
-    readiness_port=0,
-    peers_port=0,
-)
+CFG = make_settings()
 
 
 def make_daemon(cfg=CFG):
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_leadership.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_leadership.py
@@ -5,9 +5,10 @@
 
 import pytest
 
-from papayadyke_daemon.edge import EdgeSettings, Write
+from papayadyke_daemon.edge import Write
 from papayadyke_daemon.edge._keys import DECIDER_KEY, DeciderRecord, encode_record
 from papayadyke_daemon.edge._leadership import Leadership
+from papayadyke_daemon.edge.tests.deciders import make_settings
 from papayadyke_daemon.edge.tests.fake_store import FakeStore, make_ports
 
 TIMEOUT_S = 20.0  # seconds for any wait of a test
@@ -37,16 +38,7 @@
         self.start_called = threading.Event()
         self.is_stopped = threading.Event()
         self.can_start = True
-        cfg = EdgeSettings(
-            vm="vm",
-            availability_zone="zone",
-            host="127.0.0.1",
-            callers_port=0,
-            readiness_port=0,
-            peers_port=0,
-            strength=strength,
-            renew_s=0.01,
-        )
+        cfg = make_settings(strength=strength, renew_s=0.01)
         self.leadership = Leadership(
             cfg,
             make_ports(self.store),
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_pause.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_pause.py
@@ -2,21 +2,13 @@
 
 import pytest
 
-from papayadyke_daemon.edge import EdgeSettings, StoreErrorKind, _leadership
+from papayadyke_daemon.edge import StoreErrorKind, _leadership
 from papayadyke_daemon.edge._leadership import Leadership
+from papayadyke_daemon.edge.tests.deciders import make_settings
 from papayadyke_daemon.edge.tests.fake_store import FakeStore, make_ports
 
 PAUSE_S = 8.0
-CFG = EdgeSettings(
-    vm="vm",
-    availability_zone="zone",
-    host="127.0.0.1",
-    callers_port=0,
-    readiness_port=0,
-    peers_port=0,
-    strength=2.0,
-    renew_s=0.01,
-)
+CFG = make_settings(strength=2.0, renew_s=0.01)
 
 
 class Paused:
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_roster.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_roster.py
@@ -8,9 +8,8 @@
 
 from result import Err
 
-from papayadyke_core.dispatch import Catalog, UpstreamEntry
-from papayadyke_daemon.edge import EdgeSettings, StoreError, StoreErrorKind, Write
-from papayadyke_daemon.edge._decider import Decider, Term
+from papayadyke_core.dispatch import Catalog
+from papayadyke_daemon.edge import StoreError, StoreErrorKind, Write
 from papayadyke_daemon.edge._keys import (
     DECIDER_KEY,
     ROSTER_KEY,
@@ -18,47 +17,20 @@
     decode_roster,
     encode_record,
 )
-from papayadyke_daemon.edge._peers import PeerClients
-from papayadyke_daemon.edge.tests.fake_store import FakeStore, make_ports
-
-CFG = EdgeSettings(
-    vm="vm",
-    availability_zone="zone",
-    host="127.0.0.1",
-    callers_port=0,
-    readiness_port=0,
-    peers_port=0,
-)
-KNOWN = RosterRecord(1, {"known": ("127.0.0.1:1", "service")})
-
+from papayadyke_daemon.edge.tests.deciders import ADDRESS, SERVICE, make_decider
+from papayadyke_daemon.edge.tests.fake_store import FakeStore
 
-class IdleClient:
-    def close(self):
-        pass
+KNOWN = RosterRecord(1, {"known": (ADDRESS, SERVICE)})
 
 
-def make_decider(store):
+def load_decider(store):
     """Return a loaded decider whose roster holds one of two listed upstreams."""
     token = store.write(
         [Write(DECIDER_KEY, b""), Write(ROSTER_KEY, encode_record(KNOWN))]
     ).ok_value
     for name in ("known", "new"):
-        store.write([Write(f"upstreams/{name}", b"")])
-    ports = make_ports(store)
-    object.__setattr__(ports, "connect_upstream", lambda entry: IdleClient())
-    object.__setattr__(
-        ports,
-        "decode_upstream",
-        lambda name, data: UpstreamEntry(name, "service", "127.0.0.1:1"),
-    )
-    decider = Decider(
-        CFG,
-        ports,
-        PeerClients(),
-        term=Term(token, 1, KNOWN),
-        may_issue_orders=lambda: True,
-        step_down=lambda why: None,
-    )
+        store.write([Write(f"upstreams/{name}", b"ready")])
+    decider = make_decider(store, token=token, roster=KNOWN)
     assert decider.load(Catalog(1))
     return decider
 
@@ -87,7 +59,7 @@
 
 def test_new_upstream_is_recorded_before_it_gets_work():
     store = FakeStore()
-    decider = make_decider(store)
+    decider = load_decider(store)
     assert list_recorded(decider) == ["known"]
     store_roster(decider)
     assert list_recorded(decider) == ["known", "new"]
@@ -96,7 +68,7 @@
 
 def test_upstream_is_not_recorded_if_the_roster_is_not_stored():
     store = FakeStore()
-    decider = make_decider(store)
+    decider = load_decider(store)
     store.fault = StoreErrorKind.NOT_DONE
     store_roster(decider)
     assert list_recorded(decider) == ["known"]
@@ -104,7 +76,7 @@
 
 def test_late_roster_does_not_replace_a_newer_one(monkeypatch):
     store = FakeStore()
-    decider = make_decider(store)
+    decider = load_decider(store)
     late: dict[str, Any] = {}
 
     def delay(writes, *, expected, **kwargs):
@@ -121,7 +93,7 @@
 
 def test_roster_is_stored_after_the_answer_of_a_write_was_lost():
     store = FakeStore()
-    decider = make_decider(store)
+    decider = load_decider(store)
     store.fault, store.takes_effect = StoreErrorKind.UNKNOWN, True
     store_roster(decider)
     assert list_recorded(decider) == ["known"]
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_unexpected_errors.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_unexpected_errors.py
@@ -12,35 +12,20 @@
     Catalog,
     Commit,
     StagedJobSpec,
-    StartOutcome,
     StepId,
     StepSpec,
     UpstreamEntry,
-    UpstreamReport,
 )
-from papayadyke_daemon.edge import EdgeSettings, Write
+from papayadyke_daemon.edge import Write
 from papayadyke_daemon.edge._advisers import AdvisoryPool
 from papayadyke_daemon.edge._committer import Committer
-from papayadyke_daemon.edge._decider import Decider, Term
-from papayadyke_daemon.edge._keys import (
-    JOB_PREFIX,
-    PROGRESS_PREFIX,
-    RosterRecord,
-    encode_record,
-)
+from papayadyke_daemon.edge._keys import JOB_PREFIX, PROGRESS_PREFIX, encode_record
 from papayadyke_daemon.edge._peers import PeerClients
 from papayadyke_daemon.edge._watch import PrefixWatch
+from papayadyke_daemon.edge.tests.deciders import IdleUpstream, make_decider
 from papayadyke_daemon.edge.tests.fake_store import FakeStore, make_ports
 
 TIMEOUT_S = 10.0  # seconds for any wait of a test
-CFG = EdgeSettings(
-    vm="vm",
-    availability_zone="zone",
-    host="127.0.0.1",
-    callers_port=0,
-    readiness_port=0,
-    peers_port=0,
-)
 
 
 class FailOnce:
@@ -130,43 +115,13 @@
     pool.stop()
 
 
-class IdleUpstream:
-    """Client of an upstream that runs nothing."""
-
-    def poll(self, *, token, acknowledged_end, lease_until_s, wait_s):
-        return Ok(UpstreamReport(1, 0.0, 0.0))
-
-    def start(self, order, *, token, lease_until_s):
-        return StartOutcome.STARTED
-
-    def stop(self, order, *, token):
-        return True
-
-    def close(self):
-        pass
-
-
-def decode_upstream(name, data):
+def decode_or_fail(name, data):
     """Decode a registry entry; an entry of a test fails in an unexpected way."""
     if data == b"malformed":
         raise OverflowError("port must be 0-65535")
     return UpstreamEntry(name, "service", f"127.0.0.1:{data.decode()}")
 
 
-def make_decider(store, connect=lambda entry: IdleUpstream()):
-    ports = make_ports(store)
-    object.__setattr__(ports, "connect_upstream", connect)
-    object.__setattr__(ports, "decode_upstream", decode_upstream)
-    return Decider(
-        CFG,
-        ports,
-        PeerClients(),
-        term=Term(store.revision, 0, RosterRecord()),
-        may_issue_orders=lambda: True,
-        step_down=lambda why: None,
-    )
-
-
 def wait_for(condition):
     deadline_s = time.monotonic() + TIMEOUT_S
     while not condition():
@@ -177,7 +132,7 @@
 def test_term_begins_although_a_registry_entry_is_malformed():
     store = FakeStore()
     store.write([Write("upstreams/a", b"malformed"), Write("upstreams/b", b"1")])
-    decider = make_decider(store)
+    decider = make_decider(store, decode=decode_or_fail)
     assert decider.start(Catalog(1))
     assert decider.list_upstreams() == ["b"]
     decider.stop()
@@ -192,7 +147,7 @@
             raise ValueError("invalid address")
         return IdleUpstream()
 
-    decider = make_decider(store, connect)
+    decider = make_decider(store, connect=connect, decode=decode_or_fail)
     assert decider.start(Catalog(1))
     assert decider.list_upstreams() == ["b"]
     decider.stop()
@@ -208,7 +163,7 @@
             Write(PROGRESS_PREFIX + "worse", b"{"),
         ]
     )
-    decider = make_decider(store)
+    decider = make_decider(store, decode=decode_or_fail)
     assert decider.start(Catalog(1))
     assert decider.get_state("good") is not None
     assert decider.get_state("bad") is None
@@ -217,7 +172,7 @@
 
 def test_registry_listing_applies_all_other_entries_of_a_malformed_one():
     store = FakeStore()
-    decider = make_decider(store)
+    decider = make_decider(store, decode=decode_or_fail)
     assert decider.start(Catalog(1))
     store.write([Write("upstreams/a", b"malformed"), Write("upstreams/b", b"1")])
     wait_for(lambda: decider.list_upstreams() == ["b"])
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_upstream_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_upstream_agent.py
@@ -12,8 +12,9 @@
     TaskId,
     UpstreamReport,
 )
-from papayadyke_daemon.edge import EdgeSettings, _agents
+from papayadyke_daemon.edge import _agents
 from papayadyke_daemon.edge._agents import AgentCallbacks, UpstreamAgent
+from papayadyke_daemon.edge.tests.deciders import make_settings
 
 TIMEOUT_S = 10.0  # seconds for any wait of a test
 TASK = TaskId("job", 0, 0, 0)
@@ -61,15 +62,7 @@
         self.answered = threading.Event()
         self.stop_accepted = threading.Event()
         self.may_issue = True
-        cfg = EdgeSettings(
-            vm="vm",
-            availability_zone="zone",
-            host="127.0.0.1",
-            callers_port=0,
-            readiness_port=0,
-            peers_port=0,
-            lease_s=LEASE_S,
-        )
+        cfg = make_settings(lease_s=LEASE_S)
         self.agent = UpstreamAgent(
             "u",
             address="127.0.0.1:1",
