Log and count the runs that are lost, with the cause

Cause: a restart of an upstream was logged without the runs that it ended, and a run that is gone without a listed end was logged nowhere, so the hypotheses on tasks that crash their upstreams could not be told apart. Change: the dispatcher hands out each lost run with its age and whether its upstream had restarted, was silent, or no longer listed it; the decider logs one line per upstream, step and cause and counts papayadyke_runs_lost. A run remembers the incarnation of its upstream; one that the next incarnation received belongs to that. Ruled out: telling it from the ends: a crashed upstream lists none.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -10,6 +10,8 @@
     Advice,
     Commit,
     EndedRun,
+    LossCause,
+    LostRun,
     Orders,
     RunEnd,
     RunningRun,
@@ -91,6 +93,7 @@
         self._committing_states: dict[str, JobState] | None = None
         self._pending_stops: list[StopOrder] = []
         self._stopping_runs: dict[tuple[TaskId, int], Run] = {}
+        self._lost_runs: list[LostRun] = []
         self._needs_placement = True
         self._next_placement_s = 0.0
         self._takeover_barrier_s: float | None = None
@@ -359,6 +362,11 @@
         """Record that an advisory call failed."""
         self.advice_cache.record_failure(step, retry_at_s=now + ADVICE_RETRY_S)
 
+    def take_lost_runs(self) -> list[LostRun]:
+        """Remove and return the runs that were lost since the last call."""
+        lost_runs, self._lost_runs = self._lost_runs, []
+        return lost_runs
+
     # Decisions
 
     def tick(self, now: float, wall_s: float) -> Orders:
@@ -571,6 +579,7 @@
         if run.phase is not RunPhase.RUNNING:
             run.phase, run.phase_since_s = RunPhase.RUNNING, now
             self._mark_active(run)
+        run.incarnation = upstream.incarnation
         run.percent = running.percent
         step = self._find_step(running.task)
         if step is not None and running.checkpoint and not run.is_unwanted:
@@ -596,6 +605,7 @@
             RunPhase.ORDERED,
             now,
             now,
+            upstream.incarnation,
             is_unwanted=not is_needed,
         )
         upstream.add(run)
@@ -615,14 +625,14 @@
         if run.phase is RunPhase.ORDERED or run.phase_since_s >= report.requested_s:
             return
         if run.phase is RunPhase.RUNNING:
-            self._drop_run(upstream, run, RunEnd.LOST, now)
+            self._lose_run(upstream, run, now)
             return
         if run.stop_confirmed_s is None:
             # The start order may still be in transit; a stop prevents the start.
             if run.stop_requested_s is None:
                 self._stop_run(run, now, "the start was not answered")
         elif run.stop_confirmed_s < report.requested_s:
-            self._drop_run(upstream, run, RunEnd.LOST, now)
+            self._lose_run(upstream, run, now)
 
     def _process_end(self, upstream: Upstream, ended: EndedRun, now: float) -> None:
         run = upstream.runs.get((ended.task, ended.attempt))
@@ -709,6 +719,18 @@
         if step.count_failures(index) >= max_attempts:
             self._finish_job(job, JobState.FAILED, now)
 
+    def _lose_run(self, upstream: Upstream, run: Run, now: float) -> None:
+        """Drop a run that its upstream neither runs nor lists as ended."""
+        has_restarted = run.incarnation != upstream.incarnation
+        cause = LossCause.RESTARTED if has_restarted else LossCause.NOT_LISTED
+        self._record_loss(run, cause, now)
+        self._drop_run(upstream, run, RunEnd.LOST, now)
+
+    def _record_loss(self, run: Run, cause: LossCause, now: float) -> None:
+        self._lost_runs.append(
+            LostRun(run.upstream_id, run.task, run.attempt, cause, now - run.started_s)
+        )
+
     def _drop_run(self, upstream: Upstream, run: Run, end: RunEnd, now: float) -> None:
         """Free the resources of a run whose end will not be listed."""
         upstream.remove(run)
@@ -797,6 +819,7 @@
                 continue
             for run in list(upstream.runs.values()):
                 if now > self._find_lease_end_s(upstream, run):
+                    self._record_loss(run, LossCause.SILENT, now)
                     self._drop_run(upstream, run, RunEnd.LAPSED, now)
 
     def _find_lease_end_s(self, upstream: Upstream, run: Run) -> float:
--- a/packages/core/src/papayadyke_core/dispatch/_messages.py
+++ b/packages/core/src/papayadyke_core/dispatch/_messages.py
@@ -78,6 +78,41 @@
     checkpoint: str = ""
 
 
+class LossCause(StrEnum):
+    """Why a run is gone although its upstream lists no end of it.
+
+    After `RESTARTED` the upstream lists it no longer and has begun a new incarnation
+    since the order. After `SILENT` the upstream did not answer until the lease of the
+    run had expired. Else the upstream was there all the time: `NOT_LISTED`.
+    """
+
+    RESTARTED = "restarted"
+    SILENT = "silent"
+    NOT_LISTED = "not_listed"
+
+
+@dataclass(frozen=True, slots=True)
+class LostRun:
+    """A run that ended without a listed end.
+
+    Parameters
+    ----------
+    upstream_id : str
+    task : TaskId
+    attempt : int
+    cause : LossCause
+    age_s : float
+        Seconds since the run was ordered, or first reported if an earlier decider
+        ordered it.
+    """
+
+    upstream_id: str
+    task: TaskId
+    attempt: int
+    cause: LossCause
+    age_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamReport:
     """Runs in progress and unacknowledged ends of an upstream.
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -140,14 +140,24 @@
         else:
             attempt = step.next_attempt(index, self._attempt_floor)
         now = self._now
-        upstream.add(Run(task, attempt, name, step.spec, RunPhase.ORDERED, now, now))
+        run = Run(
+            task,
+            attempt,
+            name,
+            step.spec,
+            RunPhase.ORDERED,
+            now,
+            now,
+            upstream.incarnation,
+        )
+        upstream.add(run)
         if not upstream.free_slots_for(step.spec) >= 0 or (
             not step.spec.fills_spare
             and upstream.used_cpu_millis > upstream.entry.cpu_millis
         ):
             raise AssertionError(f"start on upstream {name} would exceed its capacity")
         step.record_attempt(index, attempt)
-        step.live[index] = upstream.runs[(task, attempt)]
+        step.live[index] = run
         step.waiting.discard(index)
         ticket = self._advice_cache.find_ticket(step.step_id, name, now) or ""
         checkpoint = step.checkpoints.get(index, "")
--- a/packages/core/src/papayadyke_core/dispatch/_run.py
+++ b/packages/core/src/papayadyke_core/dispatch/_run.py
@@ -34,6 +34,9 @@
         When the phase began, in seconds on the dispatcher's clock.
     started_s : float
         When the run was ordered, or first reported if an earlier decider ordered it.
+    incarnation : int or None
+        Incarnation of the upstream when the run was ordered or first reported; None
+        if the upstream had not reported.
     percent : float
         Progress that the upstream reports.
     is_unwanted : bool
@@ -50,6 +53,7 @@
     phase: RunPhase
     phase_since_s: float
     started_s: float
+    incarnation: int | None = None
     percent: float = 0.0
     is_unwanted: bool = False
     stop_requested_s: float | None = None
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_restarts_and_handovers.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_restarts_and_handovers.py
@@ -12,6 +12,7 @@
     DispatchSettings,
     EndedRun,
     JobState,
+    LossCause,
     RunEnd,
     RunningRun,
     StartOutcome,
@@ -241,3 +242,32 @@
     report(successor, "a", 0.1, running=[RunningRun(TASK, 1)])
     (stop,) = successor.tick(0.1, 0.1).stops
     assert stop.task == TASK
+
+
+# What the losses of runs tell operators
+
+
+def test_run_lost_in_a_restart_is_told_from_one_on_a_silent_upstream():
+    dispatcher = make_dispatcher()
+    order = start_job(dispatcher)
+    dispatcher.process_start_outcome(order, StartOutcome.STARTED, 0.2)
+    report(dispatcher, order.upstream_id, 0.3, incarnation=NEW)
+    (lost,) = dispatcher.take_lost_runs()
+    assert (lost.task, lost.cause) == (TASK, LossCause.RESTARTED)
+    (order,) = dispatcher.tick(0.3, 0.3).starts
+    dispatcher.process_start_outcome(order, StartOutcome.STARTED, 0.4)
+    dispatcher.mark_unreachable(order.upstream_id)
+    dispatcher.tick(12.0, 12.0)
+    (lost,) = dispatcher.take_lost_runs()
+    assert (lost.task, lost.cause) == (TASK, LossCause.SILENT)
+    assert not dispatcher.take_lost_runs()
+
+
+def test_run_that_a_new_incarnation_has_received_is_not_lost_in_the_restart():
+    dispatcher = make_dispatcher()
+    order = start_job(dispatcher)
+    running = [RunningRun(order.task, order.attempt)]
+    report(dispatcher, order.upstream_id, 0.2, incarnation=NEW, running=running)
+    report(dispatcher, order.upstream_id, 0.4, incarnation=NEW)
+    (lost,) = dispatcher.take_lost_runs()
+    assert lost.cause is LossCause.NOT_LISTED
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -31,7 +31,12 @@
 from papayadyke_daemon.edge._agents import AgentCallbacks, UpstreamAgent
 from papayadyke_daemon.edge._clock import read_clock
 from papayadyke_daemon.edge._committer import Committer
-from papayadyke_daemon.edge._decision_log import log_ends, log_starts, log_stop
+from papayadyke_daemon.edge._decision_log import (
+    log_ends,
+    log_losses,
+    log_starts,
+    log_stop,
+)
 from papayadyke_daemon.edge._keys import (
     CANCEL_PREFIX,
     DECIDER_KEY,
@@ -332,6 +337,7 @@
             # No order may be sent; placing would only reserve capacity.
             return now + MAX_STEP_INTERVAL_S
         orders = self._dispatcher.tick(now, time.time())
+        log_losses(self._dispatcher.take_lost_runs())
         for request in orders.advice:
             self._advisory_pool.submit(request)
         log_starts(
@@ -648,6 +654,7 @@
         ended = self._dispatcher.process_report(upstream_id, report, read_clock())
         if ended:
             log_ends(upstream_id, ended)
+        log_losses(self._dispatcher.take_lost_runs())
 
     def _post_contact_lost(self, upstream_id: str, detail: str) -> None:
         self._mailbox.post(lambda: self._dispatcher.mark_unreachable(upstream_id))
--- a/packages/daemon/src/papayadyke_daemon/edge/_decision_log.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decision_log.py
@@ -7,6 +7,8 @@
 
 from papayadyke_core.dispatch import (
     EndedRun,
+    LossCause,
+    LostRun,
     RunEnd,
     StagedJob,
     StartOrder,
@@ -86,3 +88,23 @@
             upstream=upstream_id,
             end=end,
         )
+
+
+def log_losses(lost_runs: Iterable[LostRun]) -> None:
+    """Log the runs that are gone without an end, one line per upstream, step, cause."""
+    groups: dict[tuple[str, StepId, LossCause], list[LostRun]] = {}
+    for run in lost_runs:
+        METRICS.count("papayadyke_runs_lost", cause=run.cause)
+        key = run.upstream_id, StepId(*run.task[:3]), run.cause
+        groups.setdefault(key, []).append(run)
+    for (upstream_id, step, cause), runs in groups.items():
+        log_event(
+            LOG,
+            "decider: runs lost",
+            request=step.job_id,
+            step=step,
+            tasks=[run.task.number for run in runs],
+            upstream=upstream_id,
+            cause=cause,
+            age_s=round(max(run.age_s for run in runs), 3),
+        )
