--- a/packages/core/src/papayadyke_core/dispatch/tests/dispatch_world.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/dispatch_world.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import random
+from collections import Counter
 from dataclasses import dataclass, field
 
 from papayadyke_core.dispatch import (
@@ -33,6 +35,10 @@
 
 QUEUE = "host/queue/"
 LEASE_S = 6.0
+CRASH_DELAY_S = 0.2  # seconds from the start of a deadly task to the crash
+DOWN_S = (2.0, 4.0)  # seconds until a crashed upstream is back
+# BUDGET: starts of a task after that many upstreams have crashed under it.
+MAX_CRASHES, MAX_LATER_STARTS = 3, 2
 
 
 def make_catalog(**changes):
@@ -74,6 +80,7 @@
     ended: list[EndedRun] = field(default_factory=list)
     end_count: int = 0
     is_disconnected: bool = False
+    back_s: float | None = None  # when it is back from a crash
 
     def start(self, order: StartOrder, token: int, deadline_s: float, now: float):
         if token < self.token:
@@ -156,6 +163,12 @@
         # Fault of the next start: "answer" loses the answer, "lost" the order, and
         # "late" delays the order without an answer.
         self.next_start_fault: str | None = None
+        # Tasks that crash each upstream that starts them, `CRASH_DELAY_S` later.
+        self.deadly: set[TaskId] = set()
+        self.started_s: dict[tuple[TaskId, int], float] = {}
+        self.crashes: Counter[TaskId] = Counter()
+        self.later_starts: Counter[TaskId] = Counter()
+        self.rng = random.Random(0)
         self.term = 0
         self.dispatcher = self.make_dispatcher()
 
@@ -204,6 +217,7 @@
         self._deliver_delayed_starts()
         for upstream in self.upstreams.values():
             upstream.expire(self.now)
+            self._crash_or_return(upstream)
         self.poll()
         self._commit()
         self._execute_orders(self.dispatcher.tick(self.now, self.now))
@@ -252,6 +266,28 @@
                 self.failed[run.task] -= 1
         upstream.crash()
 
+    def _crash_or_return(self, upstream):
+        """Crash an upstream that runs a deadly task; reconnect one that is back."""
+        if upstream.back_s is not None and upstream.back_s <= self.now:
+            upstream.back_s, upstream.is_disconnected = None, False
+        deadly = [
+            task
+            for task, attempt in upstream.running.items()
+            if task in self.deadly
+            and self.now - self.started_s[task, attempt] >= CRASH_DELAY_S
+        ]
+        if not deadly:
+            return
+        for task in deadly:
+            self.crashes[task] += 1
+        self.crash_for(upstream.entry.upstream_id, self.rng.uniform(*DOWN_S))
+
+    def crash_for(self, name, seconds):
+        """Crash an upstream that is silent for some seconds."""
+        self.crash(name)
+        upstream = self.upstreams[name]
+        upstream.is_disconnected, upstream.back_s = True, self.now + seconds
+
     def get_state(self, job_id):
         return self.dispatcher.get_state(job_id)
 
@@ -345,6 +381,7 @@
         outcome = upstream.start(order, token, deadline_s, self.now)
         if outcome is StartOutcome.STARTED and is_new:
             self.starts += 1
+            self.started_s[order.task, order.attempt] = self.now
             self._check_start(order.task)
         return outcome
 
@@ -353,6 +390,11 @@
         max_attempts = self.catalog.queues[QUEUE].max_attempts
         if not self.step_specs[task].is_long_running:
             assert self.failed.get(task, 0) < max_attempts, f"{task} started too often"
+        if self.crashes[task] >= MAX_CRASHES:
+            self.later_starts[task] += 1
+            assert self.later_starts[task] <= MAX_LATER_STARTS, (
+                f"{task} started again after {self.crashes[task]} crashes"
+            )
         for number in self.jobs[task.job_id].steps[task.step].after:
             for index in range(self.jobs[task.job_id].steps[number].count):
                 earlier = TaskId(task.job_id, task.occurrence, number, index)
