Give up tasks under which upstreams go on crashing

Callers saw: a job stayed active for good while its task crashed one upstream after the other, and the work beside it was lost each time. Cause: only ends that an upstream lists count as attempts. A crash lists none, so the run counted as never made and was placed again without a bound; nothing about it was stored. Ruled out: that takeovers forget counted crashes (18 crashes in 60 s without any), and that setting upstreams aside ends it (a restart resets their failures). Change: when contact with an upstream is lost, its runs become doubtful, and that is stored with the progress. The next report tells a crash (new incarnation) from silence. A task is given up after two crashes if the last one had no other explanation: no task of another job on the upstream, no other upstream lost at the time. After four it is given up in any case. Suspects start apart from each other; from the second loss on a task has an idle upstream to itself for two seconds and starts only once the loss is stored. A run that lasts for 30 s clears its task. The log names the crashes that count and what is given up.

--- a/packages/core/src/papayadyke_core/dispatch/__init__.py
+++ b/packages/core/src/papayadyke_core/dispatch/__init__.py
@@ -1,5 +1,6 @@
 """Scheduling of staged jobs on shared upstreams: ranking, placement and progress."""
 
+from papayadyke_core.dispatch._crashes import TaskCrash
 from papayadyke_core.dispatch._dispatcher import Dispatcher
 from papayadyke_core.dispatch._job import StagedJob, StepRun
 from papayadyke_core.dispatch._messages import (
@@ -71,6 +72,7 @@
     "StepRun",
     "StepSpec",
     "StopOrder",
+    "TaskCrash",
     "TaskId",
     "Upstream",
     "UpstreamEntry",
--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -5,6 +5,7 @@
 import logging
 
 from papayadyke_core.dispatch._advice import AdviceCache
+from papayadyke_core.dispatch._crashes import CrashTracker, TaskCrash
 from papayadyke_core.dispatch._job import StagedJob, StepRun
 from papayadyke_core.dispatch._messages import (
     Advice,
@@ -94,6 +95,13 @@
         self._pending_stops: list[StopOrder] = []
         self._stopping_runs: dict[tuple[TaskId, int], Run] = {}
         self._lost_runs: list[LostRun] = []
+        self._crash_tracker = CrashTracker(settings, find_step=self._find_step)
+        self._task_crashes: list[TaskCrash] = []
+        # Jobs whose doubts or crashes are not stored, without and with a commit of them
+        # in progress.
+        self._unstored_suspicions: set[str] = set()
+        self._committing_suspicions: set[str] = set()
+        self._is_store_failing = False
         self._needs_placement = True
         self._next_placement_s = 0.0
         self._takeover_barrier_s: float | None = None
@@ -169,6 +177,7 @@
         for name in unused:
             del self.upstreams[name]
             self._unread_ends.remove_upstream(name)
+            self._record_suspicion(self._crash_tracker.remove_upstream(name))
         return unused
 
     # Jobs
@@ -186,6 +195,8 @@
         job = StagedJob(spec, now=now, age_s=age_s)
         if progress is not None:
             job.restore_progress(progress)
+            for step in job.steps.values():
+                self._crash_tracker.restore(step)
         job.hold_until_s = self._takeover_barrier_s or 0.0
         self.jobs[spec.job_id] = job
         if is_cancelled and not job.is_final:
@@ -303,13 +314,14 @@
             self._process_running(upstream, running, now)
         for run in [run for run in upstream.runs.values() if run.key not in listed]:
             self._check_unlisted_run(upstream, run, report, now)
+        self._count_crashes(upstream, now)
         return new_ends
 
-    def mark_unreachable(self, upstream_id: str) -> None:
+    def mark_unreachable(self, upstream_id: str, now: float = 0.0) -> None:
         """Mark an upstream as unreachable."""
         upstream = self.upstreams.get(upstream_id)
         if upstream is not None:
-            upstream.is_reachable = False
+            self._lose_contact(upstream, now)
 
     def process_start_outcome(
         self, order: StartOrder, outcome: StartOutcome, now: float
@@ -328,7 +340,9 @@
         elif outcome is StartOutcome.UNKNOWN:
             if run.phase is RunPhase.ORDERED:
                 run.phase, run.phase_since_s = RunPhase.UNCERTAIN, now
-            upstream.is_reachable = False
+            self._lose_contact(upstream, now)
+            if self._crash_tracker.doubt(run, now):
+                self._record_suspicion({run.task.job_id})
         else:
             if outcome is StartOutcome.BAD_TICKET:
                 self.advice_cache.remove_ticket(
@@ -337,7 +351,7 @@
             elif outcome in (StartOutcome.REFUSED, StartOutcome.NO_ROOM):
                 upstream.record_failure(now)
             elif outcome is StartOutcome.NOT_SENT:
-                upstream.is_reachable = False
+                self._lose_contact(upstream, now)
             self._drop_run(upstream, run, RunEnd.LOST, now)
 
     def process_stop_answer(self, order: StopOrder, now: float) -> None:
@@ -367,6 +381,11 @@
         lost_runs, self._lost_runs = self._lost_runs, []
         return lost_runs
 
+    def take_task_crashes(self) -> list[TaskCrash]:
+        """Remove and return the crashes that were counted since the last call."""
+        task_crashes, self._task_crashes = self._task_crashes, []
+        return task_crashes
+
     # Decisions
 
     def tick(self, now: float, wall_s: float) -> Orders:
@@ -412,6 +431,9 @@
             if job is None:
                 continue
             progress[name] = encode_progress(job.snapshot_progress())
+            if name in self._unstored_suspicions:
+                self._unstored_suspicions.discard(name)
+                self._committing_suspicions.add(name)
             self._committing_states[name] = job.state
         ended_job_ids = [
             n for n, state in self._committing_states.items() if state in FINAL_STATES
@@ -421,7 +443,11 @@
     def finish_commit(self, commit: Commit, *, is_stored: bool) -> list[str]:
         """Finish the commit in progress; return the jobs whose end it stored."""
         states, self._committing_states = self._committing_states or {}, None
+        suspicions, self._committing_suspicions = self._committing_suspicions, set()
+        self._is_store_failing = not is_stored
+        self._needs_placement |= bool(suspicions)
         if not is_stored:
+            self._unstored_suspicions |= suspicions
             for name in states:
                 self._dirty_jobs.setdefault(name)
             return []
@@ -563,6 +589,8 @@
         """
         LOG.info("dispatch: upstream %s restarted", upstream.upstream_id)
         self._unread_ends.remove_upstream(upstream.upstream_id)
+        if upstream.is_reachable:
+            self._crash_tracker.record_loss(upstream, now)
         # Leases sent since the restart had times of the previous incarnation's clock.
         held_until_s = now + self.settings.longest_hold_s
         upstream.lease_until_s = max(upstream.lease_until_s, held_until_s)
@@ -579,11 +607,21 @@
         if run.phase is not RunPhase.RUNNING:
             run.phase, run.phase_since_s = RunPhase.RUNNING, now
             self._mark_active(run)
+        step = self._find_step(running.task)
+        if step is not None and run.incarnation != upstream.incarnation:
+            # The present incarnation has received the order.
+            step.withdraw_doubt(running.task.number, upstream.upstream_id)
         run.incarnation = upstream.incarnation
         run.percent = running.percent
-        step = self._find_step(running.task)
-        if step is not None and running.checkpoint and not run.is_unwanted:
-            step.checkpoints[running.task.number] = running.checkpoint
+        if step is None or run.is_unwanted:
+            return
+        index = running.task.number
+        if running.checkpoint:
+            step.checkpoints[index] = running.checkpoint
+        if now - run.started_s > self.settings.suspect_s and step.clear_suspicion(
+            index
+        ):
+            self._record_suspicion({running.task.job_id})
 
     def _adopt_run(self, upstream: Upstream, running: RunningRun, now: float) -> Run:
         """Register a reported run that this decider has not started."""
@@ -723,9 +761,42 @@
         """Drop a run that its upstream neither runs nor lists as ended."""
         has_restarted = run.incarnation != upstream.incarnation
         cause = LossCause.RESTARTED if has_restarted else LossCause.NOT_LISTED
+        if has_restarted and self._crash_tracker.doubt(run, now):
+            self._record_suspicion({run.task.job_id})
         self._record_loss(run, cause, now)
         self._drop_run(upstream, run, RunEnd.LOST, now)
 
+    def _lose_contact(self, upstream: Upstream, now: float) -> None:
+        if not upstream.is_reachable:
+            return
+        upstream.is_reachable = False
+        # What runs on a draining upstream ends with it, which is no crash.
+        if not upstream.entry.is_draining:
+            self._crash_tracker.record_loss(upstream, now)
+            self._record_suspicion(self._crash_tracker.doubt_runs(upstream, now))
+
+    def _count_crashes(self, upstream: Upstream, now: float) -> None:
+        """Count a crash of an upstream against its tasks; give up those to blame."""
+        crashes, job_ids = self._crash_tracker.resolve(upstream)
+        self._record_suspicion(job_ids)
+        self._task_crashes += crashes
+        for crash in crashes:
+            task = crash.task
+            job = self.jobs[task.job_id]
+            step = job.steps[task.occurrence, task.step]
+            step.avoided_upstreams.setdefault(task.number, set()).add(
+                upstream.upstream_id
+            )
+            if crash.is_given_up and not job.is_final:
+                self._finish_job(job, JobState.FAILED, now)
+
+    def _record_suspicion(self, job_ids: set[str]) -> None:
+        """Have the doubts and crashes of jobs stored."""
+        for job_id in sorted(job_ids):
+            if not self.jobs[job_id].is_final:
+                self._dirty_jobs.setdefault(job_id)
+                self._unstored_suspicions.add(job_id)
+
     def _record_loss(self, run: Run, cause: LossCause, now: float) -> None:
         self._lost_runs.append(
             LostRun(run.upstream_id, run.task, run.attempt, cause, now - run.started_s)
@@ -859,14 +930,27 @@
             upstreams=self.upstreams,
             advice_slots=self.advice_slots,
             attempt_floor=self.attempt_floor,
+            unstored_jobs=self._list_unstored_suspicions(),
             now=now,
         )
-        for step, queue in self._rank_steps(now):
+        ranked = self._rank_steps(now)
+        for step, queue in ranked:
+            if (step.crashes or step.doubts) and placement.place_alone(step, queue):
+                self._update_ready_step(step)
+        for step, queue in ranked:
+            if not step.waiting:
+                continue
             if placement.place(step, queue, factor=self.get_estimate_factor(queue.key)):
                 self._update_ready_step(step)
         orders.starts += placement.starts
         orders.advice += placement.advice
 
+    def _list_unstored_suspicions(self) -> set[str]:
+        """Return the jobs whose suspects wait; none do while the store fails."""
+        if self._is_store_failing:
+            return set()
+        return self._unstored_suspicions | self._committing_suspicions
+
     def _rank_steps(self, now: float) -> list[tuple[StepRun, QueuePolicy]]:
         ranked = []
         for step in self._ready_steps.values():
--- a/packages/core/src/papayadyke_core/dispatch/_job.py
+++ b/packages/core/src/papayadyke_core/dispatch/_job.py
@@ -6,6 +6,7 @@
     FINAL_STATES,
     JobProgress,
     JobState,
+    LostContact,
     StepProgress,
 )
 from papayadyke_core.dispatch._run import Run
@@ -40,6 +41,9 @@
         self.attempts: dict[int, int] = {}
         self.avoided_upstreams: dict[int, set[str]] = {}
         self.ready_s: float | None = None
+        self.crashes: dict[int, list[LostContact]] = {}
+        # Upstreams that may have crashed under a run of the task.
+        self.doubts: dict[int, list[LostContact]] = {}
 
     @property
     def is_done(self) -> bool:
@@ -68,6 +72,49 @@
             return len({n for attempts in self.failed.values() for n in attempts})
         return len(self.failed.get(index, ()))
 
+    def count_crashes(self, index: int) -> int:
+        """Return the number of crashes that count against a task."""
+        return len(self.crashes.get(index, ()))
+
+    def is_suspect(self, index: int) -> bool:
+        """Return whether upstreams have crashed, or may have, under a task."""
+        return index in self.crashes or index in self.doubts
+
+    def add_doubt(self, index: int, doubt: LostContact) -> bool:
+        """Record that an upstream may have crashed; return whether that is new."""
+        if index in self.done:
+            return False
+        known = (*self.crashes.get(index, ()), *self.doubts.get(index, ()))
+        life = doubt.upstream_id, doubt.incarnation
+        if any((other.upstream_id, other.incarnation) == life for other in known):
+            return False
+        self.doubts.setdefault(index, []).append(doubt)
+        return True
+
+    def take_doubts(self, index: int, upstream_id: str) -> list[LostContact]:
+        """Remove and return the doubts of a task about an upstream."""
+        doubts = self.doubts.pop(index, [])
+        taken = [doubt for doubt in doubts if doubt.upstream_id == upstream_id]
+        if len(taken) < len(doubts):
+            self.doubts[index] = [d for d in doubts if d.upstream_id != upstream_id]
+        return taken
+
+    def withdraw_doubt(self, index: int, upstream_id: str) -> None:
+        """Drop a doubt of an unanswered start that has not crashed the upstream."""
+        doubts = self.take_doubts(index, upstream_id)
+        kept = [doubt for doubt in doubts if doubt.was_running]
+        if kept:
+            self.doubts.setdefault(index, []).extend(kept)
+
+    def count_losses(self, index: int) -> int:
+        """Return the number of upstreams that crashed or may have, under a task."""
+        return self.count_crashes(index) + len(self.doubts.get(index, ()))
+
+    def clear_suspicion(self, index: int) -> bool:
+        """Forget all crashes and doubts of a task; return whether there were any."""
+        had_crashes = self.crashes.pop(index, None) is not None
+        return self.doubts.pop(index, None) is not None or had_crashes
+
     def mark_done(self, index: int) -> bool:
         """Mark a task as done; return whether it was not done before.
 
@@ -79,6 +126,7 @@
             self.checkpoints.pop(index, None)
             return False
         self.done.add(index)
+        self.clear_suspicion(index)
         self.waiting.discard(index)
         self.job.invalidate_estimates()
         return True
@@ -91,10 +139,16 @@
 
     def snapshot_progress(self) -> StepProgress | None:
         """Return the progress to store, or None if there is none yet."""
-        if not (self.done or self.failed or self.checkpoints):
+        if not (
+            self.done or self.failed or self.checkpoints or self.crashes or self.doubts
+        ):
             return None
         return StepProgress(
-            sorted(self.done), dict(self.failed), dict(self.checkpoints)
+            sorted(self.done),
+            dict(self.failed),
+            dict(self.checkpoints),
+            dict(self.crashes),
+            dict(self.doubts),
         )
 
     def restore_progress(self, progress: StepProgress) -> None:
@@ -107,6 +161,8 @@
         self.checkpoints = {
             i: text for i, text in progress.checkpoints.items() if i in valid
         }
+        self.crashes = {i: rows for i, rows in progress.crashes.items() if i in valid}
+        self.doubts = {i: rows for i, rows in progress.doubts.items() if i in valid}
         for index, attempts in self.failed.items():
             self.record_attempt(index, max(attempts))
 
--- a/packages/core/src/papayadyke_core/dispatch/_placement.py
+++ b/packages/core/src/papayadyke_core/dispatch/_placement.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Iterable, Sequence, Set
 
 from papayadyke_core.dispatch._job import StepRun
 from papayadyke_core.dispatch._upstream import Upstream
@@ -11,7 +12,11 @@
 
 
 def list_candidates(
-    step: StepRun, upstreams: Iterable[Upstream], *, reserved: set[str]
+    step: StepRun,
+    upstreams: Iterable[Upstream],
+    *,
+    reserved: set[str],
+    is_idle: bool = False,
 ) -> list[tuple[Upstream, int]]:
     """Return upstreams with free slots for a step and their number, best first.
 
@@ -22,6 +27,8 @@
         Upstreams that may run tasks of the step now.
     reserved : set of str
         Ids of upstreams to exclude, since they are reserved for other steps.
+    is_idle : bool, default=False
+        Whether slots that other runs use count as free.
     """
     spec = step.spec
     candidates = []
@@ -30,7 +37,9 @@
             continue
         if spec.label and spec.label not in upstream.entry.labels:
             continue
-        slots = upstream.free_slots_for(spec)
+        slots = (
+            upstream.total_slots_for(spec) if is_idle else upstream.free_slots_for(spec)
+        )
         if slots > 0 and spec.max_per_upstream:
             slots = min(slots, spec.max_per_upstream - count_live(step, upstream))
         if slots > 0:
@@ -45,21 +54,53 @@
     return sum(1 for run in upstream.runs.values() if run.task[:3] == step_id)
 
 
-def _placement_key(step: StepRun, upstream: Upstream) -> tuple[bool, float, int]:
-    rack = step.spec.data_rack
-    is_remote = bool(rack) and upstream.entry.rack != rack
+def _placement_key(step: StepRun, upstream: Upstream) -> tuple[bool, bool, float, int]:
     # Among equals, the upstream with the most used CPU comes first: this keeps whole
     # upstreams free for gangs.
-    return is_remote, -round(upstream.speed, SPEED_DIGITS), -upstream.used_cpu_millis
+    return (
+        _is_remote(step, upstream),
+        upstream.suspect_runs > 0,
+        -round(upstream.speed, SPEED_DIGITS),
+        -upstream.used_cpu_millis,
+    )
+
+
+def _is_remote(step: StepRun, upstream: Upstream) -> bool:
+    rack = step.spec.data_rack
+    return bool(rack) and upstream.entry.rack != rack
 
 
 def place_independent_tasks(
-    step: StepRun, candidates: list[tuple[Upstream, int]]
+    step: StepRun,
+    candidates: list[tuple[Upstream, int]],
+    *,
+    held: Set[int] = frozenset(),
 ) -> list[tuple[int, Upstream]]:
-    """Assign waiting tasks of a step to upstreams until no slot is left."""
+    """Assign waiting tasks of a step to upstreams until no slot is left.
+
+    Tasks under which upstreams have crashed are placed first and apart, each where the
+    fewest other runs are, which shows which of them is to blame and spares the others.
+
+    Parameters
+    ----------
+    step : StepRun
+    candidates : list of (Upstream, int)
+        Upstreams with their free slots for the step, best first.
+    held : set of int
+        Waiting tasks that may not start yet.
+    """
     slots = {upstream.upstream_id: count for upstream, count in candidates}
     placed: list[tuple[int, Upstream]] = []
-    for index in sorted(step.waiting):
+    waiting = step.waiting - held
+    suspects = sorted(index for index in waiting if step.is_suspect(index))
+    for index in suspects:
+        free = [(upstream, slots[upstream.upstream_id]) for upstream, _ in candidates]
+        apart = choose_upstream_apart(step, index, free, placed=placed)
+        if apart is None:
+            break
+        slots[apart.upstream_id] -= 1
+        placed.append((index, apart))
+    for index in sorted(waiting.difference(suspects)):
         avoided_upstreams = step.avoided_upstreams.get(index, set())
         chosen = _choose_upstream(candidates, slots, avoided_upstreams)
         if chosen is None:
@@ -69,6 +110,30 @@
     return placed
 
 
+def choose_upstream_apart(
+    step: StepRun,
+    index: int,
+    candidates: list[tuple[Upstream, int]],
+    *,
+    placed: Sequence[tuple[int, Upstream]] = (),
+) -> Upstream | None:
+    """Return the upstream with the fewest other suspects, then the fewest runs."""
+    avoided_upstreams = step.avoided_upstreams.get(index, set())
+    placed_here = Counter(upstream.upstream_id for _, upstream in placed)
+
+    def rank(upstream: Upstream) -> tuple[bool, int, bool, int]:
+        name = upstream.upstream_id
+        return (
+            name in avoided_upstreams,
+            upstream.suspect_runs + placed_here[name],
+            _is_remote(step, upstream),
+            len(upstream.runs),
+        )
+
+    free = [upstream for upstream, slots in candidates if slots > 0]
+    return min(free, key=rank, default=None)
+
+
 def _choose_upstream(
     candidates: list[tuple[Upstream, int]],
     slots: dict[str, int],
--- a/packages/core/src/papayadyke_core/dispatch/_progress.py
+++ b/packages/core/src/papayadyke_core/dispatch/_progress.py
@@ -20,6 +20,23 @@
 FINAL_STATES = frozenset({JobState.COMPLETE, JobState.FAILED, JobState.CANCELLED})
 
 
+class LostContact(msgspec.Struct, array_like=True, frozen=True):
+    """Loss of contact with an upstream, or its crash, under a run.
+
+    Parameters
+    ----------
+    upstream_id : str
+    incarnation : int
+        Incarnation of the upstream that was lost.
+    was_running : bool
+        Whether the run was known to have started. Otherwise its start was unanswered.
+    """
+
+    upstream_id: str
+    incarnation: int
+    was_running: bool = True
+
+
 class StepProgress(msgspec.Struct, array_like=True):
     """Progress of one step of one occurrence.
 
@@ -31,11 +48,17 @@
         Failed attempts of each task.
     checkpoints : dict of int to str
         Last checkpoint of each task.
+    crashes : dict of int to list of LostContact
+        Crashes of upstreams that count against each task.
+    doubts : dict of int to list of LostContact
+        Upstreams that may have crashed under each task.
     """
 
     done: list[int] = []
     failed: dict[int, list[int]] = {}
     checkpoints: dict[int, str] = {}
+    crashes: dict[int, list[LostContact]] = {}
+    doubts: dict[int, list[LostContact]] = {}
 
 
 class JobProgress(msgspec.Struct):
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
+from collections.abc import Set
 from dataclasses import dataclass, field
 
 from papayadyke_core.dispatch._advice import AdviceCache, choose_upstreams_to_ask
 from papayadyke_core.dispatch._job import StepRun
 from papayadyke_core.dispatch._messages import AdviceRequest, StartOrder
 from papayadyke_core.dispatch._placement import (
+    choose_upstream_apart,
     list_candidates,
     place_gang,
     place_independent_tasks,
     reserve_for_gang,
 )
-from papayadyke_core.dispatch._run import Run, RunPhase
+from papayadyke_core.dispatch._run import PRIME_SUSPECT_LOSSES, Run, RunPhase
 from papayadyke_core.dispatch._settings import DispatchSettings
 from papayadyke_core.dispatch._spec import AdvicePolicy, QueuePolicy
 from papayadyke_core.dispatch._upstream import Upstream
@@ -28,11 +31,18 @@
 class _Pool:
     """Upstreams of a service that accept new runs.
 
-    `max_free_cpu_millis` is the largest free CPU among them, in thousandths of a core.
+    Parameters
+    ----------
+    members : dict of str to Upstream
+    max_free_cpu_millis : int
+        Largest free CPU among them, in thousandths of a core.
+    max_alone : int
+        How many more of them may be kept for single tasks.
     """
 
     members: dict[str, Upstream] = field(default_factory=dict)
     max_free_cpu_millis: int = 0
+    max_alone: int = 0
 
 
 class PlacementRound:
@@ -47,6 +57,8 @@
         Maximum number of concurrent calls to the advisory service.
     attempt_floor : int
         Attempt numbers of this term are higher.
+    unstored_jobs : set of str
+        Jobs with losses of upstreams that are not stored yet.
     now : float
         Seconds, on the dispatcher's clock.
     """
@@ -59,6 +71,7 @@
         upstreams: dict[str, Upstream],
         advice_slots: int,
         attempt_floor: int,
+        unstored_jobs: Set[str],
         now: float,
     ) -> None:
         self.starts: list[StartOrder] = []
@@ -67,13 +80,39 @@
         self._advice_cache = advice_cache
         self._advice_slots = advice_slots
         self._attempt_floor = attempt_floor
+        self._unstored_jobs = unstored_jobs
         self._now = now
-        self._pools = _group_by_service(upstreams, now)
+        self._pools = _group_by_service(upstreams, now, settings.alone_share)
         self._reserved: set[str] = set()
         self._reserving_gangs = 0
         self._position = -1
         self._searches_left = MAX_ADVICE_SEARCHES
 
+    def place_alone(self, step: StepRun, queue: QueuePolicy) -> bool:
+        """Start the prime suspects of a step on idle upstreams; return if any started.
+
+        Must be called for all steps before `place`. An upstream that is not idle yet
+        gets no other task in this round, until one is idle in the end.
+        """
+        pool = self._pools.get(queue.service)
+        if pool is None or step.spec.is_gang:
+            return False
+        has_started = False
+        for index in sorted(self._find_held_tasks(step)):
+            if pool.max_alone <= 0 or not self._may_try_again(step, index):
+                continue
+            eligible = self._list_eligible(step, queue, pool)
+            candidates = list_candidates(step, eligible, reserved=set(), is_idle=True)
+            chosen = choose_upstream_apart(step, index, candidates)
+            if chosen is None:
+                continue
+            pool.max_alone -= 1
+            del pool.members[chosen.upstream_id]
+            if not chosen.runs:
+                self._start_task(step, index, chosen)
+                has_started = True
+        return has_started
+
     def place(self, step: StepRun, queue: QueuePolicy, *, factor: float) -> bool:
         """Start the tasks of a step that fit; return whether any was started.
 
@@ -114,24 +153,47 @@
     def _place_step(
         self, step: StepRun, queue: QueuePolicy, pool: _Pool, factor: float
     ) -> bool:
-        if queue.advice is None:
-            eligible = list(pool.members.values())
-        else:
-            ticketed = self._advice_cache.list_ticketed_upstreams(
-                step.step_id, self._now
-            )
-            eligible = [pool.members[name] for name in ticketed if name in pool.members]
+        eligible = self._list_eligible(step, queue, pool)
+        held = self._find_held_tasks(step)
         is_short = step.spec.estimate_s * factor <= self._settings.short_task_s
         reserved = set() if is_short else self._reserved
         candidates = list_candidates(step, eligible, reserved=reserved)
         if step.spec.is_gang:
-            placed = place_gang(step, candidates)
+            placed = None if held else place_gang(step, candidates)
         else:
-            placed = place_independent_tasks(step, candidates)
+            placed = place_independent_tasks(step, candidates, held=held)
         for index, upstream in placed or ():
             self._start_task(step, index, upstream)
         return bool(placed)
 
+    def _list_eligible(
+        self, step: StepRun, queue: QueuePolicy, pool: _Pool
+    ) -> list[Upstream]:
+        if queue.advice is None:
+            return list(pool.members.values())
+        ticketed = self._advice_cache.list_ticketed_upstreams(step.step_id, self._now)
+        return [pool.members[name] for name in ticketed if name in pool.members]
+
+    def _find_held_tasks(self, step: StepRun) -> set[int]:
+        """Return the waiting tasks that may not start beside others, or not yet."""
+        return {
+            index
+            for index in step.waiting & (step.crashes.keys() | step.doubts.keys())
+            if step.count_losses(index) >= PRIME_SUSPECT_LOSSES
+            and not (step.spec.is_gang and self._may_try_again(step, index))
+        }
+
+    def _may_try_again(self, step: StepRun, index: int) -> bool:
+        """Return whether a prime suspect may start.
+
+        It waits until the losses of upstreams under it are stored. It also waits while
+        so many are lost that it would be given up if all of them had crashed.
+        """
+        return (
+            step.job.job_id not in self._unstored_jobs
+            and step.count_losses(index) < self._settings.max_crashes
+        )
+
     def _start_task(self, step: StepRun, index: int, upstream: Upstream) -> None:
         task = step.task_id(index)
         name = upstream.upstream_id
@@ -149,6 +211,7 @@
             now,
             now,
             upstream.incarnation,
+            earlier_losses=step.count_losses(index),
         )
         upstream.add(run)
         if not upstream.free_slots_for(step.spec) >= 0 or (
@@ -222,13 +285,25 @@
         return reserve_for_gang(step, eligible)
 
 
-def _group_by_service(upstreams: dict[str, Upstream], now: float) -> dict[str, _Pool]:
+def _group_by_service(
+    upstreams: dict[str, Upstream], now: float, alone_share: float
+) -> dict[str, _Pool]:
     pools: dict[str, _Pool] = {}
+    taken_alone: Counter[str] = Counter()
     for name, upstream in upstreams.items():
-        if upstream.may_start(now):
-            pool = pools.setdefault(upstream.entry.service, _Pool())
-            pool.members[name] = upstream
-            pool.max_free_cpu_millis = max(
-                pool.max_free_cpu_millis, upstream.free_cpu_millis
-            )
+        service = upstream.entry.service
+        if not upstream.may_start(now):
+            continue
+        pool = pools.setdefault(service, _Pool())
+        if upstream.is_taken_alone(now):
+            taken_alone[service] += 1
+            continue
+        pool.members[name] = upstream
+        pool.max_free_cpu_millis = max(
+            pool.max_free_cpu_millis, upstream.free_cpu_millis
+        )
+    for service, pool in pools.items():
+        taken = taken_alone[service]
+        share = int(alone_share * (len(pool.members) + taken))
+        pool.max_alone = max(share, 1) - taken
     return pools
--- a/packages/core/src/papayadyke_core/dispatch/_run.py
+++ b/packages/core/src/papayadyke_core/dispatch/_run.py
@@ -7,6 +7,9 @@
 
 from papayadyke_core.dispatch._spec import StepSpec, TaskId
 
+# Upstreams that crashed or may have under a task, after which it runs by itself.
+PRIME_SUSPECT_LOSSES = 2
+
 
 class RunPhase(StrEnum):
     """State of a run as known to the dispatcher.
@@ -42,6 +45,8 @@
     is_unwanted : bool
         Whether the task no longer needs this run, so that its end only frees
         resources.
+    earlier_losses : int
+        Upstreams that had crashed, or might have, under earlier runs of the task.
     stop_requested_s, stop_confirmed_s : float or None
         When a stop was last ordered and first accepted.
     """
@@ -56,9 +61,15 @@
     incarnation: int | None = None
     percent: float = 0.0
     is_unwanted: bool = False
+    earlier_losses: int = 0
     stop_requested_s: float | None = None
     stop_confirmed_s: float | None = None
 
+    @property
+    def is_prime_suspect(self) -> bool:
+        """Whether the run has its upstream to itself at first."""
+        return self.earlier_losses >= PRIME_SUSPECT_LOSSES
+
     @property
     def key(self) -> tuple[TaskId, int]:
         """Task and attempt, which identify the run."""
--- a/packages/core/src/papayadyke_core/dispatch/_settings.py
+++ b/packages/core/src/papayadyke_core/dispatch/_settings.py
@@ -51,6 +51,15 @@
     evacuation_calls_s : float
         Time for the calls that stop the runs of a departing upstream: they are
         stopped this time plus `stop_s` before it shuts down.
+    max_crashes : int
+        Crashes of upstreams under a task after which the task is given up and its job
+        fails, whatever else may explain them.
+    alone_share : float
+        Fraction of the upstreams of a service, and one at least, that may be kept free
+        for tasks under which several upstreams have crashed.
+    suspect_s : float
+        Time since the start of a run after which a crash of its upstream no longer
+        counts against the task. A run that outlasts it clears the task.
     max_commit_entries : int
         Maximum number of store entries in one commit. They must fit in one
         transaction, which holds 32, together with the condition that this VM is
@@ -73,6 +82,9 @@
     reserved_share: float = 0.25
     stop_s: float = 0.4
     evacuation_calls_s: float = 0.4
+    max_crashes: int = 4
+    alone_share: float = 0.25
+    suspect_s: float = 30.0
     max_commit_entries: int = 31
 
     @property
--- a/packages/core/src/papayadyke_core/dispatch/_upstream.py
+++ b/packages/core/src/papayadyke_core/dispatch/_upstream.py
@@ -12,6 +12,9 @@
 FAILURES_TO_SET_ASIDE = 2
 SET_ASIDE_S = 4.0  # seconds; doubled each time the upstream is set aside again
 MAX_SET_ASIDE_S = 30.0  # seconds
+# Seconds for which a prime suspect has its upstream to itself, to show whether it
+# crashes it; then other tasks may join.
+ALONE_S = 2.0
 
 
 class Upstream:
@@ -38,6 +41,7 @@
         self.used_cpu_millis = 0
         self.used_memory_mb = 0
         self.used_accelerators = 0
+        self.suspect_runs = 0
         self.speed = 1.0
         self.failures_in_row = 0
         self.set_aside_until_s = 0.0
@@ -59,6 +63,13 @@
             and now >= self.set_aside_until_s
         )
 
+    def is_taken_alone(self, now: float) -> bool:
+        """Return whether a prime suspect has the upstream to itself."""
+        return self.suspect_runs > 0 and any(
+            run.is_prime_suspect and now - run.started_s < ALONE_S
+            for run in self.runs.values()
+        )
+
     @property
     def free_cpu_millis(self) -> int:
         """Unused CPU, in thousandths of a core."""
@@ -96,11 +107,13 @@
     def add(self, run: Run) -> None:
         """Add a run and reserve its resources."""
         self.runs[run.key] = run
+        self.suspect_runs += run.earlier_losses > 0
         self._add_usage(run.spec, 1)
 
     def remove(self, run: Run) -> None:
         """Remove an ended run and free its resources."""
         if self.runs.pop(run.key, None) is not None:
+            self.suspect_runs -= run.earlier_losses > 0
             self._add_usage(run.spec, -1)
 
     def record_failure(self, now: float) -> bool:
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_crashing_tasks.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_crashing_tasks.py
@@ -4,8 +4,16 @@
 such a task, and tasks on upstreams that lose power, must be done all the same.
 """
 
+import dispatch_world
 import pytest
-from dispatch_world import World, make_catalog, make_entry, make_job, make_step
+from dispatch_world import (
+    World,
+    make_catalog,
+    make_entry,
+    make_job,
+    make_step,
+    read_stored_progress,
+)
 
 from papayadyke_core.dispatch import JobState, TaskId
 
@@ -42,3 +50,171 @@
         world.take_over()
     world.run(30.0)
     assert world.get_state("deadly") is JobState.FAILED
+
+
+# Neighbours
+
+
+def submit_neighbours(world, jobs, **changes):
+    names = [f"n{number}" for number in range(jobs)]
+    for name in names:
+        world.submit(make_job(name, make_step(1, **changes)))
+    return names
+
+
+def assert_all_complete(world, names):
+    states = {name: world.get_state(name) for name in names}
+    assert set(states.values()) == {JobState.COMPLETE}, states
+
+
+# A deadly task took the jobs beside it down with it.
+@pytest.mark.parametrize("neighbours", [3, 12, 40])
+def test_neighbours_of_a_crashing_task_complete(neighbours):
+    world = make_world()
+    submit_deadly_job(world)
+    names = submit_neighbours(world, neighbours)
+    world.run(60.0)
+    assert_all_complete(world, names)
+    assert world.get_state("deadly") is JobState.FAILED
+
+
+# Deadly jobs in numbers crashed the whole fleet, and nothing else was done.
+@pytest.mark.parametrize("period_s", [0.0, 5.0])
+def test_flood_of_crashing_jobs_ends_and_spares_the_others(period_s):
+    world = make_world()
+    names = []
+    for number in range(8):
+        name = f"d{number}"
+        world.deadly |= {TaskId(name, 0, 0, index) for index in range(3)}
+        world.submit(make_job(name, make_step(3)))
+        world.submit(make_job(f"n{number}"))
+        names.append(f"n{number}")
+        world.run(0.5)
+    for _ in range(24):
+        world.run(5.0)
+        if period_s:
+            world.take_over()
+    world.run(30.0)
+    states = {world.get_state(f"d{number}") for number in range(8)}
+    assert states == {JobState.FAILED}
+    assert_all_complete(world, names)
+
+
+# The gang beside a deadly task, and the other members of its own, were blamed for it.
+def test_members_of_a_gang_are_not_blamed_for_a_neighbour():
+    world = make_world()
+    submit_deadly_job(world)
+    world.submit(make_job("gang", make_step(6, is_gang=True)))
+    world.run(60.0)
+    assert_all_complete(world, ["gang"])
+    assert world.get_state("deadly") is JobState.FAILED
+
+
+def test_gang_with_a_crashing_member_is_given_up():
+    world = make_world()
+    submit_deadly_job(world, count=6, is_gang=True)
+    world.run(60.0)
+    assert world.get_state("deadly") is JobState.FAILED
+
+
+# Crashes without a deadly task
+
+
+# Power that fails twice took the jobs of the rack for deadly ones.
+@pytest.mark.parametrize("share", [2, 3, 6])
+def test_power_losses_fail_no_job(share):
+    world = make_world()
+    names = submit_neighbours(world, 18)
+    for begin in (0, 6 - share):
+        world.run(0.5)
+        for name in NAMES[begin : begin + share]:
+            world.crash_for(name, 2.0)
+        world.run(2.2)
+    world.run(40.0)
+    assert_all_complete(world, names)
+
+
+# A machine that was only silent had its work given up.
+def test_silent_upstreams_fail_no_job():
+    world = make_world(names=NAMES[:2])
+    names = submit_neighbours(world, 4)
+    for _ in range(6):
+        for upstream in world.upstreams.values():
+            upstream.is_disconnected = True
+        world.run(8.0, after_s=100.0)
+        for upstream in world.upstreams.values():
+            upstream.is_disconnected = False
+        world.run(1.0, after_s=100.0)
+    world.run(30.0)
+    assert_all_complete(world, names)
+
+
+def test_lasting_task_is_not_given_up_for_crashes_long_after_its_starts():
+    world = make_world()
+    task = TaskId("lasting", 0, 0, 0)
+    world.submit(make_job("lasting", make_step(1, is_long_running=True)))
+    for _ in range(6):
+        world.run(40.0)
+        ((name, _, _),) = world.running()
+        world.crash_for(name, 2.0)
+    world.run(5.0)
+    assert [row[1] for row in world.running()] == [task]
+
+
+def test_lasting_task_that_crashes_its_upstreams_is_given_up():
+    world = make_world()
+    submit_deadly_job(world, is_long_running=True)
+    world.run(60.0)
+    assert world.get_state("deadly") is JobState.FAILED
+
+
+# What is seen of a crash
+
+
+# A crash that was seen only after the lease had lapsed counted against nobody.
+def test_crash_that_is_seen_late_counts(monkeypatch):
+    monkeypatch.setattr(dispatch_world, "DOWN_S", (8.0, 12.0))
+    world = make_world()
+    submit_deadly_job(world)
+    world.run(120.0)
+    assert world.get_state("deadly") is JobState.FAILED
+
+
+# Starts that the crash left without an answer counted against nobody.
+@pytest.mark.parametrize("takes_over", [False, True])
+def test_unanswered_starts_count(takes_over):
+    world = make_world()
+    submit_deadly_job(world)
+    for _ in range(400):
+        world.next_start_fault = "answer"
+        world.step(0.1)
+        if takes_over and world.dispatcher.upstreams["u0"].has_reported:
+            takes_over = world.crashes[DEADLY] < 2
+            world.take_over()
+    assert world.get_state("deadly") is JobState.FAILED
+
+
+# A successor did not know which runs an upstream had when contact was lost.
+def test_successor_counts_the_crash_of_a_doubted_run():
+    world = make_world()
+    submit_deadly_job(world)
+    world.run(0.5)
+    world.take_over()
+    world.run(6.0)
+    progress = read_stored_progress(world, "deadly")
+    step = progress.steps["0.0"]
+    assert len(step.crashes.get(0, ())) + len(step.doubts.get(0, ())) >= 1
+    world.run(30.0)
+    assert world.get_state("deadly") is JobState.FAILED
+    assert world.crashes[DEADLY] <= 4
+
+
+def test_second_start_after_crashes_waits_until_they_are_stored():
+    world = make_world()
+    submit_deadly_job(world)
+    while world.crashes[DEADLY] < 2:
+        world.run(0.1)
+    world.is_store_down = True
+    world.dispatcher._is_store_failing = False
+    world.run(0.2)
+    assert world.crashes[DEADLY] == 2
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -32,6 +32,7 @@
 from papayadyke_daemon.edge._clock import read_clock
 from papayadyke_daemon.edge._committer import Committer
 from papayadyke_daemon.edge._decision_log import (
+    log_crashes,
     log_ends,
     log_losses,
     log_starts,
@@ -655,9 +656,12 @@
         if ended:
             log_ends(upstream_id, ended)
         log_losses(self._dispatcher.take_lost_runs())
+        log_crashes(self._dispatcher.take_task_crashes())
 
     def _post_contact_lost(self, upstream_id: str, detail: str) -> None:
-        self._mailbox.post(lambda: self._dispatcher.mark_unreachable(upstream_id))
+        self._mailbox.post(
+            lambda: self._dispatcher.mark_unreachable(upstream_id, read_clock())
+        )
 
     def _poll_interval_s(self) -> float:
         fleet_interval_s = len(self._agents) / self.cfg.looks_per_s
--- a/packages/daemon/src/papayadyke_daemon/edge/_decision_log.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decision_log.py
@@ -14,6 +14,7 @@
     StartOrder,
     StepId,
     StopOrder,
+    TaskCrash,
 )
 from papayadyke_daemon.edge._logs import log_event
 from papayadyke_daemon.edge._metrics import METRICS
@@ -108,3 +109,24 @@
             cause=cause,
             age_s=round(max(run.age_s for run in runs), 3),
         )
+
+
+def log_crashes(crashes: Iterable[TaskCrash]) -> None:
+    """Log the crashes that count against tasks, one line per upstream and step."""
+    groups: dict[tuple[str, StepId], list[TaskCrash]] = {}
+    for crash in crashes:
+        METRICS.count("papayadyke_task_crashes", given_up=str(crash.is_given_up))
+        key = crash.upstream_id, StepId(*crash.task[:3])
+        groups.setdefault(key, []).append(crash)
+    for (upstream_id, step), rows in groups.items():
+        given_up = [row.task.number for row in rows if row.is_given_up]
+        log_event(
+            LOG,
+            "decider: upstream crashed under tasks",
+            request=step.job_id,
+            step=step,
+            tasks=[[row.task.number, row.crashes] for row in rows],
+            upstream=upstream_id,
+            alone=rows[0].is_alone,
+            given_up=given_up,
+        )
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/history_world.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/history_world.py
@@ -68,6 +68,8 @@
 CPU_MILLIS = 4000  # of each upstream; a task needs a quarter
 RUN_S = 0.8  # duration of a task's work, in seconds
 GANG_TIMEOUT_S = 3.0  # for which a member of a gang waits for the others
+DEADLY_S = 0.2  # from the start of a deadly task to the crash of its upstream
+DOWN_S = (2.0, 4.0)  # for which a crashed upstream is away, in seconds
 PAUSE_S = 4.0  # of a VM between the check of a permission and the call
 SUBSTEP_S = 0.1  # longest time between two turns of the VMs
 DISTURBED_TURN = 0.7  # probability that a part of a VM gets its turn in a substep
@@ -332,6 +334,7 @@
         self.store_faults = FaultQueue()
         self.upstream_faults = FaultQueue()
         self.fail_share = 0.0
+        self.deadly_jobs: set[str] = set()
         self.began_s: dict[tuple, float] = {}
         self._patches = self._patch()
         self.rules = HistoryRules(self, max_attempts=QUEUE.max_attempts)
@@ -470,6 +473,10 @@
                 continue
             key = (upstream.upstream_id, upstream.incarnation, task, attempt)
             age_s = self.now - self.began_s.setdefault(key, self.now)
+            if task.job_id in self.deadly_jobs:
+                if age_s > DEADLY_S:
+                    self.crash(upstream, self.rng.uniform(*DOWN_S))
+                continue
             members = self.rules.list_gang(task)
             present = [r for r in running if r[1] in members and r[2] == attempt]
             if len(present) < len(members):
@@ -481,6 +488,15 @@
                     if member in other.running:
                         other.end(member, RunEnd.FAILED if fails else RunEnd.DONE)
 
+    def crash(self, upstream, seconds):
+        """Crash an upstream; the other members of its gangs end."""
+        gangs = [self.rules.list_gang(task) for task in upstream.running]
+        upstream.crash_for(seconds)
+        members = {task for gang in gangs for task in gang}
+        for other in self.upstreams.values():
+            for task in [task for task in other.running if task in members]:
+                other.end(task, RunEnd.BROKEN)
+
     def take_store_fault(self):
         return self.store_faults.take()
 
@@ -499,6 +515,7 @@
         self.store.is_down = False
         for upstream in self.upstreams.values():
             upstream.is_cut = False
+            upstream.back_s = None
             if not upstream.is_gone:
                 self.list_upstream(upstream.upstream_id)
         for name, vm in list(self.vms.items()):
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_decision_log.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_decision_log.py
@@ -2,7 +2,7 @@
 
 from unittest import mock
 
-from papayadyke_core.dispatch import LossCause, LostRun, TaskId
+from papayadyke_core.dispatch import LossCause, LostRun, TaskCrash, TaskId
 from papayadyke_daemon.edge import _decision_log
 
 
@@ -19,3 +19,15 @@
         ("u0", "restarted", [0, 1, 2]),
         ("u1", "silent", [3]),
     ]
+
+
+def test_crashes_tell_their_count_and_the_tasks_that_are_given_up():
+    crashes = [
+        TaskCrash("u0", TaskId("j", 0, 0, 0), 1, False, False),
+        TaskCrash("u0", TaskId("j", 0, 0, 1), 4, False, True),
+    ]
+    with mock.patch.object(_decision_log, "log_event") as log_event:
+        _decision_log.log_crashes(crashes)
+    (row,) = [call.kwargs for call in log_event.call_args_list]
+    assert (row["request"], row["upstream"]) == ("j", "u0")
+    assert (row["tasks"], row["given_up"]) == ([[0, 1], [1, 4]], [1])
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_history_machine.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_history_machine.py
@@ -55,6 +55,12 @@
             steps.append(make_step(1, after=(0,)))
         self.world.submit(vm, f"j{self.job_count}", tuple(steps))
 
+    @rule(vm=st.sampled_from(VMS), count=st.integers(1, 3), is_gang=st.booleans())
+    def submit_deadly(self, vm, count, is_gang):
+        if self.job_count < MAX_JOBS:
+            self.world.deadly_jobs.add(f"j{self.job_count + 1}")
+        self.submit(vm, count, is_gang, has_second_step=False)
+
     @rule(vm=st.sampled_from(VMS))
     def submit_wave(self, vm):
         for count in (1, 4):
@@ -148,6 +154,11 @@
     def crash(self, name):
         self.world.upstreams[name].crash()
 
+    @rule(names=st.sets(st.sampled_from(UPSTREAMS), min_size=1), seconds=DURATIONS)
+    def lose_power(self, names, seconds):
+        for name in sorted(names):
+            self.world.crash(self.world.upstreams[name], seconds)
+
     @rule(name=st.sampled_from(UPSTREAMS), seconds=DURATIONS)
     def cut_upstream(self, name, seconds):
         upstream = self.world.upstreams[name]
