Start on an upstream only within the capacity of its present life

Cause: two beliefs about capacity were wrong. Capacity is known from the registry entry alone (`capacity`; lists of runs have none), and an upstream that restarts under its id reports before it writes its entry anew, so starts were placed by the entry of the earlier life, which may have been of another kind. Ruled out: that what is being stopped does not count (its room is freed when the end is listed), that a shrunk entry is not applied to a running upstream (it is, from the watch). Change: entries carry the incarnation that wrote them (`born`); an upstream whose entry is of another life gets no work, and one over its capacity has no free slots.

--- a/packages/core/src/papayadyke_core/dispatch/_messages.py
+++ b/packages/core/src/papayadyke_core/dispatch/_messages.py
@@ -39,6 +39,9 @@
     is_draining : bool
     remaining_s : float or None
         Least time until a draining upstream shuts down, in seconds.
+    incarnation : int or None
+        Incarnation of the upstream that wrote the entry; None if the entry does not
+        tell.
     """
 
     upstream_id: str
@@ -52,6 +55,7 @@
     rack: str = ""
     is_draining: bool = False
     remaining_s: float | None = None
+    incarnation: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/papayadyke_core/dispatch/_upstream.py
+++ b/packages/core/src/papayadyke_core/dispatch/_upstream.py
@@ -60,9 +60,28 @@
             and self.is_reachable
             and self.has_reported
             and not self.entry.is_draining
+            and self.has_present_entry
             and now >= self.set_aside_until_s
         )
 
+    @property
+    def has_present_entry(self) -> bool:
+        """Whether the entry tells the capacity and labels of the present incarnation.
+
+        The next one may be of another kind, and reports before it writes its entry.
+        """
+        return self.entry.incarnation in (None, self.incarnation)
+
+    @property
+    def is_over_capacity(self) -> bool:
+        """Whether the capacity has shrunk below what the runs need."""
+        entry = self.entry
+        return (
+            self.used_cpu_millis > entry.cpu_millis
+            or self.used_memory_mb > entry.memory_mb
+            or self.used_accelerators > entry.accelerators
+        )
+
     def is_taken_alone(self, now: float) -> bool:
         """Return whether a prime suspect has the upstream to itself."""
         return self.suspect_runs > 0 and any(
@@ -77,6 +96,8 @@
 
     def free_slots_for(self, step: StepSpec) -> int:
         """Return how many more tasks of a step fit beside the current runs."""
+        if self.is_over_capacity:
+            return 0
         entry = self.entry
         slots = step.count
         if step.cpu_millis and not step.fills_spare:
