Count crashes of upstreams that come back under another id

Callers saw: with upstreams that come back under a new id, a deadly task went on crashing them, as before the mend. The old id never reports again, so its doubts stayed open and were dropped with it. Ruled out: that lists of runs or entries of the old id tell it; it is only unlisted, as one that is cut off would be. Change: if another upstream answers at the address of a silent one, that one has crashed. One that is removed without a successor counts as a crash that is not certain. Both hold for a successor as well, from the stored doubts and the roster's addresses.

--- a/packages/core/src/papayadyke_core/dispatch/_crashes.py
+++ b/packages/core/src/papayadyke_core/dispatch/_crashes.py
@@ -1,10 +1,11 @@
 """Crashes of upstreams under tasks, and which task is to blame for them.
 
 An upstream that crashes lists no ends. All that is known is which runs it had when it
-was last heard of, and that it has begun a new incarnation since. A task that crashes
-every upstream that starts it looks at first like its neighbours, so no task is blamed
-for one crash: the tasks are started again apart from each other, and the one under
-which upstreams go on crashing is given up.
+was last heard of, and that it has begun a new incarnation since, or that another
+upstream answers at its address. A task that crashes every upstream that starts it looks
+at first like its neighbours, so no task is blamed for one crash: the tasks are started
+again apart from each other, and the one under which upstreams go on crashing is given
+up.
 """
 
 from __future__ import annotations
@@ -22,7 +23,7 @@
 # Seconds between two losses of contact that may have one cause, such as a rack that
 # lost power; a silent crash is noticed when a poll has timed out.
 COMMON_CAUSE_S = 2.0
-# Crashes in which a task was certainly running, before it is given up.
+# Crashes under a task that was certainly running, before it is given up.
 MIN_CERTAIN_CRASHES = 2
 
 
@@ -113,8 +114,18 @@
         self._doubted_tasks.setdefault(run.upstream_id, set()).add(run.task)
         return True
 
-    def resolve(self, upstream: Upstream) -> tuple[list[TaskCrash], set[str]]:
-        """Settle the doubts about an upstream that has reported.
+    def resolve(
+        self, upstream_id: str, *, present: int | None, is_certain: bool = True
+    ) -> tuple[list[TaskCrash], set[str]]:
+        """Settle the doubts about an upstream.
+
+        Parameters
+        ----------
+        upstream_id : str
+        present : int or None
+            Incarnation that has reported; None if the upstream is gone.
+        is_certain : bool, default=True
+            Whether an upstream that is gone is known to have crashed.
 
         Returns
         -------
@@ -122,8 +133,7 @@
         job_ids : set of str
             Jobs whose doubts or crashes have changed.
         """
-        name = upstream.upstream_id
-        tasks = self._doubted_tasks.pop(name, None)
+        tasks = self._doubted_tasks.pop(upstream_id, None)
         if not tasks:
             return [], set()
         crashed: list[tuple[StepRun, TaskId]] = []
@@ -132,16 +142,19 @@
             step = self._find_step(task)
             if step is None:
                 continue
-            for doubt in step.take_doubts(task.number, name):
+            for doubt in step.take_doubts(task.number, upstream_id):
                 job_ids.add(task.job_id)
-                if doubt.incarnation != upstream.incarnation:
-                    step.crashes.setdefault(task.number, []).append(doubt)
+                if doubt.incarnation != present:
+                    crash = LostContact(
+                        upstream_id, doubt.incarnation, doubt.is_certain and is_certain
+                    )
+                    step.crashes.setdefault(task.number, []).append(crash)
                     crashed.append((step, task))
         # Tasks of one job share its fate, so it does not matter which of them it was.
         is_alone = len({task.job_id for _, task in crashed}) == 1
         crashes = [
             TaskCrash(
-                name,
+                upstream_id,
                 task,
                 step.count_crashes(task.number),
                 is_alone,
@@ -151,15 +164,13 @@
         ]
         return crashes, job_ids
 
-    def remove_upstream(self, upstream_id: str) -> set[str]:
-        """Drop the doubts about an upstream that is gone; return the jobs concerned."""
+    def list_doubted_upstreams(self) -> list[str]:
+        """Return the ids of the upstreams that may have crashed under tasks."""
+        return list(self._doubted_tasks)
+
+    def forget_loss(self, upstream_id: str) -> None:
+        """Forget when an upstream that is gone was lost."""
         self._contact_losses.pop(upstream_id, None)
-        job_ids = set()
-        for task in self._doubted_tasks.pop(upstream_id, ()):
-            step = self._find_step(task)
-            if step is not None and step.take_doubts(task.number, upstream_id):
-                job_ids.add(task.job_id)
-        return job_ids
 
     def _is_to_blame(self, step: StepRun, index: int, *, is_alone: bool) -> bool:
         """Return whether a task is given up after a crash.
@@ -170,7 +181,7 @@
         crashes = step.crashes[index]
         if len(crashes) >= self._settings.max_crashes:
             return True
-        certain = sum(crash.was_running for crash in crashes)
+        certain = sum(crash.is_certain for crash in crashes)
         return (
             certain >= MIN_CERTAIN_CRASHES
             and is_alone
--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -177,7 +177,13 @@
         for name in unused:
             del self.upstreams[name]
             self._unread_ends.remove_upstream(name)
-            self._record_suspicion(self._crash_tracker.remove_upstream(name))
+        if self._takeover_barrier_s is None:
+            # Those that are gone for good may have crashed under their tasks.
+            for name in self._crash_tracker.list_doubted_upstreams():
+                if name not in self.upstreams:
+                    self._count_crashes(name, now, present=None, is_certain=False)
+        for name in unused:
+            self._crash_tracker.forget_loss(name)
         return unused
 
     # Jobs
@@ -295,10 +301,14 @@
         ):
             self._handle_restart(upstream, now)
         upstream.incarnation = report.incarnation
-        if not (upstream.is_reachable and upstream.has_reported):
-            self._needs_placement = True
+        is_regained = not (upstream.is_reachable and upstream.has_reported)
         upstream.is_reachable = True
         upstream.has_reported = True
+        if is_regained:
+            self._needs_placement = True
+            for earlier in self._list_at_address(upstream):
+                if not earlier.is_reachable:
+                    self._count_crashes(earlier.upstream_id, now, present=None)
         new_ends = [
             ended for ended in report.ended if ended.number > upstream.last_end_number
         ]
@@ -314,7 +324,7 @@
             self._process_running(upstream, running, now)
         for run in [run for run in upstream.runs.values() if run.key not in listed]:
             self._check_unlisted_run(upstream, run, report, now)
-        self._count_crashes(upstream, now)
+        self._count_crashes(upstream_id, now, present=report.incarnation)
         return new_ends
 
     def mark_unreachable(self, upstream_id: str, now: float = 0.0) -> None:
@@ -774,19 +784,37 @@
         if not upstream.entry.is_draining:
             self._crash_tracker.record_loss(upstream, now)
             self._record_suspicion(self._crash_tracker.doubt_runs(upstream, now))
+        if any(later.is_reachable for later in self._list_at_address(upstream)):
+            self._count_crashes(upstream.upstream_id, now, present=None)
+
+    def _list_at_address(self, upstream: Upstream) -> list[Upstream]:
+        """Return the other upstreams at an address, which excludes that both live."""
+        address = upstream.entry.address
+        return [
+            other
+            for other in self.upstreams.values()
+            if other is not upstream and other.entry.address == address
+        ]
 
-    def _count_crashes(self, upstream: Upstream, now: float) -> None:
+    def _count_crashes(
+        self,
+        upstream_id: str,
+        now: float,
+        *,
+        present: int | None,
+        is_certain: bool = True,
+    ) -> None:
         """Count a crash of an upstream against its tasks; give up those to blame."""
-        crashes, job_ids = self._crash_tracker.resolve(upstream)
+        crashes, job_ids = self._crash_tracker.resolve(
+            upstream_id, present=present, is_certain=is_certain
+        )
         self._record_suspicion(job_ids)
         self._task_crashes += crashes
         for crash in crashes:
             task = crash.task
             job = self.jobs[task.job_id]
             step = job.steps[task.occurrence, task.step]
-            step.avoided_upstreams.setdefault(task.number, set()).add(
-                upstream.upstream_id
-            )
+            step.avoided_upstreams.setdefault(task.number, set()).add(upstream_id)
             if crash.is_given_up and not job.is_final:
                 self._finish_job(job, JobState.FAILED, now)
 
--- a/packages/core/src/papayadyke_core/dispatch/_job.py
+++ b/packages/core/src/papayadyke_core/dispatch/_job.py
@@ -102,7 +102,7 @@
     def withdraw_doubt(self, index: int, upstream_id: str) -> None:
         """Drop a doubt of an unanswered start that has not crashed the upstream."""
         doubts = self.take_doubts(index, upstream_id)
-        kept = [doubt for doubt in doubts if doubt.was_running]
+        kept = [doubt for doubt in doubts if doubt.is_certain]
         if kept:
             self.doubts.setdefault(index, []).extend(kept)
 
--- a/packages/core/src/papayadyke_core/dispatch/_progress.py
+++ b/packages/core/src/papayadyke_core/dispatch/_progress.py
@@ -28,13 +28,14 @@
     upstream_id : str
     incarnation : int
         Incarnation of the upstream that was lost.
-    was_running : bool
-        Whether the run was known to have started. Otherwise its start was unanswered.
+    is_certain : bool
+        Whether the run was known to have started there and, of a crash, the upstream
+        to have crashed. A start may be unanswered, and an upstream may not come back.
     """
 
     upstream_id: str
     incarnation: int
-    was_running: bool = True
+    is_certain: bool = True
 
 
 class StepProgress(msgspec.Struct, array_like=True):
--- a/packages/core/src/papayadyke_core/dispatch/tests/dispatch_world.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/dispatch_world.py
@@ -9,7 +9,7 @@
 
 import random
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from papayadyke_core.dispatch import (
     Advice,
@@ -168,7 +168,12 @@
         self.started_s: dict[tuple[TaskId, int], float] = {}
         self.crashes: Counter[TaskId] = Counter()
         self.later_starts: Counter[TaskId] = Counter()
+        # Whether a crashed upstream is back under a new id, at its old address.
+        self.renames_crashed = False
+        self.renamed = 0
         self.rng = random.Random(0)
+        self.roster: dict[str, UpstreamEntry] = {}
+        self.next_cleanup_s = self.now
         self.term = 0
         self.dispatcher = self.make_dispatcher()
 
@@ -179,6 +184,9 @@
         settings = DispatchSettings(lease_s=LEASE_S)
         dispatcher = Dispatcher(settings, term=self.term - 1, now=self.now)
         dispatcher.set_catalog(self.catalog)
+        for name, entry in self.roster.items():
+            dispatcher.add_or_update_upstream(entry)
+            dispatcher.mark_upstream_unlisted(name)
         for upstream in self.upstreams.values():
             dispatcher.add_or_update_upstream(upstream.entry)
         for name, spec in self.jobs.items():
@@ -195,6 +203,7 @@
 
     def take_over(self):
         """Replace the dispatcher by one that reads only the store and the upstreams."""
+        self.roster = {n: u.entry for n, u in self.dispatcher.upstreams.items()}
         self.dispatcher = self.make_dispatcher()
 
     def submit(self, spec):
@@ -215,10 +224,13 @@
         """Advance time, poll all upstreams, tick, and execute the orders."""
         self.now += seconds
         self._deliver_delayed_starts()
-        for upstream in self.upstreams.values():
+        for upstream in list(self.upstreams.values()):
             upstream.expire(self.now)
             self._crash_or_return(upstream)
         self.poll()
+        if self.now >= self.next_cleanup_s:
+            self.next_cleanup_s = self.now + 5.0
+            self.dispatcher.remove_unused_upstreams(self.now)
         self._commit()
         self._execute_orders(self.dispatcher.tick(self.now, self.now))
         self.check_invariants()
@@ -274,6 +286,9 @@
         """Crash an upstream that runs a deadly task; reconnect one that is back."""
         if upstream.back_s is not None and upstream.back_s <= self.now:
             upstream.back_s, upstream.is_disconnected = None, False
+            if self.renames_crashed:
+                self._rename(upstream)
+                return
         deadly = [
             task
             for task, attempt in upstream.running.items()
@@ -292,6 +307,17 @@
         upstream = self.upstreams[name]
         upstream.is_disconnected, upstream.back_s = True, self.now + seconds
 
+    def _rename(self, upstream):
+        """Give an upstream that is back a new id, at the address that it had."""
+        old = upstream.entry.upstream_id
+        self.renamed += 1
+        name = f"{old.partition('-')[0]}-{self.renamed}"
+        upstream.entry = replace(upstream.entry, upstream_id=name)
+        self.upstreams = {u.entry.upstream_id: u for u in self.upstreams.values()}
+        self.dispatcher.add_or_update_upstream(upstream.entry, self.now)
+        self.dispatcher.mark_upstream_unlisted(old)
+        self.dispatcher.mark_unreachable(old, self.now)
+
     def get_state(self, job_id):
         return self.dispatcher.get_state(job_id)
 
@@ -352,8 +378,10 @@
         for order in orders.starts:
             self._start(order)
         for order in orders.stops:
-            upstream = self.upstreams[order.upstream_id]
-            if not upstream.is_disconnected and upstream.stop(order, self.term):
+            upstream = self.upstreams.get(order.upstream_id)
+            if upstream is None or upstream.is_disconnected:
+                continue
+            if upstream.stop(order, self.term):
                 self.dispatcher.process_stop_answer(order, self.now)
 
     def _start(self, order):
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_crashing_tasks.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_crashing_tasks.py
@@ -21,8 +21,16 @@
 DEADLY = TaskId("deadly", 0, 0, 0)
 
 
-def make_world(*, names=NAMES):
-    return World(make_catalog(), *(make_entry(name) for name in names))
+@pytest.fixture(params=[False, True], ids=["same_id", "new_id"])
+def make_world(request):
+    """Return a function that makes a world; crashed upstreams are back in two ways."""
+
+    def make(*, names=NAMES):
+        world = World(make_catalog(), *(make_entry(name) for name in names))
+        world.renames_crashed = request.param
+        return world
+
+    return make
 
 
 def submit_deadly_job(world, *, count=1, deadly=(0,), **changes):
@@ -32,7 +40,7 @@
 
 
 # One request crashed upstream after upstream, and its job never ended.
-def test_task_that_crashes_its_upstreams_is_given_up():
+def test_task_that_crashes_its_upstreams_is_given_up(make_world):
     world = make_world()
     submit_deadly_job(world)
     world.run(60.0)
@@ -42,7 +50,7 @@
 
 # Each takeover forgot the crashes that earlier deciders had seen.
 @pytest.mark.parametrize("period_s", [1.0, 3.0, 7.0])
-def test_crashes_count_across_takeovers(period_s):
+def test_crashes_count_across_takeovers(make_world, period_s):
     world = make_world()
     submit_deadly_job(world)
     for _ in range(int(60.0 / period_s)):
@@ -69,7 +77,7 @@
 
 # A deadly task took the jobs beside it down with it.
 @pytest.mark.parametrize("neighbours", [3, 12, 40])
-def test_neighbours_of_a_crashing_task_complete(neighbours):
+def test_neighbours_of_a_crashing_task_complete(make_world, neighbours):
     world = make_world()
     submit_deadly_job(world)
     names = submit_neighbours(world, neighbours)
@@ -80,7 +88,7 @@
 
 # Deadly jobs in numbers crashed the whole fleet, and nothing else was done.
 @pytest.mark.parametrize("period_s", [0.0, 5.0])
-def test_flood_of_crashing_jobs_ends_and_spares_the_others(period_s):
+def test_flood_of_crashing_jobs_ends_and_spares_the_others(make_world, period_s):
     world = make_world()
     names = []
     for number in range(8):
@@ -101,7 +109,7 @@
 
 
 # The gang beside a deadly task, and the other members of its own, were blamed for it.
-def test_members_of_a_gang_are_not_blamed_for_a_neighbour():
+def test_members_of_a_gang_are_not_blamed_for_a_neighbour(make_world):
     world = make_world()
     submit_deadly_job(world)
     world.submit(make_job("gang", make_step(6, is_gang=True)))
@@ -110,7 +118,7 @@
     assert world.get_state("deadly") is JobState.FAILED
 
 
-def test_gang_with_a_crashing_member_is_given_up():
+def test_gang_with_a_crashing_member_is_given_up(make_world):
     world = make_world()
     submit_deadly_job(world, count=6, is_gang=True)
     world.run(60.0)
@@ -122,12 +130,12 @@
 
 # Power that fails twice took the jobs of the rack for deadly ones.
 @pytest.mark.parametrize("share", [2, 3, 6])
-def test_power_losses_fail_no_job(share):
+def test_power_losses_fail_no_job(make_world, share):
     world = make_world()
     names = submit_neighbours(world, 18)
     for begin in (0, 6 - share):
         world.run(0.5)
-        for name in NAMES[begin : begin + share]:
+        for name in list(world.upstreams)[begin : begin + share]:
             world.crash_for(name, 2.0)
         world.run(2.2)
     world.run(40.0)
@@ -135,7 +143,7 @@
 
 
 # A machine that was only silent had its work given up.
-def test_silent_upstreams_fail_no_job():
+def test_silent_upstreams_fail_no_job(make_world):
     world = make_world(names=NAMES[:2])
     names = submit_neighbours(world, 4)
     for _ in range(6):
@@ -149,7 +157,7 @@
     assert_all_complete(world, names)
 
 
-def test_lasting_task_is_not_given_up_for_crashes_long_after_its_starts():
+def test_lasting_task_is_not_given_up_for_crashes_long_after_its_starts(make_world):
     world = make_world()
     task = TaskId("lasting", 0, 0, 0)
     world.submit(make_job("lasting", make_step(1, is_long_running=True)))
@@ -157,11 +165,11 @@
         world.run(40.0)
         ((name, _, _),) = world.running()
         world.crash_for(name, 2.0)
-    world.run(5.0)
+    world.run(12.0)
     assert [row[1] for row in world.running()] == [task]
 
 
-def test_lasting_task_that_crashes_its_upstreams_is_given_up():
+def test_lasting_task_that_crashes_its_upstreams_is_given_up(make_world):
     world = make_world()
     submit_deadly_job(world, is_long_running=True)
     world.run(60.0)
@@ -172,7 +180,7 @@
 
 
 # A crash that was seen only after the lease had lapsed counted against nobody.
-def test_crash_that_is_seen_late_counts(monkeypatch):
+def test_crash_that_is_seen_late_counts(make_world, monkeypatch):
     monkeypatch.setattr(dispatch_world, "DOWN_S", (8.0, 12.0))
     world = make_world()
     submit_deadly_job(world)
@@ -182,20 +190,22 @@
 
 # Starts that the crash left without an answer counted against nobody.
 @pytest.mark.parametrize("takes_over", [False, True])
-def test_unanswered_starts_count(takes_over):
+def test_unanswered_starts_count(make_world, takes_over):
     world = make_world()
     submit_deadly_job(world)
     for _ in range(400):
         world.next_start_fault = "answer"
         world.step(0.1)
-        if takes_over and world.dispatcher.upstreams["u0"].has_reported:
+        if takes_over and all(
+            upstream.has_reported for upstream in world.dispatcher.upstreams.values()
+        ):
             takes_over = world.crashes[DEADLY] < 2
             world.take_over()
     assert world.get_state("deadly") is JobState.FAILED
 
 
 # A successor did not know which runs an upstream had when contact was lost.
-def test_successor_counts_the_crash_of_a_doubted_run():
+def test_successor_counts_the_crash_of_a_doubted_run(make_world):
     world = make_world()
     submit_deadly_job(world)
     world.run(0.5)
@@ -209,7 +219,7 @@
     assert world.crashes[DEADLY] <= 4
 
 
-def test_second_start_after_crashes_waits_until_they_are_stored():
+def test_second_start_after_crashes_waits_until_they_are_stored(make_world):
     world = make_world()
     submit_deadly_job(world)
     while world.crashes[DEADLY] < 2:
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/history_world.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/history_world.py
@@ -70,6 +70,7 @@
 GANG_TIMEOUT_S = 3.0  # for which a member of a gang waits for the others
 DEADLY_S = 0.2  # from the start of a deadly task to the crash of its upstream
 DOWN_S = (2.0, 4.0)  # for which a crashed upstream is away, in seconds
+RENAMED_SHARE = 0.5  # of the crashed upstreams are back under another id
 PAUSE_S = 4.0  # of a VM between the check of a permission and the call
 SUBSTEP_S = 0.1  # longest time between two turns of the VMs
 DISTURBED_TURN = 0.7  # probability that a part of a VM gets its turn in a substep
@@ -291,7 +292,7 @@
         return UpstreamEntry(
             name,
             "service",
-            "127.0.0.1:1",
+            f"{name.partition('-')[0]}:1",
             "zone",
             CPU_MILLIS,
             100_000,
@@ -343,6 +344,8 @@
             f"u{n}": VirtualUpstream(f"u{n}", CPU_MILLIS, self.rules, now=self.now)
             for n in range(upstreams)
         }
+        # The present upstream of each address, under the id that it had at first.
+        self.addresses = dict(self.upstreams)
         self.vms: dict[str, VirtualVm] = {}
         for name in self.upstreams:
             self.list_upstream(name)
@@ -365,7 +368,9 @@
         self.vms[name].is_up = False
 
     def list_upstream(self, name, state="ready"):
-        """Write an upstream's entry in the registry."""
+        """Write an upstream's entry in the registry, unless it is gone."""
+        if self.upstreams[name].is_gone:
+            return
         self.upstreams[name].is_draining = state == "draining"
         self.store.write([Write(REGISTRY_PREFIX + name, state.encode())], [], [])
 
@@ -489,13 +494,29 @@
                         other.end(member, RunEnd.FAILED if fails else RunEnd.DONE)
 
     def crash(self, upstream, seconds):
-        """Crash an upstream; the other members of its gangs end."""
+        """Crash an upstream; it is back under its id or under another one.
+
+        The other members of its gangs end.
+        """
         gangs = [self.rules.list_gang(task) for task in upstream.running]
         upstream.crash_for(seconds)
         members = {task for gang in gangs for task in gang}
         for other in self.upstreams.values():
             for task in [task for task in other.running if task in members]:
                 other.end(task, RunEnd.BROKEN)
+        if self.rng.random() < RENAMED_SHARE:
+            self._replace(upstream, seconds)
+
+    def _replace(self, upstream, seconds):
+        """Remove an upstream; after some seconds another one has its address."""
+        upstream.is_gone = True
+        address = upstream.upstream_id.partition("-")[0]
+        name = f"{address}-{len(self.upstreams)}"
+        later = VirtualUpstream(name, CPU_MILLIS, self.rules, now=self.now)
+        later.back_s = self.now + seconds
+        self.upstreams[name] = self.addresses[address] = later
+        self.unlist_upstream(upstream.upstream_id)
+        self.schedule(seconds, lambda: self.list_upstream(name))
 
     def take_store_fault(self):
         return self.store_faults.take()
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_history_machine.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_history_machine.py
@@ -152,16 +152,16 @@
 
     @rule(name=st.sampled_from(UPSTREAMS))
     def crash(self, name):
-        self.world.upstreams[name].crash()
+        self.world.addresses[name].crash()
 
     @rule(names=st.sets(st.sampled_from(UPSTREAMS), min_size=1), seconds=DURATIONS)
     def lose_power(self, names, seconds):
         for name in sorted(names):
-            self.world.crash(self.world.upstreams[name], seconds)
+            self.world.crash(self.world.addresses[name], seconds)
 
     @rule(name=st.sampled_from(UPSTREAMS), seconds=DURATIONS)
     def cut_upstream(self, name, seconds):
-        upstream = self.world.upstreams[name]
+        upstream = self.world.addresses[name]
         upstream.is_cut = True
         self.world.schedule(seconds, lambda: setattr(upstream, "is_cut", False))
 
@@ -171,6 +171,7 @@
         seconds=DURATIONS,
     )
     def change_entry(self, name, state, seconds):
+        name = self.world.addresses[name].upstream_id
         if state == "gone":
             self.world.unlist_upstream(name)
         else:
