Count a running task that its restarted upstream no longer knows as failed

Callers saw (on the project's own interface): a job whose task crashes its upstream is started again until the job's deadline, and may be told that it has not run. When the session ends, the outcome of a running task is asked for; an upstream that has restarted knows nothing and answers that it was never started, which counts as no attempt. Ruled out: the direct requests; each of their attempts counts, three at most. Change: a task that was reported as running can only have failed then.

--- a/packages/daemon/src/papayadyke_daemon/serving/_tasks.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/_tasks.py
@@ -264,6 +264,9 @@
             outcome = agent.client.resolve(attempt.spec.task_id)
         if isinstance(outcome, Running):
             outcome = Lost("it runs on without a session")
+        if isinstance(outcome, NotStarted):
+            # It was running there, so the upstream has restarted since.
+            outcome = Failed("the upstream has restarted")
         self._mailbox.post(lambda: self._end_attempt(attempt, outcome))
 
     def _end_attempt(self, attempt: _Attempt, outcome: CallResult) -> None:
--- a/packages/daemon/src/papayadyke_daemon/serving/tests/test_refused_starts.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/tests/test_refused_starts.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from papayadyke_clients.upstream import Failed, Lost, NotStarted
-from papayadyke_core.jobs import TaskOrder, TaskSpec
+from papayadyke_clients.upstream import Failed, Lost, NotStarted, Running
+from papayadyke_core.jobs import TaskOrder, TaskResult, TaskSpec
 from papayadyke_core.ownership import StartPermit
 from papayadyke_core.resources import Resources
 from papayadyke_core.scheduling import Refuse, Start
@@ -63,6 +63,9 @@
     def record_start_refusal(self, token, detail):
         self.refusals.append((token, detail))
 
+    def subscribe_to_end(self, task_id, on_end):
+        on_end(task_id)
+
     def track_unresolved(self, task_id, start_before_s):
         raise AssertionError(
             "a start with a known outcome was passed to track_unresolved()"
@@ -135,3 +138,11 @@
     agent = FakeAgent(Failed("failed on command"))
     run(agent)
     assert agent.refusals == []
+
+
+# A task that crashed its upstream was told to have never run, and was started again
+# without counting: an upstream that has restarted knows nothing of its tasks.
+def test_running_task_that_its_upstream_no_longer_knows_has_failed():
+    agent = FakeAgent(Running(), resolved=NotStarted("resolved as never started"))
+    (done,) = run_task(agent)
+    assert done.result is TaskResult.FAILED
