Let the soak crash upstreams by tasks and shrink them

Two jobs in a hundred are deadly. The soak checks that such a task starts at most twice after three crashes, that a job fails only after its attempts or two crashes, and that no start exceeds a capacity that was known for 4.5 s without faults of the store. Ruled out: judging late orders by a capacity that shrank after they were sent; the users' pages exempt them.

--- a/packages/soak/src/papayadyke_soak/_faults.py
+++ b/packages/soak/src/papayadyke_soak/_faults.py
@@ -33,6 +33,7 @@
     UPSTREAM_LINK_RESET = "upstream_link_reset"
     UPSTREAM_LINK_NO_ANSWERS = "upstream_link_no_answers"
     UPSTREAM_DRAIN = "upstream_drain"
+    UPSTREAM_SHRINK = "upstream_shrink"
     CONFIG_CHANGE = "config_change"
     CALLER_LINK_RESET = "caller_link_reset"
 
--- a/packages/soak/src/papayadyke_soak/_fleet.py
+++ b/packages/soak/src/papayadyke_soak/_fleet.py
@@ -15,6 +15,7 @@
     list_upstream,
     unlist_upstream,
 )
+from papayadyke_daemon.edge import read_clock
 from papayadyke_soak._proxy import LinkMode, Proxy, ProxyLoop
 
 
@@ -24,6 +25,11 @@
 
     server: UpstreamServer
     link: Proxy
+    cores: int
+    is_draining: bool = False
+    # Cores before the last change, and when that was.
+    earlier_cores: int = 0
+    resized_s: float = 0.0
 
 
 class Fleet:
@@ -69,7 +75,40 @@
 
     def drain(self, member: Member) -> None:
         """Mark an upstream as draining."""
-        self._list(member, is_draining=True)
+        member.is_draining = True
+        self._list(member)
+
+    def resize(self, member: Member, cores: int) -> None:
+        """Change the capacity of an upstream while it runs."""
+        if member not in self.members:
+            return
+        member.earlier_cores, member.resized_s = member.cores, read_clock()
+        member.cores = cores
+        self._list(member)
+
+    def relist(self, member: Member) -> None:
+        """Write the entry of an upstream that has begun a new incarnation."""
+        self._list(member)
+
+    def read_capacity(self, upstream_id: str, settled_s: float) -> int:
+        """Return the most that an upstream may be given, in thousandths of a core.
+
+        Parameters
+        ----------
+        upstream_id : str
+        settled_s : float
+            A change of the capacity counts if it was made before that time.
+        """
+        member = self.list_members().get(upstream_id)
+        if member is None:
+            return self._cores * 1000
+        is_settled = member.resized_s < settled_s
+        cores = member.cores if is_settled else max(member.cores, member.earlier_cores)
+        return cores * 1000
+
+    def list_members(self) -> dict[str, Member]:
+        """Return the present upstreams by id."""
+        return {member.server.upstream_id: member for member in list(self.members)}
 
     def replace(self, member: Member) -> None:
         """Remove an upstream with its runs, and start another."""
@@ -88,6 +127,8 @@
         for member in self.members:
             member.server.fault = UpstreamFault.NONE
             member.link.set_mode(LinkMode.WORKS)
+            if member.cores != self._cores:
+                self.resize(member, self._cores)
 
     def _add(self) -> Member:
         if self._observer is None:
@@ -100,19 +141,35 @@
             lock=self.lock,
             fleet=self._servers,
             seed=self._seed * 1000 + number,
+            on_return=self._handle_return,
         )
         link = Proxy(self._loop, "127.0.0.1", server.start())
         with self.lock:
             self._servers[name] = server
-        member = Member(server, link)
-        self._list(member, is_draining=False)
+        member = Member(server, link, self._cores)
+        self._list(member)
         return member
 
-    def _list(self, member: Member, *, is_draining: bool) -> None:
+    def _handle_return(self, server: UpstreamServer) -> None:
+        """List an upstream that is back from a crash, each second one anew."""
+        member = self.list_members().get(server.upstream_id)
+        if member is None:
+            return
+        number = next(self._numbers)
+        if number % 2:
+            unlist_upstream(self._store, server.upstream_id)
+            with self.lock:
+                del self._servers[server.upstream_id]
+                server.upstream_id = f"upstream-{number}"
+                self._servers[server.upstream_id] = server
+        self._list(member)
+
+    def _list(self, member: Member) -> None:
         list_upstream(
             self._store,
             member.server.upstream_id,
             address=member.link.address,
-            cores=self._cores,
-            is_draining=is_draining,
+            incarnation=member.server.incarnation,
+            cores=member.cores,
+            is_draining=member.is_draining,
         )
--- a/packages/soak/src/papayadyke_soak/_injector.py
+++ b/packages/soak/src/papayadyke_soak/_injector.py
@@ -176,6 +176,7 @@
         kind = fault.kind
         if kind is FaultKind.UPSTREAM_CRASH:
             member.server.crash()
+            fleet.relist(member)
         elif kind is FaultKind.UPSTREAM_DRAIN:
             fleet.drain(member)
             self._at(
@@ -188,6 +189,9 @@
         elif kind is FaultKind.UPSTREAM_FAILS:
             member.server.fault = UpstreamFault.FAILS
             return fleet.heal
+        elif kind is FaultKind.UPSTREAM_SHRINK:
+            fleet.resize(member, max(1, int(member.cores * fault.share)))
+            return partial(fleet.resize, member, member.earlier_cores)
         elif kind is FaultKind.UPSTREAM_LINK_RESET:
             member.link.reset()
         else:
--- a/packages/soak/src/papayadyke_soak/_load.py
+++ b/packages/soak/src/papayadyke_soak/_load.py
@@ -20,6 +20,8 @@
 MOST_TRIES = 5  # submissions of a job
 CANCEL_SHARE = 0.08  # of the jobs
 FAIL_SHARE = 0.05  # of the jobs, which can never succeed
+DEADLY_SHARE = 0.02  # of the jobs, which crash each upstream that starts them
+CRASH_AFTER_S = (0.05, 0.5)  # seconds from the start of such a task to the crash
 GANG_SHARE = 0.25  # of the jobs
 REPEAT_SHARE = 0.1  # of the accepted submissions are sent again
 # Seconds before a VM's exit at which a request that was sent counts as read.
@@ -35,7 +37,10 @@
     cpu = rng.choice((1000, 2000, 4000, 8000))
     duration_s = rng.uniform(0.1, 1.5)
     count = rng.randint(2, 6) if is_gang else rng.randint(1, 4)
-    needs = Needs(duration_s, cpu, count if is_gang else 0, succeeds)
+    crash_after_s = None
+    if rng.random() < DEADLY_SHARE:
+        crash_after_s = rng.uniform(*CRASH_AFTER_S)
+    needs = Needs(duration_s, cpu, count if is_gang else 0, succeeds, crash_after_s)
     step = StepSpec(
         count, cpu_millis=cpu, memory_mb=100, estimate_s=duration_s, is_gang=is_gang
     )
@@ -46,7 +51,7 @@
     payload = msgspec.json.encode(needs).decode()
     job_id = f"{rng.getrandbits(64):016x}"
     spec = StagedJobSpec(job_id, queue, payload, tuple(steps), time.time())
-    return JobRecord(spec, succeeds)
+    return JobRecord(spec, succeeds and crash_after_s is None)
 
 
 class Caller:
--- a/packages/soak/src/papayadyke_soak/_promises.py
+++ b/packages/soak/src/papayadyke_soak/_promises.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from papayadyke_adapter_standins import RunSeen
+from papayadyke_adapter_standins import RunSeen, TaskBehavior
 from papayadyke_core.dispatch import (
     EndedRun,
     JobState,
@@ -21,6 +21,10 @@
 from papayadyke_soak._ledger import JobRecord, Ledger
 
 VISIBLE_S = 3.0  # seconds after which every VM knows an accepted job
+# Crashes of upstreams under a task after which its job may be given up.
+MIN_CRASHES = 2
+# Starts of a task that crashes its upstreams, after that many of them have crashed.
+MAX_CRASHES, MAX_LATER_STARTS = 3, 2
 
 
 class Needs(msgspec.Struct):
@@ -30,6 +34,7 @@
     cpu_millis: int
     gang: int = 0
     succeeds: bool = True
+    crash_after_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,8 +52,8 @@
     Parameters
     ----------
     ledger : Ledger
-    capacity_millis : int
-        Of each upstream, in thousandths of a core.
+    read_capacity : callable
+        Returns the most that an upstream may be given, in thousandths of a core.
     max_attempts : int
     list_running : callable
         Returns what runs on all upstreams that are up.
@@ -58,14 +63,14 @@
         self,
         ledger: Ledger,
         *,
-        capacity_millis: int,
+        read_capacity: Callable[[str], int],
         max_attempts: int,
         list_running: Callable[[], list[RunSeen]],
     ) -> None:
         self.violations: list[Violation] = []
         self.counts: Counter[str] = Counter()
         self._ledger = ledger
-        self._capacity_millis = capacity_millis
+        self._read_capacity = read_capacity
         self._max_attempts = max_attempts
         self._list_running = list_running
         self._lock = threading.RLock()
@@ -73,14 +78,18 @@
         self._ever_done: set[TaskId] = set()
         self._noted_done: set[TaskId] = set()
         self._started_after_done: set[TaskId] = set()
+        self._crashes: Counter[TaskId] = Counter()
+        self._later_starts: Counter[TaskId] = Counter()
         self._failed: Counter[TaskId] = Counter()
         self._noted_failed: Counter[TaskId] = Counter()
         self._begun = read_clock()
 
-    def needs_of(self, payload: str) -> tuple[float, int, bool]:
-        """Return duration in seconds, members of the gang (0: none), and success."""
+    def behavior_of(self, payload: str) -> TaskBehavior:
+        """Return what a task with this payload does."""
         needs = _read_needs(payload)
-        return needs.duration_s, needs.gang, needs.succeeds
+        return TaskBehavior(
+            needs.duration_s, needs.gang, needs.succeeds, needs.crash_after_s
+        )
 
     def started(self, run: RunSeen) -> None:
         """Check a start; the run is already in the list of running ones."""
@@ -95,6 +104,7 @@
             self._check_alone(run)
             self._check_room(run)
             self._check_order(run, record.spec)
+            self._check_crashes(run)
             if run.task in self._noted_done:
                 self._break("nothing starts again once it is done", run.task)
             elif run.task in self._done:
@@ -124,10 +134,11 @@
             for name in group & self._started_after_done:
                 self._break("nothing starts again once it is done", name)
 
-    def crashed(self, upstream_id: str, unnoted: list[EndedRun]) -> None:
-        """Discard ends that were lost in a crash before they were acknowledged."""
+    def crashed(self, running: list[RunSeen], unnoted: list[EndedRun]) -> None:
+        """Count a crash, and discard ends that were lost in it unacknowledged."""
         with self._lock:
             self.counts["crashed"] += 1
+            self._crashes.update(run.task for run in running)
             for run in unnoted:
                 if run.end is RunEnd.DONE and run.task not in self._noted_done:
                     self._done -= self._group(run.task)
@@ -144,6 +155,10 @@
             elif state is JobState.FAILED and record.can_succeed:
                 tasks = _list_tasks(record.spec)
                 failed = max((self._failed[task] for task in tasks), default=0)
+                crashes = max((self._crashes[task] for task in tasks), default=0)
+                self.counts["given_up"] += crashes >= MIN_CRASHES
+                if crashes >= MIN_CRASHES:
+                    return
                 if failed < self._max_attempts and not record.spec.steps[0].is_gang:
                     self._break("failed only after its attempts", record.spec.job_id)
             elif state is JobState.CANCELLED and record.cancel_sent_s is None:
@@ -192,9 +207,17 @@
             for other in self._list_running()
             if other.upstream_id == run.upstream_id
         )
-        if used > self._capacity_millis:
+        if used > self._read_capacity(run.upstream_id) and not run.is_late:
             self._break("no upstream over its capacity", run.upstream_id)
 
+    def _check_crashes(self, run: RunSeen) -> None:
+        is_deadly = _read_needs(run.payload).crash_after_s is not None
+        if not is_deadly or self._crashes[run.task] < MAX_CRASHES:
+            return
+        self._later_starts[run.task] += 1
+        if self._later_starts[run.task] > MAX_LATER_STARTS:
+            self._break("no task crashes upstream after upstream", run.task)
+
     def _check_order(self, run: RunSeen, spec: StagedJobSpec) -> None:
         for number in spec.steps[run.task.step].after:
             earlier = _list_step(spec, number)
--- a/packages/soak/src/papayadyke_soak/_soak.py
+++ b/packages/soak/src/papayadyke_soak/_soak.py
@@ -18,7 +18,7 @@
     write_catalog,
 )
 from papayadyke_daemon.edge import read_clock, read_decider_vm
-from papayadyke_soak._faults import draw_faults
+from papayadyke_soak._faults import LENGTH_S, draw_faults
 from papayadyke_soak._fleet import Fleet
 from papayadyke_soak._injector import Injector, Targets
 from papayadyke_soak._ledger import Ledger
@@ -36,6 +36,9 @@
 SETTLE_S = 60.0  # seconds in which all that was accepted must end after the faults
 QUIET_S = 8.0  # seconds after which nothing of an ended job may run; over a lease
 POLL_S = 0.25
+# Seconds in which a change of an upstream's capacity has to be known, without faults:
+# contact_ms and one heartbeat of the users' pages.
+CAPACITY_KNOWN_S = 4.5
 STORE_THREADS_A_VM = 8  # four watches, and short calls
 
 
@@ -116,15 +119,17 @@
     ledger = Ledger()
     promises = Promises(
         ledger,
-        capacity_millis=CORES * 1000,
+        read_capacity=lambda name: fleet.read_capacity(
+            name, _find_settled_s(vms, fault_s=LENGTH_S[1])
+        ),
         max_attempts=MAX_ATTEMPTS,
         list_running=fleet.list_running,
     )
-    fleet.start(cfg.upstreams, promises)
     vms = [
         _make_vm(number, loop, store_port, advisory_port, directory)
         for number in range(cfg.processes)
     ]
+    fleet.start(cfg.upstreams, promises)
     clients = [
         CallerClient(
             vm.plan.host, vm.callers_link.port, queue_host=QUEUE_HOST, prefix=PREFIX
@@ -202,6 +207,22 @@
     )
 
 
+def _find_settled_s(vms: list[VmProcess], *, fault_s: float) -> float:
+    """Return the time before which every VM has read what was changed.
+
+    Parameters
+    ----------
+    vms : list of VmProcess
+    fault_s : float
+        Longest time in seconds for which a fault keeps a VM from the store.
+    """
+    now = read_clock()
+    disturbed_s = max(vm.disturbed_s for vm in vms)
+    if now < disturbed_s + fault_s + CAPACITY_KNOWN_S:
+        return 0.0
+    return now - CAPACITY_KNOWN_S
+
+
 def _find_decider(store: StoreServer, vms: list[VmProcess]) -> VmProcess | None:
     name = read_decider_vm(store.read)
     return next((vm for vm in vms if vm.plan.name == name), None)
--- a/packages/soak/src/papayadyke_soak/tests/test_promises.py
+++ b/packages/soak/src/papayadyke_soak/tests/test_promises.py
@@ -1,5 +1,7 @@
 """Each promise is seen to be broken where it is."""
 
+from dataclasses import replace
+
 import msgspec
 import pytest
 
@@ -30,7 +32,7 @@
         self.ledger.add(self.record)
         self.promises = Promises(
             self.ledger,
-            capacity_millis=16_000,
+            read_capacity=lambda upstream_id: 16_000,
             max_attempts=2,
             list_running=lambda: self.running,
         )
@@ -96,7 +98,7 @@
     seen = Seen()
     run = seen.start()
     seen.end(run, RunEnd.DONE)
-    seen.promises.crashed("a", [EndedRun(1, run.task, 1, RunEnd.DONE)])
+    seen.promises.crashed([], [EndedRun(1, run.task, 1, RunEnd.DONE)])
     seen.start(upstream="b")
     assert seen.broken() == set()
 
@@ -160,3 +162,26 @@
     seen.record.state = JobState.FAILED
     seen.promises.check_quiet()
     assert seen.broken() == {"an ended job leaves nothing running"}
+
+
+def test_task_that_crashes_upstream_after_upstream_is_seen():
+    payload = msgspec.json.encode(Needs(1.0, 9000, crash_after_s=0.1)).decode()
+    seen = Seen()
+    seen.record.spec = replace(seen.record.spec, payload=payload)
+    for _ in range(5):
+        run = seen.start(payload=payload)
+        seen.running.clear()
+        seen.promises.crashed([run], [])
+    assert seen.broken() == set()
+    seen.start(payload=payload)
+    assert seen.broken() == {"no task crashes upstream after upstream"}
+
+
+def test_job_under_which_two_upstreams_crashed_may_fail():
+    seen = Seen()
+    for _ in range(2):
+        run = seen.start()
+        seen.running.clear()
+        seen.promises.crashed([run], [])
+    seen.promises.told(seen.record, JobState.FAILED)
+    assert seen.broken() == set()
