Doubt a run whose start is answered after contact was lost

Callers saw: nothing yet; a deadly task could crash one upstream more than counted. Cause: a run in transit is not doubted when contact is lost, and its answer came later, from the other connection. A run that a successor adopts had forgotten that its task was suspected, so other tasks could join it at once. Ruled out: starts without an answer; these were doubted. Change: the answer of an upstream that is out of contact leaves its run doubtful; adopted runs keep the losses of their task. The random histories also shrink and grow upstreams.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -347,12 +347,13 @@
             if run.phase is RunPhase.ORDERED:
                 run.phase, run.phase_since_s = RunPhase.RUNNING, now
                 self._mark_active(run)
+            if not upstream.is_reachable:
+                self._doubt_run(run, now)
         elif outcome is StartOutcome.UNKNOWN:
             if run.phase is RunPhase.ORDERED:
                 run.phase, run.phase_since_s = RunPhase.UNCERTAIN, now
             self._lose_contact(upstream, now)
-            if self._crash_tracker.doubt(run, now):
-                self._record_suspicion({run.task.job_id})
+            self._doubt_run(run, now)
         else:
             if outcome is StartOutcome.BAD_TICKET:
                 self.advice_cache.remove_ticket(
@@ -655,6 +656,7 @@
             now,
             upstream.incarnation,
             is_unwanted=not is_needed,
+            earlier_losses=step.count_losses(index) if step is not None else 0,
         )
         upstream.add(run)
         if step is not None and index < step.spec.count:
@@ -771,8 +773,8 @@
         """Drop a run that its upstream neither runs nor lists as ended."""
         has_restarted = run.incarnation != upstream.incarnation
         cause = LossCause.RESTARTED if has_restarted else LossCause.NOT_LISTED
-        if has_restarted and self._crash_tracker.doubt(run, now):
-            self._record_suspicion({run.task.job_id})
+        if has_restarted:
+            self._doubt_run(run, now)
         self._record_loss(run, cause, now)
         self._drop_run(upstream, run, RunEnd.LOST, now)
 
@@ -787,6 +789,10 @@
         if any(later.is_reachable for later in self._list_at_address(upstream)):
             self._count_crashes(upstream.upstream_id, now, present=None)
 
+    def _doubt_run(self, run: Run, now: float) -> None:
+        if self._crash_tracker.doubt(run, now):
+            self._record_suspicion({run.task.job_id})
+
     def _list_at_address(self, upstream: Upstream) -> list[Upstream]:
         """Return the other upstreams at an address, which excludes that both live."""
         address = upstream.entry.address
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_crashing_tasks.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_crashing_tasks.py
@@ -15,7 +15,14 @@
     read_stored_progress,
 )
 
-from papayadyke_core.dispatch import JobState, TaskId
+from papayadyke_core.dispatch import (
+    Dispatcher,
+    DispatchSettings,
+    JobState,
+    StartOutcome,
+    TaskId,
+    UpstreamReport,
+)
 
 NAMES = tuple(f"u{number}" for number in range(6))
 DEADLY = TaskId("deadly", 0, 0, 0)
@@ -228,3 +235,19 @@
     world.dispatcher._is_store_failing = False
     world.run(0.2)
     assert world.crashes[DEADLY] == 2
+
+
+# The answer to a start that came after contact was lost left its run out of the count.
+def test_start_that_is_answered_after_the_crash_counts():
+    dispatcher = Dispatcher(DispatchSettings(lease_s=5.0))
+    dispatcher.set_catalog(make_catalog())
+    dispatcher.add_or_update_upstream(make_entry("a"))
+    dispatcher.process_report("a", UpstreamReport(1, 0.0, 0.0), 0.0)
+    dispatcher.submit(make_job("deadly"), now=0.0)
+    (order,) = dispatcher.tick(0.1, 0.1).starts
+    dispatcher.mark_unreachable("a", 0.2)
+    dispatcher.process_start_outcome(order, StartOutcome.STARTED, 0.2)
+    dispatcher.tick(9.0, 9.0)
+    dispatcher.process_report("a", UpstreamReport(2, 10.0, 10.0), 10.0)
+    (crash,) = dispatcher.take_task_crashes()
+    assert (crash.task, crash.crashes) == (DEADLY, 1)
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_history_machine.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_history_machine.py
@@ -12,6 +12,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
 from papayadyke_daemon.edge.tests.history_world import (
+    CPU_MILLIS,
     CallFault,
     HistoryWorld,
     make_step,
@@ -178,6 +179,13 @@
             self.world.list_upstream(name, state)
         self.world.schedule(seconds, lambda: self.world.list_upstream(name))
 
+    @rule(
+        name=st.sampled_from(UPSTREAMS),
+        cpu_millis=st.sampled_from([0, 1000, 2000, CPU_MILLIS]),
+    )
+    def resize(self, name, cpu_millis):
+        self.world.resize(self.world.addresses[name], cpu_millis)
+
     @rule(share=st.sampled_from([0.0, 0.0, 0.5]))
     def set_fail_share(self, share):
         self.world.fail_share = share
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/virtual_upstream.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/virtual_upstream.py
@@ -22,6 +22,8 @@
 from papayadyke_daemon.edge.tests.virtual_store import CallFault
 
 MAX_LEASE_S = 10.0  # longer leases are shortened
+# Seconds in which a change of the capacity has to be known: contact_ms and a heartbeat.
+CAPACITY_KNOWN_S = 4.5
 LATE_ORDER_S = 3.0  # delay of an order that is carried out late
 
 
@@ -65,6 +67,9 @@
     back_s: float | None = None  # when it is back from a crash
     is_draining: bool = False
     is_gone: bool = False
+    # Capacity before the last change, and when that was.
+    earlier_cpu_millis: int = 0
+    resized_s: float = 0.0
     late_orders: list[tuple[float, int, Callable[[], object]]] = field(
         default_factory=list
     )
@@ -144,6 +149,16 @@
         self.crash()
         self.back_s = self.now + seconds
 
+    def resize(self, cpu_millis):
+        self.earlier_cpu_millis, self.resized_s = self.cpu_millis, self.now
+        self.cpu_millis = cpu_millis
+
+    def read_capacity(self, now):
+        """Return the most that may run here; a room that has shrunk counts a while."""
+        if now - self.resized_s <= CAPACITY_KNOWN_S:
+            return max(self.cpu_millis, self.earlier_cpu_millis)
+        return self.cpu_millis
+
     def _check_token(self, token):
         if token < self.token:
             raise FencedError
