Report runs that were lost with their upstream as work in vain

Cause: `report waits` added up only runs whose end was listed; runs that a crash ended were counted nowhere. Change: lost runs count by their cause; the proxy passes over connections that close.

--- a/packages/cli/src/papayadyke_cli/_waits.py
+++ b/packages/cli/src/papayadyke_cli/_waits.py
@@ -141,13 +141,14 @@
             span.started += 1
         for task_index, _, upstream in event["runs"]:
             run_starts[str(event["step"]), upstream, task_index] = at_s
-    elif event_name == "decider: runs ended":
+    elif event_name in ("decider: runs ended", "decider: runs lost"):
+        end = event["end"] if event_name == "decider: runs ended" else event["cause"]
         for task_index in event["tasks"]:
             run_start_s = run_starts.pop(
                 (str(event["step"]), event["upstream"], task_index), None
             )
-            if run_start_s is not None and event["end"] != "done":
-                span.in_vain_s[event["end"]] += at_s - run_start_s
+            if run_start_s is not None and end != "done":
+                span.in_vain_s[end] += at_s - run_start_s
     elif event_name == "decider: job ended":
         job = jobs.setdefault(job_id, JobTimes(job_id))
         job.ended_s, job.state = at_s, event["state"]
--- a/packages/cli/src/papayadyke_cli/tests/test_waits.py
+++ b/packages/cli/src/papayadyke_cli/tests/test_waits.py
@@ -54,6 +54,21 @@
     assert report.unreadable == 2
 
 
+def test_runs_that_are_lost_with_their_upstream_ran_in_vain():
+    lost = line(
+        102.0,
+        "decider: runs lost",
+        request="a",
+        step=["a", 0, 0],
+        tasks=[0],
+        upstream="u",
+        cause="restarted",
+        age_s=1.0,
+    )
+    report = read_waits([LINES[3], lost], step_s=2.0)
+    assert report.spans[0].in_vain_s == {"restarted": pytest.approx(1.0)}
+
+
 def test_lines_of_a_repeated_submission_count_once():
     report = read_waits([LINES[0], LINES[0]], step_s=2.0)
     assert len(report.jobs) == 1
--- a/packages/soak/src/papayadyke_soak/_proxy.py
+++ b/packages/soak/src/papayadyke_soak/_proxy.py
@@ -89,6 +89,8 @@
 
     def _abort_all(self) -> None:
         for writer in self._writers:
+            if writer.transport.is_closing():
+                continue
             sock = writer.get_extra_info("socket")
             # Without lingering, closing sends a reset.
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
