Let a soak's drains come to their end before it settles

All open jobs were gangs of 48 cores that the advisory stand-in allows on three of six upstreams, one of which was draining: its drain had begun within 3 s of the end of the load, and the replacement that ends it was dropped. Found with the members' state printed at the end of a rerun. Ruled out: suspects that wait (the jobs had not been started), a stale entry (its life was that of the reports), an upstream out of reach. Change: before the run settles, draining upstreams are replaced and all have their full capacity.

--- a/packages/soak/src/papayadyke_soak/_fleet.py
+++ b/packages/soak/src/papayadyke_soak/_fleet.py
@@ -127,6 +127,13 @@
         for member in self.members:
             member.server.fault = UpstreamFault.NONE
             member.link.set_mode(LinkMode.WORKS)
+
+    def settle(self) -> None:
+        """End all faults; those that drain leave, and all have their full capacity."""
+        for member in [member for member in self.members if member.is_draining]:
+            self.replace(member)
+        self.heal()
+        for member in self.members:
             if member.cores != self._cores:
                 self.resize(member, self._cores)
 
--- a/packages/soak/src/papayadyke_soak/_injector.py
+++ b/packages/soak/src/papayadyke_soak/_injector.py
@@ -97,7 +97,7 @@
             if vm.stop_sent_s is not None:
                 vm.wait(30.0)
             vm.start()
-        self._targets.fleet.heal()
+        self._targets.fleet.settle()
 
     def _at(self, at_s: float, act: Callable[[], None]) -> None:
         heapq.heappush(self._due, (at_s, next(self._numbers), act))
