Let a suspected task start where no upstream is ever idle

Callers saw: nothing yet; a job whose task had been on two upstreams that crashed would have waited for good on a fleet where each upstream runs a task that lasts. Cause: such a task starts on an idle upstream only, and one that runs a lasting task never is. With other tasks beside it, another upstream was kept free in each round. Ruled out: a short wait before it starts beside others; with 6 s a neighbour failed in the flood of the tests. Change: an upstream that runs only lasting tasks counts as idle, the same upstream is kept free from round to round, and after 30 s the task starts beside others.

--- a/packages/core/src/papayadyke_core/dispatch/_job.py
+++ b/packages/core/src/papayadyke_core/dispatch/_job.py
@@ -40,10 +40,13 @@
         self.checkpoints: dict[int, str] = {}
         self.attempts: dict[int, int] = {}
         self.avoided_upstreams: dict[int, set[str]] = {}
-        self.ready_s: float | None = None
         self.crashes: dict[int, list[LostContact]] = {}
         # Upstreams that may have crashed under a run of the task.
         self.doubts: dict[int, list[LostContact]] = {}
+        # When each prime suspect began to wait for an idle upstream, and which one is
+        # kept free for it.
+        self.waiting_alone_s: dict[int, float] = {}
+        self.kept_free: dict[int, str] = {}
 
     @property
     def is_done(self) -> bool:
--- a/packages/core/src/papayadyke_core/dispatch/_placement.py
+++ b/packages/core/src/papayadyke_core/dispatch/_placement.py
@@ -117,13 +117,16 @@
     *,
     placed: Sequence[tuple[int, Upstream]] = (),
 ) -> Upstream | None:
-    """Return the upstream with the fewest other suspects, then the fewest runs."""
+    """Return the upstream kept free, or the one with the fewest suspects and runs."""
     avoided_upstreams = step.avoided_upstreams.get(index, set())
     placed_here = Counter(upstream.upstream_id for _, upstream in placed)
 
-    def rank(upstream: Upstream) -> tuple[bool, int, bool, int]:
+    kept_free = step.kept_free.get(index)
+
+    def rank(upstream: Upstream) -> tuple[bool, bool, int, bool, int]:
         name = upstream.upstream_id
         return (
+            name != kept_free,
             name in avoided_upstreams,
             upstream.suspect_runs + placed_here[name],
             _is_remote(step, upstream),
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -23,6 +23,9 @@
 from papayadyke_core.dispatch._upstream import Upstream
 
 ADVICE_SEARCH_INTERVAL_S = 0.25  # seconds between two searches for a waiting step
+# Seconds for which a prime suspect waits for an idle upstream; then it starts beside
+# other tasks.
+MAX_ALONE_WAIT_S = 30.0
 # Searches per pass; each looks at every upstream of a service.
 MAX_ADVICE_SEARCHES = 40
 
@@ -92,14 +95,18 @@
         """Start the prime suspects of a step on idle upstreams; return if any started.
 
         Must be called for all steps before `place`. An upstream that is not idle yet
-        gets no other task in this round, until one is idle in the end.
+        gets no other task in this round. One that runs only tasks that last counts as
+        idle, since they do not end.
         """
         pool = self._pools.get(queue.service)
         if pool is None or step.spec.is_gang:
             return False
         has_started = False
         for index in sorted(self._find_held_tasks(step)):
-            if pool.max_alone <= 0 or not self._may_try_again(step, index):
+            if not self._may_try_again(step, index):
+                continue
+            step.waiting_alone_s.setdefault(index, self._now)
+            if pool.max_alone <= 0:
                 continue
             eligible = self._list_eligible(step, queue, pool)
             candidates = list_candidates(step, eligible, reserved=set(), is_idle=True)
@@ -108,7 +115,10 @@
                 continue
             pool.max_alone -= 1
             del pool.members[chosen.upstream_id]
-            if not chosen.runs:
+            step.kept_free[index] = chosen.upstream_id
+            if all(run.spec.is_long_running for run in chosen.runs.values()) and (
+                chosen.free_slots_for(step.spec)
+            ):
                 self._start_task(step, index, chosen)
                 has_started = True
         return has_started
@@ -180,9 +190,17 @@
             index
             for index in step.waiting & (step.crashes.keys() | step.doubts.keys())
             if step.count_losses(index) >= PRIME_SUSPECT_LOSSES
-            and not (step.spec.is_gang and self._may_try_again(step, index))
+            and not (
+                self._may_try_again(step, index)
+                and (step.spec.is_gang or self._has_waited_alone(step, index))
+            )
         }
 
+    def _has_waited_alone(self, step: StepRun, index: int) -> bool:
+        """Return whether a prime suspect has waited long enough for an upstream."""
+        since_s = step.waiting_alone_s.get(index, self._now)
+        return self._now - since_s > MAX_ALONE_WAIT_S
+
     def _may_try_again(self, step: StepRun, index: int) -> bool:
         """Return whether a prime suspect may start.
 
@@ -222,6 +240,8 @@
         step.record_attempt(index, attempt)
         step.live[index] = run
         step.waiting.discard(index)
+        step.waiting_alone_s.pop(index, None)
+        step.kept_free.pop(index, None)
         ticket = self._advice_cache.find_ticket(step.step_id, name, now) or ""
         checkpoint = step.checkpoints.get(index, "")
         if step.spec.is_gang:
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_crashing_tasks.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_crashing_tasks.py
@@ -251,3 +251,27 @@
     dispatcher.process_report("a", UpstreamReport(2, 10.0, 10.0), 10.0)
     (crash,) = dispatcher.take_task_crashes()
     assert (crash.task, crash.crashes) == (DEADLY, 1)
+
+
+# A task with two crashes waited for good where no upstream is ever idle.
+@pytest.mark.parametrize("beside", ["lasting", "stream"])
+def test_task_with_two_crashes_starts_although_no_upstream_is_idle(make_world, beside):
+    world = make_world()
+    if beside == "lasting":
+        lasting = make_step(6, is_long_running=True, max_per_upstream=1)
+        world.submit(make_job("lasting", lasting))
+        world.run(0.5)
+    world.submit(make_job("n"))
+    for _ in range(2):
+        while not any(task.job_id == "n" for _, task, _ in world.running()):
+            world.run(0.1, after_s=2.0)
+        (name,) = {row[0] for row in world.running() if row[1].job_id == "n"}
+        # Another upstream is lost at the same time, so the task is not to blame.
+        other = next(other for other in world.upstreams if other != name)
+        for lost in (name, other):
+            world.crash_for(lost, 2.0)
+    for number in range(400):
+        if beside == "stream":
+            world.submit(make_job(f"s{number}", make_step(1, estimate_s=5.0)))
+        world.run(0.1, after_s=2.0)
+    assert world.get_state("n") is JobState.COMPLETE
