Keep the advice of an upstream that is back under another id in the soak

A gang of 40 cores was allowed on two of the last six upstreams: the advisory stand-in goes by the id, and of ids that change it may allow too few. Ruled out: the wait of a suspected gang (two crashes counted per member); only 32 cores were allowed. Change: an upstream that is back keeps the first part of its id, and the stand-in goes by it.

--- a/packages/soak/src/papayadyke_soak/_fleet.py
+++ b/packages/soak/src/papayadyke_soak/_fleet.py
@@ -167,7 +167,8 @@
             unlist_upstream(self._store, server.upstream_id)
             with self.lock:
                 del self._servers[server.upstream_id]
-                server.upstream_id = f"upstream-{number}"
+                base, _, _ = server.upstream_id.partition(".")
+                server.upstream_id = f"{base}.{number}"
                 self._servers[server.upstream_id] = server
         self._list(member)
 
