Do not excuse tasks by crashes that others of their job have caused

Cause: a loss of other upstreams at the time explains a crash, whoever ran there. Change: upstreams that ran tasks of the same job do not count as another cause.

--- a/packages/core/src/papayadyke_core/dispatch/_crashes.py
+++ b/packages/core/src/papayadyke_core/dispatch/_crashes.py
@@ -27,6 +27,23 @@
 MIN_CERTAIN_CRASHES = 2
 
 
+@dataclass(frozen=True, slots=True)
+class _Loss:
+    """Loss of contact with an upstream.
+
+    Parameters
+    ----------
+    at_s : float
+    job_ids : set of str
+        Jobs that it ran tasks of.
+    had_prime_suspect : bool
+    """
+
+    at_s: float
+    job_ids: set[str]
+    had_prime_suspect: bool
+
+
 @dataclass(frozen=True, slots=True)
 class TaskCrash:
     """A crash of an upstream that counts against a task that it ran.
@@ -73,9 +90,8 @@
         self._settings = settings
         self._find_step = find_step
         self._doubted_tasks: dict[str, set[TaskId]] = {}
-        # Of each upstream, when contact was last lost, and whether it had a prime
-        # suspect then.
-        self._contact_losses: dict[str, tuple[float, bool]] = {}
+        # The last loss of each upstream.
+        self._losses: dict[str, _Loss] = {}
 
     def restore(self, step: StepRun) -> None:
         """Restore the doubts of a step that an earlier decider stored."""
@@ -87,8 +103,11 @@
     def record_loss(self, upstream: Upstream, now: float) -> None:
         """Record that an upstream was lost, or that it has restarted unnoticed."""
         runs = upstream.runs.values()
-        had_prime_suspect = any(run.is_prime_suspect for run in runs)
-        self._contact_losses[upstream.upstream_id] = now, had_prime_suspect
+        self._losses[upstream.upstream_id] = _Loss(
+            now,
+            {run.task.job_id for run in runs},
+            any(run.is_prime_suspect for run in runs),
+        )
 
     def doubt_runs(self, upstream: Upstream, now: float) -> set[str]:
         """Doubt the runs of an upstream that no longer answers; return their jobs."""
@@ -170,7 +189,7 @@
 
     def forget_loss(self, upstream_id: str) -> None:
         """Forget when an upstream that is gone was lost."""
-        self._contact_losses.pop(upstream_id, None)
+        self._losses.pop(upstream_id, None)
 
     def _is_to_blame(self, step: StepRun, index: int, *, is_alone: bool) -> bool:
         """Return whether a task is given up after a crash.
@@ -185,21 +204,22 @@
         return (
             certain >= MIN_CERTAIN_CRASHES
             and is_alone
-            and not self._has_common_cause(crashes[-1].upstream_id)
+            and not self._has_common_cause(crashes[-1].upstream_id, step.job.job_id)
         )
 
-    def _has_common_cause(self, upstream_id: str) -> bool:
+    def _has_common_cause(self, upstream_id: str, job_id: str) -> bool:
         """Return whether others were lost at about the time of an upstream.
 
-        Those that had a prime suspect do not count. If an earlier decider saw the loss,
-        nothing is known of the others.
+        Those that ran the same job, or had a prime suspect, do not count. If an earlier
+        decider saw the loss, nothing is known of the others.
         """
-        loss = self._contact_losses.get(upstream_id)
+        loss = self._losses.get(upstream_id)
         if loss is None:
             return True
-        lost_s, _ = loss
         return any(
-            abs(other_s - lost_s) <= COMMON_CAUSE_S and not had_prime_suspect
-            for name, (other_s, had_prime_suspect) in self._contact_losses.items()
-            if name != upstream_id
+            abs(other.at_s - loss.at_s) <= COMMON_CAUSE_S
+            and job_id not in other.job_ids
+            and not other.had_prime_suspect
+            for other in self._losses.values()
+            if other is not loss
         )
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_crashing_tasks.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_crashing_tasks.py
@@ -275,3 +275,18 @@
             world.submit(make_job(f"s{number}", make_step(1, estimate_s=5.0)))
         world.run(0.1, after_s=2.0)
     assert world.get_state("n") is JobState.COMPLETE
+
+
+# Tasks of one job that crash several upstreams at once were excused by each other's
+# crashes, and crashed as many again.
+@pytest.mark.parametrize("is_gang", [True, False])
+def test_job_that_crashes_several_upstreams_at_once_is_given_up_at_the_second(
+    make_world, is_gang
+):
+    world = make_world()
+    tasks = range(3)
+    step = {"count": 3, "deadly": tasks, "is_gang": is_gang, "cpu_millis": 4000}
+    submit_deadly_job(world, **step)
+    world.run(60.0)
+    assert world.get_state("deadly") is JobState.FAILED
+    assert max(world.crashes.values()) == 2
