Judge a shrunk upstream of the soak by all of its recent capacities

Cause: two changes within seconds forgot the first capacity, so a start that was allowed could have been called one too many. Change: the fleet keeps each change; the most of those since it settled counts.

--- a/packages/soak/src/papayadyke_soak/_fleet.py
+++ b/packages/soak/src/papayadyke_soak/_fleet.py
@@ -4,7 +4,7 @@
 
 import itertools
 import threading
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from papayadyke_adapter_standins import (
     Observer,
@@ -27,9 +27,8 @@
     link: Proxy
     cores: int
     is_draining: bool = False
-    # Cores before the last change, and when that was.
-    earlier_cores: int = 0
-    resized_s: float = 0.0
+    # Earlier capacities in cores, each with the time of the change to the next.
+    earlier_cores: list[tuple[float, int]] = field(default_factory=list)
 
 
 class Fleet:
@@ -82,7 +81,7 @@
         """Change the capacity of an upstream while it runs."""
         if member not in self.members:
             return
-        member.earlier_cores, member.resized_s = member.cores, read_clock()
+        member.earlier_cores.append((read_clock(), member.cores))
         member.cores = cores
         self._list(member)
 
@@ -102,9 +101,8 @@
         member = self.list_members().get(upstream_id)
         if member is None:
             return self._cores * 1000
-        is_settled = member.resized_s < settled_s
-        cores = member.cores if is_settled else max(member.cores, member.earlier_cores)
-        return cores * 1000
+        recent = [cores for at_s, cores in member.earlier_cores if at_s >= settled_s]
+        return max([member.cores, *recent]) * 1000
 
     def list_members(self) -> dict[str, Member]:
         """Return the present upstreams by id."""
--- a/packages/soak/src/papayadyke_soak/_injector.py
+++ b/packages/soak/src/papayadyke_soak/_injector.py
@@ -190,8 +190,9 @@
             member.server.fault = UpstreamFault.FAILS
             return fleet.heal
         elif kind is FaultKind.UPSTREAM_SHRINK:
-            fleet.resize(member, max(1, int(member.cores * fault.share)))
-            return partial(fleet.resize, member, member.earlier_cores)
+            cores = member.cores
+            fleet.resize(member, max(1, int(cores * fault.share)))
+            return partial(fleet.resize, member, cores)
         elif kind is FaultKind.UPSTREAM_LINK_RESET:
             member.link.reset()
         else:
--- a/packages/soak/src/papayadyke_soak/tests/test_fleet.py
+++ b/packages/soak/src/papayadyke_soak/tests/test_fleet.py
@@ -86,8 +86,10 @@
 def test_capacity_that_has_shrunk_counts_once_it_is_settled(fleet):
     member = fleet.members[0]
     name = member.server.upstream_id
+    before_s = read_clock()
+    fleet.resize(member, 5)
     fleet.resize(member, 2)
-    assert fleet.read_capacity(name, settled_s=member.resized_s) == CORES * 1000
+    assert fleet.read_capacity(name, settled_s=before_s) == CORES * 1000
     assert fleet.read_capacity(name, settled_s=read_clock() + 1.0) == 2000
 
 
