Reproduce that a gang's own failures set upstreams aside

A gang that can not succeed failed on two upstreams until both were set aside for 8 s; another gang was allowed there only. Failures in a row count against the upstream, also those of one gang. Ruled out: suspected tasks that wait (the job was on no upstream that crashed) and a lost job (it completed).

--- a/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
@@ -12,6 +12,7 @@
     DispatchSettings,
     JobState,
     QueuePolicy,
+    RunEnd,
     RunningRun,
     StagedJobSpec,
     TaskId,
@@ -334,3 +335,23 @@
         dispatcher.process_stop_answer(stop, 0.5)
     named = [name for request in orders.advice for name in request.upstream_ids]
     assert set(named) <= {"u198"}
+
+
+# A gang that can not succeed failed on the upstreams of another one until these were
+# set aside, and the other gang waited for 8 s (soak seed 9205).
+def test_gang_that_fails_by_itself_does_not_hold_up_another():
+    entries = [make_entry(f"u{number}", cores=4) for number in range(3)]
+    world = World(make_catalog(max_attempts=4), *entries)
+    world.submit(make_job("fails", make_step(2, is_gang=True, cpu_millis=4000)))
+    for _ in range(2):
+        while not world.running():
+            world.step()
+        name, task, _ = world.running()[0]
+        world.end(world.upstreams[name], task, RunEnd.FAILED)
+        for other, member, _ in world.running():
+            world.end(world.upstreams[other], member, RunEnd.BROKEN)
+        world.step()
+    world.cancel("fails")
+    world.submit(make_job("other", make_step(3, is_gang=True, cpu_millis=4000)))
+    world.run(1.0, after_s=100.0)
+    assert len(world.running()) == 3
