Split the dispatcher by what its parts decide

Ruled out: mixins, which would have kept one object with all state. Change: Schedule holds jobs, upstreams and pending orders; RunTracker applies reports and answers; Takeover knows what earlier terms may have left; CommitTracker collects what is to be stored. Behaviour is unchanged.

--- /dev/null
+++ b/packages/core/src/papayadyke_core/dispatch/_schedule.py
@@ -0,0 +1,191 @@
+"""State that the parts of the dispatcher share: jobs, upstreams and pending orders."""
+
+from __future__ import annotations
+
+from papayadyke_core.dispatch._advice import AdviceCache
+from papayadyke_core.dispatch._commits import CommitTracker
+from papayadyke_core.dispatch._job import StagedJob, StepRun
+from papayadyke_core.dispatch._messages import LossCause, LostRun, RunEnd, StopOrder
+from papayadyke_core.dispatch._progress import JobState
+from papayadyke_core.dispatch._run import Run, RunPhase
+from papayadyke_core.dispatch._settings import DispatchSettings
+from papayadyke_core.dispatch._spec import Catalog, QueuePolicy, StepId, TaskId
+from papayadyke_core.dispatch._upstream import Upstream
+
+STOP_RETRY_S = 0.5  # seconds between stop orders for a run that still runs
+
+
+class Schedule:
+    """Jobs, upstreams and pending orders, and the transitions between their states.
+
+    All times are in seconds.
+
+    Parameters
+    ----------
+    settings : DispatchSettings
+
+    Attributes
+    ----------
+    needs_placement : bool
+        Whether something has changed since the last placement.
+    """
+
+    def __init__(self, settings: DispatchSettings) -> None:
+        self.settings = settings
+        self.catalog = Catalog()
+        self.jobs: dict[str, StagedJob] = {}
+        self.upstreams: dict[str, Upstream] = {}
+        self.advice_cache = AdviceCache()
+        self.estimate_factors: dict[str, float] = {}
+        self.commits = CommitTracker(settings, self.jobs, self.upstreams)
+        self.ready_steps: dict[StepId, StepRun] = {}
+        self.scheduled_steps: dict[StepId, StepRun] = {}
+        self.pending_stops: list[StopOrder] = []
+        self.stopping_runs: dict[tuple[TaskId, int], Run] = {}
+        self.lost_runs: list[LostRun] = []
+        self.needs_placement = True
+
+    def find_step(self, task: TaskId) -> StepRun | None:
+        job = self.jobs.get(task.job_id)
+        if job is None:
+            return None
+        return job.steps.get((task.occurrence, task.step))
+
+    def find_queue(self, job: StagedJob) -> QueuePolicy | None:
+        return self.catalog.queues.get(job.spec.queue)
+
+    def get_estimate_factor(self, queue: str) -> float:
+        """Return the learned ratio of run time to estimate of a queue."""
+        return self.estimate_factors.get(queue, 1.0)
+
+    def add_ready_steps(self, job: StagedJob) -> None:
+        for (occurrence, _), step in job.steps.items():
+            if step.is_done or not step.waiting or not job.is_ready(step):
+                continue
+            if job.due_wall_s(occurrence) is None:
+                self.ready_steps[step.step_id] = step
+            else:
+                self.scheduled_steps[step.step_id] = step
+        self.needs_placement = True
+
+    def add_due_steps(self, wall_s: float) -> None:
+        due = [
+            step_id
+            for step_id, step in self.scheduled_steps.items()
+            if (step.job.due_wall_s(step_id.occurrence) or 0.0)
+            - self.settings.early_start_s
+            <= wall_s
+        ]
+        for step_id in due:
+            self.ready_steps[step_id] = self.scheduled_steps.pop(step_id)
+            self.needs_placement = True
+
+    def update_ready_step(self, step: StepRun) -> None:
+        job = step.job
+        is_startable = (
+            not job.is_final
+            and bool(step.waiting)
+            and job.is_ready(step)
+            and step.step_id not in self.scheduled_steps
+        )
+        if is_startable:
+            self.ready_steps[step.step_id] = step
+        else:
+            self.ready_steps.pop(step.step_id, None)
+
+    def mark_active(self, run: Run) -> None:
+        job = self.jobs.get(run.task.job_id)
+        if job is not None and job.state is JobState.QUEUED:
+            job.state = JobState.ACTIVE
+
+    def finish_job(self, job: StagedJob, state: JobState, now: float) -> None:
+        job.state = state
+        job.ended_s = job.spec.accepted_s + now - job.accepted_at_s
+        self.commits.mark_dirty(job.job_id)
+        self.needs_placement = True
+        for step in job.steps.values():
+            self.ready_steps.pop(step.step_id, None)
+            self.scheduled_steps.pop(step.step_id, None)
+            self.advice_cache.remove_step(step.step_id)
+            for live in list(step.live.values()):
+                live.is_unwanted = True
+                self.stop_run(live, now, f"the job is {state}")
+            step.live.clear()
+
+    def stop_run(self, run: Run, now: float, reason: str) -> None:
+        run.stop_requested_s = now
+        self.stopping_runs[run.key] = run
+        self.pending_stops.append(
+            StopOrder(run.upstream_id, run.task, run.attempt, reason)
+        )
+
+    def repeat_stops(self, now: float) -> None:
+        for key, run in list(self.stopping_runs.items()):
+            upstream = self.upstreams.get(run.upstream_id)
+            if upstream is None or upstream.runs.get(key) is not run:
+                del self.stopping_runs[key]
+            elif (
+                upstream.is_reachable
+                and run.stop_requested_s is not None
+                and now - run.stop_requested_s > STOP_RETRY_S
+            ):
+                self.stop_run(run, now, "stop repeated")
+
+    def evacuate(self, now: float) -> None:
+        """Stop runs just before their upstream shuts down.
+
+        A stopped run yields a checkpoint and its end is listed at once, whereas a
+        run lost with its upstream could restart only after its lease has expired.
+        """
+        lead_time_s = self.settings.stop_s + self.settings.evacuation_calls_s
+        for upstream in self.upstreams.values():
+            departs_s = upstream.departs_s
+            if departs_s is None or now < departs_s - lead_time_s:
+                continue
+            for run in upstream.runs.values():
+                if run.stop_requested_s is None:
+                    self.stop_run(run, now, "the upstream shuts down")
+
+    def expire_leases(self, now: float) -> None:
+        for upstream in self.upstreams.values():
+            if upstream.is_reachable or not upstream.runs:
+                continue
+            for run in list(upstream.runs.values()):
+                if now > self._find_lease_end_s(upstream, run):
+                    self.record_loss(run, LossCause.SILENT, now)
+                    self.drop_run(upstream, run, RunEnd.LAPSED, now)
+
+    def _find_lease_end_s(self, upstream: Upstream, run: Run) -> float:
+        """Return the time after which an unreachable upstream cannot have a run."""
+        if run.phase is RunPhase.RUNNING:
+            return upstream.lease_until_s
+        # The upstream may have restarted unnoticed before the start arrived; the time
+        # in the order was then one of a clock that had started anew.
+        held_until_s = run.started_s + self.settings.longest_hold_s
+        return max(upstream.lease_until_s, held_until_s)
+
+    def drop_run(self, upstream: Upstream, run: Run, end: RunEnd, now: float) -> None:
+        """Free the resources of a run whose end will not be listed."""
+        upstream.remove(run)
+        self.needs_placement = True
+        step = self.find_step(run.task)
+        if step is None or step.live.get(run.task.number) is not run:
+            return
+        step.requeue(run.task.number)
+        self.stop_other_members(step, run.task.number, end, now)
+        self.update_ready_step(step)
+
+    def stop_other_members(
+        self, step: StepRun, index: int, end: RunEnd, now: float
+    ) -> None:
+        """Stop the remaining members of a gang that lost one."""
+        if index in step.done or not step.spec.is_gang:
+            return
+        for other_index, live in list(step.live.items()):
+            if other_index != index:
+                self.stop_run(live, now, f"a member of the gang ended: {end}")
+
+    def record_loss(self, run: Run, cause: LossCause, now: float) -> None:
+        self.lost_runs.append(
+            LostRun(run.upstream_id, run.task, run.attempt, cause, now - run.started_s)
+        )
--- /dev/null
+++ b/packages/core/src/papayadyke_core/dispatch/_takeover.py
@@ -0,0 +1,78 @@
+"""What a decider does not know yet of the terms before its own."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from papayadyke_core.dispatch._job import StagedJob
+from papayadyke_core.dispatch._settings import DispatchSettings
+from papayadyke_core.dispatch._unread import UnreadJobEnds
+from papayadyke_core.dispatch._upstream import Upstream
+
+
+class Takeover:
+    """Times until which runs or jobs of earlier terms may be unknown, in seconds.
+
+    Parameters
+    ----------
+    settings : DispatchSettings
+    term : int
+        Number of earlier deciders.
+    now : float
+        Time of the takeover.
+
+    Attributes
+    ----------
+    barrier_s : float or None
+        Until then runs under leases of the previous decider may be unknown; None once
+        all are known.
+    handover_end_s : float
+        Until then the previous decider may grant leases.
+    unread_until_s : float or None
+        Until then an upstream may run or list a job that was not read yet; None once
+        all such jobs are known.
+    unread_ends : UnreadJobEnds
+    """
+
+    def __init__(self, settings: DispatchSettings, *, term: int, now: float) -> None:
+        self.barrier_s: float | None = None
+        self.handover_end_s = now + settings.handover_s
+        self.unread_until_s: float | None = None
+        self.unread_ends = UnreadJobEnds()
+        self._ended_jobs: set[str] = set()
+        if term:
+            self.unread_until_s = self.handover_end_s + settings.late_read_s
+            # The previous decider may grant leases until the end of the handover. Runs
+            # under them may be unknown until the last of these leases has expired.
+            self.barrier_s = self.handover_end_s + settings.longest_lease_s
+
+    def record_ended_job(self, job_id: str) -> None:
+        """Record a job that ended in an earlier term; its runs are not needed."""
+        self._ended_jobs.add(job_id)
+
+    def may_be_unread(self, job_id: str, jobs: Mapping[str, StagedJob]) -> bool:
+        """Return whether a job may be stored that this term has not read yet."""
+        return (
+            self.unread_until_s is not None
+            and job_id not in jobs
+            and job_id not in self._ended_jobs
+        )
+
+    def lift_barrier(self, upstreams: Mapping[str, Upstream], now: float) -> bool:
+        """Lift the barrier once no earlier start can be unknown; return if it did."""
+        if self.barrier_s is None:
+            return False
+        all_reported = all(upstream.has_reported for upstream in upstreams.values())
+        if not (all_reported and upstreams) and now < self.barrier_s:
+            return False
+        self.barrier_s = None
+        return True
+
+    def end_handover(self, now: float) -> bool:
+        """Stop waiting for unread jobs once their time is over; return if it did."""
+        if self.unread_until_s is None or now < self.unread_until_s:
+            return False
+        self.unread_until_s = None
+        self.unread_ends.clear()
+        self._ended_jobs.clear()
+        return True
--- /dev/null
+++ b/packages/core/src/papayadyke_core/dispatch/_tracking.py
@@ -0,0 +1,404 @@
+"""Processing of what upstreams report: runs, ends, answers to orders and crashes."""
+
+from __future__ import annotations
+
+import logging
+
+from papayadyke_core.dispatch._crashes import CrashTracker, TaskCrash
+from papayadyke_core.dispatch._job import StagedJob, StepRun
+from papayadyke_core.dispatch._messages import (
+    EndedRun,
+    LossCause,
+    RunEnd,
+    RunningRun,
+    StartOrder,
+    StartOutcome,
+    StopOrder,
+    UpstreamReport,
+)
+from papayadyke_core.dispatch._progress import JobState
+from papayadyke_core.dispatch._run import Run, RunPhase
+from papayadyke_core.dispatch._schedule import Schedule
+from papayadyke_core.dispatch._spec import StepId, StepSpec
+from papayadyke_core.dispatch._takeover import Takeover
+from papayadyke_core.dispatch._upstream import Upstream
+
+LOG = logging.getLogger(__name__)
+
+# Weight of the newest run in the moving average of the ratio of run time to estimate.
+ESTIMATE_WEIGHT = 0.05
+MAX_ESTIMATE_FACTOR = 5.0  # a few stuck runs must not distort the estimate
+
+# What a run of an unknown job needs is unknown, so its upstream counts as full.
+_UNKNOWN_STEP = StepSpec(count=1, cpu_millis=10**9, memory_mb=10**9)
+
+
+class RunTracker:
+    """Apply reports of upstreams and answers to orders to the schedule.
+
+    All times are in seconds.
+
+    Parameters
+    ----------
+    schedule : Schedule
+    takeover : Takeover
+    """
+
+    def __init__(self, schedule: Schedule, takeover: Takeover) -> None:
+        self.crash_tracker = CrashTracker(
+            schedule.settings, find_step=schedule.find_step
+        )
+        self.task_crashes: list[TaskCrash] = []
+        self._schedule = schedule
+        self._takeover = takeover
+
+    def record_lease(self, upstream_id: str, sent_s: float) -> None:
+        """Record that a lease is about to be sent to an upstream.
+
+        May be called from any thread, and must be called before the lease is sent:
+        otherwise a tick could treat the lease before it as the last one. The lease
+        counts whether or not the upstream answers.
+        """
+        upstream = self._schedule.upstreams.get(upstream_id)
+        if upstream is not None:
+            until_s = sent_s + self._schedule.settings.longest_lease_s
+            upstream.lease_until_s = max(upstream.lease_until_s, until_s)
+
+    def process_report(
+        self, upstream_id: str, report: UpstreamReport, now: float
+    ) -> list[EndedRun]:
+        """Process the report of an upstream; return the ends that are new."""
+        upstream = self._schedule.upstreams.get(upstream_id)
+        if upstream is None:
+            return []
+        if (
+            upstream.incarnation is not None
+            and upstream.incarnation != report.incarnation
+        ):
+            self._handle_restart(upstream, now)
+        upstream.incarnation = report.incarnation
+        is_regained = not (upstream.is_reachable and upstream.has_reported)
+        upstream.is_reachable = True
+        upstream.has_reported = True
+        if is_regained:
+            self._schedule.needs_placement = True
+            for earlier in self._list_at_address(upstream):
+                if not earlier.is_reachable:
+                    self.count_crashes(earlier.upstream_id, now, present=None)
+        new_ends = [
+            ended for ended in report.ended if ended.number > upstream.last_end_number
+        ]
+        for ended in new_ends:
+            upstream.last_end_number = ended.number
+            if self._takeover.may_be_unread(ended.task.job_id, self._schedule.jobs):
+                self._takeover.unread_ends.add(upstream_id, ended)
+            else:
+                self._process_end(upstream, ended, now)
+        listed = set()
+        for running in report.running:
+            listed.add((running.task, running.attempt))
+            self._process_running(upstream, running, now)
+        for run in [run for run in upstream.runs.values() if run.key not in listed]:
+            self._check_unlisted_run(upstream, run, report, now)
+        self.count_crashes(upstream_id, now, present=report.incarnation)
+        return new_ends
+
+    def mark_unreachable(self, upstream_id: str, now: float = 0.0) -> None:
+        """Mark an upstream as unreachable."""
+        upstream = self._schedule.upstreams.get(upstream_id)
+        if upstream is not None:
+            self._lose_contact(upstream, now)
+
+    def process_start_outcome(
+        self, order: StartOrder, outcome: StartOutcome, now: float
+    ) -> None:
+        """Process the outcome of a start order."""
+        upstream = self._schedule.upstreams.get(order.upstream_id)
+        if upstream is None:
+            return
+        run = upstream.runs.get((order.task, order.attempt))
+        if run is None:
+            return
+        if outcome is StartOutcome.STARTED:
+            if run.phase is RunPhase.ORDERED:
+                run.phase, run.phase_since_s = RunPhase.RUNNING, now
+                self._schedule.mark_active(run)
+            if not upstream.is_reachable:
+                self._doubt_run(run, now)
+        elif outcome is StartOutcome.UNKNOWN:
+            if run.phase is RunPhase.ORDERED:
+                run.phase, run.phase_since_s = RunPhase.UNCERTAIN, now
+            self._lose_contact(upstream, now)
+            self._doubt_run(run, now)
+        else:
+            if outcome is StartOutcome.BAD_TICKET:
+                self._schedule.advice_cache.remove_ticket(
+                    StepId(*order.task[:3]), order.upstream_id
+                )
+            elif outcome in (StartOutcome.REFUSED, StartOutcome.NO_ROOM):
+                upstream.record_failure(now)
+            elif outcome is StartOutcome.NOT_SENT:
+                self._lose_contact(upstream, now)
+            self._schedule.drop_run(upstream, run, RunEnd.LOST, now)
+
+    def process_stop_answer(self, order: StopOrder, now: float) -> None:
+        """Record that an upstream has accepted a stop order."""
+        upstream = self._schedule.upstreams.get(order.upstream_id)
+        if upstream is None:
+            return
+        run = upstream.runs.get((order.task, order.attempt))
+        if run is not None and run.stop_confirmed_s is None:
+            # Only the first answer counts: any poll sent after it reflects the stop,
+            # so answers to repeated stops must not outdate such polls.
+            run.stop_confirmed_s = now
+
+    def claim_runs(self, job: StagedJob, now: float) -> None:
+        """Adopt the runs and ends of a job that upstreams reported before it."""
+        if self._takeover.unread_until_s is None:
+            return
+        for upstream in self._schedule.upstreams.values():
+            runs = [r for r in upstream.runs.values() if r.task.job_id == job.job_id]
+            for run in runs:
+                upstream.remove(run)
+                self._process_running(
+                    upstream, RunningRun(run.task, run.attempt, "", run.percent), now
+                )
+        for upstream_id, ended in self._takeover.unread_ends.take(job.job_id):
+            self._process_end(self._schedule.upstreams[upstream_id], ended, now)
+
+    def count_crashes(
+        self,
+        upstream_id: str,
+        now: float,
+        *,
+        present: int | None,
+        is_certain: bool = True,
+    ) -> None:
+        """Count a crash of an upstream against its tasks; give up those to blame."""
+        crashes, job_ids = self.crash_tracker.resolve(
+            upstream_id, present=present, is_certain=is_certain
+        )
+        self._schedule.commits.record_suspicion(job_ids)
+        self.task_crashes += crashes
+        for crash in crashes:
+            task = crash.task
+            job = self._schedule.jobs[task.job_id]
+            step = job.steps[task.occurrence, task.step]
+            step.avoided_upstreams.setdefault(task.number, set()).add(upstream_id)
+            if crash.is_given_up and not job.is_final:
+                self._schedule.finish_job(job, JobState.FAILED, now)
+
+    def _handle_restart(self, upstream: Upstream, now: float) -> None:
+        """Reset the state that belongs to the previous incarnation.
+
+        Its runs are not dropped here: an order that is still in transit may reach the
+        new incarnation. The report that follows drops the runs that it should list.
+        """
+        LOG.info("dispatch: upstream %s restarted", upstream.upstream_id)
+        self._takeover.unread_ends.remove_upstream(upstream.upstream_id)
+        if upstream.is_reachable:
+            self.crash_tracker.record_loss(upstream, now)
+        # Leases sent since the restart had times of the previous incarnation's clock.
+        held_until_s = now + self._schedule.settings.longest_hold_s
+        upstream.lease_until_s = max(upstream.lease_until_s, held_until_s)
+        upstream.last_end_number = upstream.acknowledged_end_number = 0
+        upstream.failures_in_row = 0
+        self._schedule.advice_cache.remove_upstream(upstream.upstream_id)
+
+    def _process_running(
+        self, upstream: Upstream, running: RunningRun, now: float
+    ) -> None:
+        run = upstream.runs.get((running.task, running.attempt))
+        if run is None:
+            run = self._adopt_run(upstream, running, now)
+        if run.phase is not RunPhase.RUNNING:
+            run.phase, run.phase_since_s = RunPhase.RUNNING, now
+            self._schedule.mark_active(run)
+        step = self._schedule.find_step(running.task)
+        if step is not None and run.incarnation != upstream.incarnation:
+            # The present incarnation has received the order.
+            step.withdraw_doubt(running.task.number, upstream.upstream_id)
+        run.incarnation = upstream.incarnation
+        run.percent = running.percent
+        if step is None or run.is_unwanted:
+            return
+        index = running.task.number
+        if running.checkpoint:
+            step.checkpoints[index] = running.checkpoint
+        if (
+            now - run.started_s > self._schedule.settings.suspect_s
+            and step.clear_suspicion(index)
+        ):
+            self._schedule.commits.record_suspicion({running.task.job_id})
+
+    def _adopt_run(self, upstream: Upstream, running: RunningRun, now: float) -> Run:
+        """Register a reported run that this decider has not started."""
+        step = self._schedule.find_step(running.task)
+        index = running.task.number
+        is_needed = (
+            step is not None
+            and not step.job.is_final
+            and index < step.spec.count
+            and index not in step.done
+            and index not in step.live
+        )
+        spec = step.spec if step is not None else _UNKNOWN_STEP
+        run = Run(
+            running.task,
+            running.attempt,
+            upstream.upstream_id,
+            spec,
+            RunPhase.ORDERED,
+            now,
+            now,
+            upstream.incarnation,
+            is_unwanted=not is_needed,
+            earlier_losses=step.count_losses(index) if step is not None else 0,
+        )
+        upstream.add(run)
+        if step is not None and index < step.spec.count:
+            step.record_attempt(index, running.attempt)
+        if is_needed and step is not None:
+            step.live[index] = run
+            step.waiting.discard(index)
+        elif not self._takeover.may_be_unread(running.task.job_id, self._schedule.jobs):
+            self._schedule.stop_run(run, now, "the run is not needed")
+        return run
+
+    def _check_unlisted_run(
+        self, upstream: Upstream, run: Run, report: UpstreamReport, now: float
+    ) -> None:
+        """Drop or stop a run that a report of its upstream does not list."""
+        if run.phase is RunPhase.ORDERED or run.phase_since_s >= report.requested_s:
+            return
+        if run.phase is RunPhase.RUNNING:
+            self._lose_run(upstream, run, now)
+            return
+        if run.stop_confirmed_s is None:
+            # The start order may still be in transit; a stop prevents the start.
+            if run.stop_requested_s is None:
+                self._schedule.stop_run(run, now, "the start was not answered")
+        elif run.stop_confirmed_s < report.requested_s:
+            self._lose_run(upstream, run, now)
+
+    def _process_end(self, upstream: Upstream, ended: EndedRun, now: float) -> None:
+        run = upstream.runs.get((ended.task, ended.attempt))
+        if run is not None:
+            upstream.remove(run)
+        self._schedule.needs_placement = True
+        step = self._schedule.find_step(ended.task)
+        index = ended.task.number
+        if step is None or index >= step.spec.count:
+            return
+        step.record_attempt(index, ended.attempt)
+        if ended.checkpoint and index not in step.done:
+            step.checkpoints[index] = ended.checkpoint
+        is_live = run is not None and step.live.get(index) is run
+        if ended.end is RunEnd.DONE:
+            self._update_estimates(upstream, run, step, now)
+            self._process_done(step, ended, now)
+        elif ended.end is RunEnd.FAILED:
+            self._process_failure(upstream, step, ended, now)
+        if is_live:
+            step.requeue(index)
+            self._schedule.stop_other_members(step, index, ended.end, now)
+        self._schedule.update_ready_step(step)
+
+    def _update_estimates(
+        self, upstream: Upstream, run: Run | None, step: StepRun, now: float
+    ) -> None:
+        if run is None or run.is_unwanted or step.spec.is_long_running:
+            return
+        if step.checkpoints.get(run.task.number):
+            return
+        taken_s = now - run.started_s
+        estimate_s = step.spec.estimate_s
+        queue = step.job.spec.queue
+        factor = self._schedule.get_estimate_factor(queue)
+        upstream.record_success(estimate_s * factor, taken_s)
+        if estimate_s > 0:
+            ratio = min(taken_s / estimate_s, MAX_ESTIMATE_FACTOR)
+            self._schedule.estimate_factors[queue] = factor + ESTIMATE_WEIGHT * (
+                ratio - factor
+            )
+
+    def _process_done(self, step: StepRun, ended: EndedRun, now: float) -> None:
+        job = step.job
+        indexes = range(step.spec.count) if step.spec.is_gang else (ended.task.number,)
+        newly_done = [index for index in indexes if step.mark_done(index)]
+        if not newly_done:
+            return
+        for index in newly_done:
+            # Another copy of the task, or a gang member whose end is listed later.
+            live = step.live.pop(index, None)
+            if live is None or live.key == (ended.task, ended.attempt):
+                continue
+            live.is_unwanted = True
+            if not step.spec.is_gang:
+                self._schedule.stop_run(live, now, "the task is done")
+        self._schedule.commits.mark_dirty(job.job_id)
+        if job.is_final:
+            return
+        if step.is_done:
+            self._schedule.add_ready_steps(job)
+        if job.is_finished():
+            self._schedule.finish_job(job, JobState.COMPLETE, now)
+
+    def _process_failure(
+        self, upstream: Upstream, step: StepRun, ended: EndedRun, now: float
+    ) -> None:
+        index = ended.task.number
+        if upstream.record_failure(now):
+            LOG.warning(
+                "dispatch: upstream %s set aside after %d failed runs",
+                upstream.upstream_id,
+                upstream.failures_in_row,
+            )
+        step.avoided_upstreams.setdefault(index, set()).add(upstream.upstream_id)
+        attempts = step.failed.setdefault(index, [])
+        if ended.attempt in attempts:
+            return
+        attempts.append(ended.attempt)
+        job = step.job
+        self._schedule.commits.mark_dirty(job.job_id)
+        if job.is_final or index in step.done or step.spec.is_long_running:
+            return
+        queue = self._schedule.find_queue(job)
+        max_attempts = queue.max_attempts if queue is not None else 1
+        if step.count_failures(index) >= max_attempts:
+            self._schedule.finish_job(job, JobState.FAILED, now)
+
+    def _lose_run(self, upstream: Upstream, run: Run, now: float) -> None:
+        """Drop a run that its upstream neither runs nor lists as ended."""
+        has_restarted = run.incarnation != upstream.incarnation
+        cause = LossCause.RESTARTED if has_restarted else LossCause.NOT_LISTED
+        if has_restarted:
+            self._doubt_run(run, now)
+        self._schedule.record_loss(run, cause, now)
+        self._schedule.drop_run(upstream, run, RunEnd.LOST, now)
+
+    def _lose_contact(self, upstream: Upstream, now: float) -> None:
+        if not upstream.is_reachable:
+            return
+        upstream.is_reachable = False
+        # What runs on a draining upstream ends with it, which is no crash.
+        if not upstream.entry.is_draining:
+            self.crash_tracker.record_loss(upstream, now)
+            self._schedule.commits.record_suspicion(
+                self.crash_tracker.doubt_runs(upstream, now)
+            )
+        if any(later.is_reachable for later in self._list_at_address(upstream)):
+            self.count_crashes(upstream.upstream_id, now, present=None)
+
+    def _doubt_run(self, run: Run, now: float) -> None:
+        if self.crash_tracker.doubt(run, now):
+            self._schedule.commits.record_suspicion({run.task.job_id})
+
+    def _list_at_address(self, upstream: Upstream) -> list[Upstream]:
+        """Return the other upstreams at an address, which excludes that both live."""
+        address = upstream.entry.address
+        return [
+            other
+            for other in self._schedule.upstreams.values()
+            if other is not upstream and other.entry.address == address
+        ]
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_crashing_tasks.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_crashing_tasks.py
@@ -232,7 +232,7 @@
     while world.crashes[DEADLY] < 2:
         world.run(0.1)
     world.is_store_down = True
-    world.dispatcher._is_store_failing = False
+    world.dispatcher._schedule.commits.is_store_failing = False
     world.run(0.2)
     assert world.crashes[DEADLY] == 2
 
