--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -38,16 +38,13 @@
     log_starts,
     log_stop,
 )
+from papayadyke_daemon.edge._housekeeping import Housekeeper
 from papayadyke_daemon.edge._keys import (
     CANCEL_PREFIX,
-    DECIDER_KEY,
     INTAKE_PREFIX,
     JOB_PREFIX,
     PROGRESS_PREFIX,
-    ROSTER_KEY,
-    RosterRecord,
     decode_job,
-    encode_record,
 )
 from papayadyke_daemon.edge._logs import log_event
 from papayadyke_daemon.edge._metrics import METRICS
@@ -56,10 +53,8 @@
     EdgePorts,
     EdgeSettings,
     Record,
-    StoreError,
-    StoreErrorKind,
-    Write,
 )
+from papayadyke_daemon.edge._roster import RosterWriter, Term
 from papayadyke_daemon.edge._watch import PrefixWatch, list_prefix
 from papayadyke_daemon.mailbox import Mailbox
 
@@ -69,11 +64,7 @@
 # Least time between two steps in seconds; a call to an upstream takes as long.
 MIN_STEP_INTERVAL_S = 0.002
 MAX_STEP_INTERVAL_S = 0.1  # seconds between two steps without messages
-ROSTER_RETRY_S = 0.15  # seconds before a roster that could not be stored is retried
 GARBAGE_INTERVAL_S = 5.0  # seconds between two removals of old records
-# Jobs per removal. Each is one entry, and the condition is one more; a transaction of
-# the store holds at most 32 entries.
-GARBAGE_BATCH_JOBS = 30
 # Seconds; the job of an early cancellation is read from the store in less time.
 EARLY_CANCEL_RETENTION_S = 60.0
 # Seconds, four heartbeats, after which a silent VM gets no more advisory calls.
@@ -83,29 +74,6 @@
 VM_RETENTION_S = 60.0
 
 
-class Term(msgspec.Struct, frozen=True):
-    """Term of one decider.
-
-    Parameters
-    ----------
-    token : int
-        Fencing token: revision at which this VM became the decider.
-    number : int
-        Number of terms before this one, of any VM.
-    roster : RosterRecord
-        Upstreams that earlier deciders recorded.
-    """
-
-    token: int
-    number: int
-    roster: RosterRecord
-
-
-def _roster_row(entry: UpstreamEntry) -> tuple[str, str]:
-    """Return what the roster holds of an upstream."""
-    return entry.address, entry.service
-
-
 class Decider:
     """Connect the dispatcher with upstreams, the store and the advisory service.
 
@@ -167,13 +135,13 @@
         )
         self._next_step_s = 0.0
         self._next_garbage_s = read_clock() + GARBAGE_INTERVAL_S
-        self._roster_upstreams = dict(term.roster.upstreams)
-        # The roster was written in the same transaction as the decider's key.
-        self._roster_revision = term.token
-        self._is_roster_outdated = False
-        self._roster_write_active = False
-        self._next_roster_s = 0.0
-        self._housekeeping_active = threading.Event()
+        self._roster = RosterWriter(
+            ports.store,
+            term=term,
+            post=self._mailbox.post,
+            on_stored=self._mark_recorded,
+        )
+        self._housekeeper = Housekeeper(ports.store, token=term.token)
         self._agent_callbacks = AgentCallbacks(
             may_issue_orders=may_issue_orders,
             on_report=self._post_report,
@@ -356,7 +324,7 @@
             if agent is not None:
                 agent.send(stop)
         self._begin_commit(now)
-        self._update_roster(now)
+        self._roster.update(self._dispatcher.upstreams, now)
         self._collect_garbage(now)
         return self._committer.next_commit_s(now + MAX_STEP_INTERVAL_S)
 
@@ -459,8 +427,9 @@
             log_event(LOG, "decider: upstream unlisted", upstream=upstream_id)
             return
         known_upstream = self._dispatcher.upstreams.get(upstream_id)
-        is_recorded = self._roster_upstreams.get(upstream_id) == _roster_row(entry)
-        self._is_roster_outdated |= not is_recorded
+        is_recorded = self._roster.names(entry)
+        if not is_recorded:
+            self._roster.mark_outdated()
         self._dispatcher.add_or_update_upstream(
             entry, read_clock(), is_recorded=is_recorded
         )
@@ -514,22 +483,22 @@
             agent = self._agents.pop(name, None)
             if agent is not None:
                 agent.stop()
-            self._is_roster_outdated = True
-        if self._housekeeping_active.is_set():
-            # The previous housekeeping still waits for the store.
+            self._roster.mark_outdated()
+        if self._housekeeper.is_busy:
+            # The previous removal still waits for the store.
             return
         old = (
             self._dispatcher.remove_expired_jobs(time.time())
             + self._expire_ended_jobs()
         )
         if old:
-            self._housekeeping_active.set()
-            threading.Thread(
-                target=self._run_housekeeping,
-                args=(old,),
-                name="housekeeping",
-                daemon=True,
-            ).start()
+            self._housekeeper.remove_jobs(old)
+
+    def _mark_recorded(self) -> None:
+        """Let upstreams get work that the stored roster names."""
+        for name, upstream in self._dispatcher.upstreams.items():
+            if self._roster.names(upstream.entry):
+                self._dispatcher.mark_upstream_recorded(name)
 
     def _expire_ended_jobs(self) -> list[str]:
         cutoff_s = time.time() - self.cfg.status_kept_s
@@ -540,84 +509,6 @@
             del self._ended_jobs[job_id]
         return old
 
-    def _run_housekeeping(self, old: list[str]) -> None:
-        """Remove the records of old jobs."""
-        try:
-            self._remove_jobs(old)
-        finally:
-            self._housekeeping_active.clear()
-
-    def _update_roster(self, now: float) -> None:
-        """Store the roster in the background if upstreams came or went."""
-        if (
-            not self._is_roster_outdated
-            or self._roster_write_active
-            or now < self._next_roster_s
-        ):
-            return
-        self._is_roster_outdated = False
-        self._roster_write_active = True
-        upstreams = {
-            name: _roster_row(upstream.entry)
-            for name, upstream in self._dispatcher.upstreams.items()
-        }
-        threading.Thread(
-            target=self._store_roster, args=(upstreams,), name="roster", daemon=True
-        ).start()
-
-    def _store_roster(self, upstreams: dict[str, tuple[str, str]]) -> None:
-        record = RosterRecord(self.term.number + 1, upstreams)
-        stored: Result[int, StoreError] = Err(StoreError(StoreErrorKind.UNKNOWN))
-        try:
-            # The second condition keeps an earlier write that is carried out late from
-            # replacing this one.
-            stored = self._ports.store.write(
-                [Write(ROSTER_KEY, encode_record(record))],
-                expected=[
-                    (DECIDER_KEY, self.term.token),
-                    (ROSTER_KEY, self._roster_revision),
-                ],
-            )
-        finally:
-            self._mailbox.post(lambda: self._handle_roster(upstreams, stored))
-
-    def _handle_roster(
-        self,
-        upstreams: dict[str, tuple[str, str]],
-        stored: Result[int, StoreError],
-    ) -> None:
-        self._roster_write_active = False
-        if isinstance(stored, Err):
-            error = stored.err_value
-            log_event(LOG, "decider: roster not stored", why=error.kind)
-            for record in error.current_records:
-                if record.key == ROSTER_KEY:
-                    self._roster_revision = record.revision
-            self._is_roster_outdated = True
-            self._next_roster_s = read_clock() + ROSTER_RETRY_S
-            return
-        self._roster_revision = stored.ok_value
-        self._roster_upstreams = upstreams
-        for name, upstream in self._dispatcher.upstreams.items():
-            if upstreams.get(name) == _roster_row(upstream.entry):
-                self._dispatcher.mark_upstream_recorded(name)
-
-    def _remove_jobs(self, old: list[str]) -> None:
-        for begin in range(0, len(old), GARBAGE_BATCH_JOBS):
-            batch = old[begin : begin + GARBAGE_BATCH_JOBS]
-            keys = [PROGRESS_PREFIX + job_id for job_id in batch]
-            removed = self._ports.store.write(
-                [], expected=[(DECIDER_KEY, self.term.token)], removed=keys
-            )
-            if isinstance(removed, Err):
-                # The next decider loads these jobs and removes them later.
-                log_event(
-                    LOG,
-                    "decider: old jobs not removed",
-                    jobs=len(batch),
-                    why=removed.err_value.detail,
-                )
-
     # Commits
 
     def _begin_commit(self, now: float) -> None:
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_roster.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_roster.py
@@ -48,7 +48,7 @@
 
 def store_roster(decider):
     """Store the roster as the decider's background thread does."""
-    decider._store_roster(
+    decider._roster.write(
         {
             name: (upstream.entry.address, upstream.entry.service)
             for name, upstream in decider._dispatcher.upstreams.items()
@@ -85,7 +85,7 @@
 
     with monkeypatch.context() as patch:
         patch.setattr(store, "write", delay)
-        decider._store_roster(dict(KNOWN.upstreams))
+        decider._roster.write(dict(KNOWN.upstreams))
     store_roster(decider)
     assert isinstance(store.write(**late), Err)
     assert list_stored(store) == ["known", "new"]
