Check the owner of a job, and pass configurations on by heartbeat

A VM that the store turns away kept its keys until the store answered it again. Its heartbeat now states its version, and the reply carries the newer configuration, with digests instead of keys. Passing on the platform's text was ruled out, since the keys would then stay in memory and travel between VMs.

Intake compares the team of a caller with that of the job: its own decider's, the remote decider's by StateReply, or that of the stored records. Relayed jobs carry the team in their record, relayed cancellations beside the id. All new fields come last with defaults; relays of the build before are carried out unchecked.

With revoke_s set, keys are relied on only for that time after the store last confirmed the configuration, at this VM or through the decider's VM.

--- a/packages/daemon/src/papayadyke_daemon/edge/__init__.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/__init__.py
@@ -5,6 +5,7 @@
 from papayadyke_daemon.edge._intake import Intake, IntakeOutcome
 from papayadyke_daemon.edge._keys import read_decider_vm
 from papayadyke_daemon.edge._logs import configure_logging, log_event
+from papayadyke_daemon.edge._metrics import METRICS
 from papayadyke_daemon.edge._ports import (
     EdgePorts,
     EdgeSettings,
@@ -20,6 +21,7 @@
 )
 
 __all__ = [
+    "METRICS",
     "EdgeDaemon",
     "EdgePorts",
     "EdgeSettings",
--- a/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
@@ -11,6 +11,7 @@
 
 from papayadyke_clients.http import HttpAnswer, HttpLimits, HttpRequest, HttpServer
 from papayadyke_core.dispatch import Catalog, StepId
+from papayadyke_daemon.edge._catalog_state import CatalogSource, CatalogState
 from papayadyke_daemon.edge._clock import read_clock
 from papayadyke_daemon.edge._decider import Decider, Term
 from papayadyke_daemon.edge._intake import Intake, IntakeDependencies
@@ -82,7 +83,7 @@
         self._ports = ports
         self._stopped = threading.Event()
         self._is_draining = False
-        self._catalog: Catalog | None = None
+        self._catalog_state = CatalogState(self._use_catalog)
         self._decider: Decider | None = None
         self._peers: list[str] = []
         self._relay_until_s = 0.0
@@ -91,7 +92,9 @@
         self._leadership = Leadership(
             cfg,
             ports,
-            may_lead=lambda: self._catalog is not None and not self._is_draining,
+            may_lead=lambda: (
+                self._catalog_state.catalog is not None and not self._is_draining
+            ),
             start_decider=self._start_decider,
             stop_decider=self._stop_decider,
             peers_lost_store=self._peers_lost_store,
@@ -103,6 +106,7 @@
                 lambda: self._decider,
                 lambda: self._leadership.known_decider,
                 lambda: self._leadership.reaches_store,
+                self._is_catalog_confirmed,
             ),
         )
         self._peer_server = PeerServer(
@@ -215,7 +219,7 @@
     # Terms
 
     def _start_decider(self, term: Term) -> bool:
-        catalog = self._catalog
+        catalog = self._catalog_state.catalog
         if catalog is None:
             return False
         decider = Decider(
@@ -231,7 +235,7 @@
             return False
         self._decider = decider
         # A configuration that arrived while the decider started did not reach it.
-        decider.set_catalog(self._catalog or catalog)
+        decider.set_catalog(self._catalog_state.catalog or catalog)
         return True
 
     def _stop_decider(self) -> None:
@@ -250,14 +254,17 @@
     # Configuration
 
     def _watch_catalog(self) -> None:
-        watch = PrefixWatch(
+        self._make_catalog_watch().run(self._stopped, interval_s=0.0)
+
+    def _make_catalog_watch(self) -> PrefixWatch:
+        return PrefixWatch(
             self._ports.store,
             self._ports.catalog_key,
             revision=None,
             on_change=self._apply_catalog_record,
             on_listing=self._apply_catalog_records,
+            on_answered=self._record_catalog_call,
         )
-        watch.run(self._stopped, interval_s=0.0)
 
     def _apply_catalog_records(self, records: list[Record]) -> None:
         for record in records:
@@ -266,32 +273,47 @@
     def _apply_catalog_record(self, record: Record) -> None:
         if record.key != self._ports.catalog_key or record.value is None:
             return
-        catalog = self._ports.decode_catalog(record.value)
+        try:
+            catalog = self._ports.decode_catalog(record.value)
+        except Exception:
+            # No configuration may end the watch that brings the next one.
+            LOG.exception("edge: decoding a configuration failed")
+            catalog = None
         if catalog is None:
             LOG.warning(
                 "edge: configuration at revision %d is unreadable", record.revision
             )
             return
-        current = self._catalog
-        if current is not None and catalog.version <= current.version:
-            return
-        self._catalog = self.intake.catalog = catalog
+        self._catalog_state.adopt(
+            catalog,
+            read_clock(),
+            source=CatalogSource.STORE,
+            revision=record.revision,
+        )
+
+    def _use_catalog(self, catalog: Catalog) -> None:
+        self.intake.catalog = catalog
         decider = self._decider
         if decider is not None:
             decider.set_catalog(catalog)
-        log_event(
-            LOG,
-            "edge: configuration applied",
-            version=catalog.version,
-            queues=len(catalog.queues),
-            revision=record.revision,
+
+    def _record_catalog_call(self, sent_s: float, is_answered: bool) -> None:
+        self._catalog_state.record_contact(read_clock())
+        if is_answered:
+            self._catalog_state.confirm(sent_s)
+
+    def _is_catalog_confirmed(self) -> bool:
+        return self._catalog_state.is_confirmed(
+            read_clock(), revoke_s=self.cfg.revoke_s
         )
 
     # Readiness
 
     def _answer_readiness(self, req: HttpRequest) -> HttpAnswer:
         is_ready = (
-            not self._is_draining and self._catalog is not None and self._can_store()
+            not self._is_draining
+            and self._catalog_state.catalog is not None
+            and self._can_store()
         )
         return HttpAnswer(200 if is_ready else 503, b"{}")
 
@@ -354,9 +376,14 @@
             self._leadership.has_lost_store,
             self._leadership.known_decider.token,
             self.cfg.strength,
+            self._catalog_state.version,
         )
+        sent_s = read_clock()
         reply = self._clients.call(address, hello)
         if isinstance(reply, Ok) and isinstance(reply.ok_value, HelloReply):
+            self._catalog_state.apply_reply(
+                reply.ok_value, sent_s=sent_s, now=read_clock()
+            )
             return reply.ok_value
         return None
 
@@ -374,15 +401,22 @@
                         decider.cancel(job_id)
                 return Ack(is_decider)
             case AskState():
-                state = decider.get_state(message.job_id) if decider else None
-                return StateReply(is_decider, state or "")
+                status = decider.get_status(message.job_id) if decider else None
+                if status is None:
+                    return StateReply(is_decider, team="")
+                return StateReply(is_decider, status.state, status.team)
             case AskPending():
                 count = decider.count_pending(message.queue) if decider else 0
                 return PendingReply(is_decider, count)
             case StoreJob():
-                return StoreReply(self.intake.accept_encoded(message.job))
+                outcome = self.intake.accept_encoded(
+                    message.job, checks_owner=message.checks_owner
+                )
+                return StoreReply(outcome)
             case StoreCancel():
-                outcome = self.intake.cancel(message.job_id, may_relay=False)
+                outcome = self.intake.cancel(
+                    message.job_id, team=message.team, may_relay=False
+                )
                 return StoreReply(outcome)
             case AskAdvice():
                 return self._answer_advice_request(message)
@@ -400,7 +434,7 @@
                 self._leadership.consider_handover(hello.vm, hello.strength)
             peers = decider.list_vms()
         known_decider = self._leadership.known_decider
-        return HelloReply(
+        reply = HelloReply(
             decider is not None and self._leadership.may_issue_orders(),
             self._leadership.reaches_store,
             known_decider.token,
@@ -408,6 +442,7 @@
             known_decider.address,
             peers,
         )
+        return self._catalog_state.make_reply(hello, reply, read_clock())
 
     def _answer_advice_request(self, message: AskAdvice) -> Message:
         step = StepId(message.job_id, message.occurrence, message.step)
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -39,6 +39,7 @@
     log_stop,
 )
 from papayadyke_daemon.edge._housekeeping import Housekeeper
+from papayadyke_daemon.edge._job_owner import JobStatus
 from papayadyke_daemon.edge._keys import (
     CANCEL_PREFIX,
     INTAKE_PREFIX,
@@ -237,6 +238,14 @@
         """Return the state of a job, or None if the job is unknown."""
         return self._dispatcher.get_state(job_id)
 
+    def get_status(self, job_id: str) -> JobStatus | None:
+        """Return the state and the team of a job, or None if the job is unknown."""
+        job = self._dispatcher.jobs.get(job_id)
+        state = self._dispatcher.get_state(job_id)
+        if job is None or state is None:
+            return None
+        return JobStatus(state, job.spec.team)
+
     def count_pending(self, queue: str) -> int:
         """Return the number of jobs of a queue that have not started."""
         for _ in range(3):
@@ -275,7 +284,13 @@
         if self._dispatcher.submit(
             spec, now=now, age_s=age_s, may_have_started=not is_new
         ):
-            log_event(LOG, "decider: job added", request=spec.job_id, age_s=age_s)
+            log_event(
+                LOG,
+                "decider: job added",
+                request=spec.job_id,
+                team=spec.team,
+                age_s=age_s,
+            )
         if spec.job_id in self._early_cancels:
             self._cancel(spec.job_id)
 
@@ -527,6 +542,7 @@
                 LOG,
                 "decider: job ended",
                 request=job_id,
+                team=job.spec.team,
                 state=job.state,
                 age_s=round(age_s, 3),
             )
--- a/packages/daemon/src/papayadyke_daemon/edge/_decision_log.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decision_log.py
@@ -51,6 +51,7 @@
             LOG,
             "decider: start",
             request=step.job_id,
+            team=jobs[step.job_id].spec.team,
             step=step,
             runs=[[o.task.number, o.attempt, o.upstream_id] for o in orders],
             age_s=round(now - jobs[step.job_id].accepted_at_s, 3),
--- a/packages/daemon/src/papayadyke_daemon/edge/_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_intake.py
@@ -14,6 +14,7 @@
 from result import Err, Ok
 
 from papayadyke_core.dispatch import (
+    FINAL_STATES,
     Catalog,
     JobState,
     StagedJobSpec,
@@ -21,6 +22,12 @@
 )
 from papayadyke_daemon.edge._clock import read_clock
 from papayadyke_daemon.edge._decider import Decider
+from papayadyke_daemon.edge._job_owner import (
+    JobStatus,
+    checks_owners,
+    may_access,
+    read_owner,
+)
 from papayadyke_daemon.edge._keys import (
     CANCEL_PREFIX,
     JOB_PREFIX,
@@ -45,6 +52,7 @@
 from papayadyke_daemon.edge._peers import PeerClients
 from papayadyke_daemon.edge._ports import (
     EdgePorts,
+    Record,
     StoreError,
     StoreErrorKind,
     Write,
@@ -69,21 +77,28 @@
 class IntakeOutcome(StrEnum):
     """Outcome of storing a job or a cancellation.
 
-    After `REFUSED` it is certainly not stored; after `UNKNOWN` it may be.
+    After `REFUSED` it is certainly not stored; after `UNKNOWN` it may be. After
+    `OTHER_TEAM` it is not stored, because the job's id is that of another team's job.
     """
 
     ACCEPTED = "accepted"
     REFUSED = "refused"
     UNKNOWN = "unknown"
     NO_SUCH_JOB = "no_such_job"
+    OTHER_TEAM = "other_team"
 
 
 @dataclass(frozen=True, slots=True)
 class StoreResult:
-    """Outcome of a write and its revision, or 0 if the revision is unknown."""
+    """Outcome of a write and its revision, or 0 if the revision is unknown.
+
+    `existing_records` are those that the store returned if keys of the write already
+    existed; None if they did not.
+    """
 
     outcome: IntakeOutcome
     revision: int = 0
+    existing_records: tuple[Record, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,11 +113,14 @@
         Returns the decider that this VM knows of.
     reaches_store : callable
         Returns whether the store answered this VM recently.
+    is_catalog_confirmed : callable
+        Returns whether the keys of the configuration may be relied on.
     """
 
     own_decider: Callable[[], Decider | None]
     known_decider: Callable[[], KnownDecider]
     reaches_store: Callable[[], bool]
+    is_catalog_confirmed: Callable[[], bool] = lambda: True
 
 
 class Intake:
@@ -123,7 +141,7 @@
         self._clients = clients
         self._dependencies = dependencies
         self._notifications: queue.SimpleQueue[Notification] = queue.SimpleQueue()
-        self._final_states: OrderedDict[str, JobState] = OrderedDict()
+        self._final_states: OrderedDict[str, JobStatus] = OrderedDict()
         self._store_backoff_until_s = 0.0
 
     def start(self) -> None:
@@ -132,17 +150,37 @@
             target=self._notify_loop, name="notifications", daemon=True
         ).start()
 
-    def accept(self, spec: StagedJobSpec, *, may_relay: bool = True) -> IntakeOutcome:
-        """Store a job; it is accepted once it is certainly stored."""
-        data = encode_record(spec)
-        key = JOB_PREFIX + spec.job_id
-        stored = self._store_job(key, data, may_relay=may_relay)
+    def is_catalog_confirmed(self) -> bool:
+        """Return whether the keys of the configuration may be relied on."""
+        return self._dependencies.is_catalog_confirmed()
+
+    def accept(
+        self,
+        spec: StagedJobSpec,
+        *,
+        may_relay: bool = True,
+        checks_owner: bool = True,
+    ) -> IntakeOutcome:
+        """Store a job; it is accepted once it is certainly stored.
+
+        Parameters
+        ----------
+        spec : StagedJobSpec
+        may_relay : bool
+            Whether the decider's VM may store it if this VM cannot.
+        checks_owner : bool
+            Whether the id of another team's job is refused.
+        """
+        stored = self._store_job(spec, may_relay=may_relay)
+        if stored.existing_records is not None and checks_owner:
+            stored = self._check_existing(spec, stored)
         outcome = stored.outcome
         log_event(
             LOG,
             "intake: job",
             request=spec.job_id,
             queue=spec.queue,
+            team=spec.team,
             outcome=outcome,
             version=self.catalog.version if self.catalog else 0,
         )
@@ -151,40 +189,49 @@
             self._notifications.put((spec, stored.revision))
         return outcome
 
-    def accept_encoded(self, data: bytes) -> IntakeOutcome:
+    def accept_encoded(
+        self, data: bytes, *, checks_owner: bool = True
+    ) -> IntakeOutcome:
         """Store an encoded job for another VM."""
-        return self.accept(decode_job(data), may_relay=False)
-
-    def cancel(self, job_id: str, *, may_relay: bool = True) -> IntakeOutcome:
-        """Store the cancellation of an existing job."""
-        outcome = self._store_cancel(job_id)
+        spec = decode_job(data)
+        return self.accept(spec, may_relay=False, checks_owner=checks_owner)
+
+    def cancel(
+        self, job_id: str, *, team: str | None = "", may_relay: bool = True
+    ) -> IntakeOutcome:
+        """Store the cancellation of an existing job.
+
+        Parameters
+        ----------
+        job_id : str
+        team : str or None
+            Team of the caller, empty for none; None does not check the owner.
+        may_relay : bool
+            Whether the decider's VM may store it if this VM cannot.
+        """
+        outcome = self._store_cancel(job_id, team)
         if outcome in (IntakeOutcome.REFUSED, IntakeOutcome.UNKNOWN) and may_relay:
-            relayed = self._relay(StoreCancel(job_id))
+            relayed = self._relay(StoreCancel(job_id, team))
             if relayed is not IntakeOutcome.REFUSED:
                 outcome = relayed
-        log_event(LOG, "intake: cancellation", request=job_id, outcome=outcome)
+        log_event(
+            LOG, "intake: cancellation", request=job_id, team=team, outcome=outcome
+        )
         if outcome is IntakeOutcome.ACCEPTED:
             self._notifications.put(job_id)
         return outcome
 
-    def get_state(self, job_id: str) -> JobState | StoreError | None:
-        """Return the state of a job, or None if no such job is stored.
+    def get_state(self, job_id: str, team: str = "") -> JobState | StoreError | None:
+        """Return the state of a job, or None if no such job of the team is stored.
 
         If the store does not answer either, the error of the store is returned.
         """
-        if job_id in self._final_states:
-            return self._final_states[job_id]
-        state = self._query_decider(job_id)
-        if state is None:
-            stored = self._read_state(job_id)
-            if not isinstance(stored, JobState):
-                return stored
-            state = stored
-        if state in (JobState.COMPLETE, JobState.FAILED):
-            self._final_states[job_id] = state
-            while len(self._final_states) > MAX_CACHED_FINAL_STATES:
-                self._final_states.popitem(last=False)
-        return state
+        status = self._find_status(job_id)
+        if not isinstance(status, JobStatus):
+            return status
+        if not self._may_access(job_id, status.team, team):
+            return None
+        return status.state
 
     def count_pending(self, queue_key: str) -> int | None:
         """Return how many jobs of a queue have not started, or None if unknown."""
@@ -216,20 +263,57 @@
 
     # Implementation
 
-    def _store_job(self, key: str, data: bytes, *, may_relay: bool) -> StoreResult:
+    @property
+    def _checks_owners(self) -> bool:
+        return checks_owners(self.catalog)
+
+    def _may_access(self, job_id: str, owner: str, team: str) -> bool:
+        if may_access(self.catalog, owner=owner, team=team):
+            return True
+        METRICS.count("papayadyke_unauthorised", reason="other_team")
+        log_event(LOG, "intake: job of another team", request=job_id, team=team)
+        return False
+
+    def _check_existing(self, spec: StagedJobSpec, stored: StoreResult) -> StoreResult:
+        """Return the outcome of storing a job whose id is in use already."""
+        if not self._checks_owners:
+            return stored
+        records = stored.existing_records or self._read_records(spec.job_id)
+        if not records:
+            # The owner cannot be read, and an earlier attempt may have been stored.
+            return StoreResult(IntakeOutcome.UNKNOWN)
+        if self._may_access(spec.job_id, read_owner(records), spec.team):
+            return stored
+        return StoreResult(IntakeOutcome.OTHER_TEAM)
+
+    def _read_records(self, job_id: str) -> tuple[Record, ...]:
+        replies = [
+            self._ports.store.read(prefix + job_id)
+            for prefix in (JOB_PREFIX, PROGRESS_PREFIX)
+        ]
+        return tuple(
+            reply.ok_value
+            for reply in replies
+            if isinstance(reply, Ok) and reply.ok_value is not None
+        )
+
+    def _store_job(self, spec: StagedJobSpec, *, may_relay: bool) -> StoreResult:
         """Store a job from this VM, or through the decider's VM if that fails."""
+        data = encode_record(spec)
+        key = JOB_PREFIX + spec.job_id
+        relayed_job = StoreJob(data, checks_owner=True)
         if self._is_store_lost():
             # Waiting for a silent store would use up most of the caller's timeout.
             if may_relay:
-                return StoreResult(self._relay(StoreJob(data)))
+                return StoreResult(self._relay(relayed_job))
             return StoreResult(IntakeOutcome.REFUSED)
         # Of an ended job only the progress is kept, so that key must not exist either.
-        progress_key = PROGRESS_PREFIX + key.removeprefix(JOB_PREFIX)
+        progress_key = PROGRESS_PREFIX + spec.job_id
         stored = self._store(key, data, expected=[(key, 0), (progress_key, 0)])
         if stored.outcome is IntakeOutcome.ACCEPTED or not may_relay:
             return stored
-        relayed = self._relay(StoreJob(data))
-        if relayed is IntakeOutcome.ACCEPTED:
+        relayed = self._relay(relayed_job)
+        if relayed in (IntakeOutcome.ACCEPTED, IntakeOutcome.OTHER_TEAM):
             return StoreResult(relayed)
         if IntakeOutcome.UNKNOWN in (relayed, stored.outcome):
             return StoreResult(IntakeOutcome.UNKNOWN)
@@ -250,7 +334,9 @@
             error = stored.err_value
             if error.kind is StoreErrorKind.CONFLICT:
                 # An earlier attempt of this or another VM stored it, or the job ended.
-                return StoreResult(IntakeOutcome.ACCEPTED)
+                return StoreResult(
+                    IntakeOutcome.ACCEPTED, existing_records=error.current_records
+                )
             if error.kind is StoreErrorKind.UNKNOWN:
                 outcome = IntakeOutcome.UNKNOWN
         self._store_backoff_until_s = read_clock() + STORE_BACKOFF_S
@@ -262,7 +348,7 @@
             or read_clock() < self._store_backoff_until_s
         )
 
-    def _store_cancel(self, job_id: str) -> IntakeOutcome:
+    def _store_cancel(self, job_id: str, team: str | None) -> IntakeOutcome:
         if self._is_store_lost():
             return IntakeOutcome.REFUSED
         job = self._ports.store.read(JOB_PREFIX + job_id)
@@ -274,12 +360,21 @@
                 return IntakeOutcome.REFUSED
             if progress.ok_value is None:
                 return IntakeOutcome.NO_SUCH_JOB
+            if not self._may_cancel(job_id, progress.ok_value, team):
+                return IntakeOutcome.NO_SUCH_JOB
             return IntakeOutcome.ACCEPTED
+        if not self._may_cancel(job_id, job.ok_value, team):
+            return IntakeOutcome.NO_SUCH_JOB
         key = CANCEL_PREFIX + job_id
         # If the job ends first, the write fails and leaves no cancellation behind.
         expected = [(key, 0), (JOB_PREFIX + job_id, job.ok_value.revision)]
         return self._store(key, b"{}", expected=expected).outcome
 
+    def _may_cancel(self, job_id: str, record: Record, team: str | None) -> bool:
+        if team is None:
+            return True
+        return self._may_access(job_id, read_owner([record]), team)
+
     def _relay(self, message: StoreJob | StoreCancel) -> IntakeOutcome:
         """Have the decider's VM store what this VM cannot."""
         known_decider = self._dependencies.known_decider()
@@ -292,37 +387,61 @@
             return IntakeOutcome.UNKNOWN
         return IntakeOutcome(reply.ok_value.outcome)
 
-    def _query_decider(self, job_id: str) -> JobState | None:
+    def _find_status(self, job_id: str) -> JobStatus | StoreError | None:
+        if job_id in self._final_states:
+            return self._final_states[job_id]
+        status = self._query_decider(job_id)
+        if status is None:
+            stored = self._read_status(job_id)
+            if not isinstance(stored, JobStatus):
+                return stored
+            status = stored
+        if status.state in (JobState.COMPLETE, JobState.FAILED):
+            self._final_states[job_id] = status
+            while len(self._final_states) > MAX_CACHED_FINAL_STATES:
+                self._final_states.popitem(last=False)
+        return status
+
+    def _query_decider(self, job_id: str) -> JobStatus | None:
         decider = self._dependencies.own_decider()
         if decider is not None:
-            return decider.get_state(job_id)
+            return decider.get_status(job_id)
         known_decider = self._dependencies.known_decider()
         if not known_decider.token:
             return None
         reply = self._clients.call(known_decider.address, AskState(job_id))
         if isinstance(reply, Ok) and isinstance(reply.ok_value, StateReply):
-            return JobState(reply.ok_value.state) if reply.ok_value.state else None
+            state, team = reply.ok_value.state, reply.ok_value.team
+            if team is None and self._checks_owners:
+                # A decider of the build before; the store knows the owner.
+                return None
+            return JobStatus(JobState(state), team or "") if state else None
         return None
 
-    def _read_state(self, job_id: str) -> JobState | StoreError | None:
-        state = self._read_progress(job_id)
-        if state is not None:
-            return state
+    def _read_status(self, job_id: str) -> JobStatus | StoreError | None:
+        status = self._read_progress(job_id)
+        if isinstance(status, StoreError):
+            return status
+        is_final = status is not None and status.state in FINAL_STATES
+        if status is not None and (is_final or status.team or not self._checks_owners):
+            return status
         job = self._ports.store.read(JOB_PREFIX + job_id)
         if isinstance(job, Err):
             return job.err_value
         if job.ok_value is not None:
-            return JobState.QUEUED
+            state = JobState.QUEUED if status is None else status.state
+            return JobStatus(state, read_owner([job.ok_value]))
         # The job may have ended between the two reads.
         return self._read_progress(job_id)
 
-    def _read_progress(self, job_id: str) -> JobState | StoreError | None:
+    def _read_progress(self, job_id: str) -> JobStatus | StoreError | None:
         progress = self._ports.store.read(PROGRESS_PREFIX + job_id)
         if isinstance(progress, Err):
             return progress.err_value
         if progress.ok_value is None or progress.ok_value.value is None:
             return None
-        return decode_progress(progress.ok_value.value).state
+        decoded = decode_progress(progress.ok_value.value)
+        return JobStatus(decoded.state, decoded.team)
 
     def _notify_loop(self) -> None:
         while True:
--- a/packages/daemon/src/papayadyke_daemon/edge/_messages.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_messages.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 
@@ -21,6 +23,8 @@
         Fencing token of the decider that the VM follows.
     strength : float
         Capacity of the VM as a decider, in cores.
+    version : int or None
+        Version of its configuration, negative if it has none; None if not stated.
     """
 
     vm: str
@@ -28,6 +32,7 @@
     has_lost_store: bool
     decider: int
     strength: float
+    version: int | None = None
 
 
 class HelloReply(Message):
@@ -43,6 +48,13 @@
         Name and address of that decider's VM.
     peers : list of str
         Addresses of the VMs that the decider received heartbeats from recently.
+    version : int or None
+        Version of the receiver's configuration; None if it has none.
+    catalog : bytes
+        Encoded configuration if the sender of the heartbeat has none or an older
+        one; otherwise empty. It contains digests of keys, and no keys.
+    catalog_age_s : float
+        Seconds since the store confirmed the configuration of the receiver.
     """
 
     is_decider: bool
@@ -51,6 +63,9 @@
     vm: str = ""
     address: str = ""
     peers: list[str] = []
+    version: int | None = None
+    catalog: bytes = b""
+    catalog_age_s: float = math.inf
 
 
 class Submitted(Message):
@@ -84,10 +99,14 @@
 
 
 class StateReply(Message):
-    """State of a job; empty if the job is unknown."""
+    """State of a job, empty if the job is unknown, and its team.
+
+    The team is empty if the job belongs to none, and None if it is not stated.
+    """
 
     is_decider: bool
     state: str = ""
+    team: str | None = None
 
 
 class AskPending(Message):
@@ -104,15 +123,31 @@
 
 
 class StoreJob(Message):
-    """Store an accepted job for a VM that does not reach the store."""
+    """Store an accepted job for a VM that does not reach the store.
+
+    Parameters
+    ----------
+    job : bytes
+    checks_owner : bool
+        Whether the id of another team's job is refused.
+    """
 
     job: bytes
+    checks_owner: bool = False
 
 
 class StoreCancel(Message):
-    """Store a cancellation for a VM that does not reach the store."""
+    """Store a cancellation for a VM that does not reach the store.
+
+    Parameters
+    ----------
+    job_id : str
+    team : str or None
+        Team of the caller; None if the sender does not check owners.
+    """
 
     job_id: str
+    team: str | None = None
 
 
 class StoreReply(Message):
--- a/packages/daemon/src/papayadyke_daemon/edge/_metrics.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_metrics.py
@@ -1,4 +1,4 @@
-"""Collect counters and latency histograms, and render them for Prometheus."""
+"""Collect counters, gauges and latency histograms, and render them for Prometheus."""
 
 from __future__ import annotations
 
@@ -20,11 +20,12 @@
 
 
 class EdgeMetrics:
-    """Counters and histograms; safe to update from any thread."""
+    """Counters, gauges and histograms; safe to update from any thread."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._counters: dict[tuple[str, Labels], int] = {}
+        self._gauges: dict[tuple[str, Labels], float] = {}
         self._histograms: dict[tuple[str, Labels], _Histogram] = {}
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
@@ -33,6 +34,11 @@
         with self._lock:
             self._counters[key] = self._counters.get(key, 0) + amount
 
+    def set_gauge(self, name: str, value: float, **labels: str) -> None:
+        """Set the current value of a gauge."""
+        with self._lock:
+            self._gauges[name, tuple(sorted(labels.items()))] = value
+
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Add a duration in seconds to a histogram."""
         key = name, tuple(sorted(labels.items()))
@@ -48,6 +54,10 @@
                 f"{name}_total{_format_labels(labels)} {value}"
                 for (name, labels), value in sorted(self._counters.items())
             ]
+            lines += [
+                f"{name}{_format_labels(labels)} {value}"
+                for (name, labels), value in sorted(self._gauges.items())
+            ]
             for (name, labels), histogram in sorted(
                 self._histograms.items(), key=lambda item: item[0]
             ):
--- a/packages/daemon/src/papayadyke_daemon/edge/_ports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_ports.py
@@ -255,6 +255,11 @@
     looks_per_s : float
         Maximum number of polls per second, of all upstreams together; in a large
         fleet each upstream is polled less often.
+    revoke_s : float or None
+        Longest time since the configuration was confirmed for which keys are relied
+        on, in seconds; None if the last configuration stays in force.
+    quota_overrun : float
+        Fraction of a team's limit by which the platform tolerates an excess.
     """
 
     vm: str
@@ -276,4 +281,6 @@
     status_kept_s: float = 120.0
     look_gap_s: float = 0.03
     looks_per_s: float = 1600.0
+    revoke_s: float | None = None
+    quota_overrun: float = 0.1
     log_level: str = field(default="INFO")
--- a/packages/daemon/src/papayadyke_daemon/edge/_watch.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_watch.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok, Result
 
+from papayadyke_daemon.edge._clock import read_clock
 from papayadyke_daemon.edge._logs import log_event
 from papayadyke_daemon.edge._ports import (
     Page,
@@ -57,6 +58,9 @@
         Called with each change.
     on_listing : callable
         Called with all records, at first and after the history was compacted.
+    on_answered : callable, optional
+        Called after each call with the time at which it was sent, in seconds on the
+        clock of `read_clock`, and whether the store answered.
     """
 
     def __init__(
@@ -67,12 +71,14 @@
         revision: int | None,
         on_change: Callable[[Record], None],
         on_listing: Callable[[list[Record]], None],
+        on_answered: Callable[[float, bool], None] | None = None,
     ) -> None:
         self.prefix = prefix
         self.revision = revision
         self._store = store
         self._on_change = on_change
         self._on_listing = on_listing
+        self._on_answered = on_answered
         self._has_lost_contact = False
 
     def run(self, stopped: threading.Event, *, interval_s: float) -> None:
@@ -96,7 +102,10 @@
 
     def call_once(self) -> StoreError | None:
         """List or watch the prefix once; return the error of the store, if any."""
+        sent_s = read_clock()
         error = self._list() if self.revision is None else self._watch(self.revision)
+        if self._on_answered is not None:
+            self._on_answered(sent_s, error is None)
         if error is None:
             if self._has_lost_contact:
                 log_event(LOG, "store: regained", prefix=self.prefix)
--- /dev/null
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_job_owner.py
@@ -0,0 +1,178 @@
+"""Test who may see, cancel and resubmit a job, also through other VMs."""
+
+from dataclasses import replace
+from typing import cast
+
+import msgspec
+import pytest
+from result import Err, Ok
+
+from papayadyke_core.dispatch import (
+    Catalog,
+    JobProgress,
+    JobState,
+    StagedJobSpec,
+    StepSpec,
+    encode_progress,
+)
+from papayadyke_core.teams import TeamPolicy
+from papayadyke_daemon.edge import Intake, IntakeOutcome, StoreErrorKind, Write
+from papayadyke_daemon.edge._intake import IntakeDependencies
+from papayadyke_daemon.edge._keys import JOB_PREFIX, PROGRESS_PREFIX, encode_record
+from papayadyke_daemon.edge._leadership import KnownDecider
+from papayadyke_daemon.edge._messages import (
+    AskState,
+    StateReply,
+    StoreCancel,
+    StoreJob,
+    decode_message,
+    encode_message,
+)
+from papayadyke_daemon.edge._peers import PeerClients
+from papayadyke_daemon.edge.tests.deciders import make_decider
+from papayadyke_daemon.edge.tests.fake_store import FakeStore, make_ports
+from papayadyke_daemon.edge.tests.test_edge_daemon import make_daemon
+
+SPEC = StagedJobSpec("5c0e7a21d94b36f8", "h/q/", "", (StepSpec(1),), team="red")
+JOB_ID = SPEC.job_id
+CATALOG = Catalog(1, teams={name: TeamPolicy(name) for name in ("red", "blue")})
+
+
+class Clients:
+    """Link to the decider's VM, which the given function answers."""
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.sent = []
+
+    def call(self, address, message, *, timeout_s=0.0):
+        received = decode_message(encode_message(message))
+        self.sent.append(received)
+        reply = self.answer(received)
+        return Err("no answer") if reply is None else Ok(reply)
+
+
+def make_intake(
+    store, answer=lambda message: None, *, decider=None, reaches_store=True
+):
+    dependencies = IntakeDependencies(
+        lambda: decider,
+        lambda: KnownDecider(1, "vm", "a:1"),
+        lambda: reaches_store,
+    )
+    clients = cast(PeerClients, Clients(answer))
+    intake = Intake(make_ports(store), clients, dependencies)
+    intake.catalog = CATALOG
+    return intake
+
+
+@pytest.fixture
+def store():
+    return FakeStore()
+
+
+@pytest.fixture
+def decider_vm(store):
+    """The decider's VM, which reaches the store."""
+    daemon = make_daemon()
+    daemon.intake = make_intake(store)
+    daemon._decider = make_decider(store)
+    return daemon
+
+
+def test_own_decider_tells_the_owner(store):
+    decider = make_decider(store)
+    decider.load(CATALOG)
+    decider._submit(SPEC, 1)
+    store.fault = StoreErrorKind.UNKNOWN
+    intake = make_intake(store, decider=decider)
+    assert intake.get_state(JOB_ID, "red") is JobState.QUEUED
+    assert intake.get_state(JOB_ID, "blue") is None
+    assert intake.get_state(JOB_ID) is None
+
+
+def test_remote_decider_tells_the_owner(store, decider_vm):
+    decider_vm._decider.load(CATALOG)
+    decider_vm._decider._submit(SPEC, 1)
+    store.fault = StoreErrorKind.UNKNOWN
+    intake = make_intake(store, decider_vm._answer_peer)
+    assert intake.get_state(JOB_ID, "blue") is None
+    assert intake.get_state(JOB_ID, "red") is JobState.QUEUED
+
+
+def test_owner_is_read_from_the_store_if_a_decider_of_the_build_before_omits_it(store):
+    """During a rolling change other teams would see the job through new VMs."""
+    intake = make_intake(store)
+    intake.accept(SPEC)
+    progress = encode_progress(JobProgress(JobState.ACTIVE))
+    store.write([Write(PROGRESS_PREFIX + JOB_ID, progress)])
+    old_reply = msgspec.msgpack.encode(["StateReply", True, "active"])
+    intake = make_intake(store, lambda message: decode_message(old_reply))
+    assert intake.get_state(JOB_ID, "red") is JobState.ACTIVE
+    assert intake.get_state(JOB_ID, "blue") is None
+
+
+def test_without_teams_owners_are_not_checked(store):
+    """A configuration that drops its teams must not orphan jobs that have one."""
+    intake = make_intake(store, lambda message: StateReply(True))
+    intake.catalog = Catalog(2)
+    assert intake.accept(SPEC) is IntakeOutcome.ACCEPTED
+    assert intake.accept(replace(SPEC, team="")) is IntakeOutcome.ACCEPTED
+    assert intake.get_state(JOB_ID) is JobState.QUEUED
+    assert intake.cancel(JOB_ID) is IntakeOutcome.ACCEPTED
+
+
+def test_relayed_job_keeps_its_team_and_is_refused_as_another_teams(store, decider_vm):
+    """A VM without the store would else hand a job to whoever relays its id."""
+    intake = make_intake(store, decider_vm._answer_peer, reaches_store=False)
+    assert intake.accept(SPEC) is IntakeOutcome.ACCEPTED
+    stored = store.records[JOB_PREFIX + JOB_ID].value
+    assert msgspec.json.decode(stored)["team"] == "red"
+    assert intake.accept(replace(SPEC, team="blue")) is IntakeOutcome.OTHER_TEAM
+    assert intake.accept(replace(SPEC, team="")) is IntakeOutcome.OTHER_TEAM
+    assert intake.accept(SPEC) is IntakeOutcome.ACCEPTED
+    assert intake.cancel(JOB_ID, team="blue") is IntakeOutcome.NO_SUCH_JOB
+    assert intake.cancel(JOB_ID, team="red") is IntakeOutcome.ACCEPTED
+
+
+def test_relays_of_the_build_before_are_carried_out(store, decider_vm):
+    """They name no team; refusing them would break retries in a rolling change."""
+    make_intake(store).accept(SPEC)
+    old_job = encode_record(replace(SPEC, team=""))
+    for old, outcome in (
+        (["StoreJob", old_job], "accepted"),
+        (["StoreCancel", JOB_ID], "accepted"),
+    ):
+        message = decode_message(msgspec.msgpack.encode(old))
+        assert decider_vm._answer_peer(message).outcome == outcome
+    assert decode_message(encode_message(StoreJob(b""))) == StoreJob(b"", False)
+    assert StoreCancel(JOB_ID).team is None
+    assert decider_vm._answer_peer(AskState(JOB_ID)).team == ""
+
+
+def test_id_whose_owner_cannot_be_read_is_not_reported_as_accepted(store):
+    """The store refused the write, and the caller may not own what is stored."""
+    intake = make_intake(store)
+    intake.accept(SPEC)
+    write = store.write
+
+    def refuse(*args, **kwargs):
+        reply = write(*args, **kwargs)
+        if isinstance(reply, Err):
+            # The platform's answer to a conflict was cut short.
+            object.__setattr__(reply.err_value, "current_records", ())
+            store.fault = StoreErrorKind.NOT_DONE
+        return reply
+
+    store.write = refuse
+    assert intake.accept(replace(SPEC, team="blue")) is IntakeOutcome.UNKNOWN
+    store.fault = None
+    store.write = write
+    assert intake.accept(SPEC) is IntakeOutcome.ACCEPTED
+
+
+def test_unreadable_record_has_no_owner(store):
+    """A malformed record must not end the thread that answers the caller."""
+    store.write([Write(JOB_PREFIX + JOB_ID, b"\xff")])
+    intake = make_intake(store)
+    assert intake.accept(SPEC) is IntakeOutcome.ACCEPTED
