Group the report on waits by team

Lines of refused requests gain the team of the caller, which the answer carries beside what is sent. The table is left out for logs that name no team.

--- a/packages/cli/src/papayadyke_cli/_html.py
+++ b/packages/cli/src/papayadyke_cli/_html.py
@@ -216,14 +216,16 @@
     return document[document.index("<svg") :]
 
 
-def render_waits_html(report: WaitsReport, *, spans: Table, queues: Table) -> str:
+def render_waits_html(
+    report: WaitsReport, *, spans: Table, queues: Table, teams: Table
+) -> str:
     """Return an HTML document with a plot and the tables of a waits report.
 
     Parameters
     ----------
     report : WaitsReport
-    spans, queues : Table
-        Column headers and rows.
+    spans, queues, teams : Table
+        Column headers and rows. A table of teams without rows is left out.
     """
     sections = (
         "<h1>Waits</h1>",
@@ -232,6 +234,7 @@
         _render_table(*spans),
         "<h2>By queue</h2>",
         _render_table(*queues),
+        *(("<h2>By team</h2>", _render_table(*teams)) if teams[1] else ()),
         f"<p>{report.unreadable} lines could not be read.</p>",
     )
     return _render_page("Waits", sections)
--- a/packages/cli/src/papayadyke_cli/_report.py
+++ b/packages/cli/src/papayadyke_cli/_report.py
@@ -16,7 +16,13 @@
 from papayadyke_cli._output import JsonFlag, print_json, print_table
 from papayadyke_cli._settings import Session
 from papayadyke_cli._values import parse_since
-from papayadyke_cli._waits import COMPLETE, WaitsReport, pick_quantile, read_waits
+from papayadyke_cli._waits import (
+    COMPLETE,
+    JobTimes,
+    WaitsReport,
+    pick_quantile,
+    read_waits,
+)
 from papayadyke_core.slo import BurnReport, BurnWindow, WorkloadBurn
 
 SPAN_HEADER = (
@@ -40,6 +46,8 @@
     "age p50",
     "age p95",
 )
+TEAM_HEADER = ("team", *QUEUE_HEADER[1:], "refused")
+NO_TEAM = "-"  # name in the table for jobs without a team
 
 report_app = typer.Typer(no_args_is_help=True)
 
@@ -94,14 +102,18 @@
     report = read_waits(lines, step_s=step)
     spans = SPAN_HEADER, _list_spans(report)
     queues = QUEUE_HEADER, _list_queues(report)
+    teams = TEAM_HEADER, _list_teams(report)
     if html is not None:
-        page = render_waits_html(report, spans=spans, queues=queues)
+        page = render_waits_html(report, spans=spans, queues=queues, teams=teams)
         html.write_text(page, encoding="utf-8")
         typer.echo(f"written to {html}")
         return
     print_table(*spans)
     typer.echo()
     print_table(*queues)
+    if teams[1]:
+        typer.echo()
+        print_table(*teams)
     if report.unreadable:
         typer.echo(f"{report.unreadable} lines could not be read")
 
@@ -126,27 +138,43 @@
 
 
 def _list_queues(report: WaitsReport) -> list[tuple[object, ...]]:
-    rows: list[tuple[object, ...]] = []
-    for queue in sorted({job.queue for job in report.jobs}):
-        jobs = [job for job in report.jobs if job.queue == queue]
-        start_waits_s = [
-            job.first_start_s - job.accepted_s for job in jobs if job.first_start_s
-        ]
-        ages_s = [job.ended_s - job.accepted_s for job in jobs if job.ended_s]
-        states = Counter(job.state for job in jobs)
-        rows.append(
-            (
-                queue,
-                len(jobs),
-                states.pop(COMPLETE, 0),
-                _format_counts(states, "d"),
-                f"{pick_quantile(start_waits_s, 0.5):.2f}",
-                f"{pick_quantile(start_waits_s, 0.95):.2f}",
-                f"{pick_quantile(ages_s, 0.5):.2f}",
-                f"{pick_quantile(ages_s, 0.95):.2f}",
-            )
+    return [
+        (queue, *_summarize([job for job in report.jobs if job.queue == queue]))
+        for queue in sorted({job.queue for job in report.jobs})
+    ]
+
+
+def _list_teams(report: WaitsReport) -> list[tuple[object, ...]]:
+    """Return a row for each team; there are none if the logs name no team."""
+    teams = {job.team for job in report.jobs} | report.team_refusals.keys()
+    if teams <= {""}:
+        return []
+    return [
+        (
+            team or NO_TEAM,
+            *_summarize([job for job in report.jobs if job.team == team]),
+            _format_counts(report.team_refusals.get(team, Counter()), "d"),
         )
-    return rows
+        for team in sorted(teams)
+    ]
+
+
+def _summarize(jobs: list[JobTimes]) -> tuple[object, ...]:
+    """Return the ends, waits and ages of jobs as the columns of a row."""
+    start_waits_s = [
+        job.first_start_s - job.accepted_s for job in jobs if job.first_start_s
+    ]
+    ages_s = [job.ended_s - job.accepted_s for job in jobs if job.ended_s]
+    states = Counter(job.state for job in jobs)
+    return (
+        len(jobs),
+        states.pop(COMPLETE, 0),
+        _format_counts(states, "d"),
+        f"{pick_quantile(start_waits_s, 0.5):.2f}",
+        f"{pick_quantile(start_waits_s, 0.95):.2f}",
+        f"{pick_quantile(ages_s, 0.5):.2f}",
+        f"{pick_quantile(ages_s, 0.95):.2f}",
+    )
 
 
 def _format_counts(counts: Counter[str], spec: str) -> str:
--- a/packages/cli/src/papayadyke_cli/_waits.py
+++ b/packages/cli/src/papayadyke_cli/_waits.py
@@ -11,6 +11,7 @@
 
 COMPLETE = "complete"
 UNFINISHED = "unfinished"
+REFUSED = "callers: refused"  # event of a request that was not carried out
 
 
 @dataclass(slots=True)
@@ -19,6 +20,7 @@
 
     job_id: str
     queue: str = ""
+    team: str = ""
     accepted_s: float = 0.0
     first_start_s: float | None = None
     ended_s: float | None = None
@@ -64,11 +66,14 @@
     unreadable : int
         Number of non-empty lines without a JSON object that has a time and an
         event name.
+    team_refusals : dict of str to Counter
+        Number of refused requests by HTTP status, for each team with any.
     """
 
     jobs: list[JobTimes]
     spans: list[Span]
     unreadable: int
+    team_refusals: dict[str, Counter[str]] = field(default_factory=dict)
 
 
 def read_waits(lines: Iterable[str], *, step_s: float) -> WaitsReport:
@@ -85,12 +90,16 @@
     jobs: dict[str, JobTimes] = {}
     run_starts: dict[tuple[str, str, int], float] = {}
     spans: dict[int, Span] = {}
+    team_refusals: dict[str, Counter[str]] = {}
     for event in events:
         at_s = event["ts"]
         span_index = int((at_s - events[0]["ts"]) / step_s)
         start_s = events[0]["ts"] + span_index * step_s
         span = spans.setdefault(span_index, Span(start_s))
         _apply_event(event, jobs, run_starts, span)
+        if event["msg"] == REFUSED and event.get("team"):
+            refusals = team_refusals.setdefault(event["team"], Counter())
+            refusals[str(event["status"])] += 1
     for span in spans.values():
         end_s = span.start_s + step_s
         span.waiting = sum(_is_waiting(job, end_s) for job in jobs.values())
@@ -98,6 +107,7 @@
         [job for job in jobs.values() if job.accepted_s],
         [spans[span_index] for span_index in sorted(spans)],
         unreadable,
+        team_refusals,
     )
 
 
@@ -125,7 +135,7 @@
     span: Span,
 ) -> None:
     at_s, event_name = event["ts"], event["msg"]
-    if event_name == "callers: refused":
+    if event_name == REFUSED:
         span.refused[str(event["status"])] += 1
         return
     job_id = event.get("request", "")
@@ -133,6 +143,7 @@
         job = jobs.setdefault(job_id, JobTimes(job_id))
         if not job.accepted_s:
             job.queue, job.accepted_s = event["queue"], at_s
+            job.team = event.get("team", "")
             span.accepted += 1
     elif event_name == "decider: start":
         job = jobs.setdefault(job_id, JobTimes(job_id))
--- a/packages/cli/src/papayadyke_cli/tests/test_waits.py
+++ b/packages/cli/src/papayadyke_cli/tests/test_waits.py
@@ -90,6 +90,34 @@
     assert "<svg" in page.read_text()
 
 
+def test_teams_are_listed_with_their_waits_and_refusals(tmp_path):
+    """A team that is refused or waits must not vanish in the sum of its queue."""
+    lines = [
+        line(
+            1.0, "intake: job", request="a", queue="q", team="red", outcome="accepted"
+        ),
+        line(
+            1.0, "intake: job", request="b", queue="q", team="blue", outcome="accepted"
+        ),
+        line(2.5, "decider: start", request="a", step=["a", 0, 0], runs=[[0, 1, "u"]]),
+        line(3.0, "callers: refused", status=429, path="/q/c", team="green"),
+        line(3.0, "callers: refused", status=401, path="/q/d"),
+    ]
+    report = read_waits(lines, step_s=2.0)
+    assert report.team_refusals == {"green": {"429": 1}}
+    log = tmp_path / "vm.log"
+    log.write_text("\n".join(lines))
+    output = CliRunner().invoke(app, ["report", "waits", str(log)]).output
+    rows = {row.split()[0]: row.split()[1:] for row in output.splitlines() if row}
+    assert rows["red"][0] == "1"
+    assert "1.50" in rows["red"]
+    assert "unfinished:1" in rows["blue"]
+    assert rows["green"][0] == "0"
+    assert rows["green"][-1] == "429:1"
+    log.write_text("\n".join(LINES))
+    assert "team" not in CliRunner().invoke(app, ["report", "waits", str(log)]).output
+
+
 def test_missing_log_is_named():
     result = CliRunner().invoke(app, ["report", "waits", "missing.log"])
     assert result.exit_code == 2
--- a/packages/clients/src/papayadyke_clients/http/_server.py
+++ b/packages/clients/src/papayadyke_clients/http/_server.py
@@ -57,12 +57,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
-    """HTTP response whose `body` is sent unchanged."""
+    """HTTP response whose `body` is sent unchanged.
+
+    `log_fields` are not sent; the server's owner may add them to its log lines.
+    """
 
     status: int
     body: bytes = b""
     content_type: str = "application/json"
     headers: Mapping[str, str] = field(default_factory=dict)
+    log_fields: Mapping[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
@@ -213,6 +213,7 @@
                 deadline_ms=req.headers.get(DEADLINE_HEADER),
                 decider=self._leadership.known_decider.token,
                 reaches_store=self._leadership.reaches_store,
+                **answer.log_fields,
             )
         return answer
 
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_edge_metrics.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_edge_metrics.py
@@ -20,3 +20,11 @@
     assert 'papayadyke_commit_seconds_bucket{le="+Inf"} 2\n' in text
     assert "papayadyke_commit_seconds_sum 60.004000\n" in text
     assert "papayadyke_commit_seconds_count 2\n" in text
+
+
+def test_gauge_shows_its_last_value_without_the_suffix_of_counters():
+    """A gauge that is rendered as a counter would be read as a rate."""
+    metrics = EdgeMetrics()
+    metrics.set_gauge("papayadyke_config_version", 4)
+    metrics.set_gauge("papayadyke_config_version", 7)
+    assert metrics.render() == b"papayadyke_config_version 7\n"
