Give the soak teams whose keys change in quick succession

Callers send a key of their job's team; some send a key that no configuration has held, and withdrawn ones to VMs that must know of it.

--- a/packages/soak/src/papayadyke_soak/_ledger.py
+++ b/packages/soak/src/papayadyke_soak/_ledger.py
@@ -21,6 +21,8 @@
     accepted_s, cancel_sent_s, cancelled_s : float or None
     state : JobState or None
         The last that the caller received.
+    is_forged : bool
+        Whether the caller sends a key that no configuration has held.
     """
 
     spec: StagedJobSpec
@@ -31,6 +33,7 @@
     cancel_sent_s: float | None = None
     cancelled_s: float | None = None
     state: JobState | None = None
+    is_forged: bool = False
 
     @property
     def is_ended(self) -> bool:
--- a/packages/soak/src/papayadyke_soak/_load.py
+++ b/packages/soak/src/papayadyke_soak/_load.py
@@ -12,6 +12,8 @@
 from papayadyke_adapter_standins import CallerClient, CallerReply
 from papayadyke_core.dispatch import StagedJobSpec, StepSpec
 from papayadyke_daemon.edge import read_clock
+from papayadyke_soak._faults import LENGTH_S
+from papayadyke_soak._keys import APPLY_S, KeyRing, find_team
 from papayadyke_soak._ledger import JobRecord, Ledger
 from papayadyke_soak._promises import Needs, Promises
 from papayadyke_soak._vms import VmProcess
@@ -24,6 +26,8 @@
 CRASH_AFTER_S = (0.05, 0.5)  # seconds from the start of such a task to the crash
 GANG_SHARE = 0.25  # of the jobs
 REPEAT_SHARE = 0.1  # of the accepted submissions are sent again
+FORGED_SHARE = 0.03  # of the jobs are sent with a key that no configuration has held
+PROBE_SHARE = 0.2  # of the turns of a caller begin with a call with a withdrawn key
 # Seconds before a VM's exit at which a request that was sent counts as read.
 READ_MARGIN_S = 0.5
 # Seconds after a disturbance in which a cut request is no fault of a planned stop.
@@ -50,7 +54,9 @@
             steps.append(replace(step, after=(number - 1,)))
     payload = msgspec.json.encode(needs).decode()
     job_id = f"{rng.getrandbits(64):016x}"
-    spec = StagedJobSpec(job_id, queue, payload, tuple(steps), time.time())
+    spec = StagedJobSpec(
+        job_id, queue, payload, tuple(steps), time.time(), team=find_team(job_id)
+    )
     return JobRecord(spec, succeeds and crash_after_s is None)
 
 
@@ -65,6 +71,7 @@
         One a VM, in the same order.
     ledger : Ledger
     promises : Promises
+    keys : KeyRing
     queue : str
     """
 
@@ -77,9 +84,13 @@
         clients: list[CallerClient],
         ledger: Ledger,
         promises: Promises,
+        keys: KeyRing,
         queue: str,
     ) -> None:
         self._rng = random.Random(seed * 1000 + number)
+        # Separate, so that the jobs of a seed do not depend on the keys.
+        self._keys_rng = random.Random(f"{seed} {number} keys")
+        self._keys = keys
         self._vms = vms
         self._clients = clients
         self._ledger = ledger
@@ -102,12 +113,33 @@
 
     def _run(self) -> None:
         while not self._stopped.wait(self._rng.uniform(*PAUSE_S)):
+            if self._keys_rng.random() < PROBE_SHARE:
+                self._probe()
             if self._rng.random() < 0.5 or not self._open:
                 self._submit(draw_job(self._rng, self._queue))
             else:
                 self._ask(self._rng.choice(self._open))
 
+    def _probe(self) -> None:
+        """Send a withdrawn key to a VM that must know that it is withdrawn."""
+        withdrawn = self._keys.list_withdrawn()
+        number = self._keys_rng.randrange(len(self._vms))
+        vm = self._vms[number]
+        settled_s = vm.disturbed_s + LENGTH_S[1]
+        sent_s = read_clock()
+        due = [
+            row.key
+            for row in withdrawn
+            if sent_s > max(row.withdrawn_s, settled_s) + APPLY_S
+        ]
+        if due:
+            reply = self._clients[number].ask("0" * 16, key=due[-1])
+            # A disturbance during the call may have hidden the version again.
+            if vm.disturbed_s < sent_s:
+                self._promises.answered_withdrawn_key(vm.plan.name, reply.status)
+
     def _submit(self, record: JobRecord) -> None:
+        record.is_forged = self._keys_rng.random() < FORGED_SHARE
         self._ledger.add(record)
         for _ in range(MOST_TRIES):
             if self._stopped.is_set():
@@ -140,13 +172,19 @@
     def _call(self, what: str, record: JobRecord) -> CallerReply:
         number = self._rng.randrange(len(self._vms))
         vm, client = self._vms[number], self._clients[number]
+        if record.is_forged:
+            key = f"forged-{self._keys_rng.getrandbits(64):016x}"
+        else:
+            key = self._keys.pick(record.spec.team, self._keys_rng.randrange(4))
         sent_s = read_clock()
         if what == "submit":
-            reply = client.submit(record.spec)
+            reply = client.submit(record.spec, key=key)
         elif what == "cancel":
-            reply = client.cancel(record.spec.job_id)
+            reply = client.cancel(record.spec.job_id, key=key)
         else:
-            reply = client.ask(record.spec.job_id)
+            reply = client.ask(record.spec.job_id, key=key)
+        if record.is_forged:
+            self._promises.answered_forged_key(vm.plan.name, reply.status)
         if reply.is_cut:
             self._judge_cut(vm, sent_s, what)
         return reply
--- a/packages/soak/src/papayadyke_soak/_promises.py
+++ b/packages/soak/src/papayadyke_soak/_promises.py
@@ -99,6 +99,8 @@
             if record is None:
                 self._break("no start that nobody asked for", run.task)
                 return
+            if record.is_forged:
+                self._break("no start with a key that never was", run.task)
             if record.spec.payload != run.payload:
                 self._break("a task gets what its caller handed in", run.task)
             self._check_alone(run)
@@ -170,6 +172,17 @@
         if accepted_s is not None and read_clock() - accepted_s > VISIBLE_S:
             self._break("an accepted job is known", record.spec.job_id)
 
+    def answered_withdrawn_key(self, vm: str, status: int) -> None:
+        """Check the answer to a key that the VM must know to be withdrawn."""
+        # A request without an answer, and 503, have not been admitted either.
+        if status not in (0, 401, 503):
+            self._break("a withdrawn key is refused", f"{vm}: {status}")
+
+    def answered_forged_key(self, vm: str, status: int) -> None:
+        """Check the answer to a key that no configuration has held."""
+        if status not in (0, 401, 503):
+            self._break("a key that never was is refused", f"{vm}: {status}")
+
     def cut_by_stop(self, vm: str, detail: str) -> None:
         """Record a request that a planned stop left unanswered."""
         self._break("a planned stop cuts no request", f"{vm}: {detail}")
--- a/packages/soak/src/papayadyke_soak/_soak.py
+++ b/packages/soak/src/papayadyke_soak/_soak.py
@@ -6,7 +6,7 @@
 import os
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -21,6 +21,7 @@
 from papayadyke_soak._faults import LENGTH_S, draw_faults
 from papayadyke_soak._fleet import Fleet
 from papayadyke_soak._injector import Injector, Targets
+from papayadyke_soak._keys import TEAMS, KeyRing, find_team
 from papayadyke_soak._ledger import Ledger
 from papayadyke_soak._load import Caller, ask_state
 from papayadyke_soak._promises import Promises, Violation
@@ -39,6 +40,7 @@
 # Seconds in which a change of an upstream's capacity has to be known, without faults:
 # contact_ms and one heartbeat of the users' pages.
 CAPACITY_KNOWN_S = 4.5
+CHECKED_KEYS = 5  # withdrawn keys that each VM gets at the end
 STORE_THREADS_A_VM = 8  # four watches, and short calls
 
 
@@ -105,16 +107,17 @@
     loop.start()
     versions = itertools.count(1)
 
-    def change_catalog() -> None:
+    def put_catalog(team_keys: Mapping[str, Sequence[str]]) -> None:
         write_catalog(
             store,
             version=next(versions),
             host=QUEUE_HOST,
             prefix=PREFIX,
             max_attempts=MAX_ATTEMPTS,
+            team_keys=team_keys,
         )
 
-    change_catalog()
+    keys = KeyRing(put_catalog, seed=cfg.seed)
     fleet = Fleet(store, loop, cores=CORES, seed=cfg.seed)
     ledger = Ledger()
     promises = Promises(
@@ -139,10 +142,10 @@
     try:
         for vm in vms:
             vm.start()
-        _wait_until(lambda: _serves(clients), START_S, "no VM serves")
+        _wait_until(lambda: _serves(clients, keys), START_S, "no VM serves")
         faults = draw_faults(random.Random(cfg.seed), cfg.minutes * 60)
         targets = Targets(
-            vms, fleet, store, lambda: _find_decider(store, vms), change_catalog
+            vms, fleet, store, lambda: _find_decider(store, vms), keys.change
         )
         injector = Injector(targets, faults)
         callers = [
@@ -153,6 +156,7 @@
                 clients=clients,
                 ledger=ledger,
                 promises=promises,
+                keys=keys,
                 queue=QUEUE_HOST + PREFIX,
             )
             for number in range(CALLERS)
@@ -160,11 +164,13 @@
         for caller in callers:
             caller.start()
         injector.start()
+        keys.start()
         time.sleep(cfg.minutes * 60)
+        keys.stop()
         injector.stop()
         for caller in callers:
             caller.stop()
-        _settle(ledger, promises, clients)
+        _settle(ledger, promises, clients, keys)
     finally:
         for vm in vms:
             vm.clean_up()
@@ -228,11 +234,14 @@
     return next((vm for vm in vms if vm.plan.name == name), None)
 
 
-def _serves(clients: list[CallerClient]) -> bool:
-    return any(client.ask("0" * 16).is_unknown_job for client in clients)
+def _serves(clients: list[CallerClient], keys: KeyRing) -> bool:
+    key = keys.pick(TEAMS[0])
+    return any(client.ask("0" * 16, key=key).is_unknown_job for client in clients)
 
 
-def _settle(ledger: Ledger, promises: Promises, clients: list[CallerClient]) -> None:
+def _settle(
+    ledger: Ledger, promises: Promises, clients: list[CallerClient], keys: KeyRing
+) -> None:
     """Wait until all accepted jobs have ended, then run the final checks."""
     turns = itertools.cycle(clients)
     until_s = read_clock() + SETTLE_S
@@ -245,12 +254,18 @@
         if not waiting:
             break
         for job in waiting:
-            ask_state(promises, job, next(turns).ask(job.spec.job_id))
+            job_id = job.spec.job_id
+            key = keys.pick(find_team(job_id))
+            ask_state(promises, job, next(turns).ask(job_id, key=key))
         time.sleep(POLL_S)
     promises.check_finished()
     promises.check_refusals()
     time.sleep(QUIET_S)
     promises.check_quiet()
+    for number, client in enumerate(clients):
+        for row in keys.list_withdrawn()[-CHECKED_KEYS:]:
+            reply = client.ask("0" * 16, key=row.key)
+            promises.answered_withdrawn_key(f"vm-{number}, at the end", reply.status)
 
 
 def _wait_until(holds: Callable[[], bool], timeout_s: float, what: str) -> None:
--- a/packages/soak/src/papayadyke_soak/tests/test_promises.py
+++ b/packages/soak/src/papayadyke_soak/tests/test_promises.py
@@ -15,6 +15,7 @@
     TaskId,
 )
 from papayadyke_soak import JobRecord, Ledger, Promises
+from papayadyke_soak._keys import TEAMS, KeyRing
 from papayadyke_soak._promises import Needs
 
 JOB = "5c0e7a21d94b36f8"
@@ -185,3 +186,41 @@
         seen.promises.crashed([run], [])
     seen.promises.told(seen.record, JobState.FAILED)
     assert seen.broken() == set()
+
+
+def test_start_with_a_forged_key_is_seen():
+    seen = Seen()
+    seen.record.is_forged = True
+    seen.start()
+    assert seen.broken() == {"no start with a key that never was"}
+
+
+@pytest.mark.parametrize("status", [200, 409, 410, 504])
+def test_answer_that_admits_a_withdrawn_or_forged_key_is_seen(status):
+    seen = Seen()
+    for refused in (0, 401, 503):
+        seen.promises.answered_withdrawn_key("vm", refused)
+        seen.promises.answered_forged_key("vm", refused)
+    assert seen.broken() == set()
+    seen.promises.answered_withdrawn_key("vm", status)
+    seen.promises.answered_forged_key("vm", status)
+    assert seen.broken() == {
+        "a withdrawn key is refused",
+        "a key that never was is refused",
+    }
+
+
+def test_key_is_withdrawn_only_once_a_version_without_it_is_stored():
+    """A key that is still in force would be taken for one that must be refused."""
+    versions = []
+    keys = KeyRing(
+        lambda by_team: versions.append(
+            [key for row in by_team.values() for key in row]
+        ),
+        seed=3,
+    )
+    for _ in range(50):
+        keys.change()
+        assert not {row.key for row in keys.list_withdrawn()} & set(versions[-1])
+        assert all(keys.pick(team, 1) in versions[-1] for team in TEAMS)
+    assert len(keys.list_withdrawn()) > 10
