--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -18,7 +18,6 @@
     Commit,
     Dispatcher,
     DispatchSettings,
-    JobState,
     StagedJobSpec,
     StartOrder,
     StartOutcome,
@@ -234,10 +233,6 @@
         """Apply a configuration if it is newer than the current one."""
         self._mailbox.post(lambda: self._dispatcher.set_catalog(catalog))
 
-    def get_state(self, job_id: str) -> JobState | None:
-        """Return the state of a job, or None if the job is unknown."""
-        return self._dispatcher.get_state(job_id)
-
     def get_status(self, job_id: str) -> JobStatus | None:
         """Return the state and the team of a job, or None if the job is unknown."""
         job = self._dispatcher.jobs.get(job_id)
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_unexpected_errors.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_unexpected_errors.py
@@ -165,8 +165,8 @@
     )
     decider = make_decider(store, decode=decode_or_fail)
     assert decider.start(Catalog(1))
-    assert decider.get_state("good") is not None
-    assert decider.get_state("bad") is None
+    assert decider.get_status("good") is not None
+    assert decider.get_status("bad") is None
     decider.stop()
 
 
