--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_job_owner.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_job_owner.py
@@ -23,6 +23,7 @@
 from papayadyke_daemon.edge._messages import (
     AskState,
     StateReply,
+    StoreReply,
     decode_message,
     encode_message,
 )
@@ -154,3 +155,17 @@
 
     store.write = refuse
     assert intake.accept(replace(SPEC, team="blue")) is IntakeOutcome.UNKNOWN
+
+
+def test_known_end_answers_no_cancellation_of_another_team(store):
+    """A final state, cached or from the decider, would tell that the job exists."""
+
+    def answer(message):
+        if isinstance(message, AskState):
+            return StateReply(True, "complete", "red")
+        return StoreReply(IntakeOutcome.REFUSED)
+
+    intake = make_intake(store, answer, reaches_store=False)
+    assert intake.cancel(JOB_ID, team="blue") is not IntakeOutcome.ACCEPTED
+    assert intake.get_state(JOB_ID, "red") is JobState.COMPLETE
+    assert intake.cancel(JOB_ID, team="blue") is not IntakeOutcome.ACCEPTED
