--- a/packages/core/src/papayadyke_core/dispatch/_rank.py
+++ b/packages/core/src/papayadyke_core/dispatch/_rank.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from papayadyke_core.dispatch._job import StagedJob
 from papayadyke_core.dispatch._spec import QueuePolicy
 
@@ -9,15 +11,37 @@
 MAX_LATE_FACTOR = 3.0
 
 
+class JobRank(NamedTuple):
+    """Sort key of a job; the lowest is placed first.
+
+    Parameters
+    ----------
+    is_worthless : bool
+        Whether the job is so late that its caller no longer waits.
+    priority : int
+        Priority of its queue.
+    is_late : bool
+        Whether it cannot meet its objective any more.
+    work_core_s : float
+        Its remaining work, in core-seconds.
+    """
+
+    is_worthless: bool
+    priority: int
+    is_late: bool
+    work_core_s: float
+
+
 def rank_job(
     job: StagedJob, queue: QueuePolicy, *, factor: float, now: float
-) -> tuple[int, int, float]:
-    """Return the sort key of a job; the lowest key is placed first.
+) -> JobRank:
+    """Return the rank of a job.
 
-    Jobs that can still meet their objective come first, then late jobs, then jobs
-    so late that their caller no longer waits. Within each class the priority of the
-    queue decides, then the remaining work: under overload, running small jobs first
-    serves more callers.
+    Jobs whose caller no longer waits come last. Among the others the priority of the
+    queue decides, then whether the objective can still be met, then the remaining work:
+    under overload, running small jobs first serves more callers. Priority comes before
+    lateness, since urgent jobs have the shortest objectives: they are late after a
+    moment, and would then wait for long jobs that have seconds of slack left.
 
     Parameters
     ----------
@@ -31,10 +55,9 @@
     critical_path_s = job.remaining_critical_path_s() * factor
     objective_s = queue.stretch * job.total_estimate_s * factor + queue.allowance_s
     finish_s = now - job.accepted_at_s + critical_path_s
-    if finish_s <= objective_s:
-        lateness_class = 0
-    elif finish_s <= MAX_LATE_FACTOR * objective_s:
-        lateness_class = 1
-    else:
-        lateness_class = 2
-    return lateness_class, queue.priority, job.remaining_work_core_s()
+    return JobRank(
+        is_worthless=finish_s > MAX_LATE_FACTOR * objective_s,
+        priority=queue.priority,
+        is_late=finish_s > objective_s,
+        work_core_s=job.remaining_work_core_s(),
+    )
