Leave advisory calls to steps that can start while they are scarce

Change: while a quarter of the calls is in progress, only steps with room, or that reserve it, renew their tickets.

--- a/packages/core/src/papayadyke_core/dispatch/_advice.py
+++ b/packages/core/src/papayadyke_core/dispatch/_advice.py
@@ -164,6 +164,7 @@
     *,
     allowed_share: float,
     valid_at_s: float,
+    renews: bool = True,
 ) -> tuple[str, ...]:
     """Return the upstreams for which a step needs tickets, best first.
 
@@ -183,6 +184,8 @@
         Expected share of upstreams that the step may use.
     valid_at_s : float
         Time up to which a ticket must be valid to count, in seconds.
+    renews : bool, default=True
+        Whether upstreams that are known to be allowed are named again without room.
     """
     spec = step.spec
     missing = float(spec.count if spec.is_gang else len(step.waiting))
@@ -193,7 +196,8 @@
         if ticket is not None and ticket[1] > valid_at_s:
             missing -= _count_room(spec, upstream.free_slots_for(spec))
         elif name in step_advice.allowed:
-            known.append(_make_candidate(step, upstream))
+            if renews or upstream.free_slots_for(spec):
+                known.append(_make_candidate(step, upstream))
         elif name not in step_advice.queried:
             unknown.append(_make_candidate(step, upstream))
     if missing <= 0:
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -26,6 +26,9 @@
 # Seconds for which a prime suspect waits for an idle upstream; then it starts beside
 # other tasks.
 MAX_ALONE_WAIT_S = 30.0
+# Fraction of the advisory calls that may be in progress while steps without room renew
+# their tickets.
+SPARE_ADVICE_SHARE = 0.25
 # Searches per pass; each looks at every upstream of a service.
 MAX_ADVICE_SEARCHES = 40
 
@@ -144,12 +147,15 @@
         )
         if may_fit and self._place_step(step, queue, pool, factor):
             return True
+        may_reserve = step.spec.is_gang and self._may_reserve_more(pool)
         # The steps of the highest rank get tickets even before they fit.
         if queue.advice is not None and (
             may_fit or self._position < self._advice_slots
         ):
-            self._request_advice(step, queue, queue.advice, pool)
-        if step.spec.is_gang and self._may_reserve_more(pool):
+            self._request_advice(
+                step, queue, queue.advice, pool, may_reserve=may_reserve
+            )
+        if may_reserve:
             self._reserving_gangs += 1
             self._reserved |= self._choose_reserved(step, queue, pool)
         return False
@@ -252,13 +258,23 @@
         )
 
     def _request_advice(
-        self, step: StepRun, queue: QueuePolicy, policy: AdvicePolicy, pool: _Pool
+        self,
+        step: StepRun,
+        queue: QueuePolicy,
+        policy: AdvicePolicy,
+        pool: _Pool,
+        *,
+        may_reserve: bool,
     ) -> None:
         """Request tickets for a step that has too few upstreams with room."""
         step_advice = self._advice_cache.get_or_create(step.step_id)
         refresh_s = policy.decide_s + policy.per_upstream_s * len(step_advice.allowed)
         refreshed_at_s = self._now + refresh_s
-        needs_renewal = refreshed_at_s >= step_advice.valid_until_s
+        needs_renewal = refreshed_at_s >= step_advice.valid_until_s and (
+            not self._is_advice_scarce()
+            or may_reserve
+            or _has_room(step, step_advice.allowed, pool)
+        )
         if (
             not (needs_renewal or self._now >= step_advice.next_search_s)
             or step_advice.is_request_pending
@@ -276,6 +292,7 @@
             allowed_share=self._advice_cache.get_allowed_share(queue.key),
             # Tickets that expire before this request is answered do not count.
             valid_at_s=refreshed_at_s,
+            renews=needs_renewal or not step_advice.queried,
         )
         if not requested:
             if needs_renewal:
@@ -286,6 +303,16 @@
         self._advice_cache.begin_request(step.step_id)
         self.advice.append(AdviceRequest(step.step_id, requested, expected_s))
 
+    def _is_advice_scarce(self) -> bool:
+        """Return whether steps compete for advisory calls.
+
+        Then only those renew their tickets that have room to start, or reserve it. In
+        a flood the renewals of steps without room took most of the calls, and urgent
+        steps waited for their first one.
+        """
+        pending = self._advice_cache.pending_requests
+        return pending >= SPARE_ADVICE_SHARE * self._advice_slots
+
     def _count_free_advice_slots(self, policy: AdvicePolicy) -> int:
         free_slots = self._advice_slots - self._advice_cache.pending_requests
         if policy.decide_s > self._settings.slow_advice_s:
@@ -305,6 +332,18 @@
         return reserve_for_gang(step, eligible)
 
 
+def _has_room(step: StepRun, names: Set[str], pool: _Pool) -> bool:
+    """Return whether a gang, or a task of another step, fits on some upstreams."""
+    missing = step.spec.count if step.spec.is_gang else 1
+    for name in names:
+        upstream = pool.members.get(name)
+        if upstream is not None:
+            missing -= upstream.free_slots_for(step.spec)
+            if missing <= 0:
+                return True
+    return False
+
+
 def _group_by_service(
     upstreams: dict[str, Upstream], now: float, alone_share: float
 ) -> dict[str, _Pool]:
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
@@ -1,5 +1,6 @@
 """Placement, tickets and retries under the load patterns in which they matter."""
 
+from dataclasses import replace
 from zlib import crc32
 
 from dispatch_world import QUEUE, World, make_catalog, make_entry, make_job, make_step
@@ -67,6 +68,26 @@
     assert list_started_jobs(dispatcher.tick(0.1, 0.1)) == ["b-in-time"]
 
 
+def test_late_urgent_job_goes_before_long_work_with_slack():
+    """Pattern: a burst of checks on a full fleet, beside a backlog of long jobs.
+
+    A check is late after half a second. Behind all long jobs that have seconds of slack
+    it waited until its caller had left (tabys-sched-grown scale-2).
+    """
+    dispatcher = make_dispatcher(upstreams=1, cores=1)
+    submit(dispatcher, "a-long", BATCH, make_step(1, estimate_s=3.0))
+    submit(dispatcher, "b-late-check", URGENT, make_step(1, estimate_s=0.6), age_s=1.0)
+    assert list_started_jobs(dispatcher.tick(0.1, 0.1)) == ["b-late-check"]
+
+
+def test_worthless_urgent_job_goes_after_work_that_is_of_use():
+    """Pattern: the backlog of a burst, whose callers have left, beside later work."""
+    dispatcher = make_dispatcher(upstreams=1, cores=1)
+    submit(dispatcher, "a-check", URGENT, make_step(1, estimate_s=0.6), age_s=9.0)
+    submit(dispatcher, "b-long", BATCH, make_step(1, estimate_s=3.0))
+    assert list_started_jobs(dispatcher.tick(0.1, 0.1)) == ["b-long"]
+
+
 def test_stream_of_small_batch_work_does_not_starve_a_gang():
     world = World(make_catalog(), make_entry("a"), make_entry("b"))
     world.submit(make_job("filler", make_step(5, estimate_s=3.0)))
@@ -317,6 +338,46 @@
     assert due_s <= now <= due_s + tick_s
 
 
+def allow(dispatcher, requests, names, *, now):
+    """Answer advisory requests; all steps may use the same upstreams."""
+    for request in requests:
+        tickets = {name: "t" for name in request.upstream_ids if name in names}
+        dispatcher.process_advice(
+            Advice(request.step, request.upstream_ids, tickets, 2.0, now)
+        )
+
+
+def test_steps_without_room_do_not_renew_tickets_while_advice_is_scarce():
+    """Pattern: a flood of long steps on a full fleet, beside urgent ones.
+
+    The renewals of the waiting steps took most of the calls of the advisory service.
+    """
+    slow, quick = AdvicePolicy(0.5, 0.0, 2.0), AdvicePolicy(0.01, 0.0, 2.0)
+    dispatcher = make_dispatcher(upstreams=4, advice=slow, advice_slots=8)
+    policies = dict(dispatcher.catalog.queues)
+    policies[URGENT] = replace(policies[URGENT], advice=quick)
+    dispatcher.set_catalog(Catalog(2, policies))
+    dispatcher.advice_slots = 8
+    submit(dispatcher, "filler", BATCH, make_step(12, estimate_s=60.0))
+    requests = dispatcher.tick(0.1, 0.1).advice
+    allow(dispatcher, requests, {"u0", "u1", "u2"}, now=0.2)
+    assert len(dispatcher.tick(0.2, 0.2).starts) == 12
+    for number in range(40):
+        submit(dispatcher, f"long{number}", BATCH, make_step(2, estimate_s=3.0))
+    calls, in_progress = 0, []
+    for tick in range(120):
+        now = 0.3 + 0.1 * tick
+        answered = [request for due_s, request in in_progress if due_s <= now]
+        in_progress = [row for row in in_progress if row[0] > now]
+        allow(dispatcher, answered, {"u0", "u1", "u2"}, now=now)
+        requests = dispatcher.tick(now, now).advice
+        in_progress += [(now + request.expected_s, request) for request in requests]
+        calls += len(requests)
+    # Each of the 40 steps asks once. Renewals of steps without room take a quarter of
+    # the eight calls at a time at most, of 0.5 s each: 48 in 12 s.
+    assert 40 <= calls <= 40 + 48
+
+
 def test_later_calls_name_only_upstreams_with_room():
     """Pattern: a step waits on a large fleet; each call takes time an upstream."""
     advice = AdvicePolicy(0.026, 0.0004, 2.0)
