Track contact with the store in one place of a VM

Intake, leadership and readiness each judged the store by their own calls. A VM of a cut zone sent one write every 0.5 s to a store that it could not reach, relayed to a decider that it could not reach, and a waiting watch hid the loss of the store from the decider for up to 2.3 s.

StoreContact learns from every call, probes the store after a failure or 0.3 s without an answer, and holds calls back meanwhile. RelayGate lets relays pass only to a decider that answered a heartbeat since the doubt began and within the last second. Heartbeats go out at once when the contact changes. A VM that reported a loss begins no candidacy while the report counts.

Refusals close their connection. Peer calls return their verdict; a relay that was not sent counts as refused.

--- a/packages/clients/src/papayadyke_clients/http/_server.py
+++ b/packages/clients/src/papayadyke_clients/http/_server.py
@@ -57,12 +57,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
-    """HTTP response whose `body` is sent unchanged."""
+    """HTTP response whose `body` is sent unchanged.
+
+    If `closes` is true, the connection is closed after the response, which says so.
+    """
 
     status: int
     body: bytes = b""
     content_type: str = "application/json"
     headers: Mapping[str, str] = field(default_factory=dict)
+    closes: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -214,6 +218,9 @@
                 for name, value in answer.headers.items()
             ),
         ]
+        if answer.closes:
+            # Cheroot then adds the header to the response.
+            req.close_connection = True
         req.ensure_headers_sent()
         if answer.body:
             req.write(answer.body)
--- a/packages/daemon/src/papayadyke_daemon/edge/_advisers.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_advisers.py
@@ -105,7 +105,7 @@
             timeout_s=request.expected_s + REPLY_MARGIN_S,
         )
         if isinstance(reply, Err):
-            return reply
+            return Err(reply.err_value.detail)
         advice_reply = reply.ok_value
         if not isinstance(advice_reply, AdviceReply) or advice_reply.error:
             return Err(getattr(advice_reply, "error", "unexpected reply"))
--- a/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
@@ -11,9 +11,11 @@
 
 from papayadyke_clients.http import HttpAnswer, HttpLimits, HttpRequest, HttpServer
 from papayadyke_core.dispatch import Catalog, StepId
+from papayadyke_core.verdicts import Verdict
 from papayadyke_daemon.edge._clock import read_clock
+from papayadyke_daemon.edge._contact import StoreContact
 from papayadyke_daemon.edge._decider import Decider, Term
-from papayadyke_daemon.edge._intake import Intake, IntakeDependencies
+from papayadyke_daemon.edge._intake import Intake, IntakeDependencies, IntakeOutcome
 from papayadyke_daemon.edge._leadership import KnownDecider, Leadership
 from papayadyke_daemon.edge._logs import log_event
 from papayadyke_daemon.edge._messages import (
@@ -34,8 +36,9 @@
     Submitted,
 )
 from papayadyke_daemon.edge._metrics import CONTENT_TYPE, METRICS
-from papayadyke_daemon.edge._peers import PeerClients, PeerServer
+from papayadyke_daemon.edge._peers import RELAY_SLOTS, PeerClients, PeerServer
 from papayadyke_daemon.edge._ports import EdgePorts, EdgeSettings, Record
+from papayadyke_daemon.edge._relays import RelayGate
 from papayadyke_daemon.edge._reports import StoreReport, StoreReports
 from papayadyke_daemon.edge._watch import PrefixWatch
 
@@ -51,8 +54,13 @@
 FIXED_SETTINGS = frozenset(
     {"vm", "host", "callers_port", "readiness_port", "peers_port", "metrics_port"}
 )
-# Seconds for which the decider's VM counts as reaching the store after its reply.
-RELAY_VALIDITY_S = 2.0
+# Seconds between heartbeats while the store is in doubt, also the least time between
+# two that are sent because the contact with the store has changed.
+DOUBT_HELLO_S = 0.2
+MIN_HELLO_S = 0.02
+# Other VMs that are asked for the decider with a heartbeat; an unanswered call takes
+# 0.3 s, and the next heartbeat to the decider waits for it.
+MAX_ASKED_PEERS = 2
 
 
 def _start_thread(name: str, run: Callable[[], None]) -> threading.Thread:
@@ -79,18 +87,24 @@
         answer_caller: Callable[[Intake, HttpRequest], HttpAnswer],
     ) -> None:
         self.cfg = cfg
+        self._heartbeat_due = threading.Event()
+        self._contact = StoreContact(ports.store, on_change=self._heartbeat_due.set)
+        ports = replace(ports, store=self._contact.store)
         self._ports = ports
         self._stopped = threading.Event()
         self._is_draining = False
         self._catalog: Catalog | None = None
         self._decider: Decider | None = None
         self._peers: list[str] = []
-        self._relay_until_s = 0.0
+        self._next_peer = 0
+        self._relay_gate = RelayGate(lambda: self._contact.doubted_s)
+        self._relay_slots = threading.BoundedSemaphore(RELAY_SLOTS)
         self._reports = StoreReports()
         self._clients = PeerClients()
         self._leadership = Leadership(
             cfg,
             ports,
+            contact=self._contact,
             may_lead=lambda: self._catalog is not None and not self._is_draining,
             start_decider=self._start_decider,
             stop_decider=self._stop_decider,
@@ -102,7 +116,8 @@
             IntakeDependencies(
                 lambda: self._decider,
                 lambda: self._leadership.known_decider,
-                lambda: self._leadership.reaches_store,
+                self._contact,
+                self._relay_gate,
             ),
         )
         self._peer_server = PeerServer(
@@ -135,6 +150,7 @@
         self._metrics.start()
         self._readiness.start()
         self._peer_server.start()
+        self._contact.start()
         self._leadership.start()
         self.intake.start()
         threading.Thread(
@@ -180,6 +196,7 @@
         for thread in (last_answers, handover):
             thread.join(timeout=max(0.0, deadline_s - read_clock()))
         self._stopped.set()
+        self._contact.stop()
         self._peer_server.close()
         log_event(
             LOG,
@@ -297,12 +314,17 @@
 
     def _can_store(self) -> bool:
         """Return whether jobs can be stored, by this VM or through the decider's."""
-        return self._leadership.reaches_store or read_clock() < self._relay_until_s
+        return self._contact.is_reached or self._relay_gate.is_open()
 
     # Peers
 
     def _heartbeat_loop(self) -> None:
-        while not self._stopped.wait(self.cfg.hello_s):
+        while not self._stopped.wait(MIN_HELLO_S):
+            interval_s = self.cfg.hello_s
+            if not self._contact.is_reached:
+                interval_s = min(interval_s, DOUBT_HELLO_S)
+            self._heartbeat_due.wait(interval_s - MIN_HELLO_S)
+            self._heartbeat_due.clear()
             try:
                 self._exchange_heartbeat()
             except Exception:
@@ -312,15 +334,16 @@
         known_decider = self._leadership.known_decider
         if self._leadership.is_decider or self._is_draining:
             return
-        reply = (
-            self._send_heartbeat(known_decider.address) if known_decider.token else None
-        )
+        reply = None
+        if known_decider.token:
+            with self._relay_gate.track() as sent_s:
+                reply = self._send_heartbeat(known_decider.address)
         if reply is not None and reply.is_decider:
             own_address = f"{self.cfg.host}:{self.cfg.peers_port}"
             self._peers = [address for address in reply.peers if address != own_address]
-            # Ends at once if the decider's VM does not reach the store either.
-            self._relay_until_s = read_clock() + RELAY_VALIDITY_S * reply.reaches_store
+            self._relay_gate.record_reply(sent_s, reaches_store=reply.reaches_store)
             return
+        self._relay_gate.record_silence()
         if known_decider.token:
             log_event(
                 LOG,
@@ -332,8 +355,11 @@
             self._find_decider_through_peers()
 
     def _find_decider_through_peers(self) -> None:
-        """Ask other VMs for the decider, since the store is unreachable."""
-        for address in self._peers:
+        """Ask some other VMs for the decider, since the store is unreachable."""
+        peers = self._peers
+        for _ in range(min(MAX_ASKED_PEERS, len(peers))):
+            self._next_peer = (self._next_peer + 1) % len(peers)
+            address = peers[self._next_peer]
             reply = self._send_heartbeat(address)
             if (
                 reply is not None
@@ -351,11 +377,18 @@
         hello = Hello(
             self.cfg.vm,
             own_address,
-            self._leadership.has_lost_store,
+            self._leadership.begin_report(),
             self._leadership.known_decider.token,
             self.cfg.strength,
         )
-        reply = self._clients.call(address, hello)
+        is_sent = True
+        try:
+            reply = self._clients.call(address, hello)
+            is_sent = isinstance(reply, Ok) or (
+                reply.err_value.verdict is not Verdict.NOT_RUN
+            )
+        finally:
+            self._leadership.end_report(is_sent=is_sent)
         if isinstance(reply, Ok) and isinstance(reply.ok_value, HelloReply):
             return reply.ok_value
         return None
@@ -379,15 +412,23 @@
             case AskPending():
                 count = decider.count_pending(message.queue) if decider else 0
                 return PendingReply(is_decider, count)
-            case StoreJob():
-                return StoreReply(self.intake.accept_encoded(message.job))
-            case StoreCancel():
-                outcome = self.intake.cancel(message.job_id, may_relay=False)
-                return StoreReply(outcome)
+            case StoreJob() | StoreCancel():
+                return self._answer_relay(message)
             case AskAdvice():
                 return self._answer_advice_request(message)
         return Ack(is_decider)
 
+    def _answer_relay(self, message: StoreJob | StoreCancel) -> Message:
+        if not self._relay_slots.acquire(blocking=False):
+            # The other threads must remain for heartbeats and questions.
+            return StoreReply(IntakeOutcome.REFUSED)
+        try:
+            if isinstance(message, StoreJob):
+                return StoreReply(self.intake.accept_encoded(message.job))
+            return StoreReply(self.intake.cancel(message.job_id, may_relay=False))
+        finally:
+            self._relay_slots.release()
+
     def _handle_heartbeat(self, hello: Hello, decider: Decider | None) -> Message:
         report = StoreReport(read_clock(), hello.has_lost_store, hello.decider)
         self._reports.record(hello.vm, report)
@@ -402,7 +443,7 @@
         known_decider = self._leadership.known_decider
         return HelloReply(
             decider is not None and self._leadership.may_issue_orders(),
-            self._leadership.reaches_store,
+            self._contact.is_reached and not self._contact.is_slow(read_clock()),
             known_decider.token,
             known_decider.vm,
             known_decider.address,
--- a/packages/daemon/src/papayadyke_daemon/edge/_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_intake.py
@@ -5,21 +5,23 @@
 import logging
 import queue
 import threading
-import time
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from papayadyke_core.dispatch import (
+    FINAL_STATES,
     Catalog,
     JobState,
     StagedJobSpec,
     decode_progress,
 )
+from papayadyke_core.verdicts import Verdict
 from papayadyke_daemon.edge._clock import read_clock
+from papayadyke_daemon.edge._contact import StoreContact
 from papayadyke_daemon.edge._decider import Decider
 from papayadyke_daemon.edge._keys import (
     CANCEL_PREFIX,
@@ -45,18 +47,27 @@
 from papayadyke_daemon.edge._peers import PeerClients
 from papayadyke_daemon.edge._ports import (
     EdgePorts,
+    Record,
     StoreError,
     StoreErrorKind,
     Write,
 )
+from papayadyke_daemon.edge._relays import RelayGate
 
 LOG = logging.getLogger(__name__)
 
 STORE_ATTEMPTS = 2  # attempts per write; one whose answer is lost is retried
-STORE_TIMEOUT_S = 0.7  # seconds per attempt; callers wait a few seconds in total
-STORE_BACKOFF_S = 0.5  # seconds without a write after all attempts of one failed
-STORE_RETRY_S = 0.1  # seconds between two attempts
-RELAY_TIMEOUT_S = 1.5  # seconds for the decider's VM to store a job
+# Seconds per attempt; a store that is 60 times slower than usual answers in 0.25 s.
+# Together with the times after which further calls are held back, all callers of an
+# outage have their answer within a second: those of later requests are never 504.
+STORE_TIMEOUT_S = 0.4
+STORE_RECOVERY_S = 0.1  # seconds for a probe to be answered before the second attempt
+SLOW_STORE_WAIT_S = 0.5  # seconds that a write waits while an earlier call is slow
+RELAY_TIMEOUT_S = 0.55  # seconds for the decider's VM to store a job in one attempt
+# Concurrent relays of one VM, so that a few VMs leave threads of the decider's VM to
+# the others; a relay takes a few milliseconds.
+MAX_RELAYS = 2
+RELAY_WAIT_S = 0.2  # seconds that a relay waits for earlier ones
 # Ended jobs whose state is answered without a call; about 2 MB.
 MAX_CACHED_FINAL_STATES = 10_000
 MAX_NOTIFICATION_JOBS = 50  # jobs per message to the decider
@@ -96,13 +107,16 @@
         Returns the decider of this VM, or None if another VM is the decider.
     known_decider : callable
         Returns the decider that this VM knows of.
-    reaches_store : callable
-        Returns whether the store answered this VM recently.
+    contact : StoreContact
+        Tells whether the store answers this VM.
+    relay_gate : RelayGate
+        Tells whether the decider's VM answers, and reaches the store.
     """
 
     own_decider: Callable[[], Decider | None]
     known_decider: Callable[[], KnownDecider]
-    reaches_store: Callable[[], bool]
+    contact: StoreContact
+    relay_gate: RelayGate
 
 
 class Intake:
@@ -124,7 +138,8 @@
         self._dependencies = dependencies
         self._notifications: queue.SimpleQueue[Notification] = queue.SimpleQueue()
         self._final_states: OrderedDict[str, JobState] = OrderedDict()
-        self._store_backoff_until_s = 0.0
+        self._contact = dependencies.contact
+        self._relay_slots = threading.BoundedSemaphore(MAX_RELAYS)
 
     def start(self) -> None:
         """Start the thread that notifies the decider."""
@@ -157,11 +172,16 @@
 
     def cancel(self, job_id: str, *, may_relay: bool = True) -> IntakeOutcome:
         """Store the cancellation of an existing job."""
-        outcome = self._store_cancel(job_id)
+        if job_id in self._final_states:
+            return IntakeOutcome.ACCEPTED
+        outcome = self._store_cancel(job_id, may_relay=may_relay)
         if outcome in (IntakeOutcome.REFUSED, IntakeOutcome.UNKNOWN) and may_relay:
             relayed = self._relay(StoreCancel(job_id))
             if relayed is not IntakeOutcome.REFUSED:
                 outcome = relayed
+            elif self._query_decider(job_id) in FINAL_STATES:
+                # A job that has ended needs no cancellation.
+                return IntakeOutcome.ACCEPTED
         log_event(LOG, "intake: cancellation", request=job_id, outcome=outcome)
         if outcome is IntakeOutcome.ACCEPTED:
             self._notifications.put(job_id)
@@ -218,14 +238,19 @@
 
     def _store_job(self, key: str, data: bytes, *, may_relay: bool) -> StoreResult:
         """Store a job from this VM, or through the decider's VM if that fails."""
-        if self._is_store_lost():
-            # Waiting for a silent store would use up most of the caller's timeout.
+        if not self._may_write(may_relay=may_relay):
+            # Nothing was sent, so a refusal is certain.
             if may_relay:
                 return StoreResult(self._relay(StoreJob(data)))
             return StoreResult(IntakeOutcome.REFUSED)
         # Of an ended job only the progress is kept, so that key must not exist either.
         progress_key = PROGRESS_PREFIX + key.removeprefix(JOB_PREFIX)
-        stored = self._store(key, data, expected=[(key, 0), (progress_key, 0)])
+        stored = self._store(
+            key,
+            data,
+            expected=[(key, 0), (progress_key, 0)],
+            attempts=STORE_ATTEMPTS if may_relay else 1,
+        )
         if stored.outcome is IntakeOutcome.ACCEPTED or not may_relay:
             return stored
         relayed = self._relay(StoreJob(data))
@@ -236,12 +261,17 @@
         return stored
 
     def _store(
-        self, key: str, data: bytes, *, expected: Sequence[tuple[str, int]]
+        self,
+        key: str,
+        data: bytes,
+        *,
+        expected: Sequence[tuple[str, int]],
+        attempts: int,
     ) -> StoreResult:
         outcome = IntakeOutcome.REFUSED
-        for attempt in range(STORE_ATTEMPTS):
-            if attempt:
-                time.sleep(STORE_RETRY_S)
+        for attempt in range(attempts):
+            if attempt and not self._contact.wait_until_reached(STORE_RECOVERY_S):
+                break
             stored = self._ports.store.write(
                 [Write(key, data)], expected=expected, timeout_s=STORE_TIMEOUT_S
             )
@@ -253,23 +283,26 @@
                 return StoreResult(IntakeOutcome.ACCEPTED)
             if error.kind is StoreErrorKind.UNKNOWN:
                 outcome = IntakeOutcome.UNKNOWN
-        self._store_backoff_until_s = read_clock() + STORE_BACKOFF_S
         return StoreResult(outcome)
 
-    def _is_store_lost(self) -> bool:
-        return (
-            not self._dependencies.reaches_store()
-            or read_clock() < self._store_backoff_until_s
-        )
+    def _may_write(self, *, may_relay: bool) -> bool:
+        """Return whether the store answers, after a wait while a call is slow.
+
+        A job of another VM does not wait, since it occupies a thread for calls of all
+        VMs.
+        """
+        if may_relay:
+            return self._contact.wait_while_slow(SLOW_STORE_WAIT_S)
+        return self._contact.is_reached and not self._contact.is_slow(read_clock())
 
-    def _store_cancel(self, job_id: str) -> IntakeOutcome:
-        if self._is_store_lost():
+    def _store_cancel(self, job_id: str, *, may_relay: bool) -> IntakeOutcome:
+        if not self._may_write(may_relay=may_relay):
             return IntakeOutcome.REFUSED
-        job = self._ports.store.read(JOB_PREFIX + job_id)
+        job = self._read(JOB_PREFIX + job_id)
         if isinstance(job, Err):
             return IntakeOutcome.REFUSED
         if job.ok_value is None:
-            progress = self._ports.store.read(PROGRESS_PREFIX + job_id)
+            progress = self._read(PROGRESS_PREFIX + job_id)
             if isinstance(progress, Err):
                 return IntakeOutcome.REFUSED
             if progress.ok_value is None:
@@ -278,19 +311,37 @@
         key = CANCEL_PREFIX + job_id
         # If the job ends first, the write fails and leaves no cancellation behind.
         expected = [(key, 0), (JOB_PREFIX + job_id, job.ok_value.revision)]
-        return self._store(key, b"{}", expected=expected).outcome
+        attempts = STORE_ATTEMPTS if may_relay else 1
+        return self._store(key, b"{}", expected=expected, attempts=attempts).outcome
+
+    def _read(self, key: str) -> Result[Record | None, StoreError]:
+        return self._ports.store.read(key, timeout_s=STORE_TIMEOUT_S)
 
     def _relay(self, message: StoreJob | StoreCancel) -> IntakeOutcome:
         """Have the decider's VM store what this VM cannot."""
-        known_decider = self._dependencies.known_decider()
-        if not known_decider.token or self._dependencies.own_decider() is not None:
+        if not self._relay_slots.acquire(timeout=RELAY_WAIT_S):
             return IntakeOutcome.REFUSED
-        reply = self._clients.call(
-            known_decider.address, message, timeout_s=RELAY_TIMEOUT_S
-        )
-        if isinstance(reply, Err) or not isinstance(reply.ok_value, StoreReply):
-            return IntakeOutcome.UNKNOWN
-        return IntakeOutcome(reply.ok_value.outcome)
+        try:
+            known_decider = self._dependencies.known_decider()
+            gate = self._dependencies.relay_gate
+            if (
+                not known_decider.token
+                or self._dependencies.own_decider() is not None
+                or not gate.is_open()
+            ):
+                return IntakeOutcome.REFUSED
+            with gate.track():
+                reply = self._clients.call(
+                    known_decider.address, message, timeout_s=RELAY_TIMEOUT_S
+                )
+        finally:
+            self._relay_slots.release()
+        if isinstance(reply, Ok) and isinstance(reply.ok_value, StoreReply):
+            return IntakeOutcome(reply.ok_value.outcome)
+        gate.record_silence()
+        if isinstance(reply, Err) and reply.err_value.verdict is Verdict.NOT_RUN:
+            return IntakeOutcome.REFUSED
+        return IntakeOutcome.UNKNOWN
 
     def _query_decider(self, job_id: str) -> JobState | None:
         decider = self._dependencies.own_decider()
@@ -299,16 +350,23 @@
         known_decider = self._dependencies.known_decider()
         if not known_decider.token:
             return None
+        if not (
+            self._contact.is_reached or self._dependencies.relay_gate.hears_decider()
+        ):
+            # In a zone that is cut off neither the store nor the decider answers.
+            return None
         reply = self._clients.call(known_decider.address, AskState(job_id))
         if isinstance(reply, Ok) and isinstance(reply.ok_value, StateReply):
             return JobState(reply.ok_value.state) if reply.ok_value.state else None
         return None
 
     def _read_state(self, job_id: str) -> JobState | StoreError | None:
+        if not self._contact.is_reached:
+            return StoreError(StoreErrorKind.NOT_DONE, "the store is in doubt")
         state = self._read_progress(job_id)
         if state is not None:
             return state
-        job = self._ports.store.read(JOB_PREFIX + job_id)
+        job = self._read(JOB_PREFIX + job_id)
         if isinstance(job, Err):
             return job.err_value
         if job.ok_value is not None:
@@ -317,7 +375,7 @@
         return self._read_progress(job_id)
 
     def _read_progress(self, job_id: str) -> JobState | StoreError | None:
-        progress = self._ports.store.read(PROGRESS_PREFIX + job_id)
+        progress = self._read(PROGRESS_PREFIX + job_id)
         if isinstance(progress, Err):
             return progress.err_value
         if progress.ok_value is None or progress.ok_value.value is None:
--- a/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
@@ -8,9 +8,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from papayadyke_daemon.edge._clock import read_clock
+from papayadyke_daemon.edge._contact import NEVER_S, StoreContact
 from papayadyke_daemon.edge._decider import Term
 from papayadyke_daemon.edge._keys import (
     DECIDER_KEY,
@@ -27,7 +28,6 @@
     EdgePorts,
     EdgeSettings,
     Record,
-    StoreError,
     StoreErrorKind,
     Write,
 )
@@ -52,6 +52,7 @@
 # Seconds after the start of a term before it may be handed over, and after a handover
 # before the same VM tries to lead again.
 HANDOVER_DELAY_S = 1.0
+CANDIDACY_RETRY_S = 0.05  # seconds between two looks at whether a VM may lead
 MAX_CANDIDACY_DELAY_S = 0.3  # seconds that the weakest VM waits for stronger ones
 FULL_STRENGTH_CORES = 2.0  # cores; a VM with this many does not wait
 
@@ -72,6 +73,8 @@
     ----------
     cfg : EdgeSettings
     ports : EdgePorts
+        Its store is that of `contact`.
+    contact : StoreContact
     may_lead : callable
         Returns whether this VM has what it needs to be the decider.
     start_decider : callable
@@ -89,6 +92,7 @@
         cfg: EdgeSettings,
         ports: EdgePorts,
         *,
+        contact: StoreContact,
         may_lead: Callable[[], bool],
         start_decider: Callable[[Term], bool],
         stop_decider: Callable[[], None],
@@ -96,8 +100,7 @@
     ) -> None:
         self.cfg = cfg
         self.known_decider = KnownDecider()
-        self.reaches_store = False
-        self.has_lost_store = False
+        self._contact = contact
         self._ports = ports
         self._may_lead = may_lead
         self._start_decider = start_decider
@@ -108,6 +111,13 @@
         self._token = 0
         self._valid_until_s = 0.0
         self._renewal_attempted_s = 0.0
+        self._has_failed_renewal = False
+        # A VM that reported the loss of the store must not become the decider while
+        # the report counts; the lock orders reports and candidacies.
+        self._candidacy_lock = threading.Lock()
+        self._is_candidate = False
+        self._is_reporting_loss = False
+        self._loss_reported_s = NEVER_S
         # Reports of other VMs that arrived earlier may have waited through a pause.
         self._reports_valid_from_s = 0.0
         self._idle_since_s: float | None = None
@@ -125,6 +135,37 @@
         """Whether this VM is in a term."""
         return self._token != 0
 
+    @property
+    def reaches_store(self) -> bool:
+        """Whether the store answers this VM."""
+        return self._contact.is_reached
+
+    def begin_report(self) -> bool:
+        """Return whether the heartbeat to be sent reports the loss of the store.
+
+        No report is made during a candidacy or a term, and no candidacy begins until
+        `REPORT_VALIDITY_S` after the last report has been sent. So the decider never
+        relies on the report of a VM that has taken over meanwhile.
+        """
+        with self._candidacy_lock:
+            self._is_reporting_loss = (
+                self._contact.is_lost and not self._is_candidate and not self._token
+            )
+            return self._is_reporting_loss
+
+    def end_report(self, *, is_sent: bool) -> None:
+        """Record that the heartbeat was answered or given up.
+
+        Parameters
+        ----------
+        is_sent : bool
+            False only if it was certainly not sent.
+        """
+        with self._candidacy_lock:
+            if self._is_reporting_loss and is_sent:
+                self._loss_reported_s = read_clock()
+            self._is_reporting_loss = False
+
     def start(self) -> None:
         """Start the thread."""
         self._thread.start()
@@ -143,7 +184,7 @@
             return True
         # No other VM can become the decider while none reaches the store.
         return (
-            not self.reaches_store
+            self._has_failed_renewal
             and now - self._renewal_attempted_s < MAX_RENEWAL_GAP_S
             and now >= self._reports_valid_from_s
             and self._peers_lost_store()
@@ -201,7 +242,7 @@
     def lead_once(self) -> None:
         """Wait until the lease is due for renewal and renew it, or end the term."""
         self._step_down_requested.wait(
-            RENEWAL_RETRY_S if self.has_lost_store else self.cfg.renew_s
+            RENEWAL_RETRY_S if self._has_failed_renewal else self.cfg.renew_s
         )
         if self._step_down_requested.is_set() or self._stopped.is_set():
             if self._step_down_requested.is_set():
@@ -214,25 +255,23 @@
         )
         self._renewal_attempted_s = read_clock()
         if isinstance(renewed, Ok):
-            if not self.reaches_store:
+            if self._has_failed_renewal:
                 log_event(LOG, "leadership: store regained", token=self._token)
-            self.reaches_store = True
-            self.has_lost_store = False
+            self._has_failed_renewal = False
             self._idle_since_s = None
             self._extend_validity(sent_s)
             return
         if renewed.err_value.kind is StoreErrorKind.NO_LEASE:
             self.step_down("the lease has lapsed")
             return
-        if self.reaches_store:
+        if not self._has_failed_renewal:
             log_event(
                 LOG,
                 "leadership: store lost",
                 token=self._token,
                 why=renewed.err_value.detail,
             )
-        self.reaches_store = False
-        self.has_lost_store = True
+        self._has_failed_renewal = True
         if self.may_issue_orders():
             self._idle_since_s = None
         elif self._idle_since_s is None:
@@ -263,7 +302,6 @@
     def follow_once(self) -> None:
         """Follow the decider until it changes, or try to become it."""
         listing = self._ports.store.read_prefix(DECIDER_KEY)
-        self._update_store_contact(listing)
         if isinstance(listing, Err):
             self._stopped.wait(WATCH_RETRY_S)
             return
@@ -283,7 +321,22 @@
             return
         if record is None and self._defer_to_stronger_vms(page.revision):
             return
-        self._try_to_lead(0 if record is None else record.revision)
+        if not self._begin_candidacy():
+            self._stopped.wait(CANDIDACY_RETRY_S)
+            return
+        try:
+            self._try_to_lead(0 if record is None else record.revision)
+        finally:
+            self._is_candidate = False
+
+    def _begin_candidacy(self) -> bool:
+        """Return whether no report that this VM lost the store counts any more."""
+        with self._candidacy_lock:
+            self._is_candidate = (
+                not self._is_reporting_loss
+                and read_clock() - self._loss_reported_s >= REPORT_VALIDITY_S
+            )
+            return self._is_candidate
 
     def _defer_to_stronger_vms(self, revision: int) -> bool:
         """Wait for stronger VMs; return whether one has become the decider."""
@@ -305,13 +358,6 @@
         holder = decode_decider(record.value or b"")
         return holder.vm == self.cfg.vm and holder.incarnation != self._incarnation
 
-    def _update_store_contact(self, reply: Result[object, StoreError]) -> None:
-        is_reached = isinstance(reply, Ok)
-        self.has_lost_store = not is_reached
-        if is_reached != self.reaches_store:
-            log_event(LOG, "leadership: store contact changed", reached=is_reached)
-        self.reaches_store = is_reached
-
     def _set_known_decider(self, record: Record) -> None:
         decider = decode_decider(record.value or b"")
         if record.revision > self.known_decider.token:
@@ -328,12 +374,8 @@
                 DECIDER_KEY, after=revision, wait_s=WATCH_WAIT_S
             )
             if isinstance(changes, Err):
-                error = changes.err_value
-                if error.kind is not StoreErrorKind.COMPACTED:
-                    self._update_store_contact(changes)
                 self._stopped.wait(WATCH_RETRY_S)
                 return
-            self._update_store_contact(changes)
             page = changes.ok_value
             if page.records:
                 last = page.records[-1]
@@ -375,6 +417,7 @@
         self._lease = granted.ok_value
         self._step_down_requested.clear()
         self._should_yield = False
+        self._has_failed_renewal = False
         self._term_began_s = self._renewal_attempted_s = sent_s
         self._extend_validity(sent_s)
         self._token = written.ok_value
--- a/packages/daemon/src/papayadyke_daemon/edge/_peers.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_peers.py
@@ -10,14 +10,19 @@
 import pynng
 from result import Err, Ok, Result
 
+from papayadyke_core.verdicts import Verdict
 from papayadyke_daemon.edge._messages import Message, decode_message, encode_message
 from papayadyke_daemon.peers._link import Link
+from papayadyke_daemon.peers._messages import CallError
 from papayadyke_daemon.peers._settings import PeerSettings
 from papayadyke_daemon.peers._stats import Counters
 
 LOG = logging.getLogger(__name__)
 
-SERVING_THREADS = 6  # concurrent calls; one may wait for the advisory service
+# Concurrent calls; one may wait for the advisory service, and `RELAY_SLOTS` of them
+# for the store.
+SERVING_THREADS = 12
+RELAY_SLOTS = 6
 CALL_TIMEOUT_S = 0.4  # seconds; VMs normally answer in a few milliseconds
 
 
@@ -81,8 +86,11 @@
 
     def call(
         self, address: str, message: Message, *, timeout_s: float = CALL_TIMEOUT_S
-    ) -> Result[Message, str]:
-        """Call a VM and wait for its reply."""
+    ) -> Result[Message, CallError]:
+        """Call a VM and wait for its reply.
+
+        After an error with the verdict `NOT_RUN` the message was not sent.
+        """
         with self._lock:
             link = self._links.get(address)
             if link is None:
@@ -91,11 +99,11 @@
                 )
         answer = link.call(encode_message(message), timeout_s=timeout_s)
         if isinstance(answer, Err):
-            return Err(answer.err_value.detail)
+            return answer
         try:
             return Ok(decode_message(answer.ok_value))
         except msgspec.DecodeError as exc:
-            return Err(str(exc))
+            return Err(CallError(Verdict.MAY_HAVE_RUN, str(exc)))
 
     def keep_only(self, addresses: set[str]) -> None:
         """Close the links to all other addresses."""
--- a/packages/daemon/src/papayadyke_daemon/edge/_ports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_ports.py
@@ -84,7 +84,9 @@
 class RecordStore(Protocol):
     """Client of the platform's key-value service."""
 
-    def read(self, key: str) -> Result[Record | None, StoreError]:
+    def read(
+        self, key: str, *, timeout_s: float | None = None
+    ) -> Result[Record | None, StoreError]:
         """Return the record of a key, or None if there is none."""
 
     def read_prefix(self, prefix: str, *, after: str = "") -> Result[Page, StoreError]:
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_leadership.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_leadership.py
@@ -6,6 +6,7 @@
 import pytest
 
 from papayadyke_daemon.edge import Write
+from papayadyke_daemon.edge._contact import StoreContact
 from papayadyke_daemon.edge._keys import DECIDER_KEY, DeciderRecord, encode_record
 from papayadyke_daemon.edge._leadership import Leadership
 from papayadyke_daemon.edge.tests.deciders import make_settings
@@ -42,6 +43,7 @@
         self.leadership = Leadership(
             cfg,
             make_ports(self.store),
+            contact=StoreContact(self.store),
             may_lead=lambda: True,
             start_decider=self.start_decider,
             stop_decider=self.is_stopped.set,
