--- a/packages/daemon/src/papayadyke_daemon/edge/_contact.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_contact.py
@@ -36,6 +36,8 @@
 # Seconds after which an unanswered call holds back later writes; a call usually takes
 # a few milliseconds.
 SLOW_CALL_S = 0.15
+# Seconds in which a probe is answered by a store that has lost a single answer.
+RECOVERY_WAIT_S = 0.1
 SLOW_POLL_S = 0.02  # seconds between two looks at a slow call
 # Seconds for which a store that answers reads is in doubt after its second consecutive
 # failed write; doubled for each further one, up to the maximum.
@@ -73,8 +75,9 @@
         self._on_change = on_change
         self._lock = threading.Lock()
         self._call_numbers = itertools.count()
-        # Times of sending, of calls that are usually answered in milliseconds.
-        self._pending: dict[int, float] = {}
+        # Calls that are usually answered in milliseconds: time of sending, and whether
+        # it is a write.
+        self._pending: dict[int, tuple[float, bool]] = {}
         self._has_answered = False
         self._doubted_s: float | None = None
         self._recovered_s = NEVER_S
@@ -108,11 +111,14 @@
         self._wake.set()
 
     def is_slow(self, now: float) -> bool:
-        """Return whether a call is unanswered for `SLOW_CALL_S` and no later one is."""
+        """Return whether a call has waited for `SLOW_CALL_S`.
+
+        Calls of which a later one of the same kind was answered do not count.
+        """
         with self._lock:
             return any(
-                self._answered_s <= sent_s <= now - SLOW_CALL_S
-                for sent_s in self._pending.values()
+                self._get_answered_s(is_write=is_write) <= sent_s <= now - SLOW_CALL_S
+                for sent_s, is_write in self._pending.values()
             )
 
     def wait_while_slow(self, timeout_s: float) -> bool:
@@ -122,6 +128,9 @@
             if read_clock() >= end_s:
                 break
             time.sleep(SLOW_POLL_S)
+            if not self.is_reached:
+                # The slow call has failed; the probe that follows may be answered.
+                return self.wait_until_reached(RECOVERY_WAIT_S)
         return self.is_reached
 
     def wait_until_reached(self, timeout_s: float) -> bool:
@@ -133,7 +142,7 @@
         now = read_clock()
         if now >= self._next_probe_s():
             self._probed_s = now
-            call = self._begin(is_tracked=True)
+            call = self._begin(is_tracked=True, is_write=False)
             self._end(
                 call,
                 self._inner.read(DECIDER_KEY, timeout_s=PROBE_TIMEOUT_S),
@@ -161,7 +170,7 @@
         """
         if is_gated and self.is_lost:
             return Err(StoreError(StoreErrorKind.NOT_DONE, "the store is in doubt"))
-        call = self._begin(is_tracked=is_tracked)
+        call = self._begin(is_tracked=is_tracked, is_write=is_write)
         return self._end(call, send(), is_write=is_write)
 
     # Implementation
@@ -181,11 +190,15 @@
             return self._probed_s + PROBE_INTERVAL_S
         return max(self._probed_s, self._answered_s) + CHECK_INTERVAL_S
 
-    def _begin(self, *, is_tracked: bool) -> tuple[int, float]:
+    def _get_answered_s(self, *, is_write: bool) -> float:
+        """Return the time of sending of the latest call of a kind with an answer."""
+        return self._written_s if is_write else self._answered_s
+
+    def _begin(self, *, is_tracked: bool, is_write: bool) -> tuple[int, float]:
         number, sent_s = next(self._call_numbers), read_clock()
         if is_tracked:
             with self._lock:
-                self._pending[number] = sent_s
+                self._pending[number] = sent_s, is_write
         return number, sent_s
 
     def _end(
@@ -236,7 +249,7 @@
     def _record_failure(
         self, sent_s: float, now: float, *, is_write: bool, is_probe: bool
     ) -> None:
-        answered_s = self._written_s if is_write else self._answered_s
+        answered_s = self._get_answered_s(is_write=is_write)
         if sent_s < max(self._recovered_s, answered_s):
             # A later call has been answered.
             return
@@ -311,20 +324,16 @@
 
     def grant_lease(self, ttl_s: float) -> Result[int, StoreError]:
         """Return the id of a new lease."""
-        return self._contact.call(lambda: self._store.grant_lease(ttl_s), is_write=True)
+        return self._contact.call(lambda: self._store.grant_lease(ttl_s))
 
     def renew_lease(
         self, lease: int, *, timeout_s: float | None = None
     ) -> Result[None, StoreError]:
         """Extend a lease by its time to live, also while the store is in doubt."""
         return self._contact.call(
-            lambda: self._store.renew_lease(lease, timeout_s=timeout_s),
-            is_write=True,
-            is_gated=False,
+            lambda: self._store.renew_lease(lease, timeout_s=timeout_s), is_gated=False
         )
 
     def end_lease(self, lease: int) -> Result[None, StoreError]:
         """End a lease, also while the store is in doubt; its keys are removed."""
-        return self._contact.call(
-            lambda: self._store.end_lease(lease), is_write=True, is_gated=False
-        )
+        return self._contact.call(lambda: self._store.end_lease(lease), is_gated=False)
--- a/packages/daemon/src/papayadyke_daemon/edge/_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_intake.py
@@ -21,7 +21,7 @@
 )
 from papayadyke_core.verdicts import Verdict
 from papayadyke_daemon.edge._clock import read_clock
-from papayadyke_daemon.edge._contact import StoreContact
+from papayadyke_daemon.edge._contact import RECOVERY_WAIT_S, StoreContact
 from papayadyke_daemon.edge._decider import Decider
 from papayadyke_daemon.edge._keys import (
     CANCEL_PREFIX,
@@ -61,7 +61,6 @@
 # Together with the times after which further calls are held back, all callers of an
 # outage have their answer within a second: those of later requests are never 504.
 STORE_TIMEOUT_S = 0.4
-STORE_RECOVERY_S = 0.1  # seconds for a probe to be answered before the second attempt
 SLOW_STORE_WAIT_S = 0.5  # seconds that a write waits while an earlier call is slow
 RELAY_TIMEOUT_S = 0.55  # seconds for the decider's VM to store a job in one attempt
 # Concurrent relays of one VM, so that a few VMs leave threads of the decider's VM to
@@ -270,7 +269,7 @@
     ) -> StoreResult:
         outcome = IntakeOutcome.REFUSED
         for attempt in range(attempts):
-            if attempt and not self._contact.wait_until_reached(STORE_RECOVERY_S):
+            if attempt and not self._contact.wait_until_reached(RECOVERY_WAIT_S):
                 break
             stored = self._ports.store.write(
                 [Write(key, data)], expected=expected, timeout_s=STORE_TIMEOUT_S
