Test store contact, relays and loss reports; spread Retry-After

Long jobs that are refused return after 2 or 3 s by a hash of their id, those of priority 0 after 2 s, short ones after 1 s; four retries of a long job outlast an outage of 6 s as before.

A decider without a lease needs reports of more than half of the other VMs. With exactly half, a decider that is cut off with one of two zones of one size went on while the other zone could elect another.

--- a/packages/core/src/papayadyke_core/dispatch/_retry.py
+++ b/packages/core/src/papayadyke_core/dispatch/_retry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from zlib import crc32
 
 from papayadyke_core.dispatch._spec import (
     QueuePolicy,
@@ -12,11 +13,10 @@
 
 # Retries that a caller makes after a refusal, according to the users' data sheets.
 CALLER_RETRIES = 4
-# Share of a job's allowed time over which its caller's retries are spread. The rest
-# remains for running the job.
-WAITING_SHARE = 0.5
 MIN_RETRY_AFTER_S = 1  # seconds; a lost store or decider rarely recovers sooner
-MAX_RETRY_AFTER_S = 5  # seconds; longer than the usual outage of the store
+MAX_RETRY_AFTER_S = 3  # seconds; usual outages of the store last 3 to 6 s
+# Seconds; with this or more the four retries outlast an outage of 6 s.
+MIN_LONG_RETRY_AFTER_S = 2
 
 
 def choose_retry_after(spec: StagedJobSpec, queue: QueuePolicy) -> int:
@@ -24,7 +24,8 @@
 
     A short job is useful only if it is retried at once. The caller of a long job
     should spread its few retries over an outage instead of using them all in the
-    first seconds.
+    first seconds. The times of long jobs differ by a hash of their ids, so that not
+    all callers return at once; those of priority 0 return first.
 
     Parameters
     ----------
@@ -34,6 +35,12 @@
     critical_path_s = find_critical_path_s(
         spec.steps, [step.estimate_s for step in spec.steps]
     )
-    allowed_s = queue.stretch * critical_path_s + queue.allowance_s
-    wait_s = math.floor(allowed_s * WAITING_SHARE / CALLER_RETRIES)
-    return max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, wait_s))
+    slack_s = (queue.stretch - 1.0) * critical_path_s + queue.allowance_s
+    longest_s = math.floor(slack_s / CALLER_RETRIES)
+    longest_s = max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, longest_s))
+    if longest_s < MIN_LONG_RETRY_AFTER_S:
+        return MIN_RETRY_AFTER_S
+    if queue.priority == 0:
+        return MIN_LONG_RETRY_AFTER_S
+    choices = longest_s - MIN_LONG_RETRY_AFTER_S + 1
+    return MIN_LONG_RETRY_AFTER_S + crc32(spec.job_id.encode()) % choices
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
@@ -178,6 +178,24 @@
     assert 4 * wait_s + 10.0 <= 2.2 * 10.0 + 1.0
 
 
+def test_callers_of_long_jobs_do_not_all_return_at_once():
+    """Pattern: thousands of submissions are refused while the store is away."""
+    steps = (make_step(8, estimate_s=5.0), make_step(8, estimate_s=5.0, after=(0,)))
+    waits = {}
+    for priority in (0, 1):
+        queue = QueuePolicy("q", "host", "/q/", "service", priority, 2, 2.2, 1.0)
+        waits[priority] = [
+            choose_retry_after(StagedJobSpec(f"{n:016x}", queue.key, "", steps), queue)
+            for n in range(1000)
+        ]
+    assert all(1 <= wait <= 3 for wait in waits[0] + waits[1])
+    # Half of the callers return a second later than the others.
+    assert 400 <= waits[1].count(3) <= 600
+    # The urgent queue returns first, and its retries outlast an outage of 6 s too.
+    assert max(waits[0]) == min(waits[1])
+    assert 4 * min(waits[0]) > 6.0
+
+
 def test_large_fleet_reserves_upstreams_for_more_than_two_gangs():
     """Pattern: several gangs wait while a stream of batch work could overtake them."""
     dispatcher = make_dispatcher(upstreams=24)
--- a/packages/daemon/src/papayadyke_daemon/edge/_messages.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_messages.py
@@ -16,7 +16,8 @@
     ----------
     vm, address : str
     has_lost_store : bool
-        The store did not answer the last call of the VM.
+        The store answered neither a call of the VM nor the probe that followed, and
+        the VM is not becoming the decider.
     decider : int
         Fencing token of the decider that the VM follows.
     strength : float
--- a/packages/daemon/src/papayadyke_daemon/edge/_reports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_reports.py
@@ -17,7 +17,8 @@
     received_s : float
         Time of arrival in seconds, on the clock of `read_clock`.
     has_lost_store : bool
-        The store did not answer the last call of the VM.
+        The store answered neither a call of the VM nor the probe that followed, and
+        the VM is not becoming the decider.
     decider : int
         Fencing token of the decider that the VM follows.
     """
@@ -40,9 +41,11 @@
     def is_store_lost_for_peers(self, now: float, *, token: int, vms: int) -> bool:
         """Return whether no VM can have become the decider through the store.
 
-        At least half of the other VMs must have reported recently that they lost
+        More than half of the other VMs must have reported recently that they lost
         the store too. A VM that is partitioned alone or with its availability zone
-        receives too few reports, and so does one whose term has only just begun.
+        receives too few reports, also if there are two zones of one size, and so does
+        one whose term has only just begun. A VM that has reported a loss begins no
+        candidacy while the report counts; see `Leadership.begin_report`.
 
         Parameters
         ----------
@@ -66,4 +69,4 @@
         ]
         if any(not report.has_lost_store or report.decider > token for report in fresh):
             return False
-        return bool(fresh) and 2 * len(fresh) >= max(len(remembered), vms)
+        return 2 * len(fresh) > max(len(remembered), vms)
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_intake.py
@@ -1,6 +1,7 @@
 """Test accepting and cancelling jobs, also when the store fails."""
 
 import pytest
+from result import Err
 
 from papayadyke_core.dispatch import (
     JobProgress,
@@ -9,11 +10,13 @@
     StepSpec,
     encode_progress,
 )
+from papayadyke_core.verdicts import Verdict
 from papayadyke_daemon.edge import (
     Intake,
     IntakeOutcome,
     StoreErrorKind,
     Write,
+    read_clock,
 )
 from papayadyke_daemon.edge._contact import StoreContact
 from papayadyke_daemon.edge._intake import IntakeDependencies
@@ -22,6 +25,7 @@
 from papayadyke_daemon.edge._peers import PeerClients
 from papayadyke_daemon.edge._relays import RelayGate
 from papayadyke_daemon.edge.tests.fake_store import FakeStore, make_ports
+from papayadyke_daemon.peers._messages import CallError
 
 SPEC = StagedJobSpec("5c0e7a21d94b36f8", "h/q/", "text", (StepSpec(1),))
 KEY = JOB_PREFIX + SPEC.job_id
@@ -96,6 +100,49 @@
     assert store.calls == 0
 
 
+@pytest.mark.parametrize(
+    ("verdict", "outcome"),
+    [
+        (Verdict.NOT_RUN, IntakeOutcome.REFUSED),
+        (Verdict.MAY_HAVE_RUN, IntakeOutcome.UNKNOWN),
+    ],
+)
+def test_relay_that_was_not_sent_is_refused(store, verdict, outcome):
+    """Failure: callers of a cut zone get 504 for jobs that were not sent anywhere."""
+    intake = make_intake(store, reaches_store=False)
+    clients = FailingClients(verdict)
+    intake._clients = clients
+    intake._dependencies.relay_gate.record_reply(read_clock(), reaches_store=True)
+    known = KnownDecider(5, "vm", "vm:1")
+    object.__setattr__(intake._dependencies, "known_decider", lambda: known)
+    assert intake.accept(SPEC) is outcome
+    # The next relay waits for the reply to another heartbeat.
+    assert intake.accept(SPEC) is IntakeOutcome.REFUSED
+    assert clients.calls == 1
+
+
+class FailingClients:
+    """Calls to other VMs that all fail with one verdict."""
+
+    def __init__(self, verdict):
+        self.verdict = verdict
+        self.calls = 0
+
+    def call(self, address, message, *, timeout_s=0.4):
+        self.calls += 1
+        return Err(CallError(self.verdict, "no answer"))
+
+
+def test_cancellation_of_a_job_known_to_have_ended_needs_no_store(store):
+    intake = make_intake(store)
+    intake.accept(SPEC)
+    end_job(store)
+    assert intake.get_state(SPEC.job_id) is JobState.COMPLETE
+    store.fault = StoreErrorKind.NOT_DONE
+    assert intake.cancel(SPEC.job_id) is IntakeOutcome.ACCEPTED
+    assert intake.get_state(SPEC.job_id) is JobState.COMPLETE
+
+
 def test_only_an_existing_job_is_cancelled(store):
     intake = make_intake(store)
     assert intake.cancel(SPEC.job_id) is IntakeOutcome.NO_SUCH_JOB
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_store_outage.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_store_outage.py
@@ -1,5 +1,7 @@
 """Test outages of the store and cut zones, with the bounds of design/hard-load.md."""
 
+from functools import partial
+
 import pytest
 
 from papayadyke_daemon.edge import IntakeOutcome
@@ -153,10 +155,7 @@
         for _ in range(8):
             for message in (AskState("running"), hello):
                 reply, taken_s = world.do(
-                    lambda message=message: others[0]._clients.call(
-                        decider.cfg.host, message
-                    ),
-                    0.05,
+                    partial(others[0]._clients.call, decider.cfg.host, message), 0.05
                 )
                 assert reply.is_ok()
                 assert taken_s < 0.05
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_store_reports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_store_reports.py
@@ -27,6 +27,12 @@
     assert not make_reports(True).is_store_lost_for_peers(10.2, token=5, vms=7)
 
 
+def test_decider_that_is_cut_off_with_one_of_two_zones_stops():
+    """Failure: the other zone elects a decider, and both act."""
+    reports = make_reports(*[True] * 17)
+    assert not reports.is_store_lost_for_peers(10.2, token=5, vms=34)
+
+
 def test_silent_vms_count_against_continuing():
     reports = make_reports(True, True, True)
     reports.record("vm-0", StoreReport(14.9, True, 5))
