Count crashes that no decider has seen

A decider that ended between a crash and its notice, up to 1.6 s later, left no trace of the run, so its successor did not count the crash.

For 60 s after a takeover the progress of earlier jobs tells where their tasks run, and that of suspects always does. A successor takes these runs as doubts.

Storing starts before they are sent was ruled out earlier for its writes; only answered starts after a takeover are stored.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -173,6 +173,7 @@
             for step in job.steps.values():
                 self._tracker.crash_tracker.restore(step)
         job.hold_until_s = self._takeover.barrier_s or 0.0
+        job.record_runs_until_s = now + self.settings.record_runs_s
         self.jobs[spec.job_id] = job
         if is_cancelled and not job.is_final:
             self._schedule.finish_job(job, JobState.CANCELLED, now)
--- a/packages/core/src/papayadyke_core/dispatch/_job.py
+++ b/packages/core/src/papayadyke_core/dispatch/_job.py
@@ -43,6 +43,8 @@
         self.crashes: dict[int, list[LostContact]] = {}
         # Upstreams that may have crashed under a run of the task.
         self.doubts: dict[int, list[LostContact]] = {}
+        # Tasks of which it is stored where they run.
+        self.recorded_runs: set[int] = set()
         # When each prime suspect began to wait for an idle upstream, and which one is
         # kept free for it.
         self.waiting_alone_s: dict[int, float] = {}
@@ -103,6 +105,19 @@
             self.doubts[index] = [d for d in doubts if d.upstream_id != upstream_id]
         return taken
 
+    def confirm_run(
+        self, index: int, upstream_id: str, incarnation: int | None
+    ) -> None:
+        """Withdraw the doubt about a stored run that its upstream still lists."""
+        life = upstream_id, incarnation
+        doubts = self.doubts.pop(index, [])
+        kept = [d for d in doubts if (d.upstream_id, d.incarnation) != life]
+        if kept:
+            self.doubts[index] = kept
+        if len(kept) < len(doubts):
+            # It remains stored until the run has lasted.
+            self.recorded_runs.add(index)
+
     def withdraw_doubt(self, index: int, upstream_id: str) -> None:
         """Drop a doubt of an unanswered start that has not crashed the upstream."""
         doubts = self.take_doubts(index, upstream_id)
@@ -115,9 +130,12 @@
         return self.count_crashes(index) + len(self.doubts.get(index, ()))
 
     def clear_suspicion(self, index: int) -> bool:
-        """Forget all crashes and doubts of a task; return whether there were any."""
+        """Forget crashes, doubts and the stored run of a task; return if any were."""
         had_crashes = self.crashes.pop(index, None) is not None
-        return self.doubts.pop(index, None) is not None or had_crashes
+        had_doubts = self.doubts.pop(index, None) is not None
+        was_recorded = index in self.recorded_runs
+        self.recorded_runs.discard(index)
+        return had_crashes or had_doubts or was_recorded
 
     def mark_done(self, index: int) -> bool:
         """Mark a task as done; return whether it was not done before.
@@ -138,13 +156,24 @@
     def requeue(self, index: int) -> None:
         """Drop the live run of a task and, unless it is done, let it wait again."""
         self.live.pop(index, None)
+        self.recorded_runs.discard(index)
         if index not in self.done:
             self.waiting.add(index)
 
     def snapshot_progress(self) -> StepProgress | None:
         """Return the progress to store, or None if there is none yet."""
+        runs = {
+            index: LostContact(run.upstream_id, run.incarnation)
+            for index in sorted(self.recorded_runs)
+            if (run := self.live.get(index)) is not None and run.incarnation is not None
+        }
         if not (
-            self.done or self.failed or self.checkpoints or self.crashes or self.doubts
+            self.done
+            or self.failed
+            or self.checkpoints
+            or self.crashes
+            or self.doubts
+            or runs
         ):
             return None
         return StepProgress(
@@ -153,6 +182,7 @@
             dict(self.checkpoints),
             dict(self.crashes),
             dict(self.doubts),
+            runs,
         )
 
     def restore_progress(self, progress: StepProgress) -> None:
@@ -167,6 +197,9 @@
         }
         self.crashes = {i: rows for i, rows in progress.crashes.items() if i in valid}
         self.doubts = {i: rows for i, rows in progress.doubts.items() if i in valid}
+        for index, run in progress.runs.items():
+            if index in valid:
+                self.add_doubt(index, run)
         for index, attempts in self.failed.items():
             self.record_attempt(index, max(attempts))
 
@@ -194,6 +227,8 @@
         # Before this time a run that an earlier decider started may be unreported,
         # so the job is not started.
         self.hold_until_s = 0.0
+        # Before this time it is stored where its tasks run.
+        self.record_runs_until_s = 0.0
         self.steps: dict[tuple[int, int], StepRun] = {}
         repeat = spec.repeat
         self.occurrences = 1 if repeat is None else repeat.count
--- a/packages/core/src/papayadyke_core/dispatch/_progress.py
+++ b/packages/core/src/papayadyke_core/dispatch/_progress.py
@@ -53,6 +53,9 @@
         Crashes of upstreams that count against each task.
     doubts : dict of int to list of LostContact
         Upstreams that may have crashed under each task.
+    runs : dict of int to LostContact
+        Upstreams on which some of the tasks were running. A successor cannot know
+        whether they crashed before it began.
     """
 
     done: list[int] = []
@@ -60,6 +63,7 @@
     checkpoints: dict[int, str] = {}
     crashes: dict[int, list[LostContact]] = {}
     doubts: dict[int, list[LostContact]] = {}
+    runs: dict[int, LostContact] = {}
 
 
 class JobProgress(msgspec.Struct):
--- a/packages/core/src/papayadyke_core/dispatch/_settings.py
+++ b/packages/core/src/papayadyke_core/dispatch/_settings.py
@@ -60,6 +60,9 @@
     suspect_s : float
         Time since the start of a run after which a crash of its upstream no longer
         counts against the task. A run that outlasts it clears the task.
+    record_runs_s : float
+        Time after a takeover in which it is stored where tasks of earlier jobs run, so
+        that a further decider counts crashes that this one does not see.
     max_commit_entries : int
         Maximum number of store entries in one commit. They must fit in one
         transaction, which holds 32, together with the condition that this VM is
@@ -85,6 +88,7 @@
     max_crashes: int = 4
     alone_share: float = 0.25
     suspect_s: float = 30.0
+    record_runs_s: float = 60.0
     max_commit_entries: int = 31
 
     @property
--- a/packages/core/src/papayadyke_core/dispatch/_tracking.py
+++ b/packages/core/src/papayadyke_core/dispatch/_tracking.py
@@ -123,6 +123,7 @@
             if run.phase is RunPhase.ORDERED:
                 run.phase, run.phase_since_s = RunPhase.RUNNING, now
                 self._schedule.mark_active(run)
+                self._record_run(run, now)
             if not upstream.is_reachable:
                 self._doubt_run(run, now)
         elif outcome is StartOutcome.UNKNOWN:
@@ -209,11 +210,13 @@
         self, upstream: Upstream, running: RunningRun, now: float
     ) -> None:
         run = upstream.runs.get((running.task, running.attempt))
+        is_adopted = run is None
         if run is None:
             run = self._adopt_run(upstream, running, now)
         if run.phase is not RunPhase.RUNNING:
             run.phase, run.phase_since_s = RunPhase.RUNNING, now
             self._schedule.mark_active(run)
+            self._record_run(run, now, is_adopted=is_adopted)
         step = self._schedule.find_step(running.task)
         if step is not None and run.incarnation != upstream.incarnation:
             # The present incarnation has received the order.
@@ -235,6 +238,8 @@
         """Register a reported run that this decider has not started."""
         step = self._schedule.find_step(running.task)
         index = running.task.number
+        if step is not None:
+            step.confirm_run(index, upstream.upstream_id, upstream.incarnation)
         is_needed = (
             step is not None
             and not step.job.is_final
@@ -390,6 +395,21 @@
         if any(later.is_reachable for later in self._list_at_address(upstream)):
             self.count_crashes(upstream.upstream_id, now, present=None)
 
+    def _record_run(self, run: Run, now: float, *, is_adopted: bool = False) -> None:
+        """Have it stored where a task runs that may have crashed upstreams before.
+
+        Runs that a new decider adopts have lasted until then. They are not stored, as
+        there may be 100,000 of them, except those of suspects.
+        """
+        step = self._schedule.find_step(run.task)
+        index = run.task.number
+        if step is None or step.live.get(index) is not run:
+            return
+        is_restored = not is_adopted and now < step.job.record_runs_until_s
+        if is_restored or index in step.suspects:
+            step.recorded_runs.add(index)
+            self._schedule.commits.mark_dirty(step.job.job_id)
+
     def _doubt_run(self, run: Run, now: float) -> None:
         if self.crash_tracker.doubt(run, now):
             self._schedule.commits.record_suspicion({run.task.job_id})
--- a/packages/core/src/papayadyke_core/dispatch/tests/dispatch_world.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/dispatch_world.py
@@ -81,6 +81,7 @@
     end_count: int = 0
     is_disconnected: bool = False
     back_s: float | None = None  # when it is back from a crash
+    crashed_s: float = 0.0
 
     def start(self, order: StartOrder, token: int, deadline_s: float, now: float):
         if token < self.token:
@@ -170,6 +171,8 @@
         self.later_starts: Counter[TaskId] = Counter()
         # Whether a crashed upstream is back under a new id, at its old address.
         self.renames_crashed = False
+        # Seconds until a poll of a crashed upstream times out.
+        self.detection_s = 0.0
         self.renamed = 0
         self.rng = random.Random(0)
         self.roster: dict[str, UpstreamEntry] = {}
@@ -306,6 +309,7 @@
         self.crash(name)
         upstream = self.upstreams[name]
         upstream.is_disconnected, upstream.back_s = True, self.now + seconds
+        upstream.crashed_s = self.now
 
     def _rename(self, upstream):
         """Give an upstream that is back a new id, at the address that it had."""
@@ -344,7 +348,8 @@
         """Poll every connected upstream on behalf of the dispatcher."""
         for name, upstream in self.upstreams.items():
             if upstream.is_disconnected:
-                self.dispatcher.mark_unreachable(name, self.now)
+                if self.now >= upstream.crashed_s + self.detection_s:
+                    self.dispatcher.mark_unreachable(name, self.now)
                 continue
             incarnation, number = self.acknowledged.get(name, (0, 0))
             acknowledged = number if incarnation == upstream.incarnation else 0
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_crashing_tasks.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_crashing_tasks.py
@@ -4,6 +4,8 @@
 such a task, and tasks on upstreams that lose power, must be done all the same.
 """
 
+import random
+
 import dispatch_world
 import pytest
 from dispatch_world import (
@@ -67,6 +69,42 @@
     assert world.get_state("deadly") is JobState.FAILED
 
 
+# A decider that ended before it noticed a crash left its successor without any trace of
+# the run: a task crashed five upstreams and more.
+@pytest.mark.parametrize("seed", range(8))
+def test_crashes_that_no_decider_sees_count(make_world, seed):
+    world = make_world()
+    world.detection_s = 1.6
+    world.rng = random.Random(seed)
+    submit_deadly_job(world)
+    names = submit_neighbours(world, 3)
+    for _ in range(30):
+        world.run(world.rng.uniform(2.0, 6.0))
+        world.take_over()
+    world.run(30.0)
+    assert world.get_state("deadly") is JobState.FAILED
+    assert world.crashes[DEADLY] <= 4
+    assert_all_complete(world, names)
+
+
+def test_run_that_a_successor_finds_is_not_in_doubt(make_world):
+    """Failure: a healthy upstream counts as one that may have crashed."""
+    world = make_world()
+    submit_neighbours(world, 1)
+    world.take_over()
+    world.run(10.0, after_s=100.0)
+    assert len(world.running()) == 1
+    stored = read_stored_progress(world, "n0").steps["0.0"]
+    assert [run.upstream_id for run in stored.runs.values()] == [world.running()[0][0]]
+    world.take_over()
+    world.run(0.2, after_s=100.0)
+    step = world.dispatcher.jobs["n0"].steps[0, 0]
+    assert not step.suspects
+    # A run that lasts clears its task, also in the store.
+    world.run(31.0, after_s=100.0)
+    assert "0.0" not in read_stored_progress(world, "n0").steps
+
+
 # Neighbours
 
 
