--- a/packages/clients/src/papayadyke_clients/http/_server.py
+++ b/packages/clients/src/papayadyke_clients/http/_server.py
@@ -59,7 +59,8 @@
 class HttpAnswer:
     """HTTP response whose `body` is sent unchanged.
 
-    `log_fields` are not sent; the server's owner may add them to its log lines.
+    `log_fields` are not sent; the server's owner may add them to its log lines. If
+    `closes` is true, the connection is closed after the response, which says so.
     """
 
     status: int
@@ -67,6 +68,7 @@
     content_type: str = "application/json"
     headers: Mapping[str, str] = field(default_factory=dict)
     log_fields: Mapping[str, str] = field(default_factory=dict)
+    closes: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -218,6 +220,9 @@
                 for name, value in answer.headers.items()
             ),
         ]
+        if answer.closes:
+            # Cheroot then adds the header to the response.
+            req.close_connection = True
         req.ensure_headers_sent()
         if answer.body:
             req.write(answer.body)
--- a/packages/daemon/src/papayadyke_daemon/edge/_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_intake.py
@@ -5,13 +5,12 @@
 import logging
 import queue
 import threading
-import time
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from papayadyke_core.dispatch import (
     FINAL_STATES,
@@ -20,7 +19,9 @@
     StagedJobSpec,
     decode_progress,
 )
+from papayadyke_core.verdicts import Verdict
 from papayadyke_daemon.edge._clock import read_clock
+from papayadyke_daemon.edge._contact import RECOVERY_WAIT_S, StoreContact
 from papayadyke_daemon.edge._decider import Decider
 from papayadyke_daemon.edge._job_owner import (
     JobStatus,
@@ -57,14 +58,21 @@
     StoreErrorKind,
     Write,
 )
+from papayadyke_daemon.edge._relays import RelayGate
 
 LOG = logging.getLogger(__name__)
 
 STORE_ATTEMPTS = 2  # attempts per write; one whose answer is lost is retried
-STORE_TIMEOUT_S = 0.7  # seconds per attempt; callers wait a few seconds in total
-STORE_BACKOFF_S = 0.5  # seconds without a write after all attempts of one failed
-STORE_RETRY_S = 0.1  # seconds between two attempts
-RELAY_TIMEOUT_S = 1.5  # seconds for the decider's VM to store a job
+# Seconds per attempt; a store that is 60 times slower than usual answers in 0.25 s.
+# Together with the times after which further calls are held back, all callers of an
+# outage have their answer within a second: those of later requests are never 504.
+STORE_TIMEOUT_S = 0.4
+SLOW_STORE_WAIT_S = 0.5  # seconds that a write waits while an earlier call is slow
+RELAY_TIMEOUT_S = 0.55  # seconds for the decider's VM to store a job in one attempt
+# Concurrent relays of one VM, so that a few VMs leave threads of the decider's VM to
+# the others; a relay takes a few milliseconds.
+MAX_RELAYS = 2
+RELAY_WAIT_S = 0.2  # seconds that a relay waits for earlier ones
 # Ended jobs whose state is answered without a call; about 2 MB.
 MAX_CACHED_FINAL_STATES = 10_000
 MAX_NOTIFICATION_JOBS = 50  # jobs per message to the decider
@@ -111,15 +119,18 @@
         Returns the decider of this VM, or None if another VM is the decider.
     known_decider : callable
         Returns the decider that this VM knows of.
-    reaches_store : callable
-        Returns whether the store answered this VM recently.
+    contact : StoreContact
+        Tells whether the store answers this VM.
+    relay_gate : RelayGate
+        Tells whether the decider's VM answers, and reaches the store.
     is_catalog_confirmed : callable
         Returns whether the keys of the configuration may be relied on.
     """
 
     own_decider: Callable[[], Decider | None]
     known_decider: Callable[[], KnownDecider]
-    reaches_store: Callable[[], bool]
+    contact: StoreContact
+    relay_gate: RelayGate
     is_catalog_confirmed: Callable[[], bool] = lambda: True
 
 
@@ -142,7 +153,8 @@
         self._dependencies = dependencies
         self._notifications: queue.SimpleQueue[Notification] = queue.SimpleQueue()
         self._final_states: OrderedDict[str, JobStatus] = OrderedDict()
-        self._store_backoff_until_s = 0.0
+        self._contact = dependencies.contact
+        self._relay_slots = threading.BoundedSemaphore(MAX_RELAYS)
 
     def start(self) -> None:
         """Start the thread that notifies the decider."""
@@ -209,11 +221,18 @@
         may_relay : bool
             Whether the decider's VM may store it if this VM cannot.
         """
-        outcome = self._store_cancel(job_id, team)
+        if job_id in self._final_states:
+            return self._answer_ended(job_id, self._final_states[job_id], team)
+        outcome = self._store_cancel(job_id, team, may_relay=may_relay)
         if outcome in (IntakeOutcome.REFUSED, IntakeOutcome.UNKNOWN) and may_relay:
             relayed = self._relay(StoreCancel(job_id, team))
             if relayed is not IntakeOutcome.REFUSED:
                 outcome = relayed
+            else:
+                # A job that has ended needs no cancellation.
+                status = self._query_decider(job_id)
+                if status is not None and status.state in FINAL_STATES:
+                    return self._answer_ended(job_id, status, team)
         log_event(
             LOG, "intake: cancellation", request=job_id, team=team, outcome=outcome
         )
@@ -221,6 +240,14 @@
             self._notifications.put(job_id)
         return outcome
 
+    def _answer_ended(
+        self, job_id: str, status: JobStatus, team: str | None
+    ) -> IntakeOutcome:
+        """Return the outcome of cancelling a job that has ended."""
+        if team is not None and not self._may_access(job_id, status.team, team):
+            return IntakeOutcome.NO_SUCH_JOB
+        return IntakeOutcome.ACCEPTED
+
     def get_state(self, job_id: str, team: str = "") -> JobState | StoreError | None:
         """Return the state of a job, or None if no such job of the team is stored.
 
@@ -302,14 +329,19 @@
         data = encode_record(spec)
         key = JOB_PREFIX + spec.job_id
         relayed_job = StoreJob(data, checks_owner=True)
-        if self._is_store_lost():
-            # Waiting for a silent store would use up most of the caller's timeout.
+        if not self._may_write(may_relay=may_relay):
+            # Nothing was sent, so a refusal is certain.
             if may_relay:
                 return StoreResult(self._relay(relayed_job))
             return StoreResult(IntakeOutcome.REFUSED)
         # Of an ended job only the progress is kept, so that key must not exist either.
         progress_key = PROGRESS_PREFIX + spec.job_id
-        stored = self._store(key, data, expected=[(key, 0), (progress_key, 0)])
+        stored = self._store(
+            key,
+            data,
+            expected=[(key, 0), (progress_key, 0)],
+            attempts=STORE_ATTEMPTS if may_relay else 1,
+        )
         if stored.outcome is IntakeOutcome.ACCEPTED or not may_relay:
             return stored
         relayed = self._relay(relayed_job)
@@ -320,12 +352,17 @@
         return stored
 
     def _store(
-        self, key: str, data: bytes, *, expected: Sequence[tuple[str, int]]
+        self,
+        key: str,
+        data: bytes,
+        *,
+        expected: Sequence[tuple[str, int]],
+        attempts: int,
     ) -> StoreResult:
         outcome = IntakeOutcome.REFUSED
-        for attempt in range(STORE_ATTEMPTS):
-            if attempt:
-                time.sleep(STORE_RETRY_S)
+        for attempt in range(attempts):
+            if attempt and not self._contact.wait_until_reached(RECOVERY_WAIT_S):
+                break
             stored = self._ports.store.write(
                 [Write(key, data)], expected=expected, timeout_s=STORE_TIMEOUT_S
             )
@@ -339,23 +376,28 @@
                 )
             if error.kind is StoreErrorKind.UNKNOWN:
                 outcome = IntakeOutcome.UNKNOWN
-        self._store_backoff_until_s = read_clock() + STORE_BACKOFF_S
         return StoreResult(outcome)
 
-    def _is_store_lost(self) -> bool:
-        return (
-            not self._dependencies.reaches_store()
-            or read_clock() < self._store_backoff_until_s
-        )
+    def _may_write(self, *, may_relay: bool) -> bool:
+        """Return whether the store answers, after a wait while a call is slow.
+
+        A job of another VM does not wait, since it occupies a thread for calls of all
+        VMs.
+        """
+        if may_relay:
+            return self._contact.wait_while_slow(SLOW_STORE_WAIT_S)
+        return self._contact.is_reached and not self._contact.is_slow(read_clock())
 
-    def _store_cancel(self, job_id: str, team: str | None) -> IntakeOutcome:
-        if self._is_store_lost():
+    def _store_cancel(
+        self, job_id: str, team: str | None, *, may_relay: bool
+    ) -> IntakeOutcome:
+        if not self._may_write(may_relay=may_relay):
             return IntakeOutcome.REFUSED
-        job = self._ports.store.read(JOB_PREFIX + job_id)
+        job = self._read(JOB_PREFIX + job_id)
         if isinstance(job, Err):
             return IntakeOutcome.REFUSED
         if job.ok_value is None:
-            progress = self._ports.store.read(PROGRESS_PREFIX + job_id)
+            progress = self._read(PROGRESS_PREFIX + job_id)
             if isinstance(progress, Err):
                 return IntakeOutcome.REFUSED
             if progress.ok_value is None:
@@ -368,7 +410,11 @@
         key = CANCEL_PREFIX + job_id
         # If the job ends first, the write fails and leaves no cancellation behind.
         expected = [(key, 0), (JOB_PREFIX + job_id, job.ok_value.revision)]
-        return self._store(key, b"{}", expected=expected).outcome
+        attempts = STORE_ATTEMPTS if may_relay else 1
+        return self._store(key, b"{}", expected=expected, attempts=attempts).outcome
+
+    def _read(self, key: str) -> Result[Record | None, StoreError]:
+        return self._ports.store.read(key, timeout_s=STORE_TIMEOUT_S)
 
     def _may_cancel(self, job_id: str, record: Record, team: str | None) -> bool:
         if team is None:
@@ -377,15 +423,29 @@
 
     def _relay(self, message: StoreJob | StoreCancel) -> IntakeOutcome:
         """Have the decider's VM store what this VM cannot."""
-        known_decider = self._dependencies.known_decider()
-        if not known_decider.token or self._dependencies.own_decider() is not None:
+        if not self._relay_slots.acquire(timeout=RELAY_WAIT_S):
             return IntakeOutcome.REFUSED
-        reply = self._clients.call(
-            known_decider.address, message, timeout_s=RELAY_TIMEOUT_S
-        )
-        if isinstance(reply, Err) or not isinstance(reply.ok_value, StoreReply):
-            return IntakeOutcome.UNKNOWN
-        return IntakeOutcome(reply.ok_value.outcome)
+        try:
+            known_decider = self._dependencies.known_decider()
+            gate = self._dependencies.relay_gate
+            if (
+                not known_decider.token
+                or self._dependencies.own_decider() is not None
+                or not gate.is_open()
+            ):
+                return IntakeOutcome.REFUSED
+            with gate.track():
+                reply = self._clients.call(
+                    known_decider.address, message, timeout_s=RELAY_TIMEOUT_S
+                )
+        finally:
+            self._relay_slots.release()
+        if isinstance(reply, Ok) and isinstance(reply.ok_value, StoreReply):
+            return IntakeOutcome(reply.ok_value.outcome)
+        gate.record_silence()
+        if isinstance(reply, Err) and reply.err_value.verdict is Verdict.NOT_RUN:
+            return IntakeOutcome.REFUSED
+        return IntakeOutcome.UNKNOWN
 
     def _find_status(self, job_id: str) -> JobStatus | StoreError | None:
         if job_id in self._final_states:
@@ -409,6 +469,11 @@
         known_decider = self._dependencies.known_decider()
         if not known_decider.token:
             return None
+        if not (
+            self._contact.is_reached or self._dependencies.relay_gate.hears_decider()
+        ):
+            # In a zone that is cut off neither the store nor the decider answers.
+            return None
         reply = self._clients.call(known_decider.address, AskState(job_id))
         if isinstance(reply, Ok) and isinstance(reply.ok_value, StateReply):
             state, team = reply.ok_value.state, reply.ok_value.team
@@ -419,13 +484,15 @@
         return None
 
     def _read_status(self, job_id: str) -> JobStatus | StoreError | None:
+        if not self._contact.is_reached:
+            return StoreError(StoreErrorKind.NOT_DONE, "the store is in doubt")
         status = self._read_progress(job_id)
         if isinstance(status, StoreError):
             return status
         is_final = status is not None and status.state in FINAL_STATES
         if status is not None and (is_final or status.team or not self._checks_owners):
             return status
-        job = self._ports.store.read(JOB_PREFIX + job_id)
+        job = self._read(JOB_PREFIX + job_id)
         if isinstance(job, Err):
             return job.err_value
         if job.ok_value is not None:
@@ -435,7 +502,7 @@
         return self._read_progress(job_id)
 
     def _read_progress(self, job_id: str) -> JobStatus | StoreError | None:
-        progress = self._ports.store.read(PROGRESS_PREFIX + job_id)
+        progress = self._read(PROGRESS_PREFIX + job_id)
         if isinstance(progress, Err):
             return progress.err_value
         if progress.ok_value is None or progress.ok_value.value is None:
