Test held-back jobs, prompt reports and reports in flight

Each of these tests fails if the hold, the prompt heartbeat or the check of a report in flight is taken out; without them the earlier tests still passed.

--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_store_contact.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_store_contact.py
@@ -92,10 +92,12 @@
     """Failure: the decider relies on the report of a VM that has taken over."""
     vm.lose_store()
     assert vm.leadership.begin_report()
-    vm.now += 0.3
-    vm.leadership.end_report(is_sent=True)
     vm.regain_store()
-    vm.now += REPORT_VALIDITY_S - _contact.PROBE_INTERVAL_S - 0.01
+    # The report is on its way.
+    vm.leadership.follow_once()
+    assert DECIDER_KEY not in vm.inner.records
+    vm.leadership.end_report(is_sent=True)
+    vm.now += REPORT_VALIDITY_S - 0.01
     vm.leadership.follow_once()
     assert DECIDER_KEY not in vm.inner.records
     vm.now += 0.02
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_store_outage.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_store_outage.py
@@ -5,7 +5,7 @@
 import pytest
 
 from papayadyke_daemon.edge import IntakeOutcome
-from papayadyke_daemon.edge._messages import AskState, Hello
+from papayadyke_daemon.edge._messages import AskAdvice, AskState, Hello
 from papayadyke_daemon.edge.tests.outage_world import OutageWorld
 
 ACCEPTED, REFUSED = IntakeOutcome.ACCEPTED, IntakeOutcome.REFUSED
@@ -44,6 +44,34 @@
     assert world.longest_pause_s(back_s) < MAX_PAUSE_S
 
 
+def test_silent_store_gets_few_jobs_that_it_does_not_answer(world):
+    """Failure: all jobs of the 0.4 s until the first call fails are answered 504."""
+    world.start_callers()
+    world.run(1.0)
+    world.set_mode("silent")
+    world.run(2.0)
+    # Each VM sends for 0.15 s, and gets a job every 0.12 s.
+    assert len(world.list_answers(UNKNOWN)) <= 2 * len(world.vms)
+
+
+def test_loss_is_reported_at_once(world):
+    """Failure: the report waits for the next regular heartbeat."""
+    decider = world.decider
+    others = [vm for vm in world.vms.values() if vm is not decider]
+    world.set_mode("silent")
+    lost_s, reported_s = {}, {}
+    for _ in range(200):
+        world.run(0.01)
+        for vm in others:
+            name = vm.cfg.vm
+            if vm._contact.is_lost:
+                lost_s.setdefault(name, world.time.now)
+            if decider._reports._reports[name].has_lost_store:
+                reported_s.setdefault(name, world.time.now)
+    assert len(reported_s) == len(others)
+    assert all(reported_s[name] - lost_s[name] < 0.1 for name in lost_s)
+
+
 def test_busy_store_never_has_an_unknown_outcome(world):
     world.start_callers()
     world.run(1.0)
@@ -152,8 +180,9 @@
         for number, vm in enumerate(others * 3):
             world.time.spawn(world._submit, vm, f"{number:016x}")
         hello = Hello("vm", "vm:0", False, 0, 1.0)
+        advice = AskAdvice("job", 0, 0, ["upstream"])
         for _ in range(8):
-            for message in (AskState("running"), hello):
+            for message in (AskState("running"), hello, advice):
                 reply, taken_s = world.do(
                     partial(others[0]._clients.call, decider.cfg.host, message), 0.05
                 )
