--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_store_outage.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_store_outage.py
@@ -59,7 +59,8 @@
     decider = world.decider
     others = [vm for vm in world.vms.values() if vm is not decider]
     world.set_mode("silent")
-    lost_s, reported_s = {}, {}
+    lost_s: dict[str, float] = {}
+    reported_s: dict[str, float] = {}
     for _ in range(200):
         world.run(0.01)
         for vm in others:
