Compute the free slots of an upstream in one pass

Cause: counting free slots takes a third of a placement on a full fleet. Ruled out: an order of advisory calls by a mixed hash, which made a step at 1,000 upstreams twice as slow (33 ms beside 16 ms). Change: the check of a shrunk capacity uses the differences that are computed anyway.

--- a/packages/core/src/papayadyke_core/dispatch/_upstream.py
+++ b/packages/core/src/papayadyke_core/dispatch/_upstream.py
@@ -72,16 +72,6 @@
         """
         return self.entry.incarnation in (None, self.incarnation)
 
-    @property
-    def is_over_capacity(self) -> bool:
-        """Whether the capacity has shrunk below what the runs need."""
-        entry = self.entry
-        return (
-            self.used_cpu_millis > entry.cpu_millis
-            or self.used_memory_mb > entry.memory_mb
-            or self.used_accelerators > entry.accelerators
-        )
-
     def is_taken_alone(self, now: float) -> bool:
         """Return whether a prime suspect has the upstream to itself."""
         return self.suspect_runs > 0 and any(
@@ -96,22 +86,21 @@
 
     def free_slots_for(self, step: StepSpec) -> int:
         """Return how many more tasks of a step fit beside the current runs."""
-        if self.is_over_capacity:
-            return 0
         entry = self.entry
+        cpu_millis = entry.cpu_millis - self.used_cpu_millis
+        memory_mb = entry.memory_mb - self.used_memory_mb
+        accelerators = entry.accelerators - self.used_accelerators
+        if cpu_millis < 0 or memory_mb < 0 or accelerators < 0:
+            # The capacity has shrunk below what the runs need.
+            return 0
         slots = step.count
         if step.cpu_millis and not step.fills_spare:
-            slots = min(
-                slots, (entry.cpu_millis - self.used_cpu_millis) // step.cpu_millis
-            )
+            slots = min(slots, cpu_millis // step.cpu_millis)
         if step.memory_mb:
-            slots = min(
-                slots, (entry.memory_mb - self.used_memory_mb) // step.memory_mb
-            )
+            slots = min(slots, memory_mb // step.memory_mb)
         if step.accelerators:
-            free = entry.accelerators - self.used_accelerators
-            slots = min(slots, free // step.accelerators)
-        return max(slots, 0)
+            slots = min(slots, accelerators // step.accelerators)
+        return slots
 
     def total_slots_for(self, step: StepSpec) -> int:
         """Return how many tasks of a step fit on the idle upstream."""
