Add teams with digests of their keys to the configuration

Callers of a customer share keys, and jobs belong to the team of the key. Stored jobs and their progress gain the team as their last field, so the build before reads them and its records are read.

--- a/packages/core/src/papayadyke_core/dispatch/_job.py
+++ b/packages/core/src/papayadyke_core/dispatch/_job.py
@@ -271,13 +271,13 @@
     def snapshot_progress(self) -> JobProgress:
         """Return the progress to store."""
         if self.is_final:
-            return JobProgress(self.state, self.ended_s)
+            return JobProgress(self.state, self.ended_s, team=self.spec.team)
         steps = {
             f"{occurrence}.{number}": progress
             for (occurrence, number), step in self.steps.items()
             if (progress := step.snapshot_progress()) is not None
         }
-        return JobProgress(self.state, 0.0, steps)
+        return JobProgress(self.state, 0.0, steps, self.spec.team)
 
     def restore_progress(self, progress: JobProgress) -> None:
         """Restore the progress that an earlier decider stored."""
--- a/packages/core/src/papayadyke_core/dispatch/_progress.py
+++ b/packages/core/src/papayadyke_core/dispatch/_progress.py
@@ -73,11 +73,14 @@
     steps : dict of str to StepProgress
         By "occurrence.step"; steps without progress are absent. Empty once the
         state is final.
+    team : str
+        Team that the job belongs to; empty for none.
     """
 
     state: JobState
     ended_s: float = 0.0
     steps: dict[str, StepProgress] = {}
+    team: str = ""
 
 
 def encode_progress(progress: JobProgress) -> bytes:
--- a/packages/core/src/papayadyke_core/dispatch/_spec.py
+++ b/packages/core/src/papayadyke_core/dispatch/_spec.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from papayadyke_core.teams import TeamKeys, TeamPolicy
+
 
 class TaskId(NamedTuple):
     """Id of a task of a staged job; `number` is its index within the step."""
@@ -114,6 +116,8 @@
     accepted_s : float
         Wall-clock time of acceptance, in seconds.
     repeat : Repeat or None
+    team : str
+        Team of the caller that submitted the job; empty for none.
     """
 
     job_id: str
@@ -122,6 +126,7 @@
     steps: tuple[StepSpec, ...]
     accepted_s: float = 0.0
     repeat: Repeat | None = None
+    team: str = ""
 
 
 class SpecError(ValueError):
@@ -201,6 +206,8 @@
         `allowance_s`.
     advice : AdvicePolicy or None
         None if starts need no ticket of the advisory service.
+    is_public : bool
+        Whether callers need no key of a team.
     """
 
     name: str
@@ -212,6 +219,7 @@
     stretch: float = 1.0
     allowance_s: float = 0.0
     advice: AdvicePolicy | None = None
+    is_public: bool = False
 
     @property
     def key(self) -> str:
@@ -221,7 +229,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Catalog:
-    """One version of the configuration: queues, services and limits.
+    """One version of the configuration: queues, teams and limits.
 
     Parameters
     ----------
@@ -230,11 +238,17 @@
         Queues by `QueuePolicy.key`.
     max_body_bytes : int
         Longer submissions are refused.
+    teams : dict of str to TeamPolicy or None
+        Teams by name; None if callers need no keys.
+    team_keys : TeamKeys
+        Keys of the teams.
     """
 
     version: int = 0
     queues: dict[str, QueuePolicy] = field(default_factory=dict)
     max_body_bytes: int = 262_144
+    teams: dict[str, TeamPolicy] | None = None
+    team_keys: TeamKeys = field(default_factory=TeamKeys)
 
     def find_queue(self, host: str, path: str) -> QueuePolicy | None:
         """Return the queue of a host whose prefix is the longest match for a path."""
