Limit what the teams run, and share capacity by weight

TeamLedger charges each run to its team from the start order until the run is known to have ended, so that unanswered and late starts, runs on unresponsive upstreams and runs being stopped count. Counting from the reports of upstreams was ruled out, since it misses starts in transit. Before each start the limit is asserted.

Work is placed in three groups: useful work of teams below their fair share of a service, that of other teams, and worthless work. Shares are computed per service, since capacity of one service is of no use to another.

After a takeover the use of a team is bounded by its unconfirmed tasks and by the capacity of the upstreams that have not answered. Teams of which jobs were cancelled or failed shortly before count all of that capacity.

The dispatcher's simulation judges the limits after each start.

--- a/packages/core/src/papayadyke_core/dispatch/__init__.py
+++ b/packages/core/src/papayadyke_core/dispatch/__init__.py
@@ -41,6 +41,7 @@
     TaskId,
     check_job_spec,
 )
+from papayadyke_core.dispatch._team_round import TeamWait
 from papayadyke_core.dispatch._upstream import Upstream
 
 __all__ = [
@@ -74,6 +75,7 @@
     "StopOrder",
     "TaskCrash",
     "TaskId",
+    "TeamWait",
     "Upstream",
     "UpstreamEntry",
     "UpstreamReport",
--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -4,7 +4,7 @@
 
 from papayadyke_core.dispatch._advice import AdviceCache
 from papayadyke_core.dispatch._crashes import TaskCrash
-from papayadyke_core.dispatch._job import StagedJob, StepRun
+from papayadyke_core.dispatch._job import StagedJob
 from papayadyke_core.dispatch._messages import (
     Advice,
     Commit,
@@ -18,14 +18,17 @@
     UpstreamReport,
 )
 from papayadyke_core.dispatch._progress import FINAL_STATES, JobProgress, JobState
-from papayadyke_core.dispatch._rank import rank_job
+from papayadyke_core.dispatch._rank import WORTHLESS_CLASS, rank_job
 from papayadyke_core.dispatch._round import PlacementRound
 from papayadyke_core.dispatch._schedule import Schedule
 from papayadyke_core.dispatch._settings import DispatchSettings
-from papayadyke_core.dispatch._spec import Catalog, QueuePolicy, StagedJobSpec, StepId
+from papayadyke_core.dispatch._spec import Catalog, StagedJobSpec, StepId
 from papayadyke_core.dispatch._takeover import Takeover
+from papayadyke_core.dispatch._team_round import RankedStep, TeamRound, TeamWait
 from papayadyke_core.dispatch._tracking import RunTracker
+from papayadyke_core.dispatch._unknown_use import UnknownUse
 from papayadyke_core.dispatch._upstream import Upstream
+from papayadyke_core.teams import TeamLedger
 
 ATTEMPTS_PER_TERM = 1000  # exceeds by far the attempts of a task under one decider
 # Seconds between placements without a change; the expiry of tickets and of set-aside
@@ -57,6 +60,8 @@
         self._schedule = Schedule(settings)
         self._takeover = Takeover(settings, term=term, now=now)
         self._tracker = RunTracker(self._schedule, self._takeover)
+        self._unknown_use = UnknownUse(self._schedule.ledger)
+        self._team_waits: dict[str, TeamWait] = {}
         self._next_placement_s = 0.0
 
     # Configuration and registry
@@ -86,6 +91,11 @@
         """Learned ratio of run time to estimate by queue."""
         return self._schedule.estimate_factors
 
+    @property
+    def team_ledger(self) -> TeamLedger:
+        """What each team may have running."""
+        return self._schedule.ledger
+
     def set_catalog(self, catalog: Catalog) -> None:
         """Apply a configuration if it is newer than the current one."""
         if catalog.version > self.catalog.version:
@@ -107,7 +117,9 @@
         """
         upstream = self.upstreams.get(entry.upstream_id)
         if upstream is None:
-            upstream = self.upstreams[entry.upstream_id] = Upstream(entry)
+            upstream = Upstream(entry, self._schedule.ledger)
+            self.upstreams[entry.upstream_id] = upstream
+            self._unknown_use.is_outdated = True
         upstream.entry = entry
         upstream.is_recorded = is_recorded
         upstream.is_listed = True
@@ -173,15 +185,25 @@
             for step in job.steps.values():
                 self._tracker.crash_tracker.restore(step)
         job.hold_until_s = self._takeover.barrier_s or 0.0
+        self._unknown_use.is_outdated = True
         self.jobs[spec.job_id] = job
         if is_cancelled and not job.is_final:
             self._schedule.finish_job(job, JobState.CANCELLED, now)
         if not job.is_final:
             self._schedule.add_ready_steps(job)
 
-    def record_ended_job(self, job_id: str) -> None:
-        """Record a job that ended in an earlier term; its runs are not needed."""
-        self._takeover.record_ended_job(job_id)
+    def record_ended_job(
+        self, job_id: str, *, team: str = "", may_run: bool = False
+    ) -> None:
+        """Record a job that ended in an earlier term; its runs are not needed.
+
+        Parameters
+        ----------
+        job_id, team : str
+        may_run : bool, default=False
+            Whether some of its runs may not have been stopped yet.
+        """
+        self._takeover.record_ended_job(job_id, team=team, may_run=may_run)
 
     def submit(
         self,
@@ -209,6 +231,7 @@
                 if may_have_started
                 else self._takeover.handover_end_s
             )
+            self._unknown_use.is_outdated |= may_have_started
         self.jobs[spec.job_id] = job
         self._tracker.claim_runs(job, now)
         if not job.is_final:
@@ -295,6 +318,11 @@
         task_crashes, self._tracker.task_crashes = self._tracker.task_crashes, []
         return task_crashes
 
+    def take_team_waits(self) -> dict[str, TeamWait]:
+        """Remove and return a step of each team that has waited for its limit."""
+        team_waits, self._team_waits = self._team_waits, {}
+        return team_waits
+
     # Decisions
 
     def tick(self, now: float, wall_s: float) -> Orders:
@@ -364,6 +392,7 @@
             return
         self._schedule.needs_placement = False
         self._next_placement_s = now + PLACEMENT_INTERVAL_S
+        teams = self._begin_team_round(now)
         placement = PlacementRound(
             self.settings,
             advice_cache=self.advice_cache,
@@ -371,21 +400,38 @@
             advice_slots=self.advice_slots,
             attempt_floor=self.attempt_floor,
             unstored_jobs=self._schedule.commits.list_unstored_suspicions(),
+            teams=teams,
             now=now,
         )
         ranked = self._rank_steps(now)
-        for step, queue in ranked:
+        for step, queue, _ in ranked:
             if step.suspects and placement.place_alone(step, queue):
                 self._schedule.update_ready_step(step)
-        for step, queue in ranked:
+        ordered = teams.order_by_group(ranked, placement.capacity)
+        for (step, queue, _), max_tasks in ordered:
             if not step.waiting:
                 continue
-            if placement.place(step, queue, factor=self.get_estimate_factor(queue.key)):
+            factor = self.get_estimate_factor(queue.key)
+            if placement.place(step, queue, factor=factor, max_tasks=max_tasks):
                 self._schedule.update_ready_step(step)
+        self._team_waits |= teams.waits
         orders.starts += placement.starts
         orders.advice += placement.advice
 
-    def _rank_steps(self, now: float) -> list[tuple[StepRun, QueuePolicy]]:
+    def _begin_team_round(self, now: float) -> TeamRound:
+        teams = self.catalog.teams
+        if teams is not None:
+            self._unknown_use.update(
+                self.jobs,
+                self.upstreams,
+                barrier_s=self._takeover.barrier_s,
+                ended_teams=self._takeover.stopped_teams,
+                now=now,
+            )
+        overrun = self.settings.quota_overrun
+        return TeamRound(self._schedule.ledger, teams, overrun=overrun)
+
+    def _rank_steps(self, now: float) -> list[RankedStep]:
         ranked = []
         for step in self._schedule.ready_steps.values():
             job = step.job
@@ -399,4 +445,7 @@
             )
             ranked.append((rank, step.step_id, step, queue))
         ranked.sort(key=lambda row: row[:2])
-        return [(step, queue) for _, _, step, queue in ranked]
+        return [
+            RankedStep(step, queue, rank[0] == WORTHLESS_CLASS)
+            for rank, _, step, queue in ranked
+        ]
--- a/packages/core/src/papayadyke_core/dispatch/_placement.py
+++ b/packages/core/src/papayadyke_core/dispatch/_placement.py
@@ -75,6 +75,7 @@
     candidates: list[tuple[Upstream, int]],
     *,
     held: Set[int] = frozenset(),
+    max_tasks: int | None = None,
 ) -> list[tuple[int, Upstream]]:
     """Assign waiting tasks of a step to upstreams until no slot is left.
 
@@ -88,12 +89,16 @@
         Upstreams with their free slots for the step, best first.
     held : set of int
         Waiting tasks that may not start yet.
+    max_tasks : int or None
+        Most tasks to place.
     """
     slots = {upstream.upstream_id: count for upstream, count in candidates}
     placed: list[tuple[int, Upstream]] = []
     waiting = step.waiting - held
     suspects = step.suspects & waiting
     for index in sorted(suspects):
+        if len(placed) == max_tasks:
+            break
         free = [(upstream, slots[upstream.upstream_id]) for upstream, _ in candidates]
         apart = choose_upstream_apart(step, index, free, placed=placed)
         if apart is None:
@@ -101,6 +106,8 @@
         slots[apart.upstream_id] -= 1
         placed.append((index, apart))
     for index in sorted(waiting - suspects):
+        if len(placed) == max_tasks:
+            break
         avoided_upstreams = step.avoided_upstreams.get(index, set())
         chosen = _choose_upstream(candidates, slots, avoided_upstreams)
         if chosen is None:
--- a/packages/core/src/papayadyke_core/dispatch/_rank.py
+++ b/packages/core/src/papayadyke_core/dispatch/_rank.py
@@ -7,6 +7,7 @@
 
 # Multiple of its objective after which the result of a job is worthless to its caller.
 MAX_LATE_FACTOR = 3.0
+WORTHLESS_CLASS = 2  # lateness class of jobs beyond that
 
 
 def rank_job(
@@ -36,5 +37,5 @@
     elif finish_s <= MAX_LATE_FACTOR * objective_s:
         lateness_class = 1
     else:
-        lateness_class = 2
+        lateness_class = WORTHLESS_CLASS
     return lateness_class, queue.priority, job.remaining_work_core_s()
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -20,7 +20,9 @@
 from papayadyke_core.dispatch._run import PRIME_SUSPECT_LOSSES, Run, RunPhase
 from papayadyke_core.dispatch._settings import DispatchSettings
 from papayadyke_core.dispatch._spec import AdvicePolicy, QueuePolicy
+from papayadyke_core.dispatch._team_round import TeamRound
 from papayadyke_core.dispatch._upstream import Upstream
+from papayadyke_core.resources import Resources
 
 ADVICE_SEARCH_INTERVAL_S = 0.25  # seconds between two searches for a waiting step
 # Seconds for which a prime suspect waits for an idle upstream; then it starts beside
@@ -41,11 +43,16 @@
         Largest free CPU among them, in thousandths of a core.
     max_alone : int
         How many more of them may be kept for single tasks.
+    cpu_millis, memory_mb, accelerators : int
+        Capacity of the upstreams.
     """
 
     members: dict[str, Upstream] = field(default_factory=dict)
     max_free_cpu_millis: int = 0
     max_alone: int = 0
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
 
 
 class PlacementRound:
@@ -62,6 +69,8 @@
         Attempt numbers of this term are higher.
     unstored_jobs : set of str
         Jobs with losses of upstreams that are not stored yet.
+    teams : TeamRound
+        Limits of the teams.
     now : float
         Seconds, on the dispatcher's clock.
     """
@@ -75,6 +84,7 @@
         advice_slots: int,
         attempt_floor: int,
         unstored_jobs: Set[str],
+        teams: TeamRound,
         now: float,
     ) -> None:
         self.starts: list[StartOrder] = []
@@ -84,6 +94,7 @@
         self._advice_slots = advice_slots
         self._attempt_floor = attempt_floor
         self._unstored_jobs = unstored_jobs
+        self._teams = teams
         self._now = now
         self._pools = _group_by_service(upstreams, now, settings.alone_share)
         self._reserved: set[str] = set()
@@ -91,6 +102,14 @@
         self._position = -1
         self._searches_left = MAX_ADVICE_SEARCHES
 
+    @property
+    def capacity(self) -> dict[str, Resources]:
+        """Capacity of the upstreams of each service that accept new runs."""
+        return {
+            service: Resources(pool.cpu_millis, pool.memory_mb, pool.accelerators)
+            for service, pool in self._pools.items()
+        }
+
     def place_alone(self, step: StepRun, queue: QueuePolicy) -> bool:
         """Start the prime suspects of a step on idle upstreams; return if any started.
 
@@ -105,6 +124,8 @@
         for index in sorted(self._find_held_tasks(step)):
             if not self._may_try_again(step, index):
                 continue
+            if not self._teams.count_allowed(step):
+                break
             step.waiting_alone_s.setdefault(index, self._now)
             if pool.max_alone <= 0:
                 continue
@@ -123,10 +144,12 @@
                 has_started = True
         return has_started
 
-    def place(self, step: StepRun, queue: QueuePolicy, *, factor: float) -> bool:
+    def place(
+        self, step: StepRun, queue: QueuePolicy, *, factor: float, max_tasks: int
+    ) -> bool:
         """Start the tasks of a step that fit; return whether any was started.
 
-        Steps must be passed in the order of their rank.
+        Steps must be passed in the order in which they are to be placed.
 
         Parameters
         ----------
@@ -134,22 +157,26 @@
         queue : QueuePolicy
         factor : float
             Learned ratio of run time to estimate.
+        max_tasks : int
+            Most tasks to start, unless the step is a gang.
         """
         self._position += 1
         pool = self._pools.get(queue.service)
         if pool is None or (step.spec.is_gang and step.live):
             return False
-        may_fit = (
+        max_tasks = min(max_tasks, self._teams.count_allowed(step))
+        may_fit = max_tasks > 0 and (
             step.spec.fills_spare or step.spec.cpu_millis <= pool.max_free_cpu_millis
         )
-        if may_fit and self._place_step(step, queue, pool, factor):
+        if may_fit and self._place_step(step, queue, pool, factor, max_tasks):
             return True
         # The steps of the highest rank get tickets even before they fit.
         if queue.advice is not None and (
             may_fit or self._position < self._advice_slots
         ):
             self._request_advice(step, queue, queue.advice, pool)
-        if step.spec.is_gang and self._may_reserve_more(pool):
+        # A gang that its team's limit holds back must not hold back others.
+        if max_tasks > 0 and step.spec.is_gang and self._may_reserve_more(pool):
             self._reserving_gangs += 1
             self._reserved |= self._choose_reserved(step, queue, pool)
         return False
@@ -161,7 +188,12 @@
         return len(self._reserved) < max_reserved
 
     def _place_step(
-        self, step: StepRun, queue: QueuePolicy, pool: _Pool, factor: float
+        self,
+        step: StepRun,
+        queue: QueuePolicy,
+        pool: _Pool,
+        factor: float,
+        max_tasks: int,
     ) -> bool:
         eligible = self._list_eligible(step, queue, pool)
         held = self._find_held_tasks(step)
@@ -171,7 +203,9 @@
         if step.spec.is_gang:
             placed = None if held else place_gang(step, candidates)
         else:
-            placed = place_independent_tasks(step, candidates, held=held)
+            placed = place_independent_tasks(
+                step, candidates, held=held, max_tasks=max_tasks
+            )
         for index, upstream in placed or ():
             self._start_task(step, index, upstream)
         return bool(placed)
@@ -230,8 +264,10 @@
             now,
             upstream.incarnation,
             earlier_losses=step.count_losses(index),
+            team=step.job.spec.team,
         )
         upstream.add(run)
+        self._teams.check_start(step)
         if not upstream.free_slots_for(step.spec) >= 0 or (
             not step.spec.fills_spare
             and upstream.used_cpu_millis > upstream.entry.cpu_millis
@@ -315,6 +351,9 @@
         if not upstream.may_start(now):
             continue
         pool = pools.setdefault(service, _Pool())
+        pool.cpu_millis += upstream.entry.cpu_millis
+        pool.memory_mb += upstream.entry.memory_mb
+        pool.accelerators += upstream.entry.accelerators
         if upstream.is_taken_alone(now):
             taken_alone[service] += 1
             continue
--- a/packages/core/src/papayadyke_core/dispatch/_run.py
+++ b/packages/core/src/papayadyke_core/dispatch/_run.py
@@ -49,6 +49,10 @@
         Upstreams that had crashed, or might have, under earlier runs of the task.
     stop_requested_s, stop_confirmed_s : float or None
         When a stop was last ordered and first accepted.
+    team : str
+        Team that the run counts for.
+    charged_as : StepSpec or None
+        What the run counts against its team, if its own needs are unknown.
     """
 
     task: TaskId
@@ -64,6 +68,8 @@
     earlier_losses: int = 0
     stop_requested_s: float | None = None
     stop_confirmed_s: float | None = None
+    team: str = ""
+    charged_as: StepSpec | None = None
 
     @property
     def is_prime_suspect(self) -> bool:
--- a/packages/core/src/papayadyke_core/dispatch/_schedule.py
+++ b/packages/core/src/papayadyke_core/dispatch/_schedule.py
@@ -11,6 +11,7 @@
 from papayadyke_core.dispatch._settings import DispatchSettings
 from papayadyke_core.dispatch._spec import Catalog, QueuePolicy, StepId, TaskId
 from papayadyke_core.dispatch._upstream import Upstream
+from papayadyke_core.teams import TeamLedger
 
 STOP_RETRY_S = 0.5  # seconds between stop orders for a run that still runs
 
@@ -35,6 +36,7 @@
         self.catalog = Catalog()
         self.jobs: dict[str, StagedJob] = {}
         self.upstreams: dict[str, Upstream] = {}
+        self.ledger = TeamLedger()
         self.advice_cache = AdviceCache()
         self.estimate_factors: dict[str, float] = {}
         self.commits = CommitTracker(settings, self.jobs, self.upstreams)
--- a/packages/core/src/papayadyke_core/dispatch/_settings.py
+++ b/packages/core/src/papayadyke_core/dispatch/_settings.py
@@ -64,6 +64,9 @@
         Maximum number of store entries in one commit. They must fit in one
         transaction, which holds 32, together with the condition that this VM is
         still the decider.
+    quota_overrun : float
+        Fraction by which a gang that is all that its team runs may exceed the limit of
+        the team.
     """
 
     lease_s: float
@@ -86,6 +89,7 @@
     alone_share: float = 0.25
     suspect_s: float = 30.0
     max_commit_entries: int = 31
+    quota_overrun: float = 0.1
 
     @property
     def longest_lease_s(self) -> float:
--- a/packages/core/src/papayadyke_core/dispatch/_takeover.py
+++ b/packages/core/src/papayadyke_core/dispatch/_takeover.py
@@ -39,16 +39,27 @@
         self.handover_end_s = now + settings.handover_s
         self.unread_until_s: float | None = None
         self.unread_ends = UnreadJobEnds()
-        self._ended_jobs: set[str] = set()
+        # Teams by the ids of their jobs that ended in earlier terms.
+        self._ended_jobs: dict[str, str] = {}
+        # Teams of those that were cancelled or failed, whose runs may still run.
+        self.stopped_teams: set[str] = set()
         if term:
             self.unread_until_s = self.handover_end_s + settings.late_read_s
             # The previous decider may grant leases until the end of the handover. Runs
             # under them may be unknown until the last of these leases has expired.
             self.barrier_s = self.handover_end_s + settings.longest_lease_s
 
-    def record_ended_job(self, job_id: str) -> None:
+    def record_ended_job(
+        self, job_id: str, *, team: str = "", may_run: bool = False
+    ) -> None:
         """Record a job that ended in an earlier term; its runs are not needed."""
-        self._ended_jobs.add(job_id)
+        self._ended_jobs[job_id] = team
+        if team and may_run:
+            self.stopped_teams.add(team)
+
+    def find_team(self, job_id: str) -> str | None:
+        """Return the team of a job that ended in an earlier term; None if unknown."""
+        return self._ended_jobs.get(job_id)
 
     def may_be_unread(self, job_id: str, jobs: Mapping[str, StagedJob]) -> bool:
         """Return whether a job may be stored that this term has not read yet."""
--- a/packages/core/src/papayadyke_core/dispatch/_tracking.py
+++ b/packages/core/src/papayadyke_core/dispatch/_tracking.py
@@ -22,6 +22,7 @@
 from papayadyke_core.dispatch._spec import StepId, StepSpec
 from papayadyke_core.dispatch._takeover import Takeover
 from papayadyke_core.dispatch._upstream import Upstream
+from papayadyke_core.teams import UNKNOWN_TEAM
 
 LOG = logging.getLogger(__name__)
 
@@ -254,7 +255,14 @@
             upstream.incarnation,
             is_unwanted=not is_needed,
             earlier_losses=step.count_losses(index) if step is not None else 0,
+            team=self._find_team(step, running.task.job_id),
         )
+        if step is None:
+            # It needs at most what its upstream has.
+            entry = upstream.entry
+            run.charged_as = StepSpec(
+                1, entry.cpu_millis, entry.memory_mb, entry.accelerators
+            )
         upstream.add(run)
         if step is not None and index < step.spec.count:
             step.record_attempt(index, running.attempt)
@@ -265,6 +273,12 @@
             self._schedule.stop_run(run, now, "the run is not needed")
         return run
 
+    def _find_team(self, step: StepRun | None, job_id: str) -> str:
+        if step is not None:
+            return step.job.spec.team
+        team = self._takeover.find_team(job_id)
+        return UNKNOWN_TEAM if team is None else team
+
     def _check_unlisted_run(
         self, upstream: Upstream, run: Run, report: UpstreamReport, now: float
     ) -> None:
--- a/packages/core/src/papayadyke_core/dispatch/_upstream.py
+++ b/packages/core/src/papayadyke_core/dispatch/_upstream.py
@@ -5,6 +5,7 @@
 from papayadyke_core.dispatch._messages import UpstreamEntry
 from papayadyke_core.dispatch._run import Run
 from papayadyke_core.dispatch._spec import StepSpec, TaskId
+from papayadyke_core.teams import TeamLedger
 
 SPEED_WEIGHT = 0.15  # weight of the newest run in the moving average of the speed
 MIN_SPEED, MAX_SPEED = 0.1, 4.0  # one outlier must not rule an upstream out
@@ -23,10 +24,15 @@
     Parameters
     ----------
     entry : UpstreamEntry
+    ledger : TeamLedger or None
+        Account in which the runs are charged to their teams.
     """
 
-    def __init__(self, entry: UpstreamEntry) -> None:
+    def __init__(self, entry: UpstreamEntry, ledger: TeamLedger | None = None) -> None:
         self.entry = entry
+        self._ledger = TeamLedger() if ledger is None else ledger
+        # An entry may change while runs are charged to the service.
+        self._service = entry.service
         self.is_listed = True
         # Whether a successor would know of the upstream and ask it for its runs.
         self.is_recorded = True
@@ -130,12 +136,14 @@
         self.runs[run.key] = run
         self.suspect_runs += run.earlier_losses > 0
         self._add_usage(run.spec, 1)
+        self._charge_team(run, 1)
 
     def remove(self, run: Run) -> None:
         """Remove an ended run and free its resources."""
         if self.runs.pop(run.key, None) is not None:
             self.suspect_runs -= run.earlier_losses > 0
             self._add_usage(run.spec, -1)
+            self._charge_team(run, -1)
 
     def record_failure(self, now: float) -> bool:
         """Count a failure; return whether it sets the upstream aside."""
@@ -164,6 +172,10 @@
             sample = min(max(expected_s / taken_s, MIN_SPEED), MAX_SPEED)
             self.speed += SPEED_WEIGHT * (sample - self.speed)
 
+    def _charge_team(self, run: Run, sign: int) -> None:
+        step = run.charged_as or run.spec
+        self._ledger.charge(run.team, step, sign, service=self._service)
+
     def _add_usage(self, step: StepSpec, sign: int) -> None:
         if not step.fills_spare:
             self.used_cpu_millis += sign * step.cpu_millis
--- a/packages/core/src/papayadyke_core/dispatch/tests/dispatch_world.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/dispatch_world.py
@@ -32,6 +32,8 @@
     UpstreamReport,
     decode_progress,
 )
+from papayadyke_core.resources import Resources
+from papayadyke_core.teams import TeamPolicy
 
 QUEUE = "host/queue/"
 LEASE_S = 6.0
@@ -39,19 +41,32 @@
 DOWN_S = (2.0, 4.0)  # seconds until a crashed upstream is back
 # BUDGET: starts of a task after that many upstreams have crashed under it.
 MAX_CRASHES, MAX_LATER_STARTS = 3, 2
+# QUOTA: by which the runs of a team may exceed the highest limit of the last seconds,
+# in addition to one task.
+QUOTA_OVERRUN, QUOTA_WINDOW_S = 0.1, 3.0
 
 
-def make_catalog(**changes):
-    """Return a configuration with one queue."""
+def make_catalog(*, limits=None, **changes):
+    """Return a configuration with one queue, and the limits of teams in cores."""
     policy = {"max_attempts": 2, "stretch": 2.0, "allowance_s": 1.0, **changes}
     queue = QueuePolicy("queue", "host", "/queue/", "service", **policy)
-    return Catalog(1, {QUEUE: queue})
+    return Catalog(1, {QUEUE: queue}, teams=make_teams(limits))
 
 
-def make_job(job_id, *steps, queue=QUEUE, repeat=None):
+def make_teams(limits):
+    """Return teams of equal weight with their limits in cores; 0 is none."""
+    if limits is None:
+        return None
+    return {
+        name: TeamPolicy(name, 1.0, Resources(cores * 1000))
+        for name, cores in limits.items()
+    }
+
+
+def make_job(job_id, *steps, queue=QUEUE, repeat=None, team=""):
     """Return a job; without steps it has one task that needs a core."""
     steps = steps or (make_step(),)
-    return StagedJobSpec(job_id, queue, "payload", tuple(steps), 0.0, repeat)
+    return StagedJobSpec(job_id, queue, "payload", tuple(steps), 0.0, repeat, team)
 
 
 def make_step(count=1, **changes):
@@ -173,6 +188,8 @@
         self.renamed = 0
         self.rng = random.Random(0)
         self.roster: dict[str, UpstreamEntry] = {}
+        # Limits of the teams, and from when on they are in force.
+        self.limits = [(self.now, self.catalog.teams)]
         self.next_cleanup_s = self.now
         self.term = 0
         self.dispatcher = self.make_dispatcher()
@@ -206,6 +223,14 @@
         self.roster = {n: u.entry for n, u in self.dispatcher.upstreams.items()}
         self.dispatcher = self.make_dispatcher()
 
+    def set_limits(self, limits):
+        """Put other limits of the teams into force, in cores."""
+        self.catalog = replace(
+            self.catalog, version=self.catalog.version + 1, teams=make_teams(limits)
+        )
+        self.limits.append((self.now, self.catalog.teams))
+        self.dispatcher.set_catalog(self.catalog)
+
     def submit(self, spec):
         self.jobs[spec.job_id] = spec
         for occurrence in range(spec.repeat.count if spec.repeat else 1):
@@ -415,8 +440,30 @@
             self.starts += 1
             self.started_s[order.task, order.attempt] = self.now
             self._check_start(order.task)
+            self._check_quota(order.task)
         return outcome
 
+    def list_team_runs(self, team):
+        """Return the tasks of a team that run at any upstream."""
+        return [t for _, t, _ in self.running() if self.jobs[t.job_id].team == team]
+
+    def _check_quota(self, task):
+        """Judge what a team runs after a start; a lowered limit stops nothing."""
+        team = self.jobs[task.job_id].team
+        limits_millis = []
+        until_s = self.now
+        for from_s, teams in reversed(self.limits):
+            if until_s < self.now - QUOTA_WINDOW_S:
+                break
+            policy = None if teams is None else teams.get(team)
+            if policy is None or not policy.limit.cpu_millis:
+                return
+            limits_millis.append(policy.limit.cpu_millis)
+            until_s = from_s
+        needs = [self.step_specs[t].cpu_millis for t in self.list_team_runs(team)]
+        most = max(limits_millis) * (1 + QUOTA_OVERRUN) + max(needs)
+        assert sum(needs) <= most, f"team {team} runs {sum(needs)}, at most {most}"
+
     def _check_start(self, task):
         assert task not in self.done, f"{task} started after it was done"
         max_attempts = self.catalog.queues[QUEUE].max_attempts
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher_machine.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher_machine.py
@@ -21,6 +21,7 @@
 STEPS = int(os.environ.get("PAPAYADYKE_STEPS", "60"))
 EXAMPLES = int(os.environ.get("PAPAYADYKE_EXAMPLES", "40"))
 NAMES = ("a", "b", "c")
+NO_LIMITS = {"one": 0, "other": 0}
 SETTLE_S = 40.0  # seconds; well above the time in which leases expire and all jobs end
 
 
@@ -29,7 +30,9 @@
 
     def __init__(self):
         super().__init__()
-        catalog = make_catalog(max_attempts=2, advice=AdvicePolicy(0.01, 0.0, 2.0))
+        catalog = make_catalog(
+            max_attempts=2, advice=AdvicePolicy(0.01, 0.0, 2.0), limits=NO_LIMITS
+        )
         self.world = World(catalog, *(make_entry(name) for name in NAMES))
         self.job_count = 0
 
@@ -38,15 +41,16 @@
         is_gang=st.booleans(),
         has_second_step=st.booleans(),
         spread=st.integers(0, 2),
+        team=st.sampled_from(["", *NO_LIMITS]),
     )
-    def submit(self, task_count, is_gang, has_second_step, spread):
+    def submit(self, task_count, is_gang, has_second_step, spread, team):
         if self.job_count >= 12:
             return
         self.job_count += 1
         steps = [make_step(task_count, is_gang=is_gang, max_per_upstream=spread * 2)]
         if has_second_step:
             steps.append(make_step(1, after=(0,)))
-        self.world.submit(make_job(f"j{self.job_count}", *steps))
+        self.world.submit(make_job(f"j{self.job_count}", *steps, team=team))
 
     @rule(seconds=st.sampled_from([0.05, 0.05, 0.3, 2.0]))
     def pass_time(self, seconds):
@@ -81,6 +85,10 @@
     def take_over(self):
         self.world.take_over()
 
+    @rule(one=st.integers(0, 5), other=st.integers(0, 9))
+    def set_limits(self, one, other):
+        self.world.set_limits({"one": one, "other": other})
+
     @rule(number=st.integers(1, 12))
     def cancel(self, number):
         name = f"j{number}"
@@ -94,6 +102,7 @@
     def teardown(self):
         """Assert that every job ends once the faults are over."""
         self.world.is_store_down = False
+        self.world.set_limits(NO_LIMITS)
         for upstream in self.world.upstreams.values():
             upstream.is_disconnected = False
         self.world.run(SETTLE_S, after_s=0.5)
--- a/packages/core/src/papayadyke_core/sharing/__init__.py
+++ b/packages/core/src/papayadyke_core/sharing/__init__.py
@@ -6,6 +6,7 @@
     TeamAccount,
     WorkloadAccount,
 )
+from papayadyke_core.sharing._fair_shares import compute_fair_shares
 from papayadyke_core.sharing._reserve import Reserve, estimate_concurrent_tasks
 from papayadyke_core.sharing._settings import SharingSettings
 from papayadyke_core.sharing._tree import Rank, RankPhase, ShareTree
@@ -20,5 +21,6 @@
     "SharingSettings",
     "TeamAccount",
     "WorkloadAccount",
+    "compute_fair_shares",
     "estimate_concurrent_tasks",
 ]
