--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -446,6 +446,5 @@
             ranked.append((rank, step.step_id, step, queue))
         ranked.sort(key=lambda row: row[:2])
         return [
-            RankedStep(step, queue, rank[0] == WORTHLESS_CLASS)
-            for rank, _, step, queue in ranked
+            (step, queue, rank[0] == WORTHLESS_CLASS) for rank, _, step, queue in ranked
         ]
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -19,7 +19,7 @@
 )
 from papayadyke_core.dispatch._run import PRIME_SUSPECT_LOSSES, Run, RunPhase
 from papayadyke_core.dispatch._settings import DispatchSettings
-from papayadyke_core.dispatch._spec import AdvicePolicy, QueuePolicy
+from papayadyke_core.dispatch._spec import AdvicePolicy, QueuePolicy, StepSpec
 from papayadyke_core.dispatch._team_round import TeamRound
 from papayadyke_core.dispatch._upstream import Upstream
 from papayadyke_core.resources import Resources
@@ -39,8 +39,12 @@
     Parameters
     ----------
     members : dict of str to Upstream
+    with_free_cpu : dict of str to Upstream
+        Those of them that have free CPU.
     max_free_cpu_millis : int
-        Largest free CPU among them, in thousandths of a core.
+        Largest free CPU among them when the round began, in thousandths of a core.
+    left_cpu_millis : int or None
+        Largest free CPU among them now; None if it must be found again.
     max_alone : int
         How many more of them may be kept for single tasks.
     cpu_millis, memory_mb, accelerators : int
@@ -48,12 +52,39 @@
     """
 
     members: dict[str, Upstream] = field(default_factory=dict)
+    with_free_cpu: dict[str, Upstream] = field(default_factory=dict)
     max_free_cpu_millis: int = 0
+    left_cpu_millis: int | None = None
     max_alone: int = 0
     cpu_millis: int = 0
     memory_mb: int = 0
     accelerators: int = 0
 
+    def may_fit(self, step: StepSpec) -> bool:
+        """Return whether an upstream may have room for a task of a step."""
+        if step.fills_spare or not step.cpu_millis:
+            return True
+        if self.left_cpu_millis is None:
+            self.left_cpu_millis = max(
+                (u.free_cpu_millis for u in self.with_free_cpu.values()), default=0
+            )
+        return step.cpu_millis <= self.left_cpu_millis
+
+    def record_start(self, upstream: Upstream, step: StepSpec) -> None:
+        """Record that a task was started on a member."""
+        if step.fills_spare:
+            return
+        free_cpu_millis = upstream.free_cpu_millis
+        if free_cpu_millis + step.cpu_millis >= (self.left_cpu_millis or 0):
+            self.left_cpu_millis = None
+        if free_cpu_millis <= 0:
+            self.with_free_cpu.pop(upstream.upstream_id, None)
+
+    def remove(self, upstream_id: str) -> None:
+        """Remove a member that gets no other task in this round."""
+        del self.members[upstream_id]
+        self.with_free_cpu.pop(upstream_id, None)
+
 
 class PlacementRound:
     """Place steps one by one, each on the resources that earlier steps leave free.
@@ -135,7 +166,7 @@
             if chosen is None:
                 continue
             pool.max_alone -= 1
-            del pool.members[chosen.upstream_id]
+            pool.remove(chosen.upstream_id)
             step.kept_free[index] = chosen.upstream_id
             if all(run.spec.is_long_running for run in chosen.runs.values()) and (
                 chosen.free_slots_for(step.spec)
@@ -165,11 +196,16 @@
         if pool is None or (step.spec.is_gang and step.live):
             return False
         max_tasks = min(max_tasks, self._teams.count_allowed(step))
+        if (
+            max_tasks > 0
+            and pool.may_fit(step.spec)
+            and self._place_step(step, queue, pool, factor, max_tasks)
+        ):
+            return True
+        # Room that this round has used up may be free again when tickets arrive.
         may_fit = max_tasks > 0 and (
             step.spec.fills_spare or step.spec.cpu_millis <= pool.max_free_cpu_millis
         )
-        if may_fit and self._place_step(step, queue, pool, factor, max_tasks):
-            return True
         # The steps of the highest rank get tickets even before they fit.
         if queue.advice is not None and (
             may_fit or self._position < self._advice_slots
@@ -195,7 +231,7 @@
         factor: float,
         max_tasks: int,
     ) -> bool:
-        eligible = self._list_eligible(step, queue, pool)
+        eligible = self._list_eligible(step, queue, pool, needs_room=True)
         held = self._find_held_tasks(step)
         is_short = step.spec.estimate_s * factor <= self._settings.short_task_s
         reserved = set() if is_short else self._reserved
@@ -208,15 +244,24 @@
             )
         for index, upstream in placed or ():
             self._start_task(step, index, upstream)
+            pool.record_start(upstream, step.spec)
         return bool(placed)
 
     def _list_eligible(
-        self, step: StepRun, queue: QueuePolicy, pool: _Pool
+        self,
+        step: StepRun,
+        queue: QueuePolicy,
+        pool: _Pool,
+        *,
+        needs_room: bool = False,
     ) -> list[Upstream]:
+        members = pool.members
+        if needs_room and step.spec.cpu_millis and not step.spec.fills_spare:
+            members = pool.with_free_cpu
         if queue.advice is None:
-            return list(pool.members.values())
+            return list(members.values())
         ticketed = self._advice_cache.list_ticketed_upstreams(step.step_id, self._now)
-        return [pool.members[name] for name in ticketed if name in pool.members]
+        return [members[name] for name in ticketed if name in members]
 
     def _find_held_tasks(self, step: StepRun) -> set[int]:
         """Return the waiting tasks that may not start beside others, or not yet."""
@@ -358,9 +403,10 @@
             taken_alone[service] += 1
             continue
         pool.members[name] = upstream
-        pool.max_free_cpu_millis = max(
-            pool.max_free_cpu_millis, upstream.free_cpu_millis
-        )
+        free_cpu_millis = upstream.free_cpu_millis
+        if free_cpu_millis > 0:
+            pool.with_free_cpu[name] = upstream
+            pool.max_free_cpu_millis = max(pool.max_free_cpu_millis, free_cpu_millis)
     for service, pool in pools.items():
         taken = taken_alone[service]
         share = int(alone_share * (len(pool.members) + taken))
--- a/packages/core/src/papayadyke_core/dispatch/_team_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_team_round.py
@@ -16,20 +16,9 @@
 SHARE_TOLERANCE = 1e-9
 
 
-class RankedStep(NamedTuple):
-    """Step in the order of placement.
-
-    Parameters
-    ----------
-    step : StepRun
-    queue : QueuePolicy
-    is_worthless : bool
-        Whether the job is too late to be useful to its caller.
-    """
-
-    step: StepRun
-    queue: QueuePolicy
-    is_worthless: bool
+# Step with its queue, and whether its job is too late to be useful to its caller. A
+# plain tuple, since one is made for each waiting step in each pass.
+RankedStep = tuple[StepRun, QueuePolicy, bool]
 
 
 class TeamWait(NamedTuple):
@@ -69,6 +58,8 @@
         self._capacity: Mapping[str, Resources] = {}
         self._shares: dict[str, dict[str, float]] = {}
         self._at_share: set[tuple[str, str]] = set()
+        # Results for the needs of a team, until it starts something.
+        self._below_share: dict[tuple[str, str, int, int, int, bool, int], int] = {}
 
     def count_allowed(self, step: StepRun) -> int:
         """Return how many more tasks of a step the limit of its team allows."""
@@ -120,24 +111,30 @@
         """
         if self._teams is None:
             for row in ranked:
-                yield row, row.step.spec.count
+                yield row, row[0].spec.count
             return
         self._compute_shares(ranked, capacity)
         above_share: list[RankedStep] = []
+        worthless: list[RankedStep] = []
+        at_share, below_share = self._at_share, self._below_share
         for row in ranked:
-            step = row.step
-            if row.is_worthless or not step.waiting:
+            step, queue, is_worthless = row
+            if is_worthless:
+                worthless.append(row)
                 continue
-            below = self._count_below_share(step, row.queue.service)
+            if (queue.service, step.job.spec.team) in at_share:
+                above_share.append(row)
+                continue
+            waiting = len(step.waiting)
+            below = self._count_below_share(step, queue.service)
             if below:
                 yield row, below
+                if len(step.waiting) < waiting:
+                    below_share.clear()
             if below < step.spec.count:
                 above_share.append(row)
-        for row in above_share:
-            yield row, row.step.spec.count
-        for row in ranked:
-            if row.is_worthless:
-                yield row, row.step.spec.count
+        for row in (*above_share, *worthless):
+            yield row, row[0].spec.count
 
     def _find_policy(self, step: StepRun) -> TeamPolicy | None:
         return None if self._teams is None else self._teams.get(step.job.spec.team)
@@ -148,16 +145,21 @@
         The last of them may exceed the share, since otherwise a share that is less
         than one task would never be used.
         """
-        team = step.job.spec.team
-        if (service, team) in self._at_share:
-            return 0
+        spec, team = step.spec, step.job.spec.team
+        needs = spec.cpu_millis, spec.memory_mb, spec.accelerators
+        key = service, team, *needs, spec.is_gang, spec.count
+        below = self._below_share.get(key)
+        if below is None:
+            below = self._below_share[key] = self._find_below_share(spec, service, team)
+        return below
+
+    def _find_below_share(self, spec: StepSpec, service: str, team: str) -> int:
         share = self._shares[service][team] - SHARE_TOLERANCE
         total = self._capacity.get(service, ZERO_RESOURCES)
         use = self._ledger.get_service_use(team, service)
         if use.dominant_share(total) >= share:
             self._at_share.add((service, team))
             return 0
-        spec = step.spec
         if spec.is_gang:
             return spec.count
         below = spec.count
@@ -209,8 +211,7 @@
         needs = sums.get(key)
         if needs is None:
             needs = sums[key] = [0, 0, 0]
-        spec: StepSpec = step.spec
-        count = len(step.waiting)
+        spec, count = step.spec, len(step.waiting)
         needs[0] += count * spec.cpu_millis
         needs[1] += count * spec.memory_mb
         needs[2] += count * spec.accelerators
