--- a/packages/soak/src/papayadyke_soak/tests/test_promises.py
+++ b/packages/soak/src/papayadyke_soak/tests/test_promises.py
@@ -185,3 +185,25 @@
         seen.promises.crashed([run], [])
     seen.promises.told(seen.record, JobState.FAILED)
     assert seen.broken() == set()
+
+
+def test_start_with_a_forged_key_is_seen():
+    seen = Seen()
+    seen.record.is_forged = True
+    seen.start()
+    assert seen.broken() == {"no start with a key that never was"}
+
+
+@pytest.mark.parametrize("status", [200, 409, 410, 504])
+def test_answer_that_admits_a_withdrawn_or_forged_key_is_seen(status):
+    seen = Seen()
+    for refused in (0, 401, 503):
+        seen.promises.answered_withdrawn_key("vm", refused)
+        seen.promises.answered_forged_key("vm", refused)
+    assert seen.broken() == set()
+    seen.promises.answered_withdrawn_key("vm", status)
+    seen.promises.answered_forged_key("vm", status)
+    assert seen.broken() == {
+        "a withdrawn key is refused",
+        "a key that never was is refused",
+    }
