Report the teams' use, and refuse gangs that can never run

The decider sets the running cores and waiting tasks of the 20 largest teams at most once a second, and logs a step that waits for the limit of its team at most once a second per team. Its gauges are removed at the end of a term, since the next decider reports from another VM.

A submission with a gang above the limit and its overrun gets 429. If the job is stored already, since the limit was lowered after it was accepted, the resent submission is answered as before: a refused job must not run.

The decider tells the dispatcher which jobs were cancelled or failed in the last 30 s before a takeover, and of which teams; their runs may not be stopped yet.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -323,6 +323,15 @@
         team_waits, self._team_waits = self._team_waits, {}
         return team_waits
 
+    def count_waiting_tasks(self) -> dict[str, int]:
+        """Return how many tasks of each team could start but wait."""
+        counts: dict[str, int] = {}
+        for step in self._schedule.ready_steps.values():
+            team = step.job.spec.team
+            if team:
+                counts[team] = counts.get(team, 0) + len(step.waiting)
+        return counts
+
     # Decisions
 
     def tick(self, now: float, wall_s: float) -> Orders:
--- a/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
@@ -108,6 +108,7 @@
                 lambda: self._leadership.reaches_store,
                 self._is_catalog_confirmed,
             ),
+            quota_overrun=cfg.quota_overrun,
         )
         self._peer_server = PeerServer(
             f"{cfg.host}:{cfg.peers_port}", self._answer_peer
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -18,6 +18,7 @@
     Commit,
     Dispatcher,
     DispatchSettings,
+    JobState,
     StagedJobSpec,
     StartOrder,
     StartOutcome,
@@ -55,6 +56,7 @@
     Record,
 )
 from papayadyke_daemon.edge._roster import RosterWriter, Term
+from papayadyke_daemon.edge._team_reports import TeamReporter
 from papayadyke_daemon.edge._watch import PrefixWatch, list_prefix
 from papayadyke_daemon.mailbox import Mailbox
 
@@ -69,6 +71,9 @@
 EARLY_CANCEL_RETENTION_S = 60.0
 # Seconds, four heartbeats, after which a silent VM gets no more advisory calls.
 HEARTBEAT_TIMEOUT_S = 2.0
+# Seconds since a job was cancelled or failed after which none of its runs can go on.
+# Covers the longest lease and clocks that differ by some seconds.
+MAX_STOPPING_S = 30.0
 # Seconds after the last heartbeat for which a VM counts as a possible decider: a VM
 # that is partitioned from this one may follow another decider for this long.
 VM_RETENTION_S = 60.0
@@ -112,6 +117,7 @@
                 max_hold_s=cfg.max_hold_s,
                 status_kept_s=cfg.status_kept_s,
                 stop_s=cfg.stop_s,
+                quota_overrun=cfg.quota_overrun,
             ),
             term=term.number,
             now=read_clock(),
@@ -141,6 +147,7 @@
             post=self._mailbox.post,
             on_stored=self._mark_recorded,
         )
+        self._team_reporter = TeamReporter()
         self._housekeeper = Housekeeper(ports.store, token=term.token)
         self._agent_callbacks = AgentCallbacks(
             may_issue_orders=may_issue_orders,
@@ -217,6 +224,7 @@
         for agent in self._agents.values():
             agent.stop()
         self._advisory_pool.stop()
+        self._team_reporter.clear()
         log_event(LOG, "decider: term ended", token=self.term.token)
 
     # Called on any thread
@@ -335,6 +343,7 @@
                 agent.send(stop)
         self._begin_commit(now)
         self._roster.update(self._dispatcher.upstreams, now)
+        self._team_reporter.update(self._dispatcher, now)
         self._collect_garbage(now)
         return self._committer.next_commit_s(now + MAX_STEP_INTERVAL_S)
 
@@ -369,7 +378,12 @@
             if job_progress.state in FINAL_STATES:
                 # Ended jobs need no work; any VM reads their state from the store.
                 self._ended_jobs[job_id] = job_progress.ended_s
-                self._dispatcher.record_ended_job(job_id)
+                self._dispatcher.record_ended_job(
+                    job_id,
+                    team=job_progress.team,
+                    may_run=job_progress.state is not JobState.COMPLETE
+                    and abs(wall_s - job_progress.ended_s) < MAX_STOPPING_S,
+                )
             else:
                 self._committer.record_revision(job_id, record.revision)
                 progress_by_job[job_id] = job_progress
--- a/packages/daemon/src/papayadyke_daemon/edge/_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_intake.py
@@ -131,12 +131,20 @@
     ports : EdgePorts
     clients : PeerClients
     dependencies : IntakeDependencies
+    quota_overrun : float
+        Fraction by which a gang that runs alone may exceed the limit of its team.
     """
 
     def __init__(
-        self, ports: EdgePorts, clients: PeerClients, dependencies: IntakeDependencies
+        self,
+        ports: EdgePorts,
+        clients: PeerClients,
+        dependencies: IntakeDependencies,
+        *,
+        quota_overrun: float = 0.1,
     ) -> None:
         self.catalog: Catalog | None = None
+        self.quota_overrun = quota_overrun
         self._ports = ports
         self._clients = clients
         self._dependencies = dependencies
--- a/packages/daemon/src/papayadyke_daemon/edge/_metrics.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_metrics.py
@@ -39,6 +39,11 @@
         with self._lock:
             self._gauges[name, tuple(sorted(labels.items()))] = value
 
+    def remove_gauge(self, name: str, **labels: str) -> None:
+        """Remove a gauge, if it was set."""
+        with self._lock:
+            self._gauges.pop((name, tuple(sorted(labels.items()))), None)
+
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Add a duration in seconds to a histogram."""
         key = name, tuple(sorted(labels.items()))
