--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -19,8 +19,10 @@
 )
 from papayadyke_core.dispatch._run import PRIME_SUSPECT_LOSSES, Run, RunPhase
 from papayadyke_core.dispatch._settings import DispatchSettings
-from papayadyke_core.dispatch._spec import AdvicePolicy, QueuePolicy
+from papayadyke_core.dispatch._spec import AdvicePolicy, QueuePolicy, StepSpec
+from papayadyke_core.dispatch._team_round import TeamRound
 from papayadyke_core.dispatch._upstream import Upstream
+from papayadyke_core.resources import Resources
 
 ADVICE_SEARCH_INTERVAL_S = 0.25  # seconds between two searches for a waiting step
 # Seconds for which a prime suspect waits for an idle upstream; then it starts beside
@@ -40,15 +42,51 @@
     Parameters
     ----------
     members : dict of str to Upstream
+    with_free_cpu : dict of str to Upstream
+        Those of them that have free CPU.
     max_free_cpu_millis : int
-        Largest free CPU among them, in thousandths of a core.
+        Largest free CPU among them when the round began, in thousandths of a core.
+    left_cpu_millis : int or None
+        Largest free CPU among them now; None if it must be found again.
     max_alone : int
         How many more of them may be kept for single tasks.
+    cpu_millis, memory_mb, accelerators : int
+        Capacity of the upstreams.
     """
 
     members: dict[str, Upstream] = field(default_factory=dict)
+    with_free_cpu: dict[str, Upstream] = field(default_factory=dict)
     max_free_cpu_millis: int = 0
+    left_cpu_millis: int | None = None
     max_alone: int = 0
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def may_fit(self, step: StepSpec) -> bool:
+        """Return whether an upstream may have room for a task of a step."""
+        if step.fills_spare or not step.cpu_millis:
+            return True
+        if self.left_cpu_millis is None:
+            self.left_cpu_millis = max(
+                (u.free_cpu_millis for u in self.with_free_cpu.values()), default=0
+            )
+        return step.cpu_millis <= self.left_cpu_millis
+
+    def record_start(self, upstream: Upstream, step: StepSpec) -> None:
+        """Record that a task was started on a member."""
+        if step.fills_spare:
+            return
+        free_cpu_millis = upstream.free_cpu_millis
+        if free_cpu_millis + step.cpu_millis >= (self.left_cpu_millis or 0):
+            self.left_cpu_millis = None
+        if free_cpu_millis <= 0:
+            self.with_free_cpu.pop(upstream.upstream_id, None)
+
+    def remove(self, upstream_id: str) -> None:
+        """Remove a member that gets no other task in this round."""
+        del self.members[upstream_id]
+        self.with_free_cpu.pop(upstream_id, None)
 
 
 class PlacementRound:
@@ -65,6 +103,8 @@
         Attempt numbers of this term are higher.
     unstored_jobs : set of str
         Jobs with losses of upstreams that are not stored yet.
+    teams : TeamRound
+        Limits of the teams.
     now : float
         Seconds, on the dispatcher's clock.
     """
@@ -78,6 +118,7 @@
         advice_slots: int,
         attempt_floor: int,
         unstored_jobs: Set[str],
+        teams: TeamRound,
         now: float,
     ) -> None:
         self.starts: list[StartOrder] = []
@@ -87,6 +128,7 @@
         self._advice_slots = advice_slots
         self._attempt_floor = attempt_floor
         self._unstored_jobs = unstored_jobs
+        self._teams = teams
         self._now = now
         self._pools = _group_by_service(upstreams, now, settings.alone_share)
         self._reserved: set[str] = set()
@@ -94,6 +136,14 @@
         self._position = -1
         self._searches_left = MAX_ADVICE_SEARCHES
 
+    @property
+    def capacity(self) -> dict[str, Resources]:
+        """Capacity of the upstreams of each service that accept new runs."""
+        return {
+            service: Resources(pool.cpu_millis, pool.memory_mb, pool.accelerators)
+            for service, pool in self._pools.items()
+        }
+
     def place_alone(self, step: StepRun, queue: QueuePolicy) -> bool:
         """Start the prime suspects of a step on idle upstreams; return if any started.
 
@@ -108,6 +158,8 @@
         for index in sorted(self._find_held_tasks(step)):
             if not self._may_try_again(step, index):
                 continue
+            if not self._teams.count_allowed(step):
+                break
             step.waiting_alone_s.setdefault(index, self._now)
             if pool.max_alone <= 0:
                 continue
@@ -117,7 +169,7 @@
             if chosen is None:
                 continue
             pool.max_alone -= 1
-            del pool.members[chosen.upstream_id]
+            pool.remove(chosen.upstream_id)
             step.kept_free[index] = chosen.upstream_id
             if all(run.spec.is_long_running for run in chosen.runs.values()) and (
                 chosen.free_slots_for(step.spec)
@@ -126,10 +178,12 @@
                 has_started = True
         return has_started
 
-    def place(self, step: StepRun, queue: QueuePolicy, *, factor: float) -> bool:
+    def place(
+        self, step: StepRun, queue: QueuePolicy, *, factor: float, max_tasks: int
+    ) -> bool:
         """Start the tasks of a step that fit; return whether any was started.
 
-        Steps must be passed in the order of their rank.
+        Steps must be passed in the order in which they are to be placed.
 
         Parameters
         ----------
@@ -137,17 +191,28 @@
         queue : QueuePolicy
         factor : float
             Learned ratio of run time to estimate.
+        max_tasks : int
+            Most tasks to start, unless the step is a gang.
         """
         self._position += 1
         pool = self._pools.get(queue.service)
         if pool is None or (step.spec.is_gang and step.live):
             return False
-        may_fit = (
+        max_tasks = min(max_tasks, self._teams.count_allowed(step))
+        if (
+            max_tasks > 0
+            and pool.may_fit(step.spec)
+            and self._place_step(step, queue, pool, factor, max_tasks)
+        ):
+            return True
+        # Room that this round has used up may be free again when tickets arrive.
+        may_fit = max_tasks > 0 and (
             step.spec.fills_spare or step.spec.cpu_millis <= pool.max_free_cpu_millis
         )
-        if may_fit and self._place_step(step, queue, pool, factor):
-            return True
-        may_reserve = step.spec.is_gang and self._may_reserve_more(pool)
+        # A gang that its team's limit holds back must not hold back others.
+        may_reserve = (
+            max_tasks > 0 and step.spec.is_gang and self._may_reserve_more(pool)
+        )
         # The steps of the highest rank get tickets even before they fit.
         if queue.advice is not None and (
             may_fit or self._position < self._advice_slots
@@ -167,9 +232,14 @@
         return len(self._reserved) < max_reserved
 
     def _place_step(
-        self, step: StepRun, queue: QueuePolicy, pool: _Pool, factor: float
+        self,
+        step: StepRun,
+        queue: QueuePolicy,
+        pool: _Pool,
+        factor: float,
+        max_tasks: int,
     ) -> bool:
-        eligible = self._list_eligible(step, queue, pool)
+        eligible = self._list_eligible(step, queue, pool, needs_room=True)
         held = self._find_held_tasks(step)
         is_short = step.spec.estimate_s * factor <= self._settings.short_task_s
         reserved = set() if is_short else self._reserved
@@ -177,18 +247,29 @@
         if step.spec.is_gang:
             placed = None if held else place_gang(step, candidates)
         else:
-            placed = place_independent_tasks(step, candidates, held=held)
+            placed = place_independent_tasks(
+                step, candidates, held=held, max_tasks=max_tasks
+            )
         for index, upstream in placed or ():
             self._start_task(step, index, upstream)
+            pool.record_start(upstream, step.spec)
         return bool(placed)
 
     def _list_eligible(
-        self, step: StepRun, queue: QueuePolicy, pool: _Pool
+        self,
+        step: StepRun,
+        queue: QueuePolicy,
+        pool: _Pool,
+        *,
+        needs_room: bool = False,
     ) -> list[Upstream]:
+        members = pool.members
+        if needs_room and step.spec.cpu_millis and not step.spec.fills_spare:
+            members = pool.with_free_cpu
         if queue.advice is None:
-            return list(pool.members.values())
+            return list(members.values())
         ticketed = self._advice_cache.list_ticketed_upstreams(step.step_id, self._now)
-        return [pool.members[name] for name in ticketed if name in pool.members]
+        return [members[name] for name in ticketed if name in members]
 
     def _find_held_tasks(self, step: StepRun) -> set[int]:
         """Return the waiting tasks that may not start beside others, or not yet."""
@@ -236,8 +317,10 @@
             now,
             upstream.incarnation,
             earlier_losses=step.count_losses(index),
+            team=step.job.spec.team,
         )
         upstream.add(run)
+        self._teams.check_start(step)
         if not upstream.free_slots_for(step.spec) >= 0 or (
             not step.spec.fills_spare
             and upstream.used_cpu_millis > upstream.entry.cpu_millis
@@ -354,13 +437,17 @@
         if not upstream.may_start(now):
             continue
         pool = pools.setdefault(service, _Pool())
+        pool.cpu_millis += upstream.entry.cpu_millis
+        pool.memory_mb += upstream.entry.memory_mb
+        pool.accelerators += upstream.entry.accelerators
         if upstream.is_taken_alone(now):
             taken_alone[service] += 1
             continue
         pool.members[name] = upstream
-        pool.max_free_cpu_millis = max(
-            pool.max_free_cpu_millis, upstream.free_cpu_millis
-        )
+        free_cpu_millis = upstream.free_cpu_millis
+        if free_cpu_millis > 0:
+            pool.with_free_cpu[name] = upstream
+            pool.max_free_cpu_millis = max(pool.max_free_cpu_millis, free_cpu_millis)
     for service, pool in pools.items():
         taken = taken_alone[service]
         share = int(alone_share * (len(pool.members) + taken))
--- a/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
@@ -123,6 +123,7 @@
                 self._relay_gate,
                 self._is_catalog_confirmed,
             ),
+            quota_overrun=cfg.quota_overrun,
         )
         self._peer_server = PeerServer(
             f"{cfg.host}:{cfg.peers_port}", self._answer_peer
