Judge the limits of teams in the random histories

Jobs get teams whose limits change while they are full, and each VM uses a configuration up to 2 s after it was stored. After each start, what the team runs at all upstreams is at most 1.1 times the highest limit of the last 3 s, and one task more. The world relays the owner of a job as the daemon does; without it a relayed cancellation was answered as for an unknown job.

--- a/packages/core/src/papayadyke_core/dispatch/tests/test_team_limits.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_team_limits.py
@@ -6,6 +6,7 @@
 from dispatch_world import World, make_catalog, make_entry, make_job, make_step
 
 from papayadyke_core.dispatch import JobState
+from papayadyke_core.dispatch._progress import LostContact
 
 LIMITS = {"a": 4, "b": 0}
 
@@ -52,7 +53,7 @@
     world.run(0.2)
     submit(world, "gang", make_step(11, is_gang=True))
     submit(world, "too-large", make_step(12, is_gang=True))
-    submit(world, "other", make_step(10), team="b")
+    submit(world, "other", make_step(10, estimate_s=3.0), team="b")
     world.run(0.2)
     # The gangs wait, and reserve no upstream in the meantime.
     assert len(world.list_team_runs("b")) == 10
@@ -61,13 +62,18 @@
     assert world.get_state("too-large") is JobState.QUEUED
 
 
-# A suspect starts through `place_alone`, which checks the limit by itself.
+# A prime suspect starts before all others, by other code.
 def test_prime_suspects_count_against_the_limit():
-    world = make_world(upstreams=4, limits={"a": 2})
-    submit(world, "deadly", make_step(1))
-    world.deadly.add(next(iter(world.step_specs)))
-    submit(world, "j", make_step(8, is_long_running=True))
-    world.run(20.0)
+    world = make_world(upstreams=4, limits={"a": 1})
+    submit(world, "j", make_step(1, is_long_running=True))
+    world.step()
+    submit(world, "suspect")
+    step = world.dispatcher.jobs["suspect"].steps[0, 0]
+    step.crashes[0] = [LostContact("x", 1), LostContact("y", 1)]
+    world.run(2.0)
+    assert [task.job_id for task in world.list_team_runs("a")] == ["j"]
+    world.set_limits({"a": 2})
+    world.run(0.2)
     assert len(world.list_team_runs("a")) == 2
 
 
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_team_shares.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_team_shares.py
@@ -59,6 +59,16 @@
     assert count_runs(world) == {"a": 2, "b": 6}
 
 
+# What a team holds grows within one placement, with each of its jobs.
+def test_shares_hold_for_many_small_jobs():
+    world = make_world({"a": 1.0, "b": 1.0}, upstreams=2, cores=4)
+    for team in ("a", "b"):
+        for _ in range(20):
+            fill(world, team, 1)
+    world.step()
+    assert count_runs(world) == {"a": 4, "b": 4}
+
+
 def test_share_that_a_team_does_not_need_goes_to_the_others():
     world = make_world({"a": 1.0, "b": 1.0, "c": 1.0}, upstreams=2, cores=6)
     for team, count in (("a", 40), ("b", 2), ("c", 40)):
@@ -68,14 +78,17 @@
 
 
 def test_worthless_work_goes_after_useful_work_of_teams_above_their_share():
-    world = make_world({"a": 1.0, "b": 1.0}, upstreams=1, cores=8)
+    world = make_world({"a": 1.0, "b": 1.0, "c": 1.0}, upstreams=1, cores=8)
     fill(world, "b", 6)
-    world.run(32.0, after_s=100.0)  # far beyond the objective of 7 s
+    world.run(0.2)
+    # The demand of "c", which no upstream can serve, puts "b" above its share.
+    step = make_step(8, label="absent")
+    world.submit(make_job("c", step, queue=BATCH, team="c"))
     late = fill(world, "a", 3)
     world.dispatcher.jobs[late].accepted_at_s -= 60.0
     fill(world, "b", 3)
     world.step()
-    assert count_runs(world) == {"a": 0, "b": 8}
+    assert count_runs(world) == {"a": 0, "b": 8, "c": 0}
 
 
 def test_work_without_a_team_has_a_share_as_well():
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/history_rules.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/history_rules.py
@@ -22,6 +22,9 @@
 # BUDGET: a task may be given up after `MIN_CRASHES` crashes of upstreams under it; one
 # that crashes them may start `MAX_LATER_STARTS` times after `MAX_CRASHES`.
 MIN_CRASHES, MAX_CRASHES, MAX_LATER_STARTS = 2, 3, 2
+# QUOTA: by which the runs of a team may exceed the highest limit of the last seconds,
+# in addition to one task.
+QUOTA_OVERRUN, QUOTA_WINDOW_S = 0.1, 3.0
 
 
 @dataclass
@@ -139,6 +142,7 @@
         )
         capacity = upstream.read_capacity(self._world.now)
         assert used <= capacity, f"LIMIT: {upstream.upstream_id} is full"
+        self._check_quota(job.spec.team)
         step = job.spec.steps[task.step]
         for number in step.after:
             keys = self._list_step_keys(job, number)
@@ -259,6 +263,27 @@
             return {task}
         return {task._replace(number=number) for number in range(step.count)}
 
+    def _check_quota(self, team):
+        """Judge what a team runs after a start; a lowered limit stops nothing."""
+        limits_millis = []
+        until_s = self._world.now
+        for from_s, catalog in reversed(self._world.catalogs):
+            if until_s < self._world.now - QUOTA_WINDOW_S:
+                break
+            policy = catalog.teams.get(team)
+            if policy is None or not policy.limit.cpu_millis:
+                return
+            limits_millis.append(policy.limit.cpu_millis)
+            until_s = from_s
+        needs = [
+            self.jobs[task.job_id].spec.steps[task.step].cpu_millis
+            for upstream in self._world.upstreams.values()
+            for task in upstream.running
+            if self.jobs[task.job_id].spec.team == team
+        ]
+        most = max(limits_millis) * (1 + QUOTA_OVERRUN) + max(needs)
+        assert sum(needs) <= most, f"QUOTA: {team} runs {sum(needs)}, at most {most}"
+
     def _is_given_up(self, job_id):
         """Return whether two upstreams have crashed under a task of a job."""
         return any(
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/history_world.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/history_world.py
@@ -12,7 +12,7 @@
 import random
 import threading
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from types import SimpleNamespace
 from typing import Any, cast
@@ -29,6 +29,8 @@
     StepSpec,
     UpstreamEntry,
 )
+from papayadyke_core.resources import Resources
+from papayadyke_core.teams import TeamPolicy
 from papayadyke_daemon.edge import (
     EdgePorts,
     EdgeSettings,
@@ -63,7 +65,8 @@
 from papayadyke_daemon.edge.tests.virtual_upstream import UpstreamCalls, VirtualUpstream
 
 QUEUE = QueuePolicy("queue", "host", "/queue/", "service", 0, 2, 2.0, 1.0)
-CATALOG = Catalog(1, {QUEUE.key: QUEUE})
+TEAMS = ("one", "other")
+CATALOG_DELAY_S = 2.0  # longest time until a running VM uses a new configuration
 REGISTRY_PREFIX = "upstreams/"
 CPU_MILLIS = 4000  # of each upstream; a task needs a quarter
 RUN_S = 0.8  # duration of a task's work, in seconds
@@ -163,7 +166,7 @@
                 lambda: self.leadership.reaches_store,
             ),
         )
-        self.intake.catalog = CATALOG
+        self.catalog = self.intake.catalog = world.catalog
 
     def pause(self):
         """Pause this VM in the middle of a call while the others go on."""
@@ -211,9 +214,15 @@
                         self.decider.cancel(job_id)
                 return Ack(self.decider is not None)
             case StoreJob():
-                return StoreReply(self.intake.accept_encoded(message.job))
+                outcome = self.intake.accept_encoded(
+                    message.job, checks_owner=message.checks_owner
+                )
+                return StoreReply(outcome)
             case StoreCancel():
-                return StoreReply(self.intake.cancel(message.job_id, may_relay=False))
+                outcome = self.intake.cancel(
+                    message.job_id, team=message.team, may_relay=False
+                )
+                return StoreReply(outcome)
         return Ack(False)
 
     def _lead_or_follow(self):
@@ -261,12 +270,19 @@
             may_issue_orders=self.leadership.may_issue_orders,
             step_down=self.leadership.step_down,
         )
-        if not decider.load(CATALOG):
+        if not decider.load(self.catalog):
             decider.stop()
             return False
         self.decider = decider
         return True
 
+    def use_catalog(self, catalog):
+        """Use a configuration unless a newer one is in force."""
+        if catalog.version > self.catalog.version:
+            self.catalog = self.intake.catalog = catalog
+            if self.decider is not None:
+                self.decider.set_catalog(catalog)
+
     def _stop_decider(self):
         decider, self.decider = self.decider, None
         if decider is not None:
@@ -338,6 +354,9 @@
         self.fail_share = 0.0
         self.deadly_jobs: set[str] = set()
         self.began_s: dict[tuple, float] = {}
+        self.catalog = Catalog(1, {QUEUE.key: QUEUE}, teams=make_teams(0, 0))
+        # Configurations, and from when on they were in force.
+        self.catalogs = [(self.now, self.catalog)]
         self._patches = self._patch()
         self.rules = HistoryRules(self, max_attempts=QUEUE.max_attempts)
         self.store = VirtualStore(self.rules.check_commit, now=self.now)
@@ -384,6 +403,18 @@
         name = upstream.upstream_id
         self.schedule(HEARTBEAT_S, lambda: self.list_upstream(name, state))
 
+    def set_limits(self, *cores, delay_s=CATALOG_DELAY_S):
+        """Store other limits of the teams, which the VMs use after some time."""
+        catalog = replace(
+            self.catalog, version=self.catalog.version + 1, teams=make_teams(*cores)
+        )
+        self.catalog = catalog
+        self.catalogs.append((self.now, catalog))
+        for vm in self.vms.values():
+            after_s = self.rng.uniform(0.0, delay_s)
+            use = partial(self.deliver, vm, partial(vm.use_catalog, catalog))
+            self.schedule(after_s, use)
+
     def unlist_upstream(self, name):
         self.store.write([], [], [REGISTRY_PREFIX + name])
 
@@ -398,13 +429,15 @@
         else:
             self.mail.append((vm, message))
 
-    def submit(self, vm_name, job_id, steps):
+    def submit(self, vm_name, job_id, steps, team=""):
         """Hand in a job at a VM; return the outcome."""
         vm = self.vms[vm_name]
         if not vm.can_run():
             return None
         payload = f"payload of {job_id}"
-        spec = StagedJobSpec(job_id, QUEUE.key, payload, steps, self.read_wall())
+        spec = StagedJobSpec(
+            job_id, QUEUE.key, payload, steps, self.read_wall(), team=team
+        )
         self.rules.sent(spec)
         outcome = vm.intake.accept(spec)
         self.rules.answered(job_id, outcome)
@@ -414,13 +447,14 @@
         vm = self.vms[vm_name]
         if vm.can_run():
             self.rules.cancelling(job_id)
-            self.rules.cancelled(job_id, vm.intake.cancel(job_id))
+            outcome = vm.intake.cancel(job_id, team=self._find_team(job_id))
+            self.rules.cancelled(job_id, outcome)
 
     def look_up(self, vm_name, job_id):
         """Read the state of a job at a VM, and judge it."""
         vm = self.vms[vm_name]
         if vm.can_run():
-            self.rules.check_state(job_id, vm.intake.get_state(job_id))
+            self.rules.check_state(job_id, self._read_state(vm, job_id))
 
     # Time
 
@@ -539,6 +573,7 @@
     def heal(self):
         """End all faults."""
         self.scheduled.clear()
+        self.set_limits(0, 0, delay_s=0.0)
         self.store_faults.rows.clear()
         self.upstream_faults.rows.clear()
         self.cut_peers.clear()
@@ -568,7 +603,14 @@
 
     def _read_states(self) -> dict[str, JobState | StoreError | None]:
         vm = next(iter(self.vms.values()))
-        return {job_id: vm.intake.get_state(job_id) for job_id in self.rules.jobs}
+        return {job_id: self._read_state(vm, job_id) for job_id in self.rules.jobs}
+
+    def _read_state(self, vm, job_id):
+        return vm.intake.get_state(job_id, self._find_team(job_id))
+
+    def _find_team(self, job_id):
+        job = self.rules.jobs.get(job_id)
+        return "" if job is None else job.spec.team
 
     def _patch(self):
         clock = self.read_clock
@@ -594,6 +636,14 @@
         return patches
 
 
+def make_teams(*cores):
+    """Return the teams with their limits in cores; 0 is none."""
+    return {
+        name: TeamPolicy(name, 1.0, Resources(limit * 1000))
+        for name, limit in zip(TEAMS, cores, strict=True)
+    }
+
+
 def make_step(count=1, **changes):
     """Return a step whose tasks each need a quarter of an upstream."""
     return StepSpec(
@@ -601,4 +651,4 @@
     )
 
 
-__all__ = ["CPU_MILLIS", "CallFault", "HistoryWorld", "make_step"]
+__all__ = ["CPU_MILLIS", "TEAMS", "CallFault", "HistoryWorld", "make_step"]
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_history_machine.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_history_machine.py
@@ -13,6 +13,7 @@
 
 from papayadyke_daemon.edge.tests.history_world import (
     CPU_MILLIS,
+    TEAMS,
     CallFault,
     HistoryWorld,
     make_step,
@@ -46,15 +47,16 @@
         count=st.integers(1, 5),
         is_gang=st.booleans(),
         has_second_step=st.booleans(),
+        team=st.sampled_from(["", *TEAMS]),
     )
-    def submit(self, vm, count, is_gang, has_second_step):
+    def submit(self, vm, count, is_gang, has_second_step, team=""):
         if self.job_count >= MAX_JOBS:
             return
         self.job_count += 1
         steps = [make_step(count, is_gang=is_gang)]
         if has_second_step:
             steps.append(make_step(1, after=(0,)))
-        self.world.submit(vm, f"j{self.job_count}", tuple(steps))
+        self.world.submit(vm, f"j{self.job_count}", tuple(steps), team)
 
     @rule(vm=st.sampled_from(VMS), count=st.integers(1, 3), is_gang=st.booleans())
     def submit_deadly(self, vm, count, is_gang):
@@ -67,11 +69,20 @@
         for count in (1, 4):
             self.submit(vm, count, is_gang=count > 1, has_second_step=True)
 
+    @rule(vm=st.sampled_from(VMS), team=st.sampled_from(TEAMS))
+    def submit_more_than_the_limit(self, vm, team):
+        for is_gang in (False, False, True):
+            self.submit(vm, 4, is_gang=is_gang, has_second_step=False, team=team)
+
+    @rule(one=st.integers(0, 5), other=st.integers(0, 9))
+    def set_limits(self, one, other):
+        self.world.set_limits(one, other)
+
     @rule(vm=st.sampled_from(VMS), number=st.integers(1, MAX_JOBS))
     def submit_again(self, vm, number):
         job = self.world.rules.jobs.get(f"j{number}")
         if job is not None:
-            self.world.submit(vm, job.spec.job_id, job.spec.steps)
+            self.world.submit(vm, job.spec.job_id, job.spec.steps, job.spec.team)
 
     @rule(vm=st.sampled_from(VMS), number=st.integers(1, MAX_JOBS))
     def cancel(self, vm, number):
