Learn run times by queue and step, and speeds by upstream

The dispatcher kept one moving average of run time to estimate per queue and one of speed per upstream. Estimates are off by a log-normal factor between jobs, and 3% of the runs take 7 times as long, so neither predicts a job.

RunTimeModel keeps mean and spread of log(run time * speed / estimate) per queue, shrinks each step towards its queue and the other steps of its job, and learns speeds relative to the average run. Late runs are weighed out by a mixture. Estimates of a job use it, in declared terms, so that callers multiply by the queue's factor as before. Gangs go to upstreams of even speed, and work with slack leaves fast upstreams to other work while half of the CPU is in use. With learns_run_times=False all is as before.

--- a/packages/core/src/papayadyke_core/dispatch/__init__.py
+++ b/packages/core/src/papayadyke_core/dispatch/__init__.py
@@ -3,6 +3,11 @@
 from papayadyke_core.dispatch._crashes import TaskCrash
 from papayadyke_core.dispatch._dispatcher import Dispatcher
 from papayadyke_core.dispatch._job import StagedJob, StepRun
+from papayadyke_core.dispatch._learned_record import (
+    LearnedRecord,
+    decode_learned,
+    encode_learned,
+)
 from papayadyke_core.dispatch._messages import (
     Advice,
     AdviceRequest,
@@ -28,6 +33,7 @@
     encode_progress,
 )
 from papayadyke_core.dispatch._retry import choose_retry_after
+from papayadyke_core.dispatch._run_times import RunTimeModel
 from papayadyke_core.dispatch._settings import DispatchSettings
 from papayadyke_core.dispatch._spec import (
     AdvicePolicy,
@@ -55,12 +61,14 @@
     "EndedRun",
     "JobProgress",
     "JobState",
+    "LearnedRecord",
     "LossCause",
     "LostRun",
     "Orders",
     "QueuePolicy",
     "Repeat",
     "RunEnd",
+    "RunTimeModel",
     "RunningRun",
     "SpecError",
     "StagedJob",
@@ -79,6 +87,8 @@
     "UpstreamReport",
     "check_job_spec",
     "choose_retry_after",
+    "decode_learned",
     "decode_progress",
+    "encode_learned",
     "encode_progress",
 ]
--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -20,6 +20,7 @@
 from papayadyke_core.dispatch._progress import FINAL_STATES, JobProgress, JobState
 from papayadyke_core.dispatch._rank import rank_job
 from papayadyke_core.dispatch._round import PlacementRound
+from papayadyke_core.dispatch._run_times import RunTimeModel
 from papayadyke_core.dispatch._schedule import Schedule
 from papayadyke_core.dispatch._settings import DispatchSettings
 from papayadyke_core.dispatch._spec import Catalog, QueuePolicy, StagedJobSpec, StepId
@@ -82,9 +83,10 @@
         return self._schedule.advice_cache
 
     @property
-    def estimate_factors(self) -> dict[str, float]:
-        """Learned ratio of run time to estimate by queue."""
-        return self._schedule.estimate_factors
+    def run_times(self) -> RunTimeModel | None:
+        """Learned run times; None if the settings do not enable them."""
+        run_times = self._schedule.run_times
+        return run_times if isinstance(run_times, RunTimeModel) else None
 
     def set_catalog(self, catalog: Catalog) -> None:
         """Apply a configuration if it is newer than the current one."""
@@ -108,6 +110,8 @@
         upstream = self.upstreams.get(entry.upstream_id)
         if upstream is None:
             upstream = self.upstreams[entry.upstream_id] = Upstream(entry)
+            if self.run_times is not None:
+                self.run_times.apply_speed(upstream)
         upstream.entry = entry
         upstream.is_recorded = is_recorded
         upstream.is_listed = True
@@ -167,7 +171,7 @@
         now: float,
     ) -> None:
         """Restore a stored job of an earlier decider."""
-        job = StagedJob(spec, now=now, age_s=age_s)
+        job = self._schedule.make_job(spec, now=now, age_s=age_s)
         if progress is not None:
             job.restore_progress(progress)
             for step in job.steps.values():
@@ -202,7 +206,7 @@
         """
         if spec.job_id in self.jobs:
             return False
-        job = StagedJob(spec, now=now, age_s=age_s)
+        job = self._schedule.make_job(spec, now=now, age_s=age_s)
         if self._takeover.barrier_s is not None:
             job.hold_until_s = (
                 self._takeover.barrier_s
@@ -309,6 +313,8 @@
         if self._takeover.lift_barrier(self.upstreams, now):
             self._schedule.needs_placement = True
         self._end_handover(now)
+        if self.run_times is not None:
+            self.run_times.now_s = now
         self._schedule.add_due_steps(wall_s)
         self._schedule.expire_leases(now)
         self._schedule.evacuate(now)
@@ -344,7 +350,11 @@
         return expired
 
     def get_estimate_factor(self, queue: str) -> float:
-        """Return the learned ratio of run time to estimate of a queue."""
+        """Return the learned ratio of run time to estimate of a queue.
+
+        The estimates of a job (`StagedJob.remaining_critical_path_s` and others) are
+        to be multiplied by it.
+        """
         return self._schedule.get_estimate_factor(queue)
 
     def _end_handover(self, now: float) -> None:
@@ -382,6 +392,10 @@
                 continue
             if placement.place(step, queue, factor=self.get_estimate_factor(queue.key)):
                 self._schedule.update_ready_step(step)
+        for order in placement.starts:
+            if order.checkpoint:
+                run = self.upstreams[order.upstream_id].runs[order.task, order.attempt]
+                run.is_timed = False
         orders.starts += placement.starts
         orders.advice += placement.advice
 
--- a/packages/core/src/papayadyke_core/dispatch/_job.py
+++ b/packages/core/src/papayadyke_core/dispatch/_job.py
@@ -9,14 +9,16 @@
     LostContact,
     StepProgress,
 )
+from papayadyke_core.dispatch._remaining import JobEstimates, estimate_job
 from papayadyke_core.dispatch._run import Run
+from papayadyke_core.dispatch._run_times import RunTimeModel
 from papayadyke_core.dispatch._spec import (
     StagedJobSpec,
     StepId,
     StepSpec,
     TaskId,
-    find_critical_path_s,
 )
+from papayadyke_core.dispatch._time_samples import JobTimes
 
 
 class StepRun:
@@ -189,8 +191,9 @@
         self.state = JobState.QUEUED
         self.stored_state = JobState.QUEUED
         self.ended_s = 0.0
-        self.total_estimate_s = sum(step.estimate_s for step in spec.steps)
-        self._cached_estimates: tuple[float, float] | None = None
+        self.times = JobTimes()
+        self.run_times: RunTimeModel | None = None  # None for declared estimates
+        self._cached_estimates: JobEstimates | None = None
         # Before this time a run that an earlier decider started may be unreported,
         # so the job is not started.
         self.hold_until_s = 0.0
@@ -237,36 +240,35 @@
         """Return whether every task of every occurrence is done."""
         return all(step.is_done for step in self.steps.values())
 
+    @property
+    def total_estimate_s(self) -> float:
+        """Estimated run time of one task of each step in all, in seconds.
+
+        This and the remaining estimates are in declared terms: they are to be
+        multiplied by the queue's learned ratio of run time to estimate.
+        """
+        return self._get_estimates().total_s
+
     def remaining_critical_path_s(self) -> float:
         """Return the estimated length of the remaining critical path, in seconds."""
-        return self._get_estimates()[0]
+        return self._get_estimates().critical_path_s
 
     def remaining_work_core_s(self) -> float:
         """Return the estimated remaining work, in core-seconds."""
-        return self._get_estimates()[1]
+        return self._get_estimates().work_core_s
 
     def invalidate_estimates(self) -> None:
         """Discard the cached estimates after a change of progress."""
         self._cached_estimates = None
 
-    def _get_estimates(self) -> tuple[float, float]:
-        if self._cached_estimates is None:
-            self._cached_estimates = self._compute_estimates()
-        return self._cached_estimates
-
-    def _compute_estimates(self) -> tuple[float, float]:
-        durations_s: list[list[float]] = [[] for _ in range(self.occurrences)]
-        work_core_s = 0.0
-        for (occurrence, _), step in self.steps.items():
-            spec = step.spec
-            remaining = spec.count - len(step.done)
-            durations_s[occurrence].append(spec.estimate_s if remaining else 0.0)
-            work_core_s += remaining * spec.cpu_millis / 1000.0 * spec.estimate_s
-        paths_s = [
-            find_critical_path_s(self.spec.steps, step_durations_s)
-            for step_durations_s in durations_s
-        ]
-        return max(paths_s, default=0.0), work_core_s
+    def _get_estimates(self) -> JobEstimates:
+        cached = self._cached_estimates
+        run_times = self.run_times
+        if cached is None or (
+            run_times is not None and run_times.now_s >= cached.valid_until_s
+        ):
+            cached = self._cached_estimates = estimate_job(self, run_times)
+        return cached
 
     def snapshot_progress(self) -> JobProgress:
         """Return the progress to store."""
--- a/packages/core/src/papayadyke_core/dispatch/_placement.py
+++ b/packages/core/src/papayadyke_core/dispatch/_placement.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Iterable, Sequence, Set
 
 from papayadyke_core.dispatch._job import StepRun
+from papayadyke_core.dispatch._speed_choice import rank_speed
 from papayadyke_core.dispatch._upstream import Upstream
 
-SPEED_DIGITS = 1  # speeds that differ by less count as equal
-
 
 def list_candidates(
     step: StepRun,
@@ -17,9 +17,13 @@
     *,
     reserved: set[str],
     is_idle: bool = False,
+    least_speed: float = math.inf,
 ) -> list[tuple[Upstream, int]]:
     """Return upstreams with free slots for a step and their number, best first.
 
+    Of the upstreams that are fast enough the slowest ones come first, which leaves the
+    fast ones to work that needs them.
+
     Parameters
     ----------
     step : StepRun
@@ -29,6 +33,8 @@
         Ids of upstreams to exclude, since they are reserved for other steps.
     is_idle : bool, default=False
         Whether slots that other runs use count as free.
+    least_speed : float, default=inf
+        Speed from which an upstream is fast enough.
     """
     spec = step.spec
     candidates = []
@@ -44,7 +50,9 @@
             slots = min(slots, spec.max_per_upstream - count_live(step, upstream))
         if slots > 0:
             candidates.append((upstream, slots))
-    candidates.sort(key=lambda candidate: _placement_key(step, candidate[0]))
+    candidates.sort(
+        key=lambda candidate: _placement_key(step, candidate[0], least_speed)
+    )
     return candidates
 
 
@@ -54,13 +62,15 @@
     return sum(1 for run in upstream.runs.values() if run.task[:3] == step_id)
 
 
-def _placement_key(step: StepRun, upstream: Upstream) -> tuple[bool, bool, float, int]:
+def _placement_key(
+    step: StepRun, upstream: Upstream, least_speed: float
+) -> tuple[bool, bool, bool, int, int]:
     # Among equals, the upstream with the most used CPU comes first: this keeps whole
     # upstreams free for gangs.
     return (
         _is_remote(step, upstream),
         upstream.suspect_runs > 0,
-        -round(upstream.speed, SPEED_DIGITS),
+        *rank_speed(upstream, least_speed),
         -upstream.used_cpu_millis,
     )
 
@@ -153,31 +163,75 @@
 
 
 def place_gang(
-    step: StepRun, candidates: list[tuple[Upstream, int]]
+    step: StepRun,
+    candidates: list[tuple[Upstream, int]],
+    *,
+    evens_speed: bool = False,
 ) -> list[tuple[int, Upstream]] | None:
-    """Assign all tasks of a gang to upstreams, or return None if they do not fit."""
+    """Assign all tasks of a gang to upstreams, or return None if they do not fit.
+
+    Parameters
+    ----------
+    step : StepRun
+    candidates : list of (Upstream, int)
+        Upstreams with their free slots for the step, best first.
+    evens_speed : bool, default=False
+        Whether members that cannot speed up the gang leave faster upstreams free: it
+        ends with its slowest member.
+    """
+    count = step.spec.count
     if step.spec.in_one_rack:
-        candidates = _select_rack(step.spec.count, candidates)
+        candidates = _select_rack(count, candidates, by_speed=evens_speed)
+    placed = _fill(count, candidates)
+    if placed is None or not evens_speed:
+        return placed
+    slowest = min(upstream.speed_class for _, upstream in placed)
+    even = [row for row in candidates if row[0].speed_class >= slowest]
+    even.sort(
+        key=lambda row: (
+            _is_remote(step, row[0]),
+            row[0].suspect_runs > 0,
+            row[0].speed_class,
+            -row[0].used_cpu_millis,
+        )
+    )
+    return _fill(count, even)
+
+
+def _fill(
+    count: int, candidates: list[tuple[Upstream, int]]
+) -> list[tuple[int, Upstream]] | None:
+    """Assign tasks to the first candidates, or return None if they do not fit."""
     placed: list[tuple[int, Upstream]] = []
     for upstream, slots in candidates:
         for _ in range(slots):
             placed.append((len(placed), upstream))
-            if len(placed) == step.spec.count:
+            if len(placed) == count:
                 return placed
     return None
 
 
 def _select_rack(
-    count: int, candidates: list[tuple[Upstream, int]]
+    count: int, candidates: list[tuple[Upstream, int]], *, by_speed: bool
 ) -> list[tuple[Upstream, int]]:
-    """Return the candidates of one rack if the gang fits in it, else all of them."""
+    """Return the candidates of one rack if the gang fits in it, else all of them.
+
+    Of several such racks it is the first one or, by speed, the one whose slowest member
+    of the gang would be the fastest.
+    """
     racks: dict[str, list[tuple[Upstream, int]]] = {}
     for candidate in candidates:
         racks.setdefault(candidate[0].entry.rack, []).append(candidate)
-    for members in racks.values():
-        if sum(slots for _, slots in members) >= count:
-            return members
-    return candidates
+    fitting = [
+        (min(upstream.speed_class for _, upstream in placed), members)
+        for members in racks.values()
+        if (placed := _fill(count, members)) is not None
+    ]
+    if not fitting:
+        return candidates
+    if not by_speed:
+        return fitting[0][1]
+    return max(fitting, key=lambda row: row[0])[1]
 
 
 def reserve_for_gang(step: StepRun, upstreams: list[Upstream]) -> set[str]:
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -20,6 +20,7 @@
 from papayadyke_core.dispatch._run import PRIME_SUSPECT_LOSSES, Run, RunPhase
 from papayadyke_core.dispatch._settings import DispatchSettings
 from papayadyke_core.dispatch._spec import AdvicePolicy, QueuePolicy
+from papayadyke_core.dispatch._speed_choice import find_least_speed, is_busy
 from papayadyke_core.dispatch._upstream import Upstream
 
 ADVICE_SEARCH_INTERVAL_S = 0.25  # seconds between two searches for a waiting step
@@ -41,11 +42,14 @@
         Largest free CPU among them, in thousandths of a core.
     max_alone : int
         How many more of them may be kept for single tasks.
+    is_busy : bool
+        Whether work with slack leaves the fast ones to other work.
     """
 
     members: dict[str, Upstream] = field(default_factory=dict)
     max_free_cpu_millis: int = 0
     max_alone: int = 0
+    is_busy: bool = False
 
 
 class PlacementRound:
@@ -167,9 +171,17 @@
         held = self._find_held_tasks(step)
         is_short = step.spec.estimate_s * factor <= self._settings.short_task_s
         reserved = set() if is_short else self._reserved
-        candidates = list_candidates(step, eligible, reserved=reserved)
+        is_learned = self._settings.learns_run_times
+        least_speed = math.inf
+        if is_learned and pool.is_busy:
+            least_speed = find_least_speed(step, queue, factor=factor, now=self._now)
+        candidates = list_candidates(
+            step, eligible, reserved=reserved, least_speed=least_speed
+        )
         if step.spec.is_gang:
-            placed = None if held else place_gang(step, candidates)
+            placed = (
+                None if held else place_gang(step, candidates, evens_speed=is_learned)
+            )
         else:
             placed = place_independent_tasks(step, candidates, held=held)
         for index, upstream in placed or ():
@@ -326,4 +338,5 @@
         taken = taken_alone[service]
         share = int(alone_share * (len(pool.members) + taken))
         pool.max_alone = max(share, 1) - taken
+        pool.is_busy = is_busy(pool.members.values())
     return pools
--- a/packages/core/src/papayadyke_core/dispatch/_run.py
+++ b/packages/core/src/papayadyke_core/dispatch/_run.py
@@ -49,6 +49,9 @@
         Upstreams that had crashed, or might have, under earlier runs of the task.
     stop_requested_s, stop_confirmed_s : float or None
         When a stop was last ordered and first accepted.
+    is_timed : bool
+        Whether the time from `started_s` to the end is that of a whole run: it did not
+        resume from a checkpoint, was seen from its start, and its end is read at once.
     """
 
     task: TaskId
@@ -64,6 +67,7 @@
     earlier_losses: int = 0
     stop_requested_s: float | None = None
     stop_confirmed_s: float | None = None
+    is_timed: bool = True
 
     @property
     def is_prime_suspect(self) -> bool:
--- a/packages/core/src/papayadyke_core/dispatch/_schedule.py
+++ b/packages/core/src/papayadyke_core/dispatch/_schedule.py
@@ -6,10 +6,18 @@
 from papayadyke_core.dispatch._commits import CommitTracker
 from papayadyke_core.dispatch._job import StagedJob, StepRun
 from papayadyke_core.dispatch._messages import LossCause, LostRun, RunEnd, StopOrder
+from papayadyke_core.dispatch._moving_average import MovingAverages
 from papayadyke_core.dispatch._progress import JobState
 from papayadyke_core.dispatch._run import Run, RunPhase
+from papayadyke_core.dispatch._run_times import RunTimeModel
 from papayadyke_core.dispatch._settings import DispatchSettings
-from papayadyke_core.dispatch._spec import Catalog, QueuePolicy, StepId, TaskId
+from papayadyke_core.dispatch._spec import (
+    Catalog,
+    QueuePolicy,
+    StagedJobSpec,
+    StepId,
+    TaskId,
+)
 from papayadyke_core.dispatch._upstream import Upstream
 
 STOP_RETRY_S = 0.5  # seconds between stop orders for a run that still runs
@@ -36,7 +44,9 @@
         self.jobs: dict[str, StagedJob] = {}
         self.upstreams: dict[str, Upstream] = {}
         self.advice_cache = AdviceCache()
-        self.estimate_factors: dict[str, float] = {}
+        self.run_times: RunTimeModel | MovingAverages = (
+            RunTimeModel() if settings.learns_run_times else MovingAverages()
+        )
         self.commits = CommitTracker(settings, self.jobs, self.upstreams)
         self.ready_steps: dict[StepId, StepRun] = {}
         self.scheduled_steps: dict[StepId, StepRun] = {}
@@ -56,7 +66,14 @@
 
     def get_estimate_factor(self, queue: str) -> float:
         """Return the learned ratio of run time to estimate of a queue."""
-        return self.estimate_factors.get(queue, 1.0)
+        return self.run_times.get_factor(queue)
+
+    def make_job(self, spec: StagedJobSpec, *, now: float, age_s: float) -> StagedJob:
+        """Return a new job, whose remaining time is estimated by learned run times."""
+        job = StagedJob(spec, now=now, age_s=age_s)
+        if isinstance(self.run_times, RunTimeModel):
+            job.run_times = self.run_times
+        return job
 
     def add_ready_steps(self, job: StagedJob) -> None:
         for (occurrence, _), step in job.steps.items():
--- a/packages/core/src/papayadyke_core/dispatch/_settings.py
+++ b/packages/core/src/papayadyke_core/dispatch/_settings.py
@@ -64,6 +64,9 @@
         Maximum number of store entries in one commit. They must fit in one
         transaction, which holds 32, together with the condition that this VM is
         still the decider.
+    learns_run_times : bool
+        Whether run times are learned by queue and step, and speeds by upstream.
+        Otherwise there is one moving average by queue and one by upstream.
     """
 
     lease_s: float
@@ -86,6 +89,7 @@
     alone_share: float = 0.25
     suspect_s: float = 30.0
     max_commit_entries: int = 31
+    learns_run_times: bool = True
 
     @property
     def longest_lease_s(self) -> float:
--- a/packages/core/src/papayadyke_core/dispatch/_tracking.py
+++ b/packages/core/src/papayadyke_core/dispatch/_tracking.py
@@ -25,10 +25,6 @@
 
 LOG = logging.getLogger(__name__)
 
-# Weight of the newest run in the moving average of the ratio of run time to estimate.
-ESTIMATE_WEIGHT = 0.05
-MAX_ESTIMATE_FACTOR = 5.0  # a few stuck runs must not distort the estimate
-
 # What a run of an unknown job needs is unknown, so its upstream counts as full.
 _UNKNOWN_STEP = StepSpec(count=1, cpu_millis=10**9, memory_mb=10**9)
 
@@ -82,6 +78,9 @@
         upstream.has_reported = True
         if is_regained:
             self._schedule.needs_placement = True
+            for run in upstream.runs.values():
+                # Its end may have come while there was no contact.
+                run.is_timed = False
             for earlier in self._list_at_address(upstream):
                 if not earlier.is_reachable:
                     self.count_crashes(earlier.upstream_id, now, present=None)
@@ -254,6 +253,7 @@
             upstream.incarnation,
             is_unwanted=not is_needed,
             earlier_losses=step.count_losses(index) if step is not None else 0,
+            is_timed=False,
         )
         upstream.add(run)
         if step is not None and index < step.spec.count:
@@ -295,7 +295,7 @@
             step.checkpoints[index] = ended.checkpoint
         is_live = run is not None and step.live.get(index) is run
         if ended.end is RunEnd.DONE:
-            self._update_estimates(upstream, run, step, now)
+            self._learn_run_time(upstream, run, step, now)
             self._process_done(step, ended, now)
         elif ended.end is RunEnd.FAILED:
             self._process_failure(upstream, step, ended, now)
@@ -304,23 +304,12 @@
             self._schedule.stop_other_members(step, index, ended.end, now)
         self._schedule.update_ready_step(step)
 
-    def _update_estimates(
+    def _learn_run_time(
         self, upstream: Upstream, run: Run | None, step: StepRun, now: float
     ) -> None:
         if run is None or run.is_unwanted or step.spec.is_long_running:
             return
-        if step.checkpoints.get(run.task.number):
-            return
-        taken_s = now - run.started_s
-        estimate_s = step.spec.estimate_s
-        queue = step.job.spec.queue
-        factor = self._schedule.get_estimate_factor(queue)
-        upstream.record_success(estimate_s * factor, taken_s)
-        if estimate_s > 0:
-            ratio = min(taken_s / estimate_s, MAX_ESTIMATE_FACTOR)
-            self._schedule.estimate_factors[queue] = factor + ESTIMATE_WEIGHT * (
-                ratio - factor
-            )
+        self._schedule.run_times.record_done(upstream, run, step, now)
 
     def _process_done(self, step: StepRun, ended: EndedRun, now: float) -> None:
         job = step.job
--- a/packages/core/src/papayadyke_core/dispatch/_upstream.py
+++ b/packages/core/src/papayadyke_core/dispatch/_upstream.py
@@ -8,6 +8,7 @@
 
 SPEED_WEIGHT = 0.15  # weight of the newest run in the moving average of the speed
 MIN_SPEED, MAX_SPEED = 0.1, 4.0  # one outlier must not rule an upstream out
+SPEED_CLASS_WIDTH = 0.1  # speeds that differ by less count as equal
 # Failed runs and refused starts in a row; one failed run may be the task's own fault.
 FAILURES_TO_SET_ASIDE = 2
 SET_ASIDE_S = 4.0  # seconds; doubled each time the upstream is set aside again
@@ -43,6 +44,8 @@
         self.used_accelerators = 0
         self.suspect_runs = 0
         self.speed = 1.0
+        # Upstreams of about the same speed have the same class; a higher one is faster.
+        self.speed_class = round(self.speed / SPEED_CLASS_WIDTH)
         self.failures_in_row = 0
         self.set_aside_until_s = 0.0
         self.set_aside_s = SET_ASIDE_S
@@ -148,6 +151,11 @@
         self.set_aside_s = min(2 * self.set_aside_s, MAX_SET_ASIDE_S)
         return True
 
+    def clear_failures(self) -> None:
+        """Reset the failure count after a run is done."""
+        self.failures_in_row = 0
+        self.set_aside_s = SET_ASIDE_S
+
     def record_success(self, expected_s: float, taken_s: float) -> None:
         """Reset the failure count after a run is done, and update the speed.
 
@@ -158,11 +166,11 @@
         expected_s, taken_s : float
             Expected and actual run time, in seconds.
         """
-        self.failures_in_row = 0
-        self.set_aside_s = SET_ASIDE_S
+        self.clear_failures()
         if expected_s > 0 and taken_s > 0:
             sample = min(max(expected_s / taken_s, MIN_SPEED), MAX_SPEED)
             self.speed += SPEED_WEIGHT * (sample - self.speed)
+            self.speed_class = round(self.speed / SPEED_CLASS_WIDTH)
 
     def _add_usage(self, step: StepSpec, sign: int) -> None:
         if not step.fills_spare:
