Store learned run times for the next decider

A successor began with the declared estimates. LearnedWriter writes them under papayadyke/learned at most every 5 s, in the background, on the condition that the decider's key has the revision of the term, and loads them at the start of a term. A missing or malformed record is logged, and the term begins with the estimates.

The ratio of a queue is the metric papayadyke_estimate_factor (20 queues at most), and a change by a third is logged. EdgeSettings.learns_run_times switches all of it off.

The history machine now runs the background writes of the roster in virtual time too: they had moved to a module whose threads it did not replace.

--- a/packages/core/src/papayadyke_core/dispatch/_run_times.py
+++ b/packages/core/src/papayadyke_core/dispatch/_run_times.py
@@ -111,6 +111,10 @@
         """Return the mean ratio of run time to estimate of a queue."""
         return self._get_queue(queue).factor
 
+    def count_samples(self, queue: str) -> float:
+        """Return the number of samples that count in the ratio of a queue."""
+        return self._get_queue(queue).count - PRIOR_COUNT
+
     def get_log_speed(self, upstream_id: str) -> float:
         """Return the logarithm of the speed of an upstream; the average has 0."""
         return self._compute_log_speed(self._get_speed(upstream_id))
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_run_times.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_run_times.py
@@ -105,7 +105,7 @@
     assert trial.model.predict(job, 1).median_s > 1.7
 
 
-@pytest.mark.parametrize("tail", [0.0, 0.03])
+@pytest.mark.parametrize("tail", [0.0, 0.03, 0.1])
 def test_tail_runs_do_not_distort_the_typical_time(tail):
     trial = Trial()
     trial.play(300, spread=0.2, tail=tail)
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -46,6 +46,7 @@
     PROGRESS_PREFIX,
     decode_job,
 )
+from papayadyke_daemon.edge._learned import LearnedWriter
 from papayadyke_daemon.edge._logs import log_event
 from papayadyke_daemon.edge._metrics import METRICS
 from papayadyke_daemon.edge._peers import PeerClients
@@ -112,6 +113,7 @@
                 max_hold_s=cfg.max_hold_s,
                 status_kept_s=cfg.status_kept_s,
                 stop_s=cfg.stop_s,
+                learns_run_times=cfg.learns_run_times,
             ),
             term=term.number,
             now=read_clock(),
@@ -141,6 +143,9 @@
             post=self._mailbox.post,
             on_stored=self._mark_recorded,
         )
+        self._learned = LearnedWriter(
+            ports.store, self._dispatcher, token=term.token, post=self._mailbox.post
+        )
         self._housekeeper = Housekeeper(ports.store, token=term.token)
         self._agent_callbacks = AgentCallbacks(
             may_issue_orders=may_issue_orders,
@@ -184,6 +189,7 @@
             return False
         if isinstance(progress, Err) or not self._may_issue_orders():
             return False
+        self._learned.load()
         for name, (address, service) in self.term.roster.upstreams.items():
             self._dispatcher.add_or_update_upstream(
                 UpstreamEntry(name, service, address)
@@ -217,6 +223,7 @@
         for agent in self._agents.values():
             agent.stop()
         self._advisory_pool.stop()
+        self._learned.clear_metrics()
         log_event(LOG, "decider: term ended", token=self.term.token)
 
     # Called on any thread
@@ -325,6 +332,7 @@
                 agent.send(stop)
         self._begin_commit(now)
         self._roster.update(self._dispatcher.upstreams, now)
+        self._learned.update(now)
         self._collect_garbage(now)
         return self._committer.next_commit_s(now + MAX_STEP_INTERVAL_S)
 
--- a/packages/daemon/src/papayadyke_daemon/edge/_keys.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_keys.py
@@ -11,6 +11,7 @@
 ROOT = "papayadyke/"
 DECIDER_KEY = ROOT + "decider"
 ROSTER_KEY = ROOT + "roster"
+LEARNED_KEY = ROOT + "learned"
 INTAKE_PREFIX = ROOT + "in/"
 JOB_PREFIX = INTAKE_PREFIX + "job/"
 CANCEL_PREFIX = INTAKE_PREFIX + "cancel/"
--- a/packages/daemon/src/papayadyke_daemon/edge/_metrics.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_metrics.py
@@ -1,4 +1,4 @@
-"""Collect counters and latency histograms, and render them for Prometheus."""
+"""Collect counters, gauges and histograms, and render them for Prometheus."""
 
 from __future__ import annotations
 
@@ -20,11 +20,12 @@
 
 
 class EdgeMetrics:
-    """Counters and histograms; safe to update from any thread."""
+    """Counters, gauges and histograms; safe to update from any thread."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._counters: dict[tuple[str, Labels], int] = {}
+        self._gauges: dict[tuple[str, Labels], float] = {}
         self._histograms: dict[tuple[str, Labels], _Histogram] = {}
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
@@ -33,6 +34,17 @@
         with self._lock:
             self._counters[key] = self._counters.get(key, 0) + amount
 
+    def set_gauge(self, name: str, value: float, **labels: str) -> None:
+        """Set a gauge."""
+        key = name, tuple(sorted(labels.items()))
+        with self._lock:
+            self._gauges[key] = value
+
+    def remove_gauge(self, name: str, **labels: str) -> None:
+        """Remove a gauge, if it was set."""
+        with self._lock:
+            self._gauges.pop((name, tuple(sorted(labels.items()))), None)
+
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Add a duration in seconds to a histogram."""
         key = name, tuple(sorted(labels.items()))
@@ -48,6 +60,10 @@
                 f"{name}_total{_format_labels(labels)} {value}"
                 for (name, labels), value in sorted(self._counters.items())
             ]
+            lines += [
+                f"{name}{_format_labels(labels)} {value:.6g}"
+                for (name, labels), value in sorted(self._gauges.items())
+            ]
             for (name, labels), histogram in sorted(
                 self._histograms.items(), key=lambda item: item[0]
             ):
--- a/packages/daemon/src/papayadyke_daemon/edge/_ports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_ports.py
@@ -255,6 +255,8 @@
     looks_per_s : float
         Maximum number of polls per second, of all upstreams together; in a large
         fleet each upstream is polled less often.
+    learns_run_times : bool
+        Whether the decider learns run times by queue and step, and speeds by upstream.
     """
 
     vm: str
@@ -277,3 +279,4 @@
     look_gap_s: float = 0.03
     looks_per_s: float = 1600.0
     log_level: str = field(default="INFO")
+    learns_run_times: bool = True
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/history_world.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/history_world.py
@@ -40,6 +40,8 @@
     _decider,
     _intake,
     _leadership,
+    _learned,
+    _roster,
 )
 from papayadyke_daemon.edge._decider import Decider
 from papayadyke_daemon.edge._intake import IntakeDependencies
@@ -578,11 +580,18 @@
         wall: Any = SimpleNamespace(time=self.read_wall, sleep=lambda seconds: None)
         patches = [
             mock.patch.object(module, "read_clock", clock)
-            for module in (_agents, _committer, _decider, _intake, _leadership)
+            for module in (
+                _agents,
+                _committer,
+                _decider,
+                _intake,
+                _leadership,
+                _roster,
+            )
         ]
         patches += [
             mock.patch.object(module, "threading", new=threads)
-            for module in (_agents, _decider, _leadership)
+            for module in (_agents, _decider, _leadership, _learned, _roster)
         ]
         patches += [
             mock.patch.object(module, "time", new=wall)
