--- a/packages/core/src/papayadyke_core/dispatch/_placement.py
+++ b/packages/core/src/papayadyke_core/dispatch/_placement.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import math
 from collections import Counter
 from collections.abc import Iterable, Sequence, Set
 
 from papayadyke_core.dispatch._job import StepRun
-from papayadyke_core.dispatch._speed_choice import rank_speed
 from papayadyke_core.dispatch._upstream import Upstream
 
 
@@ -17,13 +15,9 @@
     *,
     reserved: set[str],
     is_idle: bool = False,
-    least_speed: float = math.inf,
 ) -> list[tuple[Upstream, int]]:
     """Return upstreams with free slots for a step and their number, best first.
 
-    Of the upstreams that are fast enough the slowest ones come first, which leaves the
-    fast ones to work that needs them.
-
     Parameters
     ----------
     step : StepRun
@@ -33,8 +27,6 @@
         Ids of upstreams to exclude, since they are reserved for other steps.
     is_idle : bool, default=False
         Whether slots that other runs use count as free.
-    least_speed : float, default=inf
-        Speed from which an upstream is fast enough.
     """
     spec = step.spec
     candidates = []
@@ -50,9 +42,7 @@
             slots = min(slots, spec.max_per_upstream - count_live(step, upstream))
         if slots > 0:
             candidates.append((upstream, slots))
-    candidates.sort(
-        key=lambda candidate: _placement_key(step, candidate[0], least_speed)
-    )
+    candidates.sort(key=lambda candidate: _placement_key(step, candidate[0]))
     return candidates
 
 
@@ -62,15 +52,13 @@
     return sum(1 for run in upstream.runs.values() if run.task[:3] == step_id)
 
 
-def _placement_key(
-    step: StepRun, upstream: Upstream, least_speed: float
-) -> tuple[bool, bool, bool, int, int]:
+def _placement_key(step: StepRun, upstream: Upstream) -> tuple[bool, bool, int, int]:
     # Among equals, the upstream with the most used CPU comes first: this keeps whole
     # upstreams free for gangs.
     return (
         _is_remote(step, upstream),
         upstream.suspect_runs > 0,
-        *rank_speed(upstream, least_speed),
+        -upstream.speed_class,
         -upstream.used_cpu_millis,
     )
 
@@ -234,15 +222,28 @@
     return max(fitting, key=lambda row: row[0])[1]
 
 
-def reserve_for_gang(step: StepRun, upstreams: list[Upstream]) -> set[str]:
+def reserve_for_gang(
+    step: StepRun, upstreams: list[Upstream], *, by_speed: bool = False
+) -> set[str]:
     """Return the upstreams to reserve until a gang fits on them.
 
     Upstreams with the most free slots are chosen first, since they become free the
     soonest. The set is empty if the gang would not fit even if all were idle.
+
+    Parameters
+    ----------
+    step : StepRun
+    upstreams : list of Upstream
+    by_speed : bool, default=False
+        Whether the fastest comes first of those with as many free slots.
     """
     spec = step.spec
     by_free_slots = sorted(
-        upstreams, key=lambda candidate: -candidate.free_slots_for(spec)
+        upstreams,
+        key=lambda candidate: (
+            -candidate.free_slots_for(spec),
+            -candidate.speed_class if by_speed else 0,
+        ),
     )
     reserved: set[str] = set()
     slots = 0
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -20,7 +20,6 @@
 from papayadyke_core.dispatch._run import PRIME_SUSPECT_LOSSES, Run, RunPhase
 from papayadyke_core.dispatch._settings import DispatchSettings
 from papayadyke_core.dispatch._spec import AdvicePolicy, QueuePolicy
-from papayadyke_core.dispatch._speed_choice import find_least_speed, is_busy
 from papayadyke_core.dispatch._upstream import Upstream
 
 ADVICE_SEARCH_INTERVAL_S = 0.25  # seconds between two searches for a waiting step
@@ -42,14 +41,11 @@
         Largest free CPU among them, in thousandths of a core.
     max_alone : int
         How many more of them may be kept for single tasks.
-    is_busy : bool
-        Whether work with slack leaves the fast ones to other work.
     """
 
     members: dict[str, Upstream] = field(default_factory=dict)
     max_free_cpu_millis: int = 0
     max_alone: int = 0
-    is_busy: bool = False
 
 
 class PlacementRound:
@@ -171,16 +167,11 @@
         held = self._find_held_tasks(step)
         is_short = step.spec.estimate_s * factor <= self._settings.short_task_s
         reserved = set() if is_short else self._reserved
-        is_learned = self._settings.learns_run_times
-        least_speed = math.inf
-        if is_learned and pool.is_busy:
-            least_speed = find_least_speed(step, queue, factor=factor, now=self._now)
-        candidates = list_candidates(
-            step, eligible, reserved=reserved, least_speed=least_speed
-        )
+        candidates = list_candidates(step, eligible, reserved=reserved)
         if step.spec.is_gang:
+            evens_speed = self._settings.learns_run_times
             placed = (
-                None if held else place_gang(step, candidates, evens_speed=is_learned)
+                None if held else place_gang(step, candidates, evens_speed=evens_speed)
             )
         else:
             placed = place_independent_tasks(step, candidates, held=held)
@@ -314,7 +305,8 @@
             if name not in self._reserved
             and (queue.advice is None or name in step_advice.allowed)
         ]
-        return reserve_for_gang(step, eligible)
+        by_speed = self._settings.learns_run_times
+        return reserve_for_gang(step, eligible, by_speed=by_speed)
 
 
 def _group_by_service(
@@ -338,5 +330,4 @@
         taken = taken_alone[service]
         share = int(alone_share * (len(pool.members) + taken))
         pool.max_alone = max(share, 1) - taken
-        pool.is_busy = is_busy(pool.members.values())
     return pools
--- a/packages/core/src/papayadyke_core/dispatch/_schedule.py
+++ b/packages/core/src/papayadyke_core/dispatch/_schedule.py
@@ -120,6 +120,7 @@
         job.ended_s = job.spec.accepted_s + now - job.accepted_at_s
         self.commits.mark_dirty(job.job_id)
         self.needs_placement = True
+        job.times.clear()
         for step in job.steps.values():
             self.ready_steps.pop(step.step_id, None)
             self.scheduled_steps.pop(step.step_id, None)
--- a/packages/core/src/papayadyke_core/dispatch/_time_samples.py
+++ b/packages/core/src/papayadyke_core/dispatch/_time_samples.py
@@ -149,3 +149,9 @@
         kept.append(sample)
         del kept[:-STEP_SAMPLES]
         self.counts[number] = self.counts.get(number, 0) + 1
+
+    def clear(self) -> None:
+        """Drop all samples once the job has ended."""
+        self.samples.clear()
+        self.counts.clear()
+        self.means.clear()
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_run_times.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_run_times.py
@@ -13,7 +13,13 @@
 from dispatch_world import World, make_catalog, make_entry, make_job, make_step
 
 from papayadyke_core.dispatch import StagedJob, Upstream, decode_learned, encode_learned
-from papayadyke_core.dispatch._learned_record import MAX_ROW_BYTES, LearnedRecord
+from papayadyke_core.dispatch._learned_record import (
+    MAX_ROW_BYTES,
+    LearnedRecord,
+    QueueRow,
+    SpeedRow,
+    hash_name,
+)
 from papayadyke_core.dispatch._run import Run, RunPhase
 from papayadyke_core.dispatch._run_times import RunTimeModel
 
@@ -174,6 +180,21 @@
     assert successor.make_record([], {}) == LearnedRecord()
 
 
+def test_rows_of_extreme_values_stay_within_their_size():
+    name = hash_name("x" * 300)
+    extreme = {"count": 1e5 - 1, "mean": -1e9, "spread": 1e9, "within_count": 1e5 - 1}
+    extreme |= {"within_spread": 1e9, "link_squares": 1e9, "link": 1.0}
+    queue = QueueRow.make(**extreme)
+    speed = SpeedRow.make(count=10**9, log_speed=-1e9, spread=1e9)
+    for record in (
+        LearnedRecord(queues={name: queue}),
+        LearnedRecord(upstreams={name: speed}),
+    ):
+        data = encode_learned(record)
+        assert len(data) - len(encode_learned(LearnedRecord())) <= MAX_ROW_BYTES
+        assert decode_learned(data) == record
+
+
 @pytest.mark.parametrize(
     "data", [b"", b"[]", b'{"queues":{"a":[1]}}', b'{"upstreams":{"a":[1,0,-5]}}']
 )
