--- a/packages/core/src/papayadyke_core/dispatch/_placement.py
+++ b/packages/core/src/papayadyke_core/dispatch/_placement.py
@@ -8,8 +8,6 @@
 from papayadyke_core.dispatch._job import StepRun
 from papayadyke_core.dispatch._upstream import Upstream
 
-SPEED_DIGITS = 1  # speeds that differ by less count as equal
-
 
 def list_candidates(
     step: StepRun,
@@ -54,13 +52,13 @@
     return sum(1 for run in upstream.runs.values() if run.task[:3] == step_id)
 
 
-def _placement_key(step: StepRun, upstream: Upstream) -> tuple[bool, bool, float, int]:
+def _placement_key(step: StepRun, upstream: Upstream) -> tuple[bool, bool, int, int]:
     # Among equals, the upstream with the most used CPU comes first: this keeps whole
     # upstreams free for gangs.
     return (
         _is_remote(step, upstream),
         upstream.suspect_runs > 0,
-        -round(upstream.speed, SPEED_DIGITS),
+        -upstream.speed_class,
         -upstream.used_cpu_millis,
     )
 
@@ -160,42 +158,99 @@
 
 
 def place_gang(
-    step: StepRun, candidates: list[tuple[Upstream, int]]
+    step: StepRun,
+    candidates: list[tuple[Upstream, int]],
+    *,
+    evens_speed: bool = False,
 ) -> list[tuple[int, Upstream]] | None:
-    """Assign all tasks of a gang to upstreams, or return None if they do not fit."""
+    """Assign all tasks of a gang to upstreams, or return None if they do not fit.
+
+    Parameters
+    ----------
+    step : StepRun
+    candidates : list of (Upstream, int)
+        Upstreams with their free slots for the step, best first.
+    evens_speed : bool, default=False
+        Whether members that cannot speed up the gang leave faster upstreams free: it
+        ends with its slowest member.
+    """
+    count = step.spec.count
     if step.spec.in_one_rack:
-        candidates = _select_rack(step.spec.count, candidates)
+        candidates = _select_rack(count, candidates, by_speed=evens_speed)
+    placed = _fill(count, candidates)
+    if placed is None or not evens_speed:
+        return placed
+    slowest = min(upstream.speed_class for _, upstream in placed)
+    even = [row for row in candidates if row[0].speed_class >= slowest]
+    even.sort(
+        key=lambda row: (
+            _is_remote(step, row[0]),
+            row[0].suspect_runs > 0,
+            row[0].speed_class,
+            -row[0].used_cpu_millis,
+        )
+    )
+    return _fill(count, even)
+
+
+def _fill(
+    count: int, candidates: list[tuple[Upstream, int]]
+) -> list[tuple[int, Upstream]] | None:
+    """Assign tasks to the first candidates, or return None if they do not fit."""
     placed: list[tuple[int, Upstream]] = []
     for upstream, slots in candidates:
         for _ in range(slots):
             placed.append((len(placed), upstream))
-            if len(placed) == step.spec.count:
+            if len(placed) == count:
                 return placed
     return None
 
 
 def _select_rack(
-    count: int, candidates: list[tuple[Upstream, int]]
+    count: int, candidates: list[tuple[Upstream, int]], *, by_speed: bool
 ) -> list[tuple[Upstream, int]]:
-    """Return the candidates of one rack if the gang fits in it, else all of them."""
+    """Return the candidates of one rack if the gang fits in it, else all of them.
+
+    Of several such racks it is the first one or, by speed, the one whose slowest member
+    of the gang would be the fastest.
+    """
     racks: dict[str, list[tuple[Upstream, int]]] = {}
     for candidate in candidates:
         racks.setdefault(candidate[0].entry.rack, []).append(candidate)
-    for members in racks.values():
-        if sum(slots for _, slots in members) >= count:
-            return members
-    return candidates
+    fitting = [
+        (min(upstream.speed_class for _, upstream in placed), members)
+        for members in racks.values()
+        if (placed := _fill(count, members)) is not None
+    ]
+    if not fitting:
+        return candidates
+    if not by_speed:
+        return fitting[0][1]
+    return max(fitting, key=lambda row: row[0])[1]
 
 
-def reserve_for_gang(step: StepRun, upstreams: list[Upstream]) -> set[str]:
+def reserve_for_gang(
+    step: StepRun, upstreams: list[Upstream], *, by_speed: bool = False
+) -> set[str]:
     """Return the upstreams to reserve until a gang fits on them.
 
     Upstreams with the most free slots are chosen first, since they become free the
     soonest. The set is empty if the gang would not fit even if all were idle.
+
+    Parameters
+    ----------
+    step : StepRun
+    upstreams : list of Upstream
+    by_speed : bool, default=False
+        Whether the fastest comes first of those with as many free slots.
     """
     spec = step.spec
     by_free_slots = sorted(
-        upstreams, key=lambda candidate: -candidate.free_slots_for(spec)
+        upstreams,
+        key=lambda candidate: (
+            -candidate.free_slots_for(spec),
+            -candidate.speed_class if by_speed else 0,
+        ),
     )
     reserved: set[str] = set()
     slots = 0
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -272,7 +272,10 @@
         reserved = set() if is_short else self._reserved
         candidates = list_candidates(step, eligible, reserved=reserved)
         if step.spec.is_gang:
-            placed = None if held else place_gang(step, candidates)
+            evens_speed = self._settings.learns_run_times
+            placed = (
+                None if held else place_gang(step, candidates, evens_speed=evens_speed)
+            )
         else:
             placed = place_independent_tasks(
                 step, candidates, held=held, max_tasks=max_tasks
@@ -442,7 +445,8 @@
             if name not in self._reserved
             and (queue.advice is None or name in step_advice.allowed)
         ]
-        return reserve_for_gang(step, eligible)
+        by_speed = self._settings.learns_run_times
+        return reserve_for_gang(step, eligible, by_speed=by_speed)
 
 
 def _has_room(step: StepRun, names: Set[str], pool: _Pool) -> bool:
--- a/packages/core/src/papayadyke_core/dispatch/_run.py
+++ b/packages/core/src/papayadyke_core/dispatch/_run.py
@@ -55,6 +55,9 @@
         Team that the run counts for.
     charged_as : StepSpec or None
         What the run counts against its team, if its own needs are unknown.
+    is_timed : bool
+        Whether the time from `started_s` to the end is that of a whole run: it did not
+        resume from a checkpoint, was seen from its start, and its end is read at once.
     """
 
     task: TaskId
@@ -73,6 +76,7 @@
     stop_confirmed_s: float | None = None
     team: str = ""
     charged_as: StepSpec | None = None
+    is_timed: bool = True
 
     @property
     def is_prime_suspect(self) -> bool:
--- a/packages/core/src/papayadyke_core/dispatch/_settings.py
+++ b/packages/core/src/papayadyke_core/dispatch/_settings.py
@@ -73,6 +73,9 @@
     quota_overrun : float
         Fraction by which a gang that is all that its team runs may exceed the limit of
         the team.
+    learns_run_times : bool
+        Whether run times are learned by queue and step, and speeds by upstream.
+        Otherwise there is one moving average by queue and one by upstream.
     """
 
     lease_s: float
@@ -98,6 +101,7 @@
     urgent_share: float = 0.0
     max_commit_entries: int = 31
     quota_overrun: float = 0.1
+    learns_run_times: bool = True
 
     @property
     def longest_lease_s(self) -> float:
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -47,6 +47,7 @@
     PROGRESS_PREFIX,
     decode_job,
 )
+from papayadyke_daemon.edge._learned import LearnedWriter
 from papayadyke_daemon.edge._logs import log_event
 from papayadyke_daemon.edge._metrics import METRICS
 from papayadyke_daemon.edge._peers import PeerClients
@@ -118,6 +119,7 @@
                 status_kept_s=cfg.status_kept_s,
                 stop_s=cfg.stop_s,
                 quota_overrun=cfg.quota_overrun,
+                learns_run_times=cfg.learns_run_times,
             ),
             term=term.number,
             now=read_clock(),
@@ -148,6 +150,9 @@
             on_stored=self._mark_recorded,
         )
         self._team_reporter = TeamReporter()
+        self._learned = LearnedWriter(
+            ports.store, self._dispatcher, token=term.token, post=self._mailbox.post
+        )
         self._housekeeper = Housekeeper(ports.store, token=term.token)
         self._agent_callbacks = AgentCallbacks(
             may_issue_orders=may_issue_orders,
@@ -191,6 +196,7 @@
             return False
         if isinstance(progress, Err) or not self._may_issue_orders():
             return False
+        self._learned.load()
         for name, (address, service) in self.term.roster.upstreams.items():
             self._dispatcher.add_or_update_upstream(
                 UpstreamEntry(name, service, address)
@@ -225,6 +231,7 @@
             agent.stop()
         self._advisory_pool.stop()
         self._team_reporter.clear()
+        self._learned.clear_metrics()
         log_event(LOG, "decider: term ended", token=self.term.token)
 
     # Called on any thread
@@ -344,6 +351,7 @@
         self._begin_commit(now)
         self._roster.update(self._dispatcher.upstreams, now)
         self._team_reporter.update(self._dispatcher, now)
+        self._learned.update(now)
         self._collect_garbage(now)
         return self._committer.next_commit_s(now + MAX_STEP_INTERVAL_S)
 
--- a/packages/daemon/src/papayadyke_daemon/edge/_metrics.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_metrics.py
@@ -1,4 +1,4 @@
-"""Collect counters, gauges and latency histograms, and render them for Prometheus."""
+"""Collect counters, gauges and histograms, and render them for Prometheus."""
 
 from __future__ import annotations
 
--- a/packages/daemon/src/papayadyke_daemon/edge/_ports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_ports.py
@@ -262,6 +262,8 @@
         on, in seconds; None if the last configuration stays in force.
     quota_overrun : float
         Fraction of a team's limit by which the platform tolerates an excess.
+    learns_run_times : bool
+        Whether the decider learns run times by queue and step, and speeds by upstream.
     """
 
     vm: str
@@ -286,3 +288,4 @@
     revoke_s: float | None = None
     quota_overrun: float = 0.1
     log_level: str = field(default="INFO")
+    learns_run_times: bool = True
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/history_world.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/history_world.py
@@ -44,7 +44,9 @@
     _decider,
     _intake,
     _leadership,
+    _learned,
     _relays,
+    _roster,
 )
 from papayadyke_daemon.edge._contact import StoreContact
 from papayadyke_daemon.edge._decider import Decider
@@ -646,11 +648,19 @@
                 _intake,
                 _leadership,
                 _relays,
+                _roster,
             )
         ]
         patches += [
             mock.patch.object(module, "threading", new=threads)
-            for module in (_agents, _contact, _decider, _leadership)
+            for module in (
+                _agents,
+                _contact,
+                _decider,
+                _leadership,
+                _learned,
+                _roster,
+            )
         ]
         patches += [
             mock.patch.object(module, "time", new=wall)
