--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -120,6 +120,7 @@
                 stop_s=cfg.stop_s,
                 quota_overrun=cfg.quota_overrun,
                 learns_run_times=cfg.learns_run_times,
+                urgent_share=cfg.urgent_share,
             ),
             term=term.number,
             now=read_clock(),
--- a/packages/daemon/src/papayadyke_daemon/edge/_ports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_ports.py
@@ -260,6 +260,8 @@
     revoke_s : float or None
         Longest time since the configuration was confirmed for which keys are relied
         on, in seconds; None if the last configuration stays in force.
+    urgent_share : float
+        Fraction of a service's CPU, at most, that is kept free for urgent work.
     quota_overrun : float
         Fraction of a team's limit by which the platform tolerates an excess.
     learns_run_times : bool
@@ -286,6 +288,7 @@
     look_gap_s: float = 0.03
     looks_per_s: float = 1600.0
     revoke_s: float | None = None
+    urgent_share: float = 0.0
     quota_overrun: float = 0.1
     log_level: str = field(default="INFO")
     learns_run_times: bool = True
