Do not call a job refused that an earlier attempt may have stored

Cause: a job whose first attempt was not answered (504) got 503, "not accepted", when it was submitted again while the store was lost, though it may have been stored and then ran. Ruled out: to ask the store, which does not answer then. Change: each VM remembers the jobs whose outcome is unknown, and answers their later refusals as unknown. Other VMs cannot know of them. Result: the test of lost answers expects it; it failed before.

--- a/packages/daemon/src/papayadyke_daemon/edge/_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_intake.py
@@ -75,6 +75,7 @@
 RELAY_WAIT_S = 0.2  # seconds that a relay waits for earlier ones
 # Ended jobs whose state is answered without a call; about 2 MB.
 MAX_CACHED_FINAL_STATES = 10_000
+MAX_UNCERTAIN_JOBS = 10_000  # ids; about 1 MB
 MAX_NOTIFICATION_JOBS = 50  # jobs per message to the decider
 
 
@@ -161,6 +162,8 @@
         self._dependencies = dependencies
         self._notifications: queue.SimpleQueue[Notification] = queue.SimpleQueue()
         self._final_states: OrderedDict[str, JobStatus] = OrderedDict()
+        # Jobs of which an attempt to store them was not answered.
+        self._uncertain_jobs: OrderedDict[str, None] = OrderedDict()
         self._contact = dependencies.contact
         self._relay_slots = threading.BoundedSemaphore(MAX_RELAYS)
 
@@ -194,7 +197,7 @@
         stored = self._store_job(spec, may_relay=may_relay)
         if stored.existing_records is not None and checks_owner:
             stored = self._check_existing(spec, stored)
-        outcome = stored.outcome
+        outcome = self._qualify(spec.job_id, stored.outcome)
         log_event(
             LOG,
             "intake: job",
@@ -209,6 +212,20 @@
             self._notifications.put((spec, stored.revision))
         return outcome
 
+    def _qualify(self, job_id: str, outcome: IntakeOutcome) -> IntakeOutcome:
+        """Return the outcome of an attempt, given the earlier ones of this VM.
+
+        A later attempt that is refused does not tell that the job is not stored, if an
+        earlier one may have been.
+        """
+        if outcome is IntakeOutcome.REFUSED and job_id in self._uncertain_jobs:
+            return IntakeOutcome.UNKNOWN
+        if outcome is IntakeOutcome.UNKNOWN:
+            self._uncertain_jobs[job_id] = None
+            while len(self._uncertain_jobs) > MAX_UNCERTAIN_JOBS:
+                self._uncertain_jobs.popitem(last=False)
+        return outcome
+
     def accept_encoded(
         self, data: bytes, *, checks_owner: bool = True
     ) -> IntakeOutcome:
