--- a/packages/daemon/src/papayadyke_daemon/edge/_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_intake.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import queue
 import threading
 from collections import OrderedDict
 from collections.abc import Callable, Sequence
@@ -41,15 +40,14 @@
 from papayadyke_daemon.edge._messages import (
     AskPending,
     AskState,
-    Cancelled,
     PendingReply,
     StateReply,
     StoreCancel,
     StoreJob,
     StoreReply,
-    Submitted,
 )
 from papayadyke_daemon.edge._metrics import METRICS
+from papayadyke_daemon.edge._notifier import DeciderNotifier
 from papayadyke_daemon.edge._peers import PeerClients
 from papayadyke_daemon.edge._ports import (
     EdgePorts,
@@ -76,11 +74,6 @@
 # Ended jobs whose state is answered without a call; about 2 MB.
 MAX_CACHED_FINAL_STATES = 10_000
 MAX_UNCERTAIN_JOBS = 10_000  # ids; about 1 MB
-MAX_NOTIFICATION_JOBS = 50  # jobs per message to the decider
-
-
-# A stored job with its revision, or the id of a cancelled job.
-Notification = tuple[StagedJobSpec, int] | str
 
 
 class IntakeOutcome(StrEnum):
@@ -160,7 +153,9 @@
         self._ports = ports
         self._clients = clients
         self._dependencies = dependencies
-        self._notifications: queue.SimpleQueue[Notification] = queue.SimpleQueue()
+        self.notifier = DeciderNotifier(
+            clients, dependencies.own_decider, dependencies.known_decider
+        )
         self._final_states: OrderedDict[str, JobStatus] = OrderedDict()
         # Jobs of which an attempt to store them was not answered.
         self._uncertain_jobs: OrderedDict[str, None] = OrderedDict()
@@ -169,9 +164,7 @@
 
     def start(self) -> None:
         """Start the thread that notifies the decider."""
-        threading.Thread(
-            target=self._notify_loop, name="notifications", daemon=True
-        ).start()
+        self.notifier.start()
 
     def is_catalog_confirmed(self) -> bool:
         """Return whether the keys of the configuration may be relied on."""
@@ -209,7 +202,7 @@
         )
         METRICS.count("papayadyke_intake", outcome=outcome)
         if outcome is IntakeOutcome.ACCEPTED:
-            self._notifications.put((spec, stored.revision))
+            self.notifier.put((spec, stored.revision))
         return outcome
 
     def _qualify(self, job_id: str, outcome: IntakeOutcome) -> IntakeOutcome:
@@ -262,7 +255,7 @@
             LOG, "intake: cancellation", request=job_id, team=team, outcome=outcome
         )
         if outcome is IntakeOutcome.ACCEPTED:
-            self._notifications.put(job_id)
+            self.notifier.put(job_id)
         return outcome
 
     def _answer_ended(
@@ -534,44 +527,3 @@
             return None
         decoded = decode_progress(progress.ok_value.value)
         return JobStatus(decoded.state, decoded.team)
-
-    def _notify_loop(self) -> None:
-        while True:
-            first = self._notifications.get()
-            try:
-                self.notify_pending(first)
-            except Exception:
-                # The decider finds these jobs in the store.
-                LOG.exception("intake: notifying the decider failed")
-
-    def notify_pending(self, *pending: Notification) -> None:
-        """Notify the decider of the given and of queued jobs and cancellations."""
-        batch = list(pending)
-        while not self._notifications.empty() and len(batch) < MAX_NOTIFICATION_JOBS:
-            batch.append(self._notifications.get())
-        if batch:
-            self._notify(batch)
-
-    def _notify(self, pending: list[Notification]) -> None:
-        """Notify the decider of jobs and cancellations.
-
-        A lost notification only causes a delay, since the decider also reads the
-        store.
-        """
-        jobs = [entry for entry in pending if not isinstance(entry, str)]
-        cancelled = [entry for entry in pending if isinstance(entry, str)]
-        decider = self._dependencies.own_decider()
-        if decider is not None:
-            for spec, revision in jobs:
-                decider.submit(spec, revision)
-            for job_id in cancelled:
-                decider.cancel(job_id)
-            return
-        known_decider = self._dependencies.known_decider()
-        if not known_decider.token:
-            return
-        if jobs:
-            data = [(encode_record(spec), revision) for spec, revision in jobs]
-            self._clients.call(known_decider.address, Submitted(data))
-        if cancelled:
-            self._clients.call(known_decider.address, Cancelled(cancelled))
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/history_world.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/history_world.py
@@ -196,7 +196,7 @@
             self._lead_or_follow,
             self._send_heartbeat,
             self.contact.check,
-            self.intake.notify_pending,
+            self.intake.notifier.send_pending,
         ]
         decider = self.decider
         if decider is not None:
