Report all faults and changes of a configuration before it is sent

`config check` named the first fault between entries only, and nothing of entries that are accepted without effect or of what a load would change. The validation itself stays as it is: it runs in the daemon for each change, and making its first fault a list would change its answers.

The command now reports errors (what the daemon would reject) with their paths, all at once, warnings for entries without effect, and the differences from the version in force if a daemon answers. Errors exit with 3 as before.

--- a/packages/cli/src/papayadyke_cli/_config.py
+++ b/packages/cli/src/papayadyke_cli/_config.py
@@ -14,11 +14,17 @@
     read_config,
     send_change,
 )
+from papayadyke_cli._check_report import make_report, print_report
 from papayadyke_cli._exits import ExitCode, fail
 from papayadyke_cli._output import JsonFlag, print_json
 from papayadyke_cli._settings import Session
 from papayadyke_cli._values import read_bytes
-from papayadyke_core.configuration import ReplaceConfig, problems_from_error
+from papayadyke_core.configuration import (
+    ReplaceConfig,
+    check_config,
+    problems_from_error,
+)
+from papayadyke_core.resources import Resources
 from papayadyke_core.workloads import ConfigModel
 
 config_app = typer.Typer(no_args_is_help=True)
@@ -50,13 +56,35 @@
 
 
 @config_app.command()
-def check(file: ConfigFile) -> None:
-    """Check that a file holds a valid configuration, without a daemon."""
-    model = _read_model(file)
-    typer.echo(
-        f"valid: {len(model.workloads)} workloads, {len(model.teams)} teams, "
-        f"{len(model.presets)} presets, {model.in_force} in force"
-    )
+def check(
+    ctx: typer.Context,
+    file: ConfigFile,
+    offline: Annotated[
+        bool,
+        typer.Option("--offline", help="Don't compare with the version in force."),
+    ] = False,
+    fleet_cpus: Annotated[
+        float, typer.Option(help="Processors of all upstreams; 0 if unknown.", min=0)
+    ] = 0.0,
+    fleet_memory_mb: Annotated[
+        int, typer.Option(help="Memory of all upstreams, MiB; 0 if unknown.", min=0)
+    ] = 0,
+    fleet_accelerators: Annotated[
+        int, typer.Option(help="Accelerators of all upstreams; 0 if unknown.", min=0)
+    ] = 0,
+    as_json: JsonFlag = False,
+) -> None:
+    """Report errors, entries without effect and changes; send nothing."""
+    session: Session = ctx.obj
+    fleet = Resources(round(fleet_cpus * 1000), fleet_memory_mb, fleet_accelerators)
+    checked = check_config(read_bytes(file), fleet=fleet)
+    report = make_report(session, checked, offline=offline)
+    if as_json:
+        print_json(report)
+    else:
+        print_report(report, checked.model)
+    if not report.is_valid:
+        fail(ExitCode.INVALID, f"{file}: the daemon would reject this configuration")
 
 
 @config_app.command()
--- a/packages/cli/src/papayadyke_cli/tests/test_cli.py
+++ b/packages/cli/src/papayadyke_cli/tests/test_cli.py
@@ -250,6 +250,50 @@
     assert ConfigModel.model_validate_json(copy.read_bytes()) == expected
 
 
+def test_check_shows_what_a_load_would_change_and_writes_nothing(cell, tmp_path):
+    cell.run("config", "load", BRANNOCK)
+    body = json.loads(Path(BRANNOCK).read_bytes())
+    body["teams"].append({"name": "idle"})
+    body["workloads"][0]["floor"] = 0.2
+    file = tmp_path / "new.json"
+    file.write_text(json.dumps(body))
+    writes = cell.service.counts().operations["create"]
+    text = cell.run("config", "check", str(file))
+    assert "differences from the version in force (revision 1)" in text
+    report = cell.run_json("config", "check", str(file))
+    assert report["is_valid"] and report["findings"] == [
+        {
+            "severity": "warning",
+            "path": "teams.idle",
+            "message": "the team has no workload",
+        }
+    ]
+    paths = [entry["path"] for entry in report["comparison"]["entries"]]
+    assert paths == ["teams.idle", "workloads.rcd-check.floor"]
+    assert report["comparison"]["shares"][0]["after"] == "0.2"
+    assert "same as the version in force" in cell.run("config", "check", BRANNOCK)
+    assert cell.service.counts().operations["create"] == writes
+
+
+def test_check_without_a_daemon_still_reports_findings(cell):
+    text = cell.run("config", "check", BRANNOCK, "--offline")
+    assert "not compared with the version in force: --offline" in text
+    cell.servers[0].stop()
+    text = cell.run("config", "check", BRANNOCK)
+    assert text.startswith("valid: ") and "no daemon can be reached" in text
+
+
+def test_check_of_a_rejected_file_ends_with_the_code_of_load(cell, tmp_path):
+    file = tmp_path / "wrong.json"
+    file.write_text('{"in_force": "peak", "teams": [{"name": "t", "weight": 0}]}')
+    cell.run("config", "load", str(file), code=3)
+    text = cell.run("config", "check", str(file), code=3)
+    assert "teams.t.weight" in text and "there is no preset peak" in text
+    text = cell.run("config", "check", str(file), "--json", code=3)
+    report, _ = json.JSONDecoder().raw_decode(text)
+    assert not report["is_valid"] and report["comparison"] is None
+
+
 def test_wrong_fields_are_named_before_anything_is_sent(cell):
     text = cell.run("workload", "create", "rcd", "--set", "demand.cpus=-1", code=3)
     assert "kind: Field required" in text and "demand.cpus: " in text
--- a/packages/core/src/papayadyke_core/configuration/__init__.py
+++ b/packages/core/src/papayadyke_core/configuration/__init__.py
@@ -20,7 +20,13 @@
     encode_entry,
     encode_model,
 )
-from papayadyke_core.configuration._diff import Difference, diff_presets
+from papayadyke_core.configuration._diff import (
+    Difference,
+    EntryDifference,
+    diff_entries,
+    diff_in_force,
+    diff_presets,
+)
 from papayadyke_core.configuration._errors import (
     ChangeError,
     Conflict,
@@ -28,6 +34,12 @@
     ValidationProblem,
     problems_from_error,
 )
+from papayadyke_core.configuration._findings import (
+    CheckedConfig,
+    Finding,
+    Severity,
+    check_config,
+)
 from papayadyke_core.configuration._log import ConfigLog
 from papayadyke_core.configuration._rules import apply_entry, check_change
 from papayadyke_core.configuration._snapshot import (
@@ -48,11 +60,14 @@
     "Change",
     "ChangeError",
     "ChangeStamp",
+    "CheckedConfig",
     "ConfigLog",
     "ConfigState",
     "Conflict",
     "DeleteItem",
     "Difference",
+    "EntryDifference",
+    "Finding",
     "InvalidChange",
     "Item",
     "ItemKind",
@@ -62,16 +77,20 @@
     "PutWorkload",
     "RecentChange",
     "ReplaceConfig",
+    "Severity",
     "SnapshotHead",
     "SwitchPreset",
     "UnknownChange",
     "ValidationProblem",
     "apply_entry",
     "check_change",
+    "check_config",
     "decode_change",
     "decode_entry",
     "decode_head",
     "decode_model",
+    "diff_entries",
+    "diff_in_force",
     "diff_presets",
     "encode_change",
     "encode_entry",
