--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -7,11 +7,9 @@
 import time
 from collections.abc import Callable
 
-import msgspec
 from result import Err, Result
 
 from papayadyke_core.dispatch import (
-    FINAL_STATES,
     Advice,
     AdviceRequest,
     Catalog,
@@ -25,7 +23,6 @@
     StopOrder,
     UpstreamEntry,
     UpstreamReport,
-    decode_progress,
 )
 from papayadyke_daemon.edge._advisers import AdvisoryPool
 from papayadyke_daemon.edge._agents import AgentCallbacks, UpstreamAgent
@@ -45,7 +42,6 @@
     INTAKE_PREFIX,
     JOB_PREFIX,
     PROGRESS_PREFIX,
-    decode_job,
 )
 from papayadyke_daemon.edge._learned import LearnedWriter
 from papayadyke_daemon.edge._logs import log_event
@@ -57,6 +53,7 @@
     Record,
 )
 from papayadyke_daemon.edge._roster import RosterWriter, Term
+from papayadyke_daemon.edge._stored_jobs import decode_job_record, read_stored_jobs
 from papayadyke_daemon.edge._team_reports import TeamReporter
 from papayadyke_daemon.edge._watch import PrefixWatch, list_prefix
 from papayadyke_daemon.mailbox import Mailbox
@@ -368,53 +365,24 @@
 
     def _load_jobs(self, intake: list[Record], progress: list[Record]) -> None:
         now, wall_s = read_clock(), time.time()
-        progress_by_job = {}
-        unreadable: set[str] = set()
-        for record in progress:
-            job_id = record.key.removeprefix(PROGRESS_PREFIX)
-            try:
-                job_progress = decode_progress(record.value or b"")
-            except (msgspec.DecodeError, ValueError) as exc:
-                # Tasks of the job may be done, so none of them may start.
-                unreadable.add(job_id)
-                log_event(
-                    LOG,
-                    "decider: unreadable progress; the job is not run",
-                    request=job_id,
-                    why=str(exc),
-                )
-                continue
-            if job_progress.state in FINAL_STATES:
-                # Ended jobs need no work; any VM reads their state from the store.
-                self._ended_jobs[job_id] = job_progress.ended_s
-                self._dispatcher.record_ended_job(
-                    job_id,
-                    team=job_progress.team,
-                    may_run=job_progress.state is not JobState.COMPLETE
-                    and abs(wall_s - job_progress.ended_s) < MAX_STOPPING_S,
-                )
-            else:
-                self._committer.record_revision(job_id, record.revision)
-                progress_by_job[job_id] = job_progress
-        cancelled = {
-            record.key.removeprefix(CANCEL_PREFIX)
-            for record in intake
-            if record.key.startswith(CANCEL_PREFIX)
-        }
-        for record in intake:
-            if not record.key.startswith(JOB_PREFIX):
-                continue
-            job_id = record.key.removeprefix(JOB_PREFIX)
-            if job_id in self._ended_jobs or job_id in unreadable:
-                continue
-            spec = self._decode_job(record)
-            if spec is None:
-                continue
+        stored = read_stored_jobs(intake, progress)
+        for job_id, ended in stored.ended.items():
+            # Ended jobs need no work; any VM reads their state from the store.
+            self._ended_jobs[job_id] = ended.ended_s
+            self._dispatcher.record_ended_job(
+                job_id,
+                team=ended.team,
+                may_run=ended.state is not JobState.COMPLETE
+                and abs(wall_s - ended.ended_s) < MAX_STOPPING_S,
+            )
+        for job_id, revision in stored.revisions.items():
+            self._committer.record_revision(job_id, revision)
+        for job in stored.open_jobs:
             self._dispatcher.restore_job(
-                spec,
-                progress_by_job.get(spec.job_id),
-                is_cancelled=spec.job_id in cancelled,
-                age_s=max(0.0, wall_s - spec.accepted_s),
+                job.spec,
+                job.progress,
+                is_cancelled=job.is_cancelled,
+                age_s=max(0.0, wall_s - job.spec.accepted_s),
                 now=now,
             )
 
@@ -422,25 +390,12 @@
         if record.value is None:
             return
         if record.key.startswith(JOB_PREFIX):
-            spec = self._decode_job(record)
+            spec = decode_job_record(record)
             if spec is not None:
                 self._submit(spec, record.revision)
         elif record.key.startswith(CANCEL_PREFIX):
             self._cancel(record.key.removeprefix(CANCEL_PREFIX))
 
-    def _decode_job(self, record: Record) -> StagedJobSpec | None:
-        try:
-            return decode_job(record.value or b"")
-        except (msgspec.DecodeError, ValueError) as exc:
-            log_event(
-                LOG,
-                "decider: unreadable job; it is not run",
-                request=record.key.removeprefix(JOB_PREFIX),
-                revision=record.revision,
-                why=str(exc),
-            )
-            return None
-
     def _decode_upstream(self, record: Record) -> UpstreamEntry | None:
         upstream_id = record.key.removeprefix(self._ports.registry_prefix)
         if record.value is None:
