--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -414,7 +414,8 @@
         )
         ranked = self._rank_steps(now)
         for step, queue, _ in ranked:
-            if step.suspects and placement.place_alone(step, queue):
+            is_suspected = step.crashes or step.doubts
+            if is_suspected and placement.place_alone(step, queue):
                 self._schedule.update_ready_step(step)
         ordered = teams.order_by_group(ranked, placement.capacity)
         for (step, queue, _), max_tasks in ordered:
--- a/packages/core/src/papayadyke_core/dispatch/_team_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_team_round.py
@@ -58,8 +58,8 @@
         self._capacity: Mapping[str, Resources] = {}
         self._shares: dict[str, dict[str, float]] = {}
         self._at_share: set[tuple[str, str]] = set()
-        # Results for the needs of a team, until it starts something.
-        self._below_share: dict[tuple[str, str, int, int, int, bool, int], int] = {}
+        # By service and team, the results for each need until the team starts a task.
+        self._below_share: dict[tuple[str, str], dict[tuple[int, ...], int]] = {}
 
     def count_allowed(self, step: StepRun) -> int:
         """Return how many more tasks of a step the limit of its team allows."""
@@ -122,15 +122,16 @@
             if is_worthless:
                 worthless.append(row)
                 continue
-            if (queue.service, step.job.spec.team) in at_share:
+            account = queue.service, step.job.spec.team
+            if account in at_share:
                 above_share.append(row)
                 continue
             waiting = len(step.waiting)
-            below = self._count_below_share(step, queue.service)
+            below = self._count_below_share(step, account)
             if below:
                 yield row, below
                 if len(step.waiting) < waiting:
-                    below_share.clear()
+                    below_share.pop(account, None)
             if below < step.spec.count:
                 above_share.append(row)
         for row in (*above_share, *worthless):
@@ -139,18 +140,19 @@
     def _find_policy(self, step: StepRun) -> TeamPolicy | None:
         return None if self._teams is None else self._teams.get(step.job.spec.team)
 
-    def _count_below_share(self, step: StepRun, service: str) -> int:
+    def _count_below_share(self, step: StepRun, account: tuple[str, str]) -> int:
         """Return how many tasks a team may start until it holds its fair share.
 
         The last of them may exceed the share, since otherwise a share that is less
         than one task would never be used.
         """
-        spec, team = step.spec, step.job.spec.team
-        needs = spec.cpu_millis, spec.memory_mb, spec.accelerators
-        key = service, team, *needs, spec.is_gang, spec.count
-        below = self._below_share.get(key)
+        spec = step.spec
+        results = self._below_share.setdefault(account, {})
+        members = spec.count if spec.is_gang else 0
+        key = spec.cpu_millis, spec.memory_mb, spec.accelerators, spec.count, members
+        below = results.get(key)
         if below is None:
-            below = self._below_share[key] = self._find_below_share(spec, service, team)
+            below = results[key] = self._find_below_share(spec, *account)
         return below
 
     def _find_below_share(self, spec: StepSpec, service: str, team: str) -> int:
