--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -249,7 +249,10 @@
         """Return how many tasks may start beside what is kept for urgent work."""
         spec = step.spec
         expected = self._urgent_cpu_millis.get(queue.service, 0.0)
-        if queue.is_urgent or not expected or not spec.cpu_millis or spec.fills_spare:
+        if not expected or not spec.cpu_millis or spec.fills_spare:
+            return spec.count
+        # On a full fleet a gang gets room only by reserving upstreams.
+        if queue.is_urgent or spec.is_gang:
             return spec.count
         kept = min(expected, self._settings.urgent_share * pool.cpu_millis)
         free = pool.free_cpu_millis - max(0.0, kept - pool.urgent_cpu_millis)
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_urgent_reserve.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_urgent_reserve.py
@@ -47,6 +47,21 @@
     assert list_started_jobs(dispatcher.tick(1.2, 1.2)) == ["check"] * 4
 
 
+def test_gang_does_not_wait_for_room_that_is_kept_for_urgent_work():
+    """Pattern: a full fleet, a stream of long work and checks, and a gang.
+
+    On a full fleet nothing is ever free outside of what is kept, and the gang starved.
+    """
+    dispatcher = make_busy(urgent_share=0.5)
+    for number in range(10):
+        dispatcher.cancel(f"check{number}", 1.0)
+    submit(dispatcher, "filler", BATCH, make_step(40, estimate_s=9.0), now=1.0)
+    assert len(dispatcher.tick(1.0, 1.0).starts) == 11
+    gang = make_step(4, is_gang=True, estimate_s=3.0)
+    submit(dispatcher, "gang", BATCH, gang, now=1.1)
+    assert list_started_jobs(dispatcher.tick(1.2, 1.2)) == ["gang"] * 4
+
+
 def test_room_for_urgent_work_is_bounded():
     """Pattern: a flood of urgent work must leave long work its part of the fleet."""
     dispatcher = make_busy(urgent_share=0.125)
