Record what delays each job, and name exchangeable policies in the settings

The line of a job's end said only its age, so that a late job could not be explained without a line for each of its runs, which are dropped under load. Each job now keeps the seconds that room, tickets, a takeover, lost runs, slow upstreams, long runs and the store cost it; the line of its end has them with its objective, and a metric counts late jobs by their largest delay.

The order of jobs and of upstreams, and waiting for a faster upstream, are plain functions that the settings name.

Ruled out: a line a run, sampled; it is longer and says nothing of waits.

--- a/packages/core/src/papayadyke_core/dispatch/__init__.py
+++ b/packages/core/src/papayadyke_core/dispatch/__init__.py
@@ -1,6 +1,7 @@
 """Scheduling of staged jobs on shared upstreams: ranking, placement and progress."""
 
 from papayadyke_core.dispatch._crashes import TaskCrash
+from papayadyke_core.dispatch._delays import DelayCause, JobDelays
 from papayadyke_core.dispatch._dispatcher import Dispatcher
 from papayadyke_core.dispatch._job import StagedJob, StepRun
 from papayadyke_core.dispatch._learned_record import (
@@ -57,9 +58,11 @@
     "AdviceRequest",
     "Catalog",
     "Commit",
+    "DelayCause",
     "DispatchSettings",
     "Dispatcher",
     "EndedRun",
+    "JobDelays",
     "JobProgress",
     "JobState",
     "LearnedRecord",
--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from papayadyke_core.dispatch._advice import AdviceCache
 from papayadyke_core.dispatch._crashes import TaskCrash
+from papayadyke_core.dispatch._delays import DelayCause
 from papayadyke_core.dispatch._job import StagedJob
 from papayadyke_core.dispatch._messages import (
     Advice,
@@ -17,8 +20,8 @@
     UpstreamEntry,
     UpstreamReport,
 )
+from papayadyke_core.dispatch._policy import JOB_RANKS
 from papayadyke_core.dispatch._progress import FINAL_STATES, JobProgress, JobState
-from papayadyke_core.dispatch._rank import rank_job
 from papayadyke_core.dispatch._round import PlacementRound
 from papayadyke_core.dispatch._run_times import RunTimeModel
 from papayadyke_core.dispatch._schedule import Schedule
@@ -65,7 +68,10 @@
         self._unknown_use = UnknownUse(self._schedule.ledger)
         self._team_waits: dict[str, TeamWait] = {}
         self._next_placement_s = 0.0
+        # Room that is kept free for urgent work by service, and room on the fastest
+        # upstreams that other work leaves to it while there is room elsewhere.
         self._urgent_reserves: dict[str, UrgentReserve] = {}
+        self._fast_reserves: dict[str, UrgentReserve] = {}
 
     # Configuration and registry
 
@@ -430,7 +436,8 @@
             attempt_floor=self.attempt_floor,
             unstored_jobs=self._schedule.commits.list_unstored_suspicions(),
             teams=teams,
-            urgent_cpu_millis=self._estimate_urgent_needs(now),
+            urgent_cpu_millis=_estimate_needs(self._urgent_reserves, now),
+            fast_cpu_millis=_estimate_needs(self._fast_reserves, now),
             now=now,
         )
         ranked = self._rank_steps(now)
@@ -445,6 +452,10 @@
             factor = self.get_estimate_factor(queue.key)
             if placement.place(step, queue, factor=factor, max_tasks=max_tasks):
                 self._schedule.update_ready_step(step)
+            if step.waiting:
+                step.wait.record(placement.wait_cause, now)
+            else:
+                step.wait.end(now)
         self._team_waits |= teams.waits
         for order in placement.starts:
             if order.checkpoint:
@@ -453,21 +464,17 @@
         orders.starts += placement.starts
         orders.advice += placement.advice
 
-    def _estimate_urgent_needs(self, now: float) -> dict[str, float]:
-        return {
-            service: reserve.estimate_cpu_millis(now)
-            for service, reserve in self._urgent_reserves.items()
-        }
-
     def _record_arrival(self, spec: StagedJobSpec, now: float) -> None:
         queue = self.catalog.queues.get(spec.queue)
-        if queue is None or not queue.is_urgent or not self.settings.urgent_share:
+        if queue is None or not queue.is_urgent:
             return
+        fast = self._fast_reserves.setdefault(queue.service, UrgentReserve())
         reserve = self._urgent_reserves.setdefault(queue.service, UrgentReserve())
         factor = self.get_estimate_factor(spec.queue)
         for step in spec.steps:
-            if not step.is_gang:
-                run_s = step.estimate_s * factor
+            run_s = step.estimate_s * factor
+            fast.add_arrival(step.count, step.cpu_millis, run_s, now=now)
+            if not step.is_gang and self.settings.urgent_share:
                 reserve.add_arrival(step.count, step.cpu_millis, run_s, now=now)
 
     def _begin_team_round(self, now: float) -> TeamRound:
@@ -485,12 +492,14 @@
 
     def _rank_steps(self, now: float) -> list[RankedStep]:
         ranked = []
+        rank_job = JOB_RANKS[self.settings.job_rank]
         for step in self._schedule.ready_steps.values():
             job = step.job
             queue = self._schedule.find_queue(job)
             if queue is None:
                 continue
             if self._takeover.barrier_s is not None and now < job.hold_until_s:
+                step.wait.record(DelayCause.TAKEOVER, now)
                 continue
             rank = rank_job(
                 job, queue, factor=self.get_estimate_factor(queue.key), now=now
@@ -498,3 +507,13 @@
             ranked.append((rank, step.step_id, step, queue))
         ranked.sort(key=lambda row: row[:2])
         return [(step, queue, rank.is_worthless) for rank, _, step, queue in ranked]
+
+
+def _estimate_needs(
+    reserves: Mapping[str, UrgentReserve], now: float
+) -> dict[str, float]:
+    """Return the CPU that urgent work needs by service, in thousandths of a core."""
+    return {
+        service: reserve.estimate_cpu_millis(now)
+        for service, reserve in reserves.items()
+    }
--- a/packages/core/src/papayadyke_core/dispatch/_job.py
+++ b/packages/core/src/papayadyke_core/dispatch/_job.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from papayadyke_core.dispatch._delays import JobDelays, StepWait
 from papayadyke_core.dispatch._progress import (
     FINAL_STATES,
     JobProgress,
@@ -51,6 +52,7 @@
         # kept free for it.
         self.waiting_alone_s: dict[int, float] = {}
         self.kept_free: dict[int, str] = {}
+        self.wait = StepWait(job.delays)
 
     @property
     def is_done(self) -> bool:
@@ -224,6 +226,11 @@
         self.state = JobState.QUEUED
         self.stored_state = JobState.QUEUED
         self.ended_s = 0.0
+        self.delays = JobDelays()
+        # When its end was decided, on the dispatcher's clock, and its objective as
+        # known then; None before.
+        self.finished_at_s: float | None = None
+        self.objective_s: float | None = None
         self.times = JobTimes()
         self.run_times: RunTimeModel | None = None  # None for declared estimates
         self._cached_estimates: JobEstimates | None = None
--- a/packages/core/src/papayadyke_core/dispatch/_placement.py
+++ b/packages/core/src/papayadyke_core/dispatch/_placement.py
@@ -3,9 +3,15 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Sequence, Set
+from collections.abc import Callable, Iterable, Sequence, Set
 
 from papayadyke_core.dispatch._job import StepRun
+from papayadyke_core.dispatch._speed_needs import (
+    ANY_SPEED,
+    UpstreamKey,
+    is_remote,
+    prefer_fastest,
+)
 from papayadyke_core.dispatch._upstream import Upstream
 
 
@@ -15,6 +21,7 @@
     *,
     reserved: set[str],
     is_idle: bool = False,
+    key: Callable[[Upstream], UpstreamKey] | None = None,
 ) -> list[tuple[Upstream, int]]:
     """Return upstreams with free slots for a step and their number, best first.
 
@@ -27,8 +34,11 @@
         Ids of upstreams to exclude, since they are reserved for other steps.
     is_idle : bool, default=False
         Whether slots that other runs use count as free.
+    key : callable or None
+        Sort key of an upstream; None puts the fastest first.
     """
     spec = step.spec
+    key = key or prefer_fastest(step, ANY_SPEED)
     candidates = []
     for upstream in upstreams:
         if upstream.upstream_id in reserved:
@@ -42,7 +52,7 @@
             slots = min(slots, spec.max_per_upstream - count_live(step, upstream))
         if slots > 0:
             candidates.append((upstream, slots))
-    candidates.sort(key=lambda candidate: _placement_key(step, candidate[0]))
+    candidates.sort(key=lambda candidate: key(candidate[0]))
     return candidates
 
 
@@ -52,22 +62,6 @@
     return sum(1 for run in upstream.runs.values() if run.task[:3] == step_id)
 
 
-def _placement_key(step: StepRun, upstream: Upstream) -> tuple[bool, bool, int, int]:
-    # Among equals, the upstream with the most used CPU comes first: this keeps whole
-    # upstreams free for gangs.
-    return (
-        _is_remote(step, upstream),
-        upstream.suspect_runs > 0,
-        -upstream.speed_class,
-        -upstream.used_cpu_millis,
-    )
-
-
-def _is_remote(step: StepRun, upstream: Upstream) -> bool:
-    rack = step.spec.data_rack
-    return bool(rack) and upstream.entry.rack != rack
-
-
 def place_independent_tasks(
     step: StepRun,
     candidates: list[tuple[Upstream, int]],
@@ -134,7 +128,7 @@
             name != kept_free,
             name in avoided_upstreams,
             upstream.suspect_runs + placed_here[name],
-            _is_remote(step, upstream),
+            is_remote(step, upstream),
             len(upstream.runs),
         )
 
@@ -184,7 +178,7 @@
     even = [row for row in candidates if row[0].speed_class >= slowest]
     even.sort(
         key=lambda row: (
-            _is_remote(step, row[0]),
+            is_remote(step, row[0]),
             row[0].suspect_runs > 0,
             row[0].speed_class,
             -row[0].used_cpu_millis,
--- a/packages/core/src/papayadyke_core/dispatch/_rank.py
+++ b/packages/core/src/papayadyke_core/dispatch/_rank.py
@@ -9,6 +9,7 @@
 
 # Multiple of its objective after which the result of a job is worthless to its caller.
 MAX_LATE_FACTOR = 3.0
+LATE_PRIORITIES = 1000  # more than any configuration has
 
 
 class JobRank(NamedTuple):
@@ -32,6 +33,19 @@
     work_core_s: float
 
 
+def find_objective_s(job: StagedJob, queue: QueuePolicy, *, factor: float) -> float:
+    """Return the time from acceptance within which a job is in time, in seconds.
+
+    Parameters
+    ----------
+    job : StagedJob
+    queue : QueuePolicy
+    factor : float
+        Learned ratio of run time to estimate.
+    """
+    return queue.stretch * job.total_estimate_s * factor + queue.allowance_s
+
+
 def rank_job(
     job: StagedJob, queue: QueuePolicy, *, factor: float, now: float
 ) -> JobRank:
@@ -53,7 +67,7 @@
         Seconds, on the dispatcher's clock.
     """
     critical_path_s = job.remaining_critical_path_s() * factor
-    objective_s = queue.stretch * job.total_estimate_s * factor + queue.allowance_s
+    objective_s = find_objective_s(job, queue, factor=factor)
     finish_s = now - job.accepted_at_s + critical_path_s
     return JobRank(
         is_worthless=finish_s > MAX_LATE_FACTOR * objective_s,
@@ -61,3 +75,19 @@
         is_late=finish_s > objective_s,
         work_core_s=job.remaining_work_core_s(),
     )
+
+
+def rank_by_lateness(
+    job: StagedJob, queue: QueuePolicy, *, factor: float, now: float
+) -> JobRank:
+    """Return a rank by which late jobs of any priority come after those in time."""
+    rank = rank_job(job, queue, factor=factor, now=now)
+    return rank._replace(priority=queue.priority + LATE_PRIORITIES * rank.is_late)
+
+
+def rank_by_arrival(
+    job: StagedJob, queue: QueuePolicy, *, factor: float, now: float
+) -> JobRank:
+    """Return a rank by which jobs of a priority come in the order of acceptance."""
+    rank = rank_job(job, queue, factor=factor, now=now)
+    return rank._replace(is_late=False, work_core_s=job.accepted_at_s)
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from papayadyke_core.dispatch._advice import AdviceCache, choose_upstreams_to_ask
+from papayadyke_core.dispatch._delays import DelayCause
 from papayadyke_core.dispatch._job import StepRun
 from papayadyke_core.dispatch._messages import AdviceRequest, StartOrder
 from papayadyke_core.dispatch._placement import (
@@ -17,9 +18,18 @@
     place_independent_tasks,
     reserve_for_gang,
 )
+from papayadyke_core.dispatch._policy import UPSTREAM_ORDERS
 from papayadyke_core.dispatch._run import PRIME_SUSPECT_LOSSES, Run, RunPhase
 from papayadyke_core.dispatch._settings import DispatchSettings
 from papayadyke_core.dispatch._spec import AdvicePolicy, QueuePolicy, StepSpec
+from papayadyke_core.dispatch._speed_needs import (
+    ANY_SPEED,
+    SpeedNeeds,
+    find_left_to_urgent,
+    find_min_speed,
+    keep_fast_enough,
+    prefer_fastest,
+)
 from papayadyke_core.dispatch._team_round import TeamRound
 from papayadyke_core.dispatch._upstream import Upstream
 from papayadyke_core.resources import Resources
@@ -56,6 +66,8 @@
         Unused CPU of the members.
     urgent_cpu_millis : int
         CPU that runs of urgent queues use.
+    left_to_urgent : frozenset of str or None
+        Fast members that are left to urgent work; None if not determined yet.
     """
 
     members: dict[str, Upstream] = field(default_factory=dict)
@@ -68,6 +80,7 @@
     urgent_cpu_millis: int = 0
     memory_mb: int = 0
     accelerators: int = 0
+    left_to_urgent: frozenset[str] | None = None
 
     def may_fit(self, step: StepSpec) -> bool:
         """Return whether an upstream may have room for a task of a step."""
@@ -113,9 +126,17 @@
     teams : TeamRound
         Limits of the teams.
     urgent_cpu_millis : mapping of str to float
-        CPU that urgent work is expected to need, by service.
+        CPU that urgent work is expected to need and that is kept free, by service.
+    fast_cpu_millis : mapping of str to float
+        CPU on the fastest upstreams that is left to urgent work while there is other
+        room, by service.
     now : float
         Seconds, on the dispatcher's clock.
+
+    Attributes
+    ----------
+    wait_cause : DelayCause
+        Why tasks of the step that was placed last still wait, if any do.
     """
 
     def __init__(
@@ -129,8 +150,10 @@
         unstored_jobs: Set[str],
         teams: TeamRound,
         urgent_cpu_millis: Mapping[str, float],
+        fast_cpu_millis: Mapping[str, float],
         now: float,
     ) -> None:
+        self.wait_cause = DelayCause.ROOM
         self.starts: list[StartOrder] = []
         self.advice: list[AdviceRequest] = []
         self._settings = settings
@@ -140,6 +163,8 @@
         self._unstored_jobs = unstored_jobs
         self._teams = teams
         self._urgent_cpu_millis = urgent_cpu_millis
+        self._fast_cpu_millis = fast_cpu_millis
+        self._order_upstreams = UPSTREAM_ORDERS[settings.upstream_order]
         self._now = now
         self._pools = _group_by_service(upstreams, now, settings.alone_share)
         self._reserved: set[str] = set()
@@ -207,16 +232,22 @@
         """
         self._position += 1
         pool = self._pools.get(queue.service)
-        if pool is None or (step.spec.is_gang and step.live):
+        if pool is None:
+            self.wait_cause = DelayCause.NO_UPSTREAM
+            return False
+        if step.spec.is_gang and step.live:
+            self.wait_cause = DelayCause.BROKEN_GANG
             return False
+        self.wait_cause = DelayCause.ROOM
         fits_somewhere = pool.may_fit(step.spec)
         if not fits_somewhere and queue.advice is None and not step.spec.is_gang:
             return False
-        max_tasks = min(
-            max_tasks,
-            self._teams.count_allowed(step),
-            self._count_outside_reserve(step, queue, pool),
-        )
+        allowed = min(max_tasks, self._teams.count_allowed(step))
+        max_tasks = min(allowed, self._count_outside_reserve(step, queue, pool))
+        if max_tasks <= 0:
+            self.wait_cause = (
+                DelayCause.TEAM_LIMIT if allowed <= 0 else DelayCause.RESERVED_ROOM
+            )
         if (
             max_tasks > 0
             and fits_somewhere
@@ -276,7 +307,17 @@
         held = self._find_held_tasks(step)
         is_short = step.spec.estimate_s * factor <= self._settings.short_task_s
         reserved = set() if is_short else self._reserved
-        candidates = list_candidates(step, eligible, reserved=reserved)
+        needs = self._find_speed_needs(step, queue, pool, factor)
+        order = prefer_fastest if queue.is_urgent else self._order_upstreams
+        candidates = list_candidates(
+            step, eligible, reserved=reserved, key=order(step, needs)
+        )
+        self.wait_cause = self._find_wait_cause(step, queue, pool, candidates, eligible)
+        if self._may_wait_for_speed(queue):
+            usable = self._list_eligible(step, queue, pool)
+            fast = keep_fast_enough(candidates, usable, needs)
+            if len(fast) < len(candidates):
+                candidates, self.wait_cause = fast, DelayCause.FASTER_UPSTREAM
         if step.spec.is_gang:
             evens_speed = self._settings.learns_run_times
             placed = (
@@ -291,6 +332,44 @@
             pool.record_start(upstream, step.spec)
         return bool(placed)
 
+    def _find_speed_needs(
+        self, step: StepRun, queue: QueuePolicy, pool: _Pool, factor: float
+    ) -> SpeedNeeds:
+        if not self._settings.learns_run_times:
+            return ANY_SPEED
+        min_speed = find_min_speed(step.job, queue, factor=factor, now=self._now)
+        expected = self._fast_cpu_millis.get(queue.service, 0.0)
+        if queue.is_urgent or not expected:
+            return SpeedNeeds(min_speed)
+        if pool.left_to_urgent is None:
+            pool.left_to_urgent = find_left_to_urgent(pool.members.values(), expected)
+        return SpeedNeeds(min_speed, pool.left_to_urgent)
+
+    def _may_wait_for_speed(self, queue: QueuePolicy) -> bool:
+        speed_waits = self._settings.speed_waits
+        return speed_waits == "all" or (speed_waits == "urgent" and queue.is_urgent)
+
+    def _find_wait_cause(
+        self,
+        step: StepRun,
+        queue: QueuePolicy,
+        pool: _Pool,
+        candidates: list[tuple[Upstream, int]],
+        eligible: list[Upstream],
+    ) -> DelayCause:
+        """Return why tasks of a step wait that find no room on the candidates."""
+        spec = step.spec
+        missing = spec.count if spec.is_gang else 1
+        if queue.advice is not None and (
+            missing * spec.cpu_millis <= pool.free_cpu_millis
+            if spec.is_gang
+            else not eligible
+        ):
+            return DelayCause.TICKET
+        if self._reserved and not candidates and eligible:
+            return DelayCause.RESERVED_ROOM
+        return DelayCause.ROOM
+
     def _list_eligible(
         self,
         step: StepRun,
--- a/packages/core/src/papayadyke_core/dispatch/_schedule.py
+++ b/packages/core/src/papayadyke_core/dispatch/_schedule.py
@@ -4,10 +4,12 @@
 
 from papayadyke_core.dispatch._advice import AdviceCache
 from papayadyke_core.dispatch._commits import CommitTracker
+from papayadyke_core.dispatch._delays import DelayCause
 from papayadyke_core.dispatch._job import StagedJob, StepRun
 from papayadyke_core.dispatch._messages import LossCause, LostRun, RunEnd, StopOrder
 from papayadyke_core.dispatch._moving_average import MovingAverages
 from papayadyke_core.dispatch._progress import JobState
+from papayadyke_core.dispatch._rank import find_objective_s
 from papayadyke_core.dispatch._run import Run, RunPhase
 from papayadyke_core.dispatch._run_times import RunTimeModel
 from papayadyke_core.dispatch._settings import DispatchSettings
@@ -120,10 +122,16 @@
     def finish_job(self, job: StagedJob, state: JobState, now: float) -> None:
         job.state = state
         job.ended_s = job.spec.accepted_s + now - job.accepted_at_s
+        job.finished_at_s = now
+        queue = self.find_queue(job)
+        if queue is not None:
+            factor = self.get_estimate_factor(queue.key)
+            job.objective_s = find_objective_s(job, queue, factor=factor)
         self.commits.mark_dirty(job.job_id)
         self.needs_placement = True
         job.times.clear()
         for step in job.steps.values():
+            step.wait.end(now)
             self.ready_steps.pop(step.step_id, None)
             self.scheduled_steps.pop(step.step_id, None)
             self.advice_cache.remove_step(step.step_id)
@@ -191,6 +199,7 @@
         step = self.find_step(run.task)
         if step is None or step.live.get(run.task.number) is not run:
             return
+        step.wait.record_lost_run(run.started_s, now)
         step.requeue(run.task.number)
         self.stop_other_members(step, run.task.number, end, now)
         self.update_ready_step(step)
@@ -205,6 +214,20 @@
             if other_index != index:
                 self.stop_run(live, now, f"a member of the gang ended: {end}")
 
+    def record_run_delays(self, step: StepRun, run: Run, now: float) -> None:
+        """Record what slowed down the run whose end completes its step."""
+        is_last = step.spec.is_gang or len(step.done) + 1 == step.spec.count
+        run_times = self.run_times
+        if not (is_last and isinstance(run_times, RunTimeModel)):
+            return
+        members = step.live.values() if step.spec.is_gang else (run,)
+        # All members of a gang end with the slowest one.
+        speed = min(run_times.get_speed(member.upstream_id) for member in members)
+        taken_s = now - run.started_s
+        predicted = run_times.predict(step.job, step.step_id.step)
+        step.job.delays.add(DelayCause.SLOW_UPSTREAM, taken_s * (1.0 - speed))
+        step.job.delays.add(DelayCause.LONG_RUN, taken_s * speed - predicted.median_s)
+
     def record_loss(self, run: Run, cause: LossCause, now: float) -> None:
         self.lost_runs.append(
             LostRun(run.upstream_id, run.task, run.attempt, cause, now - run.started_s)
--- a/packages/core/src/papayadyke_core/dispatch/_settings.py
+++ b/packages/core/src/papayadyke_core/dispatch/_settings.py
@@ -76,6 +76,12 @@
     learns_run_times : bool
         Whether run times are learned by queue and step, and speeds by upstream.
         Otherwise there is one moving average by queue and one by upstream.
+    job_rank, upstream_order : str
+        Names of the order of waiting jobs, and of the order of upstreams for work that
+        is not urgent; see `papayadyke_core.dispatch._policy`.
+    speed_waits : str
+        Which steps wait for a faster upstream while their job would be late on those
+        with room and in time on others: "none", "urgent" or "all".
     """
 
     lease_s: float
@@ -102,6 +108,9 @@
     max_commit_entries: int = 31
     quota_overrun: float = 0.1
     learns_run_times: bool = True
+    job_rank: str = "priority"
+    upstream_order: str = "fastest"
+    speed_waits: str = "none"
 
     @property
     def longest_lease_s(self) -> float:
--- a/packages/core/src/papayadyke_core/dispatch/_tracking.py
+++ b/packages/core/src/papayadyke_core/dispatch/_tracking.py
@@ -322,8 +322,12 @@
         if ended.checkpoint and index not in step.done:
             step.checkpoints[index] = ended.checkpoint
         is_live = run is not None and step.live.get(index) is run
+        if run is not None and is_live and ended.end is not RunEnd.DONE:
+            step.wait.record_lost_run(run.started_s, now)
         if ended.end is RunEnd.DONE:
             self._learn_run_time(upstream, run, step, now)
+            if run is not None and is_live:
+                self._schedule.record_run_delays(step, run, now)
             self._process_done(step, ended, now)
         elif ended.end is RunEnd.FAILED:
             self._process_failure(upstream, step, ended, now)
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -31,6 +31,7 @@
 from papayadyke_daemon.edge._decision_log import (
     log_crashes,
     log_ends,
+    log_job_end,
     log_losses,
     log_starts,
     log_stop,
@@ -45,7 +46,6 @@
 )
 from papayadyke_daemon.edge._learned import LearnedWriter
 from papayadyke_daemon.edge._logs import log_event
-from papayadyke_daemon.edge._metrics import METRICS
 from papayadyke_daemon.edge._peers import PeerClients
 from papayadyke_daemon.edge._ports import (
     EdgePorts,
@@ -516,17 +516,7 @@
 
     def _handle_commit_result(self, commit: Commit, is_stored: bool) -> None:
         for job_id in self._dispatcher.finish_commit(commit, is_stored=is_stored):
-            job = self._dispatcher.jobs[job_id]
-            age_s = read_clock() - job.accepted_at_s
-            METRICS.observe("papayadyke_job_seconds", age_s, state=job.state)
-            log_event(
-                LOG,
-                "decider: job ended",
-                request=job_id,
-                team=job.spec.team,
-                state=job.state,
-                age_s=round(age_s, 3),
-            )
+            log_job_end(self._dispatcher.jobs[job_id], now=read_clock())
         if not is_stored:
             return
         for upstream_id, (incarnation, number) in commit.acknowledged_ends.items():
--- a/packages/daemon/src/papayadyke_daemon/edge/_decision_log.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decision_log.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Mapping
 
 from papayadyke_core.dispatch import (
+    DelayCause,
     EndedRun,
     LossCause,
     LostRun,
@@ -92,6 +93,40 @@
         )
 
 
+def log_job_end(job: StagedJob, *, now: float) -> None:
+    """Log the end of a job, with what delayed it, and count it.
+
+    Parameters
+    ----------
+    job : StagedJob
+        Its end has just been stored.
+    now : float
+        Current time in seconds, on the clock of the job.
+    """
+    if job.finished_at_s is not None:
+        job.delays.add(DelayCause.STORE, now - job.finished_at_s)
+    age_s = now - job.accepted_at_s
+    objective_s = job.objective_s
+    METRICS.observe("papayadyke_job_seconds", age_s, state=job.state)
+    if objective_s is not None and age_s > objective_s:
+        cause = next(iter(job.delays.list_seconds()), "none")
+        METRICS.count("papayadyke_late_jobs", cause=cause)
+    log_event(
+        LOG,
+        "decider: job ended",
+        request=job.job_id,
+        queue=job.spec.queue,
+        team=job.spec.team,
+        state=job.state,
+        age_s=round(age_s, 3),
+        objective_s=None if objective_s is None else round(objective_s, 3),
+        delays={
+            cause: round(seconds, 3)
+            for cause, seconds in job.delays.list_seconds().items()
+        },
+    )
+
+
 def log_losses(lost_runs: Iterable[LostRun]) -> None:
     """Log the runs that are gone without an end, one line per upstream, step, cause."""
     groups: dict[tuple[str, StepId, LossCause], list[LostRun]] = {}
