Add papayadyke report losses

Reads the logs of edge VMs and puts each request that was late, refused or failed to the cause that took the most time, by queue, zone, team, VM and over time, as tables, JSON or HTML with a plot.

--- a/packages/cli/src/papayadyke_cli/_html.py
+++ b/packages/cli/src/papayadyke_cli/_html.py
@@ -65,10 +65,11 @@
         "<h2>Packing and the cost of control</h2>",
         _render_costs(report),
     ]
-    return _render_page(f"Service-level burn {made_at}", sections)
+    return render_page(f"Service-level burn {made_at}", sections)
 
 
-def _render_page(title: str, sections: Iterable[str]) -> str:
+def render_page(title: str, sections: Iterable[str]) -> str:
+    """Return an HTML document of sections that are HTML already."""
     body = "\n".join(sections)
     return (
         '<!doctype html><html lang="en"><head><meta charset="utf-8">'
@@ -102,7 +103,7 @@
         )
         for workload_burn in report.workloads
     ]
-    return _render_table(header, rows) + _render_alerts(report)
+    return render_table(header, rows) + _render_alerts(report)
 
 
 def _render_alerts(report: BurnReport) -> str:
@@ -125,7 +126,7 @@
         rows.append((cause.workload, description, cause.requests))
     if not rows:
         return '<p class="good">Nothing.</p>'
-    return _render_table(("Workload", "Cause", "Requests"), rows)
+    return render_table(("Workload", "Cause", "Requests"), rows)
 
 
 def _render_costs(report: BurnReport) -> str:
@@ -136,12 +137,11 @@
         ("To and from peers", f"{report.control_bytes_per_s / 1000:.2f} KB/s per VM"),
         ("Store, all VMs together", f"{report.store_calls_per_s:.2f} calls/s"),
     ]
-    return _render_table(("Measure", "Value"), rows)
+    return render_table(("Measure", "Value"), rows)
 
 
-def _render_table(
-    header: tuple[str, ...], rows: list[tuple[object, ...]] | list
-) -> str:
+def render_table(header: tuple[str, ...], rows: list[tuple[object, ...]] | list) -> str:
+    """Return an HTML table of cells that are text."""
     head = "".join(f"<th>{html.escape(name)}</th>" for name in header)
     body = "".join(
         "<tr>" + "".join(f"<td>{html.escape(str(cell))}</td>" for cell in row) + "</tr>"
@@ -177,7 +177,7 @@
     axes.set_ylabel("burn rate")
     if report.workloads:
         axes.legend(frameon=False, fontsize="small")
-    return _render_svg(figure)
+    return render_svg(figure)
 
 
 def _plot_waits(report: BurnReport) -> str:
@@ -196,7 +196,7 @@
     axes.set_ylim(-0.6, max(len(measured) - 0.4, 0.6))
     axes.set_xscale("log")
     axes.set_xlabel("waiting time in ms: p50, p95, p99; bar: the target")
-    return _render_svg(figure)
+    return render_svg(figure)
 
 
 def _plot_wait_row(axes, row: int, workload_burn: WorkloadBurn) -> None:
@@ -207,7 +207,8 @@
     )
 
 
-def _render_svg(figure: Figure) -> str:
+def render_svg(figure: Figure) -> str:
+    """Return a figure as an SVG element."""
     output = io.StringIO()
     # A fixed salt and no date make the same report give the same file.
     with matplotlib.rc_context({"svg.hashsalt": "burn", "svg.fonttype": "none"}):
@@ -231,13 +232,13 @@
         "<h1>Waits</h1>",
         _plot_spans(report),
         "<h2>Over time</h2>",
-        _render_table(*spans),
+        render_table(*spans),
         "<h2>By queue</h2>",
-        _render_table(*queues),
-        *(("<h2>By team</h2>", _render_table(*teams)) if teams[1] else ()),
+        render_table(*queues),
+        *(("<h2>By team</h2>", render_table(*teams)) if teams[1] else ()),
         f"<p>{report.unreadable} lines could not be read.</p>",
     )
-    return _render_page("Waits", sections)
+    return render_page("Waits", sections)
 
 
 def _plot_spans(report: WaitsReport) -> str:
@@ -254,4 +255,4 @@
     axes.set_xlabel("seconds from the first line")
     axes.set_ylabel("per span")
     axes.legend(frameon=False, fontsize="small")
-    return _render_svg(figure)
+    return render_svg(figure)
--- a/packages/cli/src/papayadyke_cli/_report.py
+++ b/packages/cli/src/papayadyke_cli/_report.py
@@ -1,4 +1,4 @@
-"""`papayadyke report burn` and `papayadyke report waits`."""
+"""`papayadyke report`: over all VMs, and from the logs of edge VMs."""
 
 from __future__ import annotations
 
@@ -13,6 +13,7 @@
 from papayadyke_cli._causes import list_causes
 from papayadyke_cli._exits import ExitCode, fail, fail_on_problem
 from papayadyke_cli._html import render_burn_html, render_waits_html
+from papayadyke_cli._losses_output import losses
 from papayadyke_cli._output import JsonFlag, print_json, print_table
 from papayadyke_cli._settings import Session
 from papayadyke_cli._values import parse_since
@@ -52,6 +53,9 @@
 report_app = typer.Typer(no_args_is_help=True)
 
 
+report_app.command()(losses)
+
+
 @report_app.callback()
 def _report() -> None:
     """Report over all VMs."""
--- a/packages/cli/src/papayadyke_cli/_waits.py
+++ b/packages/cli/src/papayadyke_cli/_waits.py
@@ -7,11 +7,10 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-import msgspec
+from papayadyke_cli._log_lines import REFUSED, parse_events
 
 COMPLETE = "complete"
 UNFINISHED = "unfinished"
-REFUSED = "callers: refused"  # event of a request that was not carried out
 
 
 @dataclass(slots=True)
@@ -86,7 +85,7 @@
     step_s : float
         Length of a span, in seconds.
     """
-    events, unreadable = _parse_events(lines)
+    events, unreadable = parse_events(lines)
     jobs: dict[str, JobTimes] = {}
     run_starts: dict[tuple[str, str, int], float] = {}
     spans: dict[int, Span] = {}
@@ -111,23 +110,6 @@
     )
 
 
-def _parse_events(lines: Iterable[str]) -> tuple[list[dict[str, Any]], int]:
-    events: list[dict[str, Any]] = []
-    unreadable = 0
-    for line in lines:
-        offset = line.find("{")
-        if offset < 0:
-            unreadable += bool(line.strip())
-            continue
-        try:
-            event = msgspec.json.decode(line[offset:])
-            events.append({**event, "ts": float(event["ts"]), "msg": event["msg"]})
-        except (msgspec.DecodeError, KeyError, TypeError, ValueError):
-            unreadable += 1
-    events.sort(key=lambda event: event["ts"])
-    return events, unreadable
-
-
 def _apply_event(
     event: dict[str, Any],
     jobs: dict[str, JobTimes],
