Add papayadyke-experiments, which compares variants of the dispatcher over seeds

The package plays the real dispatcher in virtual time under scenarios of our own, with paired seeds, bootstrap intervals, ablation of named mechanisms and plots.

Even gang speeds and setting upstreams aside become settings of the dispatcher, so that they can be switched off; the defaults decide as before.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.ready
-PACKAGES := core clients standins daemon cli soak
+PACKAGES := core clients standins daemon cli soak experiments
 WORKERS ?= 4
 
 .PHONY: setup run test lint format types regress
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -319,7 +319,8 @@
             if len(fast) < len(candidates):
                 candidates, self.wait_cause = fast, DelayCause.FASTER_UPSTREAM
         if step.spec.is_gang:
-            evens_speed = self._settings.learns_run_times
+            cfg = self._settings
+            evens_speed = cfg.learns_run_times and cfg.evens_gang_speeds
             placed = (
                 None if held else place_gang(step, candidates, evens_speed=evens_speed)
             )
--- a/packages/core/src/papayadyke_core/dispatch/_settings.py
+++ b/packages/core/src/papayadyke_core/dispatch/_settings.py
@@ -76,6 +76,11 @@
     learns_run_times : bool
         Whether run times are learned by queue and step, and speeds by upstream.
         Otherwise there is one moving average by queue and one by upstream.
+    evens_gang_speeds : bool
+        Whether members that cannot speed up their gang leave faster upstreams free;
+        needs learned run times.
+    sets_upstreams_aside : bool
+        Whether upstreams that fail runs in a row get no work for some time.
     job_rank, upstream_order : str
         Names of the order of waiting jobs, and of the order of upstreams for work that
         is not urgent; see `papayadyke_core.dispatch._policy`.
@@ -108,6 +113,8 @@
     max_commit_entries: int = 31
     quota_overrun: float = 0.1
     learns_run_times: bool = True
+    evens_gang_speeds: bool = True
+    sets_upstreams_aside: bool = True
     job_rank: str = "priority"
     upstream_order: str = "fastest"
     speed_waits: str = "none"
--- a/packages/core/src/papayadyke_core/dispatch/_tracking.py
+++ b/packages/core/src/papayadyke_core/dispatch/_tracking.py
@@ -140,7 +140,7 @@
                     StepId(*order.task[:3]), order.upstream_id
                 )
             elif outcome in (StartOutcome.REFUSED, StartOutcome.NO_ROOM):
-                upstream.record_failure(now)
+                self._count_failure(upstream, now)
             elif outcome is StartOutcome.NOT_SENT:
                 self._lose_contact(upstream, now)
             self._schedule.drop_run(upstream, run, RunEnd.LOST, now)
@@ -369,7 +369,7 @@
         self, upstream: Upstream, step: StepRun, ended: EndedRun, now: float
     ) -> None:
         index = ended.task.number
-        if upstream.record_failure(now):
+        if self._count_failure(upstream, now):
             LOG.warning(
                 "dispatch: upstream %s set aside after %d failed runs",
                 upstream.upstream_id,
@@ -389,6 +389,12 @@
         if step.count_failures(index) >= max_attempts:
             self._schedule.finish_job(job, JobState.FAILED, now)
 
+    def _count_failure(self, upstream: Upstream, now: float) -> bool:
+        """Count a failure of an upstream; return whether it sets the upstream aside."""
+        if not self._schedule.settings.sets_upstreams_aside:
+            return False
+        return upstream.record_failure(now)
+
     def _lose_run(self, upstream: Upstream, run: Run, now: float) -> None:
         """Drop a run that its upstream neither runs nor lists as ended."""
         has_restarted = run.incarnation != upstream.incarnation
