Draw allowed upstreams in experiments independently of the order of requests

The simulated advisory service chose the allowed upstreams by CRC-32 of step and upstream, and the dispatcher orders what it asks for by CRC-32 too: such checksums are correlated, and the first calls of some gangs found none of 30 allowed.

--- a/packages/experiments/src/papayadyke_experiments/_simulation.py
+++ b/packages/experiments/src/papayadyke_experiments/_simulation.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import heapq
 import math
 import random
@@ -342,7 +343,9 @@
         members = spec.count if spec.is_gang else 1
         needed = math.ceil(GANG_ROOM * members / max(slots, 1))
         count = max(round(share * len(upstreams)), needed, 1)
-        ordered = sorted(upstreams, key=lambda name: crc32(f"{step}{name}".encode()))
+        # Not by CRC-32, by which the dispatcher orders what it asks for: checksums of
+        # texts that differ in their start only are correlated.
+        ordered = sorted(upstreams, key=lambda name: _hash_text(f"{step}{name}"))
         return set(ordered[:count])
 
     def _make_start(self, order: StartOrder) -> Callable[[], None]:
@@ -445,6 +448,10 @@
     return Simulation(scenario, seed=seed, settings=settings).run()
 
 
+def _hash_text(text: str) -> bytes:
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+
 def _place_events(scenario: Scenario, rng: random.Random) -> list[Event]:
     """Return the events at the times that they have with this seed."""
     jitter_s = scenario.event_jitter_s
