Close the contexts of the peer server without an error

Cause: a thread that leaves its context after the socket was closed gets pynng.Closed from the context too, so that each planned stop wrote eight tracebacks. Change: the error ends the thread, as the one of a receive does.

--- a/packages/daemon/src/papayadyke_daemon/edge/_peers.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import threading
 from collections.abc import Callable
@@ -57,7 +58,11 @@
         self._socket.close()
 
     def _serve(self) -> None:
-        with self._socket.new_context() as context:
+        # Closing the context of a closed socket raises, which ends the thread too.
+        with (
+            contextlib.suppress(pynng.Closed),
+            self._socket.new_context() as context,
+        ):
             while not self._is_closed:
                 try:
                     data = context.recv()
