Start jobs of a new term at once while some upstreams are silent

Cause: after a takeover with one silent upstream, jobs that were stored after the term began waited for the end of the handover, 1.2 s, since the previous decider may go on without a valid lease while other VMs report that they lost the store too. Ruled out: a shorter handover; calls in flight and jobs that the previous decider knows need it. A barrier by upstream; any stored job may run on a silent one. Change: a decider adds no job that reaches it while its lease is not valid, and adds it once the lease is renewed. So a job stored in a later term is never started by it, and needs no wait. No term begins with a lapsed lease. Jobs that may have been started wait as before.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -234,19 +234,17 @@
         spec : StagedJobSpec
         now, age_s : float
         may_have_started : bool, default=False
-            Whether an earlier decider may have started the job.
+            Whether an earlier decider may have started the job. One that was stored
+            after this term began cannot have been started by it: a decider starts no
+            job that it receives while it has no valid lease.
         """
         if spec.job_id in self.jobs:
             return False
         self._record_arrival(spec, now)
         job = self._schedule.make_job(spec, now=now, age_s=age_s)
-        if self._takeover.barrier_s is not None:
-            job.hold_until_s = (
-                self._takeover.barrier_s
-                if may_have_started
-                else self._takeover.handover_end_s
-            )
-            self._unknown_use.is_outdated |= may_have_started
+        if self._takeover.barrier_s is not None and may_have_started:
+            job.hold_until_s = self._takeover.barrier_s
+            self._unknown_use.is_outdated = True
         self.jobs[spec.job_id] = job
         self._tracker.claim_runs(job, now)
         if not job.is_final:
--- a/packages/core/src/papayadyke_core/dispatch/_settings.py
+++ b/packages/core/src/papayadyke_core/dispatch/_settings.py
@@ -22,8 +22,8 @@
     lease_call_delay_s : float
         Longest delay between sending a call and its arrival at the upstream.
     handover_s : float
-        Time after a takeover in which the previous decider may still start
-        accepted jobs, unless every upstream has already answered the new decider.
+        Time after a takeover in which the previous decider may still start jobs that
+        it had received before, unless every upstream has answered the new decider.
     late_read_s : float
         Time after the handover in which a job that the previous decider started may
         still be unread; runs of unknown jobs are stopped only after it.
--- a/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
@@ -247,6 +247,7 @@
             self._clients,
             term=term,
             may_issue_orders=self._leadership.may_issue_orders,
+            has_valid_lease=self._leadership.has_valid_lease,
             step_down=self._leadership.step_down,
         )
         if not decider.start(catalog):
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -88,6 +88,8 @@
     term : Term
     may_issue_orders : callable
         Returns whether this VM is still the decider.
+    has_valid_lease : callable
+        Returns whether its lease has not lapsed; orders may go on for some time after.
     step_down : callable
         Called with a reason when another VM has become the decider.
     """
@@ -100,6 +102,7 @@
         *,
         term: Term,
         may_issue_orders: Callable[[], bool],
+        has_valid_lease: Callable[[], bool],
         step_down: Callable[[str], None],
     ) -> None:
         self.cfg = cfg
@@ -107,6 +110,7 @@
         self._ports = ports
         self._clients = clients
         self._may_issue_orders = may_issue_orders
+        self._has_valid_lease = has_valid_lease
         self._step_down = step_down
         self._stopped = threading.Event()
         self._dispatcher = Dispatcher(
@@ -129,6 +133,9 @@
         self._advisory_pool = AdvisoryPool(ports, clients, self._handle_advice)
         # Jobs that ended before this term, with their end as wall-clock time.
         self._ended_jobs: dict[str, float] = {}
+        # Jobs that arrived while the lease was not valid, with their revisions. Another
+        # VM may be the decider by then, and starts them without waiting for this one.
+        self._deferred_jobs: dict[str, tuple[StagedJobSpec, int]] = {}
         # Cancellations that arrived before their job, with the time of arrival.
         self._early_cancels: dict[str, float] = {}
         self._last_heartbeat_s: dict[str, float] = {}
@@ -194,6 +201,8 @@
             return False
         if isinstance(progress, Err) or not self._may_issue_orders():
             return False
+        if not self._has_valid_lease():
+            return False
         self._learned.load()
         for name, (address, service) in self.term.roster.upstreams.items():
             self._dispatcher.add_or_update_upstream(
@@ -286,6 +295,9 @@
     def _submit(self, spec: StagedJobSpec, revision: int) -> None:
         if spec.job_id in self._ended_jobs:
             return
+        if not self._has_valid_lease():
+            self._deferred_jobs[spec.job_id] = spec, revision
+            return
         age_s = max(0.0, time.time() - spec.accepted_s)
         now = read_clock()
         is_new = revision > self.term.token
@@ -302,6 +314,15 @@
         if spec.job_id in self._early_cancels:
             self._cancel(spec.job_id)
 
+    def _submit_deferred_jobs(self) -> None:
+        """Add the jobs that have waited for a valid lease, once there is one."""
+        if not self._deferred_jobs or not self._has_valid_lease():
+            return
+        deferred, self._deferred_jobs = self._deferred_jobs, {}
+        log_event(LOG, "decider: deferred jobs added", jobs=len(deferred))
+        for spec, revision in deferred.values():
+            self._submit(spec, revision)
+
     def _cancel(self, job_id: str) -> None:
         if job_id in self._ended_jobs:
             return
@@ -325,6 +346,7 @@
 
     def _step(self, now: float) -> float:
         self._update_advisory_vms(now)
+        self._submit_deferred_jobs()
         if not self._may_issue_orders():
             # No order may be sent; placing would only reserve capacity.
             return now + MAX_STEP_INTERVAL_S
--- a/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
@@ -175,6 +175,10 @@
         self._stopped.set()
         self._thread.join(timeout=2.0)
 
+    def has_valid_lease(self) -> bool:
+        """Return whether no other VM can have become the decider yet."""
+        return self._token != 0 and read_clock() < self._valid_until_s
+
     def may_issue_orders(self) -> bool:
         """Return whether this VM may send orders now."""
         if self._token == 0 or self._step_down_requested.is_set():
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/deciders.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/deciders.py
@@ -56,6 +56,7 @@
     roster: RosterRecord | None = None,
     connect=lambda entry: IdleUpstream(),
     decode=decode_upstream,
+    has_valid_lease=lambda: True,
 ) -> Decider:
     """Return a decider that may issue orders; nothing is loaded or started.
 
@@ -68,6 +69,8 @@
         Upstreams that earlier deciders recorded.
     connect, decode : callable
         Port functions for the client of an upstream and for its registry entry.
+    has_valid_lease : callable
+        Returns whether the lease of the decider has not lapsed.
     """
     ports = make_ports(store)
     object.__setattr__(ports, "connect_upstream", connect)
@@ -79,5 +82,6 @@
         PeerClients(),
         term=Term(token or store.revision, past.terms, past),
         may_issue_orders=lambda: True,
+        has_valid_lease=has_valid_lease,
         step_down=lambda why: None,
     )
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/history_world.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/history_world.py
@@ -288,6 +288,7 @@
             cast(PeerClients, self),
             term=term,
             may_issue_orders=self.leadership.may_issue_orders,
+            has_valid_lease=self.leadership.has_valid_lease,
             step_down=self.leadership.step_down,
         )
         if not decider.load(self.catalog):
