Wait for a slow store in proportion, and store several commits at a time

Calls for callers time out after 0.4 s: 139 answers are 504, after which a caller cannot repeat what is not idempotent. Commits are written one after the other by one thread, although up to eight may be in progress, and ends of jobs wait for 2 to 4 s. Ruled out: a longer timeout for all; in an outage callers would wait for it. Change: the timeout of calls and probes, and the time after which a call holds back later ones, is twice the longest of the last four answers, between bounds (0.4 to 0.8 s, 0.15 to 0.5 s). Each commit in progress has a thread. Skipping the commits that are queued behind a failed one is gone: none is queued. The tests of a slow store and of several commits at a time failed before; test_slow_store_does_not_lengthen_a_later_outage did not.

--- a/packages/daemon/src/papayadyke_daemon/edge/_committer.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_committer.py
@@ -1,4 +1,4 @@
-"""Store the progress of jobs, one commit after the other."""
+"""Store the progress of jobs, several commits at a time."""
 
 from __future__ import annotations
 
@@ -31,8 +31,8 @@
 
 # Seconds between two commits; a longer interval puts more ends into each commit.
 COMMIT_INTERVAL_S = 0.03
-# Commits that wait for the store or are being stored. More than one keeps the store
-# busy while a placement takes longer than a write.
+# Commits that are being stored, each on a thread of its own. A store that takes 0.4 s
+# an answer then stores some 200 ends of jobs a second, and 25 with one thread.
 MAX_COMMITS_IN_PROGRESS = 8
 COMMIT_RETRY_S = 0.15  # seconds before the next commit after a failed one
 
@@ -73,17 +73,19 @@
         self._commits: queue.SimpleQueue[Commit | None] = queue.SimpleQueue()
         self._in_progress = 0
         self._is_failing = False
-        # Commits that were queued behind a failed one; on the thread of the store.
-        self._commits_to_skip = 0
         self._next_s = 0.0
 
     def start(self) -> None:
-        """Start the thread that waits for the store."""
-        threading.Thread(target=self._run, name="commits", daemon=True).start()
+        """Start the threads that wait for the store."""
+        for number in range(MAX_COMMITS_IN_PROGRESS):
+            threading.Thread(
+                target=self._run, name=f"commits-{number}", daemon=True
+            ).start()
 
     def stop(self) -> None:
-        """Stop the thread after the current commit."""
-        self._commits.put(None)
+        """Stop the threads after their current commits."""
+        for _ in range(MAX_COMMITS_IN_PROGRESS):
+            self._commits.put(None)
 
     def record_revision(self, job_id: str, revision: int) -> None:
         """Record the revision at which the progress of a job is stored."""
@@ -117,12 +119,7 @@
         commit = self._commits.get()
         if commit is None:
             return False
-        if self._commits_to_skip:
-            self._commits_to_skip -= 1
-            skipped = Err(StoreError(StoreErrorKind.NOT_DONE, "an earlier one failed"))
-            self._post(lambda: self._finish(commit, skipped))
-        else:
-            self._write(commit)
+        self._write(commit)
         return True
 
     def has_commit(self) -> bool:
@@ -151,9 +148,6 @@
         except Exception as exc:
             LOG.exception("decider: a commit failed unexpectedly")
             stored = Err(StoreError(StoreErrorKind.UNKNOWN, repr(exc)))
-        if isinstance(stored, Err):
-            # Each would wait for the timeout of a store that does not answer.
-            self._commits_to_skip = self._commits.qsize()
         METRICS.observe("papayadyke_commit_seconds", read_clock() - sent_s)
         METRICS.count("papayadyke_commits", stored=str(isinstance(stored, Ok)))
         self._post(lambda: self._finish(commit, stored))
--- a/packages/daemon/src/papayadyke_daemon/edge/_contact.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_contact.py
@@ -11,6 +11,7 @@
 
 from result import Err, Ok, Result
 
+from papayadyke_daemon.edge._answer_time import AnswerTime
 from papayadyke_daemon.edge._clock import read_clock
 from papayadyke_daemon.edge._keys import DECIDER_KEY
 from papayadyke_daemon.edge._logs import log_event
@@ -27,15 +28,17 @@
 LOG = logging.getLogger(__name__)
 
 PROBE_INTERVAL_S = 0.2  # seconds between the starts of two probes while in doubt
-# Seconds; a store that is 60 times slower than usual answers in 0.25 s.
-PROBE_TIMEOUT_S = 0.4
+# Seconds for a probe or a call for a caller. A store that is 60 times slower than usual
+# answers in 0.25 s. The timeout grows with the time that answers take, up to a maximum
+# that leaves the caller time for another attempt.
+MIN_TIMEOUT_S, MAX_TIMEOUT_S = 0.4, 0.8
 # Seconds without an answered call after which a probe is sent. Calls to the store are
 # counted and all VMs share its rate, so a VM that has nothing to store probes rarely;
 # the decider's VM asks it to as soon as it loses the store itself.
 CHECK_INTERVAL_S = 1.5
 # Seconds after which an unanswered call holds back later writes; a call usually takes
-# a few milliseconds.
-SLOW_CALL_S = 0.15
+# a few milliseconds, and a slow store its usual time.
+MIN_SLOW_CALL_S, MAX_SLOW_CALL_S = 0.15, 0.5
 # Seconds in which a probe is answered by a store that has lost a single answer.
 RECOVERY_WAIT_S = 0.1
 SLOW_POLL_S = 0.02  # seconds between two looks at a slow call
@@ -86,6 +89,7 @@
         self._written_s = NEVER_S
         self._probed_s = NEVER_S
         self._failed_writes = 0
+        self._answer_time = AnswerTime()
         self._reached = threading.Event()
         self._wake = threading.Event()
         self._is_stopped = False
@@ -102,6 +106,11 @@
         doubted_s = self._doubted_s
         return NEVER_S if doubted_s is None else doubted_s
 
+    @property
+    def timeout_s(self) -> float:
+        """Seconds to wait for an answer; more while answers take long."""
+        return self._answer_time.find_timeout_s(MIN_TIMEOUT_S, MAX_TIMEOUT_S)
+
     def start(self) -> None:
         """Start the thread that probes the store."""
         threading.Thread(target=self._run, name="store-contact", daemon=True).start()
@@ -112,13 +121,14 @@
         self._wake.set()
 
     def is_slow(self, now: float) -> bool:
-        """Return whether a call has waited for `SLOW_CALL_S`.
+        """Return whether a call waits longer than answers usually take.
 
         Calls of which a later one of the same kind was answered do not count.
         """
+        slow_call_s = self._answer_time.find_timeout_s(MIN_SLOW_CALL_S, MAX_SLOW_CALL_S)
         with self._lock:
             return any(
-                self._get_answered_s(is_write=is_write) <= sent_s <= now - SLOW_CALL_S
+                self._get_answered_s(is_write=is_write) <= sent_s <= now - slow_call_s
                 for sent_s, is_write in self._pending.values()
             )
 
@@ -147,7 +157,7 @@
             call = self._begin(is_tracked=True, is_write=False)
             self._end(
                 call,
-                self._inner.read(DECIDER_KEY, timeout_s=PROBE_TIMEOUT_S),
+                self._inner.read(DECIDER_KEY, timeout_s=self.timeout_s),
                 is_probe=True,
             )
 
@@ -221,9 +231,11 @@
         now = read_clock()
         error = None if isinstance(reply, Ok) else reply.err_value
         with self._lock:
-            self._pending.pop(number, None)
+            is_tracked = self._pending.pop(number, None) is not None
             before = self.is_reached, self.is_lost
             if error is None or error.kind in ANSWERS:
+                if is_tracked:
+                    self._answer_time.record(now - sent_s)
                 self._record_answer(sent_s, now, is_write=is_write)
             else:
                 self._record_failure(sent_s, now, is_write=is_write, is_probe=is_probe)
--- a/packages/daemon/src/papayadyke_daemon/edge/_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_intake.py
@@ -61,10 +61,9 @@
 LOG = logging.getLogger(__name__)
 
 STORE_ATTEMPTS = 2  # attempts per write; one whose answer is lost is retried
-# Seconds per attempt; a store that is 60 times slower than usual answers in 0.25 s.
-# Together with the times after which further calls are held back, all callers of an
-# outage have their answer within a second: those of later requests are never 504.
-STORE_TIMEOUT_S = 0.4
+# Together with the timeout of an attempt (`StoreContact.timeout_s`), all callers of an
+# outage have their answer within a second, unless the store was slow before it: those
+# of later requests are never 504.
 SLOW_STORE_WAIT_S = 0.5  # seconds that a write waits while an earlier call is slow
 RELAY_TIMEOUT_S = 0.55  # seconds for the decider's VM to store a job in one attempt
 # Concurrent relays of one VM, so that a few VMs leave threads of the decider's VM to
@@ -382,7 +381,7 @@
             if attempt and not self._contact.wait_until_reached(RECOVERY_WAIT_S):
                 break
             stored = self._ports.store.write(
-                [Write(key, data)], expected=expected, timeout_s=STORE_TIMEOUT_S
+                [Write(key, data)], expected=expected, timeout_s=self._contact.timeout_s
             )
             if isinstance(stored, Ok):
                 return StoreResult(IntakeOutcome.ACCEPTED, stored.ok_value)
@@ -432,7 +431,7 @@
         return self._store(key, b"{}", expected=expected, attempts=attempts).outcome
 
     def _read(self, key: str) -> Result[Record | None, StoreError]:
-        return self._ports.store.read(key, timeout_s=STORE_TIMEOUT_S)
+        return self._ports.store.read(key, timeout_s=self._contact.timeout_s)
 
     def _may_cancel(self, job_id: str, record: Record, team: str | None) -> bool:
         if team is None:
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/outage_world.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/outage_world.py
@@ -96,7 +96,12 @@
         if mode == "silent":
             time.sleep(timeout_s or DEFAULT_TIMEOUT_S)
             return Err(StoreError(StoreErrorKind.UNKNOWN))
-        time.sleep(SLOW_LATENCY_S if mode == "slow" else LATENCY_S)
+        latency_s = self._world.slow_latency_s if mode == "slow" else LATENCY_S
+        if timeout_s is not None and latency_s > timeout_s:
+            time.sleep(timeout_s)
+            call()
+            return Err(StoreError(StoreErrorKind.UNKNOWN))
+        time.sleep(latency_s)
         if mode == "busy":
             return Err(StoreError(StoreErrorKind.NOT_DONE))
         return call()
@@ -192,6 +197,7 @@
         self.time = VirtualTime()
         self.patches = self.time.patch(*MODULES)
         self.store = VirtualStore(lambda *_: None, now=self.time.now)
+        self.slow_latency_s = SLOW_LATENCY_S
         self.is_zone_cut = False
         self.answers: list[Answer] = []
         self.acting: list[tuple[float, list[str]]] = []
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_committer.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_committer.py
@@ -1,6 +1,9 @@
 """Test the commits of the decider."""
 
 import queue
+import threading
+
+from result import Ok
 
 from papayadyke_core.dispatch import Commit
 from papayadyke_daemon.edge import StoreErrorKind, Write
@@ -100,3 +103,25 @@
     running.store.write([Write(CANCEL_PREFIX + "job", b"")])
     assert running.commit(Commit({"job": b"progress"}, {}, ("job",)))
     assert set(running.store.records) == {DECIDER_KEY, PROGRESS_PREFIX + "job"}
+
+
+def test_slow_store_is_given_several_commits_at_a_time():
+    """Pattern: the store takes 0.4 s an answer while 60 jobs a second end.
+
+    One commit after the other stored 25 ends a second, so that ends waited for up to
+    4 s (rejas-rionegro-grown trouble-2).
+    """
+    running = RunningCommitter()
+    all_sent = threading.Barrier(MAX_COMMITS_IN_PROGRESS, timeout=5.0)
+
+    class SlowStore(FakeStore):
+        def write(self, *args, **kwargs):
+            all_sent.wait()
+            return Ok(1)
+
+    running.committer._store = SlowStore()
+    for number in range(MAX_COMMITS_IN_PROGRESS):
+        running.committer.begin(Commit({f"job{number}": b"progress"}, {}))
+    for _ in range(MAX_COMMITS_IN_PROGRESS):
+        running.posted.get(timeout=5.0)()
+    assert running.finished == [True] * MAX_COMMITS_IN_PROGRESS
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_store_outage.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_store_outage.py
@@ -94,6 +94,35 @@
     assert world.longest_pause_s(world.time.now - 4.0) < 0.1
 
 
+def test_jobs_are_accepted_by_a_store_that_turns_ever_slower(world):
+    """Pattern: answers of the store take 90 times as long as usual, for some seconds.
+
+    With a timeout of 0.4 s the callers got 504, and cannot retry what cannot be
+    repeated (rejas-rionegro-grown trouble-2, 139 answers).
+    """
+    world.start_callers()
+    world.run(1.0)
+    for latency_s in (0.2, 0.36, 0.45):
+        world.slow_latency_s = latency_s
+        world.set_mode("slow")
+        world.run(2.0)
+    assert not world.list_answers(UNKNOWN)
+    assert not world.list_answers(REFUSED)
+
+
+def test_slow_store_does_not_lengthen_a_later_outage(world):
+    """Failure: timeouts that a slow store has raised hold up callers of an outage."""
+    world.start_callers()
+    world.set_mode("slow")
+    world.run(2.0)
+    world.set_mode("ok")
+    world.run(1.0)
+    world.set_mode("silent")
+    lost_s = world.time.now
+    world.run(4.0)
+    assert not world.list_answers(UNKNOWN, since_s=lost_s + FIRST_SECOND_S)
+
+
 def test_store_that_answers_reads_only_gets_few_writes(world):
     """Failure: each answered probe lets writes through whose outcome is unknown."""
     world.start_callers()
