--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -5,7 +5,8 @@
 import math
 from collections.abc import Callable, Mapping, Set
 
-from papayadyke_core.dispatch._advice import AdviceCache, choose_upstreams_to_ask
+from papayadyke_core.dispatch._advice import AdviceCache
+from papayadyke_core.dispatch._advice_round import AdviceRound
 from papayadyke_core.dispatch._delays import DelayCause
 from papayadyke_core.dispatch._job import StepRun
 from papayadyke_core.dispatch._messages import AdviceRequest, StartOrder
@@ -25,7 +26,7 @@
 )
 from papayadyke_core.dispatch._run import PRIME_SUSPECT_LOSSES, Run, RunPhase
 from papayadyke_core.dispatch._settings import DispatchSettings
-from papayadyke_core.dispatch._spec import AdvicePolicy, QueuePolicy, StepId
+from papayadyke_core.dispatch._spec import QueuePolicy, StepId
 from papayadyke_core.dispatch._speed_needs import (
     ANY_SPEED,
     SpeedNeeds,
@@ -38,15 +39,9 @@
 from papayadyke_core.dispatch._upstream import Upstream
 from papayadyke_core.resources import Resources
 
-ADVICE_SEARCH_INTERVAL_S = 0.25  # seconds between two searches for a waiting step
 # Seconds for which a prime suspect waits for an idle upstream; then it starts beside
 # other tasks.
 MAX_ALONE_WAIT_S = 30.0
-# Fraction of the advisory calls that may be in progress while steps without room renew
-# their tickets.
-SPARE_ADVICE_SHARE = 0.25
-# Searches per pass; each looks at every upstream of a service.
-MAX_ADVICE_SEARCHES = 40
 
 
 class PlacementRound:
@@ -103,11 +98,11 @@
     ) -> None:
         self.wait_cause = DelayCause.ROOM
         self.starts: list[StartOrder] = []
-        self.advice: list[AdviceRequest] = []
         self.victims: list[tuple[Run, StepId]] = []
         self._settings = settings
         self._advice_cache = advice_cache
         self._advice_slots = advice_slots
+        self._advice = AdviceRound(settings, advice_cache, slots=advice_slots, now=now)
         self._attempt_floor = attempt_floor
         self._unstored_jobs = unstored_jobs
         self._teams = teams
@@ -121,7 +116,11 @@
         self._reserved: set[str] = set()
         self._reserving_gangs = 0
         self._position = -1
-        self._searches_left = MAX_ADVICE_SEARCHES
+
+    @property
+    def advice(self) -> list[AdviceRequest]:
+        """Requests to the advisory service."""
+        return self._advice.requests
 
     @property
     def capacity(self) -> dict[str, Resources]:
@@ -217,7 +216,7 @@
         if queue.advice is not None and (
             may_fit or self._position < self._advice_slots
         ):
-            self._request_advice(
+            self._advice.request(
                 step, queue, queue.advice, pool, may_reserve=may_reserve
             )
         if max_tasks > 0 and step.spec.is_gang:
@@ -451,68 +450,6 @@
             StartOrder(name, task, attempt, payload, checkpoint, ticket, now)
         )
 
-    def _request_advice(
-        self,
-        step: StepRun,
-        queue: QueuePolicy,
-        policy: AdvicePolicy,
-        pool: Pool,
-        *,
-        may_reserve: bool,
-    ) -> None:
-        """Request tickets for a step that has too few upstreams with room."""
-        step_advice = self._advice_cache.get_or_create(step.step_id)
-        refresh_s = policy.decide_s + policy.per_upstream_s * len(step_advice.allowed)
-        refreshed_at_s = self._now + refresh_s
-        needs_renewal = refreshed_at_s >= step_advice.valid_until_s and (
-            not self._is_advice_scarce()
-            or may_reserve
-            or _has_room(step, step_advice.allowed, pool)
-        )
-        if (
-            not (needs_renewal or self._now >= step_advice.next_search_s)
-            or step_advice.is_request_pending
-            or self._now < step_advice.retry_at_s
-            or self._searches_left <= 0
-            or self._count_free_advice_slots(policy) <= 0
-        ):
-            return
-        self._searches_left -= 1
-        step_advice.next_search_s = self._now + ADVICE_SEARCH_INTERVAL_S
-        requested = choose_upstreams_to_ask(
-            step,
-            pool.members,
-            step_advice,
-            allowed_share=self._advice_cache.get_allowed_share(queue.key),
-            # Tickets that expire before this request is answered do not count.
-            valid_at_s=refreshed_at_s,
-            renews=needs_renewal or not step_advice.queried,
-        )
-        if not requested:
-            if needs_renewal:
-                # Nothing is left to renew, so only the next search is due.
-                step_advice.valid_until_s = math.inf
-            return
-        expected_s = policy.decide_s + policy.per_upstream_s * len(requested)
-        self._advice_cache.begin_request(step.step_id)
-        self.advice.append(AdviceRequest(step.step_id, requested, expected_s))
-
-    def _is_advice_scarce(self) -> bool:
-        """Return whether steps compete for advisory calls.
-
-        Then only those renew their tickets that have room to start, or reserve it. In
-        a flood the renewals of steps without room took most of the calls, and urgent
-        steps waited for their first one.
-        """
-        pending = self._advice_cache.pending_requests
-        return pending >= SPARE_ADVICE_SHARE * self._advice_slots
-
-    def _count_free_advice_slots(self, policy: AdvicePolicy) -> int:
-        free_slots = self._advice_slots - self._advice_cache.pending_requests
-        if policy.decide_s > self._settings.slow_advice_s:
-            free_slots -= min(self._settings.quick_advice_slots, self._advice_slots - 1)
-        return free_slots
-
     def _choose_reserved(
         self, step: StepRun, queue: QueuePolicy, pool: Pool
     ) -> set[str]:
@@ -525,15 +462,3 @@
         ]
         by_speed = self._settings.learns_run_times
         return reserve_for_gang(step, eligible, by_speed=by_speed)
-
-
-def _has_room(step: StepRun, names: Set[str], pool: Pool) -> bool:
-    """Return whether a gang, or a task of another step, fits on some upstreams."""
-    missing = step.spec.count if step.spec.is_gang else 1
-    for name in names:
-        upstream = pool.members.get(name)
-        if upstream is not None:
-            missing -= upstream.free_slots_for(step.spec)
-            if missing <= 0:
-                return True
-    return False
