--- a/packages/core/src/papayadyke_core/dispatch/tests/test_preemption.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_preemption.py
@@ -130,6 +130,17 @@
     assert not list_running(world, "check0")
 
 
+def test_room_beside_a_gang_that_has_started_is_free():
+    world = make_world()
+    submit_gang(world, count=2, cpu_millis=1750)
+    while not list_running(world, "gang"):
+        world.step()
+    check = make_step(cpu_millis=500)
+    world.submit(make_job("check", check, queue=URGENT_QUEUE))
+    world.step()
+    assert list_running(world, "check")
+
+
 def test_room_is_free_for_others_if_the_gang_is_cancelled():
     world = make_world()
     submit_gang(world)
