Count the failures of one gang in a row once

Cause: a gang comes back to the upstream on which it failed, since all of its members start anew. Ruled out: more failures until an upstream is set aside; one that fails all it starts would get more work. Change: failures of the same gang count once until another task fails or one is done there. Two gangs that fail set the upstream aside as before.

--- a/packages/core/src/papayadyke_core/dispatch/_tracking.py
+++ b/packages/core/src/papayadyke_core/dispatch/_tracking.py
@@ -375,7 +375,8 @@
         self, upstream: Upstream, step: StepRun, ended: EndedRun, now: float
     ) -> None:
         index = ended.task.number
-        if self._count_failure(upstream, now):
+        gang = step.step_id if step.spec.is_gang else None
+        if self._count_failure(upstream, now, gang=gang):
             LOG.warning(
                 "dispatch: upstream %s set aside after %d failed runs",
                 upstream.upstream_id,
@@ -395,11 +396,13 @@
         if step.count_failures(index) >= max_attempts:
             self._schedule.finish_job(job, JobState.FAILED, now)
 
-    def _count_failure(self, upstream: Upstream, now: float) -> bool:
+    def _count_failure(
+        self, upstream: Upstream, now: float, *, gang: StepId | None = None
+    ) -> bool:
         """Count a failure of an upstream; return whether it sets the upstream aside."""
         if not self._schedule.settings.sets_upstreams_aside:
             return False
-        return upstream.record_failure(now)
+        return upstream.record_failure(now, gang=gang)
 
     def _lose_run(self, upstream: Upstream, run: Run, now: float) -> None:
         """Drop a run that its upstream neither runs nor lists as ended."""
--- a/packages/core/src/papayadyke_core/dispatch/_upstream.py
+++ b/packages/core/src/papayadyke_core/dispatch/_upstream.py
@@ -4,7 +4,7 @@
 
 from papayadyke_core.dispatch._messages import UpstreamEntry
 from papayadyke_core.dispatch._run import Run
-from papayadyke_core.dispatch._spec import StepSpec, TaskId
+from papayadyke_core.dispatch._spec import StepId, StepSpec, TaskId
 from papayadyke_core.teams import TeamLedger
 
 SPEED_WEIGHT = 0.15  # weight of the newest run in the moving average of the speed
@@ -54,6 +54,8 @@
         # Upstreams of about the same speed have the same class; a higher one is faster.
         self.speed_class = round(self.speed / SPEED_CLASS_WIDTH)
         self.failures_in_row = 0
+        # Gang whose failure was counted last.
+        self._failed_gang: StepId | None = None
         self.set_aside_until_s = 0.0
         self.set_aside_s = SET_ASIDE_S
 
@@ -140,8 +142,15 @@
             self.urgent_cpu_millis -= run.is_urgent * run.spec.cpu_millis
             self._charge_team(run, -1)
 
-    def record_failure(self, now: float) -> bool:
-        """Count a failure; return whether it sets the upstream aside."""
+    def record_failure(self, now: float, *, gang: StepId | None = None) -> bool:
+        """Count a failure; return whether it sets the upstream aside.
+
+        Failures of one gang in a row count once. They are its own as likely as those
+        of the upstream, to which it comes back, unlike other tasks.
+        """
+        if gang is not None and gang == self._failed_gang:
+            return False
+        self._failed_gang = gang
         self.failures_in_row += 1
         if self.failures_in_row < FAILURES_TO_SET_ASIDE:
             return False
@@ -154,6 +163,7 @@
     def clear_failures(self) -> None:
         """Reset the failure count after a run is done."""
         self.failures_in_row = 0
+        self._failed_gang = None
         self.set_aside_s = SET_ASIDE_S
 
     def record_success(self, expected_s: float, taken_s: float) -> None:
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
@@ -17,7 +17,9 @@
     RunEnd,
     RunningRun,
     StagedJobSpec,
+    StepId,
     TaskId,
+    Upstream,
     UpstreamReport,
     choose_retry_after,
 )
@@ -436,3 +438,11 @@
     world.submit(make_job("other", make_step(3, is_gang=True, cpu_millis=4000)))
     world.run(1.0, after_s=100.0)
     assert len(world.running()) == 3
+
+
+def test_upstream_that_fails_two_gangs_is_set_aside():
+    upstream = Upstream(make_entry("a"))
+    one, other = StepId("one", 0, 0), StepId("other", 0, 0)
+    assert not upstream.record_failure(1.0, gang=one)
+    assert not upstream.record_failure(1.1, gang=one)
+    assert upstream.record_failure(1.2, gang=other)
