--- a/packages/experiments/src/papayadyke_experiments/tests/test_experiments.py
+++ b/packages/experiments/src/papayadyke_experiments/tests/test_experiments.py
@@ -1,11 +1,19 @@
 """Experiments: scenarios and variants are checked, and simulations can be repeated."""
 
 import json
+import random
 from pathlib import Path
 
 import pytest
 from typer.testing import CliRunner
 
+from papayadyke_core.dispatch import (
+    RunEnd,
+    StartOrder,
+    StepSpec,
+    StopOrder,
+    TaskId,
+)
 from papayadyke_experiments import (
     MECHANISMS,
     Crash,
@@ -26,6 +34,7 @@
     read_scenario,
     simulate,
 )
+from papayadyke_experiments._upstreams import RESTORE_S, SimulatedFleet, make_upstreams
 from papayadyke_experiments.main import app
 
 SCENARIOS = Path(__file__).parents[1] / "scenarios"
@@ -113,6 +122,25 @@
     assert measure(outcomes).whole > 0.8
 
 
+def test_stopped_task_resumes_from_its_checkpoint():
+    upstreams = make_upstreams(
+        1, cores=4, memory_mb=100, speeds=(1.0,), rack_size=1, rng=random.Random(0)
+    )
+    fleet = SimulatedFleet(
+        upstreams,
+        run_s=lambda task: 4.0,
+        get_step=lambda task: StepSpec(1, is_checkpointing=True),
+        draw_end=lambda task, attempt: RunEnd.DONE,
+    )
+    (upstream,) = upstreams
+    task = TaskId("job", 0, 0, 0)
+    fleet.start(StartOrder(upstream.name, task, 1, "p"), 0.0)
+    fleet.stop(StopOrder(upstream.name, task, 1, "room"), 3.0)
+    checkpoint = upstream.ended[-1].checkpoint
+    fleet.start(StartOrder(upstream.name, task, 2, "p", checkpoint), 10.0)
+    assert upstream.runs[task].end_s == pytest.approx(10.0 + 1.0 + RESTORE_S)
+
+
 def test_late_and_unfinished_jobs_lose_value_to_their_largest_delay():
     outcomes = [
         JobOutcome("k", 0.0, 1.0, 1.0, 0.5, False),
