Let the test of stalled connections not depend on when threads start

Four reads were to overlap by a delay of 0.2 s of the answers; a thread that starts later reuses a connection. Ruled out: a change of the client; none was made since it was written. Change: the proxy forwards nothing until four connections are open, so that the reads overlap whenever they start. The check is the same. Measured: with threads that start 0.25 s apart the former test fails and this one passes.

--- a/packages/clients/src/papayadyke_clients/store/tests/test_http_store.py
+++ b/packages/clients/src/papayadyke_clients/store/tests/test_http_store.py
@@ -1,6 +1,7 @@
 import contextlib
 import socket
 import threading
+import time
 
 import pytest
 from urllib3.exceptions import ClosedPoolError
@@ -145,6 +146,8 @@
         self.target = (host, int(port))
         self.stalled = set()
         self.open = []
+        # Nothing is forwarded until so many connections have been opened.
+        self.least_open = 0
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = "{}:{}".format(*self.listener.getsockname())
         threading.Thread(target=self.accept, daemon=True).start()
@@ -166,6 +169,8 @@
     def forward(self, source, sink, inbound):
         with contextlib.suppress(OSError):
             while data := source.recv(65536):
+                while len(self.open) < self.least_open:
+                    time.sleep(0.005)
                 if inbound not in self.stalled:
                     sink.sendall(data)
 
@@ -190,7 +195,7 @@
     proxy = Middlebox(standin.address)
     settings = StoreSettings(address=proxy.address, answer_timeout_s=2.0)
     store = HttpStore(settings)
-    standin.service.set_faults(Faults(delay_s=0.2))
+    proxy.least_open = 4
     assert all(result.is_ok() for result in read_concurrently(store, 4))
     assert len(proxy.open) == 4
     proxy.stall_open_connections()
