Log the size of jobs and what waiting gangs lack, and lose no lines of a busy VM

Callers saw large jobs unserved; the logs could not tell why. Of 2,698 accepted jobs 1,805 had a line of their addition, and no VM reported dropped lines. Cause: all queued lines went out in one write; the reader of the pipe got its first 8 KB, as batches of 8,190 to 8,460 bytes that end within a line show (358 of 7,225). Change: writes of whole lines and at most PIPE_BUF. job added and job ended tell tasks and declared work; 'gangs wait' tells tickets and room of the gangs that have waited the longest; 'report losses --by size' splits a queue by size. Measured: test_reader_that_takes_the_start_of_each_write_gets_every_line fails on the code before (JSONDecodeError: unterminated line) and passes.

--- a/packages/cli/src/papayadyke_cli/_log_lines.py
+++ b/packages/cli/src/papayadyke_cli/_log_lines.py
@@ -9,6 +9,7 @@
 
 # Event of a request that was not carried out, and of a job that ended.
 REFUSED = "callers: refused"
+JOB_ADDED = "decider: job added"
 JOB_ENDED = "decider: job ended"
 INTAKE = "intake: job"
 OBJECT_START = '{"ts":'
--- a/packages/cli/src/papayadyke_cli/_losses.py
+++ b/packages/cli/src/papayadyke_cli/_losses.py
@@ -9,7 +9,7 @@
 from enum import StrEnum
 from typing import Any
 
-from papayadyke_cli._log_lines import INTAKE, JOB_ENDED, REFUSED
+from papayadyke_cli._log_lines import INTAKE, JOB_ADDED, JOB_ENDED, REFUSED
 
 # Multiple of its objective after which the result of a job is worthless to its caller.
 MAX_LATE_FACTOR = 3.0
@@ -21,6 +21,8 @@
 REFUSED_BEFORE, TASK_FAILED = "refused_before", "task_failed"
 # The job still ran when the logs end, or the line of its end is missing.
 NO_END = "no_end_in_logs"
+# Jobs of a queue by size: the largest tenth, the fifth below it, and the others.
+SIZE_BANDS = (("largest tenth", 0.1), ("next fifth", 0.3), ("others", 1.0))
 
 
 class Outcome(StrEnum):
@@ -65,6 +67,8 @@
         Seconds by cause.
     refusals : Counter
         Attempts that were refused, by reason.
+    work_core_s : float or None
+        Declared work in core-seconds; None if no line tells it.
     """
 
     job_id: str
@@ -78,6 +82,7 @@
     objective_s: float | None = None
     delays: dict[str, float] = field(default_factory=dict)
     refusals: Counter[str] = field(default_factory=Counter)
+    work_core_s: float | None = None
 
     @property
     def outcome(self) -> Outcome:
@@ -151,8 +156,11 @@
             _apply_refusal(event, requests)
         elif name == INTAKE:
             _apply_intake(event, requests)
+        elif name == JOB_ADDED:
+            _apply_size(event, requests)
         elif name == JOB_ENDED:
             _apply_end(event, requests)
+            _apply_size(event, requests)
     _add_takeover_gaps(events, requests.values())
     ordered = sorted(requests.values(), key=lambda request: request.first_s)
     return LossReport(tuple(ordered), zones, unreadable, dropped)
@@ -174,7 +182,9 @@
 
 
 def group_requests(report: LossReport, by: str) -> dict[str, list[Request]]:
-    """Return the requests by `queue`, `zone`, `team` or `vm`."""
+    """Return the requests by `queue`, `size`, `zone`, `team` or `vm`."""
+    if by == "size":
+        return _group_by_size(report)
     groups: dict[str, list[Request]] = {}
     for request in report.requests:
         if by == "zone":
@@ -185,6 +195,27 @@
     return dict(sorted(groups.items()))
 
 
+def _group_by_size(report: LossReport) -> dict[str, list[Request]]:
+    """Return the requests of each queue by their declared work, the largest first.
+
+    Requests whose size no line tells are a group of their own.
+    """
+    groups: dict[str, list[Request]] = {}
+    for queue, requests in group_requests(report, "queue").items():
+        sized = [r for r in requests if r.work_core_s is not None]
+        sized.sort(key=lambda r: (-(r.work_core_s or 0.0), r.job_id))
+        begin = 0
+        for band, share in SIZE_BANDS:
+            end = round(share * len(sized))
+            if begin < end:
+                groups[f"{queue} {band}"] = sized[begin:end]
+            begin = end
+        if len(sized) < len(requests):
+            unsized = [r for r in requests if r.work_core_s is None]
+            groups[f"{queue} {UNKNOWN}"] = unsized
+    return groups
+
+
 def split_by_time(
     report: LossReport, step_s: float
 ) -> list[tuple[float, list[Request]]]:
@@ -247,6 +278,12 @@
         request.delays[cause] = request.delays.get(cause, 0.0) + seconds
 
 
+def _apply_size(event: dict[str, Any], requests: dict[str, Request]) -> None:
+    request = requests.get(event["request"])
+    if request is not None and "core_s" in event:
+        request.work_core_s = event["core_s"]
+
+
 def _add_takeover_gaps(
     events: Sequence[dict[str, Any]], requests: Iterable[Request]
 ) -> None:
--- a/packages/cli/src/papayadyke_cli/_losses_output.py
+++ b/packages/cli/src/papayadyke_cli/_losses_output.py
@@ -37,6 +37,7 @@
     """By what the requests of a report may be grouped."""
 
     QUEUE = "queue"
+    SIZE = "size"
     ZONE = "zone"
     TEAM = "team"
     VM = "vm"
@@ -117,7 +118,7 @@
     ----------
     report : LossReport
     by : str
-        `queue`, `zone`, `team` or `vm`.
+        `queue`, `size`, `zone`, `team` or `vm`.
     step_s : float
         Seconds per row of the table over time.
     """
@@ -161,6 +162,7 @@
                 "first_s": request.first_s,
                 "ended_s": request.ended_s,
                 "objective_s": request.objective_s,
+                "core_s": request.work_core_s,
                 "outcome": request.outcome,
                 "main_cause": request.main_cause,
                 "delays": request.delays,
--- a/packages/cli/src/papayadyke_cli/tests/test_losses.py
+++ b/packages/cli/src/papayadyke_cli/tests/test_losses.py
@@ -141,3 +141,24 @@
     cut = '  9.5 vm-1 {"ts":176   9.6 vm-2 ' + intake(102.0, QUICK)
     report = report_on([cut])
     assert [(r.job_id, r.vm) for r in report.requests] == [(QUICK, "vm-2")]
+
+
+def test_lost_requests_are_told_by_the_size_of_their_job():
+    """A report without sizes hid that only the large jobs of a queue were lost."""
+    ids = [f"{number:016x}" for number in range(10)]
+    lines = [intake(100.0 + number, job_id) for number, job_id in enumerate(ids)]
+    lines += [
+        line(100.0 + number, "decider: job added", request=job_id, core_s=10.0 * number)
+        for number, job_id in enumerate(ids[:9])
+    ]
+    lines += [end(120.0, job_id, age_s=1.0, room=0.2) for job_id in ids[:7]]
+    lines.append(intake(120.0, LATE.replace("1", "f")))
+    groups = group_requests(report_on(lines), "size")
+    outcomes = {
+        name: [request.job_id for request in requests]
+        for name, requests in groups.items()
+    }
+    assert outcomes["q largest tenth"] == [ids[8]]
+    assert outcomes["q next fifth"] == [ids[7], ids[6]]
+    assert outcomes["q others"] == ids[5::-1]
+    assert outcomes["q unknown"] == [ids[9], LATE.replace("1", "f")]
--- a/packages/core/src/papayadyke_core/dispatch/__init__.py
+++ b/packages/core/src/papayadyke_core/dispatch/__init__.py
@@ -3,6 +3,7 @@
 from papayadyke_core.dispatch._crashes import TaskCrash
 from papayadyke_core.dispatch._delays import DelayCause, JobDelays
 from papayadyke_core.dispatch._dispatcher import Dispatcher
+from papayadyke_core.dispatch._gang_waits import GangWait
 from papayadyke_core.dispatch._job import StagedJob, StepRun
 from papayadyke_core.dispatch._learned_record import (
     LearnedRecord,
@@ -62,6 +63,7 @@
     "DispatchSettings",
     "Dispatcher",
     "EndedRun",
+    "GangWait",
     "JobDelays",
     "JobProgress",
     "JobState",
--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -7,6 +7,7 @@
 from papayadyke_core.dispatch._advice import AdviceCache
 from papayadyke_core.dispatch._crashes import TaskCrash
 from papayadyke_core.dispatch._delays import DelayCause
+from papayadyke_core.dispatch._gang_waits import GangWait, list_gang_waits
 from papayadyke_core.dispatch._job import StagedJob
 from papayadyke_core.dispatch._messages import (
     Advice,
@@ -339,6 +340,19 @@
         team_waits, self._team_waits = self._team_waits, {}
         return team_waits
 
+    def list_gang_waits(
+        self, now: float, *, min_age_s: float, most: int
+    ) -> list[GangWait]:
+        """Return the gangs that have waited the longest; see `list_gang_waits`."""
+        return list_gang_waits(
+            self._schedule.ready_steps.values(),
+            self.advice_cache,
+            self.upstreams,
+            now=now,
+            min_age_s=min_age_s,
+            most=most,
+        )
+
     def count_waiting_tasks(self) -> dict[str, int]:
         """Return how many tasks of each team could start but wait."""
         counts: dict[str, int] = {}
--- a/packages/core/src/papayadyke_core/dispatch/_spec.py
+++ b/packages/core/src/papayadyke_core/dispatch/_spec.py
@@ -128,6 +128,16 @@
     repeat: Repeat | None = None
     team: str = ""
 
+    @property
+    def task_count(self) -> int:
+        """Number of tasks of one occurrence."""
+        return sum(step.count for step in self.steps)
+
+    @property
+    def work_core_s(self) -> float:
+        """Declared work of one occurrence, in core-seconds."""
+        return sum(step.work_core_s for step in self.steps)
+
 
 class SpecError(ValueError):
     """The declaration of a job is invalid."""
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -36,6 +36,7 @@
     log_starts,
     log_stop,
 )
+from papayadyke_daemon.edge._gang_reports import GangReporter
 from papayadyke_daemon.edge._housekeeping import Housekeeper
 from papayadyke_daemon.edge._job_owner import JobStatus
 from papayadyke_daemon.edge._keys import (
@@ -155,6 +156,7 @@
             on_stored=self._mark_recorded,
         )
         self._team_reporter = TeamReporter()
+        self._gang_reporter = GangReporter()
         self._learned = LearnedWriter(
             ports.store, self._dispatcher, token=term.token, post=self._mailbox.post
         )
@@ -308,8 +310,11 @@
                 LOG,
                 "decider: job added",
                 request=spec.job_id,
+                queue=spec.queue,
                 team=spec.team,
                 age_s=age_s,
+                tasks=spec.task_count,
+                core_s=round(spec.work_core_s, 1),
             )
         if spec.job_id in self._early_cancels:
             self._cancel(spec.job_id)
@@ -371,6 +376,7 @@
         self._begin_commit(now)
         self._roster.update(self._dispatcher.upstreams, now)
         self._team_reporter.update(self._dispatcher, now)
+        self._gang_reporter.update(self._dispatcher, now)
         self._learned.update(now)
         self._collect_garbage(now)
         return self._committer.next_commit_s(now + MAX_STEP_INTERVAL_S)
--- a/packages/daemon/src/papayadyke_daemon/edge/_decision_log.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decision_log.py
@@ -118,6 +118,8 @@
         queue=job.spec.queue,
         team=job.spec.team,
         state=job.state,
+        tasks=job.spec.task_count,
+        core_s=round(job.spec.work_core_s, 1),
         age_s=round(age_s, 3),
         objective_s=None if objective_s is None else round(objective_s, 3),
         delays={
--- a/packages/daemon/src/papayadyke_daemon/edge/_logs.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_logs.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import logging
+import select
 import sys
 import threading
 import time
 from collections import deque
+from collections.abc import Iterator, Sequence
 from typing import Any
 
 import msgspec
@@ -14,6 +16,9 @@
 MAX_QUEUED_LINES = 2000  # further lines are counted and dropped
 # Seconds between two writes; a longer interval puts more lines into each write.
 FLUSH_INTERVAL_S = 0.1
+# Bytes of a write, unless one line is longer. A pipe takes this much as a whole; of
+# longer writes a reader may get the beginning only.
+MAX_WRITE_BYTES = select.PIPE_BUF
 
 
 class JsonFormatter(logging.Formatter):
@@ -65,8 +70,8 @@
         if self._dropped:
             lines.append(f'{{"msg":"logs: lines dropped","count":{self._dropped}}}')
             self._dropped = 0
-        if lines:
-            self._stream.write("\n".join(lines) + "\n")
+        for block in join_lines(lines, MAX_WRITE_BYTES):
+            self._stream.write(block)
             self._stream.flush()
 
     def _run(self) -> None:
@@ -77,6 +82,29 @@
             time.sleep(FLUSH_INTERVAL_S)
 
 
+def join_lines(lines: Sequence[str], max_bytes: int) -> Iterator[str]:
+    """Yield the lines in blocks that end with a line.
+
+    Parameters
+    ----------
+    lines : sequence of str
+        Without line ends.
+    max_bytes : int
+        Size of a block, unless a single line is longer.
+    """
+    block: list[str] = []
+    size = 0
+    for line in lines:
+        line_size = len(line.encode()) + 1
+        if block and size + line_size > max_bytes:
+            yield "\n".join(block) + "\n"
+            block, size = [], 0
+        block.append(line)
+        size += line_size
+    if block:
+        yield "\n".join(block) + "\n"
+
+
 def configure_logging(level: str = "INFO") -> QueueWriter:
     """Send the logs of the program to standard output as JSON lines."""
     writer = QueueWriter()
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_edge_logs.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_edge_logs.py
@@ -3,6 +3,7 @@
 import io
 import json
 import logging
+import select
 
 from papayadyke_daemon.edge import log_event
 from papayadyke_daemon.edge._logs import MAX_QUEUED_LINES, JsonFormatter, QueueWriter
@@ -45,3 +46,22 @@
     lines = stream.getvalue().splitlines()
     assert json.loads(lines[-1]) == {"msg": "logs: lines dropped", "count": 5}
     assert len(lines) == MAX_QUEUED_LINES + 1
+
+
+def test_reader_that_takes_the_start_of_each_write_gets_every_line():
+    """A write of all queued lines lost those after its first 8 KB on a busy VM."""
+
+    class TruncatingStream(io.StringIO):
+        """Stream whose reader takes no more of a write than a pipe takes as a whole."""
+
+        def write(self, text):
+            return super().write(text[: select.PIPE_BUF])
+
+    stream = TruncatingStream()
+    logger, writer = make_logger(stream)
+    writer._wake.set = lambda: None
+    for number in range(500):
+        log_event(logger, "test: line", number=number, why="x" * 90)
+    writer.write_queued()
+    lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+    assert [line["number"] for line in lines] == list(range(500))
