Stop each member of a broken gang once

Cause: each end of a member stopped all others, also those that were being stopped already: N(N-1)/2 orders for a gang of N. Orders to an upstream are sent one after the other. Change: a member that is being stopped is left to the repetition of stops.

--- a/packages/core/src/papayadyke_core/dispatch/_schedule.py
+++ b/packages/core/src/papayadyke_core/dispatch/_schedule.py
@@ -211,7 +211,7 @@
         if index in step.done or not step.spec.is_gang:
             return
         for other_index, live in list(step.live.items()):
-            if other_index != index:
+            if other_index != index and live.stop_requested_s is None:
                 self.stop_run(live, now, f"a member of the gang ended: {end}")
 
     def record_run_delays(self, step: StepRun, run: Run, now: float) -> None:
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
@@ -12,6 +12,7 @@
     Catalog,
     Dispatcher,
     DispatchSettings,
+    EndedRun,
     JobState,
     QueuePolicy,
     RunEnd,
@@ -446,3 +447,31 @@
     assert not upstream.record_failure(1.0, gang=one)
     assert not upstream.record_failure(1.1, gang=one)
     assert upstream.record_failure(1.2, gang=other)
+
+
+def test_each_member_of_a_broken_gang_is_stopped_once():
+    """Each end of a member stopped all others again: 780 orders for a gang of 40.
+
+    Orders to an upstream are sent one after the other, so that starts waited for them.
+    """
+    world = World(make_catalog(), *(make_entry(f"u{n}") for n in range(10)))
+    world.run(0.2)
+    world.submit(make_job("gang", make_step(40, is_gang=True, estimate_s=3.0)))
+    world.run(0.3)
+    dispatcher = world.dispatcher
+    assert len(world.running()) == 40
+    stops = []
+    now = world.now
+    for number in range(10):
+        name = f"u{number}"
+        upstream = dispatcher.upstreams[name]
+        here = [run.task for run in upstream.runs.values()]
+        ends = [
+            EndedRun(100 + n, task, 1, RunEnd.BROKEN if number else RunEnd.FAILED)
+            for n, task in enumerate(here)
+        ]
+        now += 0.02
+        report = UpstreamReport(upstream.incarnation, now, now, [], ends)
+        dispatcher.process_report(name, report, now)
+        stops += dispatcher.tick(now, now).stops
+    assert len(stops) == len({(stop.task, stop.attempt) for stop in stops})
