--- a/packages/core/src/papayadyke_core/dispatch/_spec.py
+++ b/packages/core/src/papayadyke_core/dispatch/_spec.py
@@ -8,6 +8,11 @@
 
 from papayadyke_core.teams import TeamKeys, TeamPolicy
 
+# Bounds of a job. A larger one would exhaust the memory of each decider that reads it.
+MAX_TASKS = 100_000  # tasks of all occurrences
+MAX_AMOUNT = 10**12  # of any resource that a task needs
+MAX_ESTIMATE_S = 1e9  # seconds
+
 
 class TaskId(NamedTuple):
     """Id of a task of a staged job; `number` is its index within the step."""
@@ -168,20 +173,32 @@
     Raises
     ------
     SpecError
-        If there is no step, a step has no tasks or needs a negative amount, a step
-        depends on a step that is not before it, or a repeated job has no occurrence.
+        If there is no step, a step has no tasks, a negative or excessive need or
+        estimate, or depends on a step that is not before it, or if the job has no
+        occurrence or too many tasks.
     """
     if not spec.steps:
         raise SpecError("a job needs at least one step")
     for number, step in enumerate(spec.steps):
         if step.count < 1:
             raise SpecError(f"step {number} has no tasks")
-        if min(step.cpu_millis, step.memory_mb, step.accelerators) < 0:
+        amounts = (step.cpu_millis, step.memory_mb, step.accelerators)
+        if min(amounts) < 0:
             raise SpecError(f"step {number} needs a negative amount")
+        if max(amounts) > MAX_AMOUNT:
+            raise SpecError(f"step {number} needs more than {MAX_AMOUNT} of a resource")
+        if not 0 <= step.estimate_s <= MAX_ESTIMATE_S:
+            raise SpecError(
+                f"the estimate of step {number} is not between 0 and "
+                f"{MAX_ESTIMATE_S:.0f} s"
+            )
         if any(not 0 <= earlier < number for earlier in step.after):
             raise SpecError(f"step {number} names a step that is not before it")
     if spec.repeat is not None and spec.repeat.count < 1:
         raise SpecError("a repeated job needs at least one occurrence")
+    occurrences = 1 if spec.repeat is None else spec.repeat.count
+    if spec.task_count * occurrences > MAX_TASKS:
+        raise SpecError(f"a job has at most {MAX_TASKS} tasks")
 
 
 @dataclass(frozen=True, slots=True)
