Look for a gang's upstreams and renew its tickets for all of them together

Cause: a gang needs room and valid tickets for all of its upstreams at one moment. A call takes 1 to 1.5 s and tickets last 2 s. Further upstreams were looked for only where they had room now, or when tickets expired; tickets were renewed in parts that expired at different times, also where the gang could not fit. Change: the tickets of all upstreams on which the gang fits, with a margin, are requested in one call; if it fits on none that it knows, further ones are asked for at once. Measured: test_wide_gang_finds_its_upstreams_in_time_on_a_fleet_full_of_patient_work fails on the code before (no start within 7 s) and passes.

--- a/packages/core/src/papayadyke_core/dispatch/_advice.py
+++ b/packages/core/src/papayadyke_core/dispatch/_advice.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 from zlib import crc32
@@ -48,7 +48,8 @@
     allowed, queried : set of str
         Upstreams that may run the step, and those that the service has answered
         for.
-    is_request_pending : bool
+    pending_requests : int
+        Calls in progress.
     retry_at_s : float
         Time before which no request is sent, after a failed one.
     next_search_s : float
@@ -60,11 +61,19 @@
     tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
     allowed: set[str] = field(default_factory=set)
     queried: set[str] = field(default_factory=set)
-    is_request_pending: bool = False
+    pending_requests: int = 0
     retry_at_s: float = 0.0
     next_search_s: float = 0.0
     valid_until_s: float = math.inf
 
+    def list_missing(self, names: Iterable[str], at_s: float) -> list[str]:
+        """Return those of some upstreams whose ticket is not valid at a time."""
+        return [
+            name
+            for name in names
+            if (ticket := self.tickets.get(name)) is None or ticket[1] <= at_s
+        ]
+
 
 class AdviceCache:
     """Cache of the tickets of every waiting step."""
@@ -87,7 +96,7 @@
 
     def begin_request(self, step: StepId) -> None:
         """Record that a request is pending."""
-        self.get_or_create(step).is_request_pending = True
+        self.get_or_create(step).pending_requests += 1
         self.pending_requests += 1
 
     def record_answer(self, advice: Advice, *, queue: str = "") -> None:
@@ -108,7 +117,7 @@
         self.pending_requests -= 1
         if step_advice is None:
             return
-        step_advice.is_request_pending = False
+        step_advice.pending_requests = max(step_advice.pending_requests - 1, 0)
         step_advice.queried.update(advice.upstream_ids)
         expires_s = advice.answered_s + advice.valid_s - TICKET_EXPIRY_MARGIN_S
         step_advice.valid_until_s = expires_s if advice.tickets else math.inf
@@ -121,7 +130,7 @@
         self.pending_requests -= 1
         step_advice = self._steps.get(step)
         if step_advice is not None:
-            step_advice.is_request_pending = False
+            step_advice.pending_requests = max(step_advice.pending_requests - 1, 0)
             step_advice.retry_at_s = retry_at_s
 
     def find_ticket(self, step: StepId, upstream_id: str, now: float) -> str | None:
@@ -157,6 +166,44 @@
         self._steps.pop(step, None)
 
 
+def choose_upstreams_to_search(
+    step: StepRun,
+    upstreams: Mapping[str, Upstream],
+    step_advice: StepAdvice,
+    *,
+    allowed_share: float,
+) -> tuple[str, ...]:
+    """Return further upstreams to ask about for a gang that finds no room.
+
+    The emptiest come first, until those that are expected to be allowed have room for
+    the gang with a margin.
+
+    Parameters
+    ----------
+    step : StepRun
+        A gang.
+    upstreams : mapping of str to Upstream
+        Upstreams of the service that accept new runs.
+    step_advice : StepAdvice
+    allowed_share : float
+        Expected share of upstreams that the step may use.
+    """
+    unknown = [
+        _make_candidate(step, upstream)
+        for name, upstream in upstreams.items()
+        if name not in step_advice.queried
+    ]
+    wanted = ROOM_MARGIN * step.spec.count
+    requested: list[str] = []
+    for candidate in sorted(unknown, key=lambda c: c.rank):
+        has_enough = wanted <= 0 and len(requested) >= MIN_UPSTREAMS_PER_REQUEST
+        if has_enough or len(requested) == MAX_UPSTREAMS_PER_REQUEST:
+            break
+        requested.append(candidate.name)
+        wanted -= allowed_share * _count_room(step.spec, candidate.slots)
+    return tuple(requested)
+
+
 def choose_upstreams_to_ask(
     step: StepRun,
     upstreams: Mapping[str, Upstream],
--- a/packages/core/src/papayadyke_core/dispatch/_advice_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_advice_round.py
@@ -5,7 +5,12 @@
 import math
 from collections.abc import Set
 
-from papayadyke_core.dispatch._advice import AdviceCache, choose_upstreams_to_ask
+from papayadyke_core.dispatch._advice import (
+    MAX_UPSTREAMS_PER_REQUEST,
+    AdviceCache,
+    choose_upstreams_to_ask,
+    choose_upstreams_to_search,
+)
 from papayadyke_core.dispatch._job import StepRun
 from papayadyke_core.dispatch._messages import AdviceRequest
 from papayadyke_core.dispatch._pool import Pool
@@ -49,10 +54,8 @@
         queue: QueuePolicy,
         policy: AdvicePolicy,
         pool: Pool,
-        *,
-        may_reserve: bool,
     ) -> None:
-        """Request tickets for a step that has too few upstreams with room.
+        """Request tickets for a step without gang that has too few upstreams with room.
 
         Parameters
         ----------
@@ -60,20 +63,16 @@
         queue : QueuePolicy
         policy : AdvicePolicy
         pool : Pool
-        may_reserve : bool
-            Whether upstreams are reserved for the step.
         """
         step_advice = self._cache.get_or_create(step.step_id)
         refresh_s = policy.decide_s + policy.per_upstream_s * len(step_advice.allowed)
         refreshed_at_s = self._now + refresh_s
         needs_renewal = refreshed_at_s >= step_advice.valid_until_s and (
-            not self._is_scarce()
-            or may_reserve
-            or _has_room(step, step_advice.allowed, pool)
+            not self._is_scarce() or _has_room(step, step_advice.allowed, pool)
         )
         if (
             not (needs_renewal or self._now >= step_advice.next_search_s)
-            or step_advice.is_request_pending
+            or step_advice.pending_requests
             or self._now < step_advice.retry_at_s
             or self._searches_left <= 0
             or self._count_free_slots(policy) <= 0
@@ -90,21 +89,84 @@
             valid_at_s=refreshed_at_s,
             renews=needs_renewal or not step_advice.queried,
         )
-        if not requested:
-            if needs_renewal:
-                # Nothing is left to renew, so only the next search is due.
-                step_advice.valid_until_s = math.inf
+        if requested:
+            self._send(step, policy, requested)
+        elif needs_renewal:
+            # Nothing is left to renew, so only the next search is due.
+            step_advice.valid_until_s = math.inf
+
+    def may_request(self, step: StepRun, policy: AdvicePolicy) -> bool:
+        """Return whether a call for a step may be sent now."""
+        step_advice = self._cache.get_or_create(step.step_id)
+        return (
+            not step_advice.pending_requests
+            and self._now >= max(step_advice.retry_at_s, step_advice.next_search_s)
+            and self._searches_left > 0
+            and self._count_free_slots(policy) > 0
+        )
+
+    def request_for_gang(
+        self,
+        step: StepRun,
+        queue: QueuePolicy,
+        policy: AdvicePolicy,
+        pool: Pool,
+        names: Set[str],
+    ) -> None:
+        """Request the tickets of a gang; see `may_request`.
+
+        Parameters
+        ----------
+        step : StepRun
+            A gang.
+        queue : QueuePolicy
+        policy : AdvicePolicy
+        pool : Pool
+        names : set of str
+            Upstreams on which it fits; empty if it does not fit on those that it may
+            use, so that more are looked for.
+        """
+        self._searches_left -= 1
+        step_advice = self._cache.get_or_create(step.step_id)
+        step_advice.next_search_s = self._now + ADVICE_SEARCH_INTERVAL_S
+        allowed_share = self._cache.get_allowed_share(queue.key)
+        if names:
+            expected_s = policy.decide_s + policy.per_upstream_s * len(names)
+            missing = step_advice.list_missing(sorted(names), self._now + expected_s)
+            if missing and len(names) <= MAX_UPSTREAMS_PER_REQUEST:
+                # Tickets of one answer expire together.
+                missing = sorted(names)
+            if missing:
+                self._send(step, policy, tuple(missing[:MAX_UPSTREAMS_PER_REQUEST]))
             return
-        expected_s = policy.decide_s + policy.per_upstream_s * len(requested)
+        if step_advice.queried:
+            requested = choose_upstreams_to_search(
+                step, pool.members, step_advice, allowed_share=allowed_share
+            )
+        else:
+            requested = choose_upstreams_to_ask(
+                step,
+                pool.members,
+                step_advice,
+                allowed_share=allowed_share,
+                valid_at_s=self._now,
+            )
+        if requested:
+            self._send(step, policy, requested)
+
+    def _send(
+        self, step: StepRun, policy: AdvicePolicy, names: tuple[str, ...]
+    ) -> None:
+        expected_s = policy.decide_s + policy.per_upstream_s * len(names)
         self._cache.begin_request(step.step_id)
-        self.requests.append(AdviceRequest(step.step_id, requested, expected_s))
+        self.requests.append(AdviceRequest(step.step_id, names, expected_s))
 
     def _is_scarce(self) -> bool:
         """Return whether steps compete for advisory calls.
 
-        Then only those renew their tickets that have room to start, or reserve it. In
-        a flood the renewals of steps without room took most of the calls, and urgent
-        steps waited for their first one.
+        Then only those renew their tickets that have room to start. In a flood the
+        renewals of steps without room took most of the calls, and urgent steps waited
+        for their first one.
         """
         pending = self._cache.pending_requests
         return pending >= SPARE_ADVICE_SHARE * self._slots
@@ -117,12 +179,8 @@
 
 
 def _has_room(step: StepRun, names: Set[str], pool: Pool) -> bool:
-    """Return whether a gang, or a task of another step, fits on some upstreams."""
-    missing = step.spec.count if step.spec.is_gang else 1
-    for name in names:
-        upstream = pool.members.get(name)
-        if upstream is not None:
-            missing -= upstream.free_slots_for(step.spec)
-            if missing <= 0:
-                return True
-    return False
+    """Return whether a task of a step fits on one of some upstreams."""
+    return any(
+        name in pool.members and pool.members[name].free_slots_for(step.spec) > 0
+        for name in names
+    )
--- a/packages/core/src/papayadyke_core/dispatch/_preemption.py
+++ b/packages/core/src/papayadyke_core/dispatch/_preemption.py
@@ -86,6 +86,7 @@
     *,
     may_stop: Callable[[Run], bool],
     now: float,
+    members: int | None = None,
 ) -> tuple[list[Run], set[str]] | None:
     """Return runs to stop so that a gang fits, and the upstreams on which it then does.
 
@@ -102,6 +103,8 @@
         Returns whether the job of a run can do without it for some time.
     now : float
         Seconds, on the dispatcher's clock.
+    members : int or None
+        Tasks for which there is to be room; None for those of the gang.
 
     Returns
     -------
@@ -119,7 +122,7 @@
     heapq.heapify(rooms)
     victims: list[Run] = []
     chosen: set[str] = set()
-    missing = step.spec.count
+    missing = step.spec.count if members is None else members
     while rooms and missing:
         room = heapq.heappop(rooms)
         missing -= 1
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -42,6 +42,8 @@
 # Seconds for which a prime suspect waits for an idle upstream; then it starts beside
 # other tasks.
 MAX_ALONE_WAIT_S = 30.0
+# Multiple of a gang's tasks for which tickets are requested if there is room.
+TICKET_MARGIN = 1.25
 
 
 class PlacementRound:
@@ -213,14 +215,14 @@
             max_tasks > 0 and step.spec.is_gang and self._may_reserve_more(pool)
         )
         # The steps of the highest rank get tickets even before they fit.
-        if queue.advice is not None and (
-            may_fit or self._position < self._advice_slots
-        ):
-            self._advice.request(
-                step, queue, queue.advice, pool, may_reserve=may_reserve
-            )
-        if max_tasks > 0 and step.spec.is_gang:
-            self._preempt(step, queue, pool, factor)
+        may_ask = may_fit or self._position < self._advice_slots
+        if step.spec.is_gang:
+            if max_tasks > 0:
+                self._preempt(step, queue, pool, factor)
+            if may_ask:
+                self._request_for_gang(step, queue, pool, factor)
+        elif queue.advice is not None and may_ask:
+            self._advice.request(step, queue, queue.advice, pool)
         if may_reserve:
             self._reserving_gangs += 1
             self._reserved |= self._choose_reserved(step, queue, pool)
@@ -257,6 +259,52 @@
         self.victims += [(run, step.step_id) for run in victims]
         self._claims.add(step.step_id, upstream_ids, until_s=self._now + lead_s)
 
+    def _request_for_gang(
+        self, step: StepRun, queue: QueuePolicy, pool: Pool, factor: float
+    ) -> None:
+        """Request the tickets that a gang needs to start, or look for more upstreams.
+
+        Its tickets must all be valid at one moment, so that those of all upstreams with
+        room are requested together.
+        """
+        policy = queue.advice
+        if policy is None or not self._advice.may_request(step, policy):
+            return
+        step_advice = self._advice_cache.get_or_create(step.step_id)
+        names: set[str] = set()
+        if step_advice.allowed and not self._claims.has_claim(step.step_id):
+            names = self._find_room(step, queue, pool, factor)
+        self._advice.request_for_gang(step, queue, policy, pool, names)
+
+    def _find_room(
+        self, step: StepRun, queue: QueuePolicy, pool: Pool, factor: float
+    ) -> set[str]:
+        """Return upstreams on which a gang fits now, or once runs are stopped there."""
+        step_advice = self._advice_cache.get_or_create(step.step_id)
+        taken = self._claims.list_claimed(except_for=step.step_id) | self._reserved
+        usable = [
+            upstream
+            for name, upstream in pool.members.items()
+            if name in step_advice.allowed and name not in taken
+        ]
+        min_speed = find_min_speed(step.job, queue, factor=factor, now=self._now)
+        may_preempt = self._settings.preempts and not math.isinf(min_speed)
+        count = step.spec.count
+        # Other steps may take some of the room before the answer arrives.
+        for members in (math.ceil(TICKET_MARGIN * count), count):
+            chosen = choose_victims(
+                step,
+                usable,
+                may_stop=lambda run: (
+                    may_preempt and self._may_preempt(run, queue.priority)
+                ),
+                now=self._now,
+                members=members,
+            )
+            if chosen is not None:
+                return chosen[1]
+        return set()
+
     def _count_outside_reserve(
         self, step: StepRun, queue: QueuePolicy, pool: Pool
     ) -> int:
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
@@ -18,6 +18,7 @@
     RunEnd,
     RunningRun,
     StagedJobSpec,
+    StartOutcome,
     StepId,
     TaskId,
     Upstream,
@@ -475,3 +476,88 @@
         dispatcher.process_report(name, report, now)
         stops += dispatcher.tick(now, now).stops
     assert len(stops) == len({(stop.task, stop.attempt) for stop in stops})
+
+
+WIDE_POLICY = AdvicePolicy(0.624, 0.009, 2.0)  # as of the users' largest jobs
+WIDE_RUN_S = 5.0
+
+
+class AdvisedFleet:
+    """Upstreams of one slot that patient work fills, and the advisory service.
+
+    The service allows three in ten upstreams for a step. Stops take 0.3 s.
+    """
+
+    STEP_S, STOP_S = 0.02, 0.3
+
+    def __init__(self, upstreams):
+        self.now = 0.0
+        self._events = []
+        self._ended = {}
+        queues = {
+            BATCH: QueuePolicy(
+                "b", "h", "/batch/", "service", 1, 2, 2.2, 1.0, WIDE_POLICY
+            ),
+            "h/low/": QueuePolicy("l", "h", "/low/", "service", 2, 2, 9.0, 90.0),
+        }
+        self.dispatcher = Dispatcher(DispatchSettings(lease_s=500.0, advice_slots=97))
+        self.dispatcher.set_catalog(Catalog(1, queues))
+        for number in range(upstreams):
+            name = f"u{number:03d}"
+            self.dispatcher.add_or_update_upstream(make_entry(name, cores=1))
+            self.dispatcher.process_report(name, UpstreamReport(1, 0.0, 0.0), 0.0)
+        patient = make_step(upstreams, estimate_s=60.0, is_checkpointing=True)
+        submit(self.dispatcher, "patient", "h/low/", patient)
+
+    def step(self):
+        """Deliver what is due, decide, and return the orders."""
+        self.now = round(self.now + self.STEP_S, 3)
+        due = [event for event in self._events if event[0] <= self.now]
+        self._events = [event for event in self._events if event[0] > self.now]
+        for _, deliver in due:
+            deliver()
+        orders = self.dispatcher.tick(self.now, self.now)
+        for request in orders.advice:
+            self._events.append((self.now + request.expected_s, self._answer(request)))
+        for order in orders.starts:
+            self.dispatcher.process_start_outcome(order, StartOutcome.STARTED, self.now)
+        for order in orders.stops:
+            self._events.append((self.now + self.STOP_S, self._end(order)))
+        return orders
+
+    def _answer(self, request):
+        allowed = [n for n in request.upstream_ids if int(n[1:]) * 7 % 10 < 3]
+        return lambda: self.dispatcher.process_advice(
+            Advice(
+                request.step,
+                request.upstream_ids,
+                dict.fromkeys(allowed, "ticket"),
+                WIDE_POLICY.valid_s,
+                self.now,
+            )
+        )
+
+    def _end(self, order):
+        ended = [EndedRun(1, order.task, order.attempt, RunEnd.STOPPED, "saved")]
+        return lambda: self.dispatcher.process_report(
+            order.upstream_id,
+            UpstreamReport(1, self.now, self.now, [], ended),
+            self.now,
+        )
+
+
+def test_wide_gang_finds_its_upstreams_in_time_on_a_fleet_full_of_patient_work():
+    """Guards against wide gangs that are passed over until they are late.
+
+    70 tasks need most of the 81 upstreams that they may use, which takes three calls of
+    up to 1.5 s. More were looked for only when the tickets of the last answer expired,
+    so that tickets of all were never valid before 9 s.
+    """
+    fleet = AdvisedFleet(270)
+    for _ in range(50):
+        fleet.step()
+    gang = make_step(70, is_gang=True, estimate_s=WIDE_RUN_S)
+    handed_in_s = fleet.now
+    submit(fleet.dispatcher, "wide", BATCH, gang, now=handed_in_s)
+    while "wide" not in list_started_jobs(fleet.step()):
+        assert fleet.now - handed_in_s < 2.2 * WIDE_RUN_S + 1.0 - WIDE_RUN_S
