--- a/packages/experiments/src/papayadyke_experiments/_arrivals.py
+++ b/packages/experiments/src/papayadyke_experiments/_arrivals.py
@@ -29,6 +29,8 @@
         Seconds from its arrival within which it is in time.
     value : float
         What it earns if it is in time.
+    work_core_s : float
+        True work, in core-seconds.
     """
 
     at_s: float
@@ -37,6 +39,7 @@
     run_s: dict[TaskId, float]
     objective_s: float
     value: float
+    work_core_s: float
 
 
 def make_queue_key(kind: Kind) -> str:
@@ -114,7 +117,7 @@
         objective_s += len(steps) * call_s
     value = kind.worth * min(0.3 + 0.7 * work_core_s / kind.work_core_s, 4.0)
     spec = StagedJobSpec(job_id, make_queue_key(kind), "p", tuple(steps), at_s)
-    return Arrival(at_s, kind, spec, run_s, objective_s, value)
+    return Arrival(at_s, kind, spec, run_s, objective_s, value, work_core_s)
 
 
 def _draw_run_s(kind: Kind, base_s: float, rng: random.Random) -> float:
--- a/packages/experiments/src/papayadyke_experiments/_outcomes.py
+++ b/packages/experiments/src/papayadyke_experiments/_outcomes.py
@@ -9,6 +9,9 @@
 MAX_LATE_FACTOR = 3.0  # multiple of the objective up to which a job is late
 WINDOW_S = 2.0  # seconds of arrivals that are measured together
 WORST_WINDOWS = 2
+# Bounds of the bands of size of a kind, as shares of its jobs: the largest tenth, and
+# the fifth below it.
+LARGE_BANDS = ((0.0, 0.1), (0.1, 0.3))
 # Weights of the parts of the score.
 WHOLE_WEIGHT, WINDOWS_WEIGHT, KIND_WEIGHT = 0.45, 0.4, 0.15
 
@@ -29,6 +32,8 @@
         Whether all attempts to hand it in were refused.
     delays : mapping of str to float
         Seconds by cause.
+    work_core_s : float
+        Its work, in core-seconds.
     """
 
     kind: str
@@ -38,6 +43,14 @@
     age_s: float | None
     is_refused: bool
     delays: Mapping[str, float] = field(default_factory=dict)
+    work_core_s: float = 0.0
+
+    @property
+    def is_served(self) -> bool:
+        """Whether the job ended while its caller still waited."""
+        return (
+            self.age_s is not None and self.age_s <= MAX_LATE_FACTOR * self.objective_s
+        )
 
     @property
     def is_in_time(self) -> bool:
@@ -47,7 +60,7 @@
     @property
     def earned(self) -> float:
         """Value that the job earned."""
-        if self.age_s is None or self.age_s > MAX_LATE_FACTOR * self.objective_s:
+        if not self.is_served:
             return 0.0
         return self.value if self.is_in_time else LATE_SHARE * self.value
 
@@ -74,6 +87,9 @@
         Share of the jobs in time, by kind.
     causes : dict of str to float
         Value that was lost by main cause, as a share of all.
+    large_served : float
+        Least ratio, over kinds, of the share of their largest jobs that was served to
+        that of all their jobs; the largest tenth and the fifth below it count each.
     """
 
     score: float
@@ -82,6 +98,7 @@
     worst_kind: float
     in_time: dict[str, float]
     causes: dict[str, float]
+    large_served: float = 1.0
 
 
 def measure(outcomes: Sequence[JobOutcome]) -> Measures:
@@ -113,9 +130,28 @@
             for kind, rows in sorted(kinds.items())
         },
         causes=causes,
+        large_served=min(
+            (_compare_large(rows) for rows in kinds.values()), default=1.0
+        ),
     )
 
 
 def _earned_share(outcomes: Sequence[JobOutcome]) -> float:
     total = sum(outcome.value for outcome in outcomes)
     return sum(outcome.earned for outcome in outcomes) / total if total else 1.0
+
+
+def _compare_large(outcomes: Sequence[JobOutcome]) -> float:
+    """Return the least ratio of large jobs served to all served, at most 1."""
+    by_size = sorted(outcomes, key=lambda outcome: -outcome.work_core_s)
+    served = _served_share(by_size)
+    ratios = [1.0]
+    for begin, end in LARGE_BANDS:
+        band = by_size[round(begin * len(by_size)) : round(end * len(by_size))]
+        if band and served:
+            ratios.append(_served_share(band) / served)
+    return min(ratios)
+
+
+def _served_share(outcomes: Sequence[JobOutcome]) -> float:
+    return sum(outcome.is_served for outcome in outcomes) / len(outcomes)
--- a/packages/experiments/src/papayadyke_experiments/_report.py
+++ b/packages/experiments/src/papayadyke_experiments/_report.py
@@ -25,6 +25,8 @@
 def format_comparison(results: Results, *, base: str) -> str:
     """Return a Markdown table of the variants and their difference to the base.
 
+    The column of large jobs has the mean of `Measures.large_served`.
+
     Parameters
     ----------
     results : mapping of str to sequence of Measures
@@ -34,7 +36,7 @@
     kinds = list(results[base][0].in_time)
     header = ["variant", "score", "difference (95%)", "whole", "worst windows"]
     header += [f"{kind} in time" for kind in kinds]
-    header.append("value lost by cause")
+    header += ["large served", "value lost by cause"]
     lines = [_format_row(header), _format_row(["---"] * len(header))]
     for name, measures in results.items():
         scores = [row.score for row in measures]
@@ -48,6 +50,7 @@
         for kind in kinds:
             shares = [row.in_time.get(kind, 1.0) for row in measures]
             cells.append(f"{np.mean(shares):.3f}")
+        cells.append(f"{np.mean([row.large_served for row in measures]):.3f}")
         cells.append(_format_causes(measures))
         lines.append(_format_row(cells))
     return "\n".join(lines)
--- a/packages/experiments/src/papayadyke_experiments/_simulation.py
+++ b/packages/experiments/src/papayadyke_experiments/_simulation.py
@@ -430,6 +430,7 @@
             age_s=ended_s - START_S - arrival.at_s if is_complete else None,
             is_refused=job_id in self._refused,
             delays=dict(self._delays.get(job_id, {})),
+            work_core_s=arrival.work_core_s,
         )
 
 
--- a/packages/experiments/src/papayadyke_experiments/tests/test_experiments.py
+++ b/packages/experiments/src/papayadyke_experiments/tests/test_experiments.py
@@ -195,7 +195,7 @@
     }
 
 
-@pytest.mark.parametrize("name", ["mixed.json", "troubled.json"])
+@pytest.mark.parametrize("name", ["mixed.json", "troubled.json", "wide.json"])
 def test_scenarios_of_the_package_are_valid(name):
     scenario = read_scenario(SCENARIOS / name)
     assert scenario.rate_factor > 0
@@ -240,3 +240,26 @@
     result = CliRunner().invoke(app, ["compare", str(path), "without:luck"])
     assert result.exit_code == 2
     assert "there is no mechanism luck" in result.output
+
+
+def make_outcome(work_core_s, *, is_served, kind="k"):
+    age_s = 1.0 if is_served else None
+    return JobOutcome(kind, 0.0, 1.0, 2.0, age_s, False, work_core_s=work_core_s)
+
+
+def test_large_jobs_that_are_passed_over_show_in_their_own_measure():
+    """A mean over all jobs of a kind hid that only its largest were lost."""
+    jobs = [make_outcome(float(n), is_served=n < 18) for n in range(20)]
+    assert measure(jobs).large_served == 0.0
+    jobs = [make_outcome(float(n), is_served=n not in (15, 16)) for n in range(20)]
+    assert measure(jobs).large_served == pytest.approx(0.5 / 0.9)
+    assert measure([make_outcome(1.0, is_served=False)]).large_served == 1.0
+
+
+def test_largest_jobs_are_served_at_least_half_as_often_as_all_of_their_kind():
+    """Guards against wide gangs that are passed over when there is too much work.
+
+    The bound is that of the users: half of the share of all jobs of the kind.
+    """
+    scenario = read_scenario(SCENARIOS / "wide.json")
+    assert measure(simulate(scenario, seed=1)).large_served >= 0.5
