Look for the upstreams of gangs while a takeover holds them back

Cause: jobs of the earlier decider may not start until all upstreams have reported or their leases have lapsed. Their steps were left out of the placement pass, and with it of the requests for advice, so that all gangs asked for the first time at the same moment. Change: after the steps that may start, gangs that are held back ask for upstreams until they know three times the room that they need. Nothing starts earlier. Measured: test_gang_of_an_earlier_decider_knows_its_upstreams_when_it_may_start fails before (no request) and passes; 394 tests of the dispatcher and the edge pass, 1 known red.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -458,7 +458,7 @@
             fast_cpu_millis=_estimate_needs(self._fast_reserves, now),
             now=now,
         )
-        ranked = self._rank_steps(now)
+        ranked, held = self._rank_steps(now)
         for step, queue, _ in ranked:
             is_suspected = step.crashes or step.doubts
             if is_suspected and placement.place_alone(step, queue):
@@ -474,6 +474,9 @@
                 step.wait.record(placement.wait_cause, now)
             else:
                 step.wait.end(now)
+        for step, queue, is_worthless in held:
+            if not is_worthless:
+                placement.search_ahead(step, queue)
         self._team_waits |= teams.waits
         for order in placement.starts:
             if order.checkpoint:
@@ -519,8 +522,10 @@
         overrun = self.settings.quota_overrun
         return TeamRound(self._schedule.ledger, teams, overrun=overrun)
 
-    def _rank_steps(self, now: float) -> list[RankedStep]:
+    def _rank_steps(self, now: float) -> tuple[list[RankedStep], list[RankedStep]]:
+        """Return the steps that may start, and those that wait for the takeover."""
         ranked = []
+        held_jobs: set[str] = set()
         rank_job = JOB_RANKS[self.settings.job_rank]
         for step in self._schedule.ready_steps.values():
             job = step.job
@@ -529,13 +534,19 @@
                 continue
             if self._takeover.barrier_s is not None and now < job.hold_until_s:
                 step.wait.record(DelayCause.TAKEOVER, now)
-                continue
+                held_jobs.add(job.job_id)
             rank = rank_job(
                 job, queue, factor=self.get_estimate_factor(queue.key), now=now
             )
             ranked.append((rank, step.step_id, step, queue))
         ranked.sort(key=lambda row: row[:2])
-        return [(step, queue, rank.is_worthless) for rank, _, step, queue in ranked]
+        rows = [(step, queue, rank.is_worthless) for rank, _, step, queue in ranked]
+        if not held_jobs:
+            return rows, []
+        return (
+            [row for row in rows if row[0].job.job_id not in held_jobs],
+            [row for row in rows if row[0].job.job_id in held_jobs],
+        )
 
 
 def _estimate_needs(
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -44,6 +44,9 @@
 MAX_ALONE_WAIT_S = 30.0
 # Multiple of a gang's tasks for which tickets are requested if there is room.
 TICKET_MARGIN = 1.25
+# Multiple of a gang's tasks for which the upstreams that are looked for ahead have room
+# if idle.
+AHEAD_MARGIN = 3.0
 
 
 class PlacementRound:
@@ -228,6 +231,27 @@
             self._reserved |= self._choose_reserved(step, queue, pool)
         return False
 
+    def search_ahead(self, step: StepRun, queue: QueuePolicy) -> None:
+        """Look for upstreams of a gang that may not start before a takeover ends.
+
+        Which upstreams it may use stays valid, unlike the tickets. Otherwise all gangs
+        of the earlier decider ask for the first time at the same moment.
+        """
+        pool = self._pools.get(queue.service)
+        policy = queue.advice
+        if pool is None or policy is None or not step.spec.is_gang:
+            return
+        allowed = self._advice_cache.get_or_create(step.step_id).allowed
+        slots = sum(
+            pool.members[name].total_slots_for(step.spec)
+            for name in allowed
+            if name in pool.members
+        )
+        if slots < AHEAD_MARGIN * step.spec.count and self._advice.may_request(
+            step, policy
+        ):
+            self._advice.request_for_gang(step, queue, policy, pool, set())
+
     def _preempt(
         self, step: StepRun, queue: QueuePolicy, pool: Pool, factor: float
     ) -> None:
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
@@ -521,8 +521,8 @@
             self._events.append((self.now + request.expected_s, self._answer(request)))
         for order in orders.starts:
             self.dispatcher.process_start_outcome(order, StartOutcome.STARTED, self.now)
-        for order in orders.stops:
-            self._events.append((self.now + self.STOP_S, self._end(order)))
+        for stop in orders.stops:
+            self._events.append((self.now + self.STOP_S, self._end(stop)))
         return orders
 
     def _answer(self, request):
@@ -561,3 +561,49 @@
     submit(fleet.dispatcher, "wide", BATCH, gang, now=handed_in_s)
     while "wide" not in list_started_jobs(fleet.step()):
         assert fleet.now - handed_in_s < 2.2 * WIDE_RUN_S + 1.0 - WIDE_RUN_S
+
+
+def test_gang_of_an_earlier_decider_knows_its_upstreams_when_it_may_start():
+    """Guards against gangs that are passed over for seconds after each takeover.
+
+    While an upstream is silent, jobs of the earlier decider may not start. Their gangs
+    asked for upstreams only afterwards, all at once: on brannock-quotes-large trouble-1
+    the oldest 16 had no answer for 7 s after one takeover and for 8 to 15 s after
+    another.
+    """
+    queue = QueuePolicy("b", "h", "/batch/", "service", 1, 2, 2.2, 1.0, WIDE_POLICY)
+    settings = DispatchSettings(lease_s=5.0, advice_slots=9)
+    dispatcher = Dispatcher(settings, term=1, now=0.0)
+    dispatcher.set_catalog(Catalog(1, {BATCH: queue}))
+    for number in range(8):
+        dispatcher.add_or_update_upstream(make_entry(f"u{number}"))
+    gang = make_step(4, is_gang=True, estimate_s=WIDE_RUN_S)
+    spec = StagedJobSpec("gang", BATCH, "p", (gang,))
+    dispatcher.restore_job(spec, None, is_cancelled=False, age_s=2.0, now=0.0)
+
+    def report(now):
+        for number in range(7):
+            dispatcher.process_report(f"u{number}", UpstreamReport(1, now, now), now)
+
+    report(0.1)
+    (request,) = dispatcher.tick(0.1, 0.1).advice
+    assert request.step == StepId("gang", 0, 0)
+    tickets = dict.fromkeys(request.upstream_ids, "ticket")
+    answer = Advice(request.step, request.upstream_ids, tickets, 2.0, 0.8)
+    dispatcher.process_advice(answer)
+    for tenths in range(8, 80):
+        now = tenths / 10
+        report(now)
+        orders = dispatcher.tick(now, now)
+        assert not orders.starts
+        if orders.advice:
+            break
+    # It may start now, and requests the tickets of the upstreams that it knows.
+    (request,) = orders.advice
+    assert set(request.upstream_ids) <= tickets.keys()
+    assert now >= settings.handover_s + settings.longest_lease_s
+    tickets = dict.fromkeys(request.upstream_ids, "ticket")
+    dispatcher.process_advice(
+        Advice(request.step, request.upstream_ids, tickets, 2.0, now)
+    )
+    assert list_started_jobs(dispatcher.tick(now + 0.1, now + 0.1)) == ["gang"] * 4
