Ask for no further upstreams while a gang's room is being made

Cause: a gang whose room was being made by stopped runs had no set of upstreams to renew, and so asked for further ones. Change: it asks for none then.

--- a/packages/core/src/papayadyke_core/dispatch/_advice.py
+++ b/packages/core/src/papayadyke_core/dispatch/_advice.py
@@ -48,8 +48,7 @@
     allowed, queried : set of str
         Upstreams that may run the step, and those that the service has answered
         for.
-    pending_requests : int
-        Calls in progress.
+    is_request_pending : bool
     retry_at_s : float
         Time before which no request is sent, after a failed one.
     next_search_s : float
@@ -61,7 +60,7 @@
     tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
     allowed: set[str] = field(default_factory=set)
     queried: set[str] = field(default_factory=set)
-    pending_requests: int = 0
+    is_request_pending: bool = False
     retry_at_s: float = 0.0
     next_search_s: float = 0.0
     valid_until_s: float = math.inf
@@ -96,7 +95,7 @@
 
     def begin_request(self, step: StepId) -> None:
         """Record that a request is pending."""
-        self.get_or_create(step).pending_requests += 1
+        self.get_or_create(step).is_request_pending = True
         self.pending_requests += 1
 
     def record_answer(self, advice: Advice, *, queue: str = "") -> None:
@@ -117,7 +116,7 @@
         self.pending_requests -= 1
         if step_advice is None:
             return
-        step_advice.pending_requests = max(step_advice.pending_requests - 1, 0)
+        step_advice.is_request_pending = False
         step_advice.queried.update(advice.upstream_ids)
         expires_s = advice.answered_s + advice.valid_s - TICKET_EXPIRY_MARGIN_S
         step_advice.valid_until_s = expires_s if advice.tickets else math.inf
@@ -130,7 +129,7 @@
         self.pending_requests -= 1
         step_advice = self._steps.get(step)
         if step_advice is not None:
-            step_advice.pending_requests = max(step_advice.pending_requests - 1, 0)
+            step_advice.is_request_pending = False
             step_advice.retry_at_s = retry_at_s
 
     def find_ticket(self, step: StepId, upstream_id: str, now: float) -> str | None:
--- a/packages/core/src/papayadyke_core/dispatch/_advice_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_advice_round.py
@@ -23,6 +23,9 @@
 SPARE_ADVICE_SHARE = 0.25
 # Searches per pass; each looks at every upstream of a service.
 MAX_ADVICE_SEARCHES = 40
+# Multiple of a gang's tasks for which the upstreams that are looked for ahead have room
+# if idle.
+AHEAD_MARGIN = 3.0
 
 
 class AdviceRound:
@@ -72,7 +75,7 @@
         )
         if (
             not (needs_renewal or self._now >= step_advice.next_search_s)
-            or step_advice.pending_requests
+            or step_advice.is_request_pending
             or self._now < step_advice.retry_at_s
             or self._searches_left <= 0
             or self._count_free_slots(policy) <= 0
@@ -99,7 +102,7 @@
         """Return whether a call for a step may be sent now."""
         step_advice = self._cache.get_or_create(step.step_id)
         return (
-            not step_advice.pending_requests
+            not step_advice.is_request_pending
             and self._now >= max(step_advice.retry_at_s, step_advice.next_search_s)
             and self._searches_left > 0
             and self._count_free_slots(policy) > 0
@@ -154,6 +157,23 @@
         if requested:
             self._send(step, policy, requested)
 
+    def search_ahead(
+        self, step: StepRun, queue: QueuePolicy, policy: AdvicePolicy, pool: Pool
+    ) -> None:
+        """Look for upstreams of a gang that may not start before a takeover ends.
+
+        Which upstreams it may use stays valid, unlike the tickets. Otherwise all gangs
+        of the earlier decider ask for the first time at the same moment.
+        """
+        allowed = self._cache.get_or_create(step.step_id).allowed
+        slots = sum(
+            pool.members[name].total_slots_for(step.spec)
+            for name in allowed
+            if name in pool.members
+        )
+        if slots < AHEAD_MARGIN * step.spec.count and self.may_request(step, policy):
+            self.request_for_gang(step, queue, policy, pool, frozenset())
+
     def _send(
         self, step: StepRun, policy: AdvicePolicy, names: tuple[str, ...]
     ) -> None:
--- a/packages/core/src/papayadyke_core/dispatch/_preemption.py
+++ b/packages/core/src/papayadyke_core/dispatch/_preemption.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable, Iterable, Iterator
+import math
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import NamedTuple
 
 from papayadyke_core.dispatch._job import StagedJob, StepRun
@@ -24,6 +25,8 @@
 # Speed at which the rest of a job must still end in time after a preemption, so that it
 # can do with most upstreams.
 MAX_NEEDED_SPEED = 0.75
+# Multiple of a gang's tasks for which there is to be room when tickets are requested.
+ROOM_MARGIN = 1.25
 
 
 class Claim(NamedTuple):
@@ -134,6 +137,39 @@
     return None if missing else (victims, chosen)
 
 
+def find_room(
+    step: StepRun,
+    upstreams: Sequence[Upstream],
+    *,
+    may_stop: Callable[[Run], bool],
+    now: float,
+) -> set[str]:
+    """Return upstreams on which a gang fits now, or once runs are stopped there.
+
+    They have more room than the gang needs, if there is more: other steps may take some
+    of it before the gang starts. The set is empty if it does not fit.
+
+    Parameters
+    ----------
+    step : StepRun
+        A gang.
+    upstreams : sequence of Upstream
+        Upstreams that may run it.
+    may_stop : callable
+        Returns whether the job of a run can do without it for some time.
+    now : float
+        Seconds, on the dispatcher's clock.
+    """
+    count = step.spec.count
+    for members in (math.ceil(ROOM_MARGIN * count), count):
+        chosen = choose_victims(
+            step, upstreams, may_stop=may_stop, now=now, members=members
+        )
+        if chosen is not None:
+            return chosen[1]
+    return set()
+
+
 def has_slack(job: StagedJob, queue: QueuePolicy, *, factor: float, now: float) -> bool:
     """Return whether a job still ends in time if one of its runs is preempted.
 
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -23,6 +23,7 @@
     STOP_REPORT_S,
     Claims,
     choose_victims,
+    find_room,
 )
 from papayadyke_core.dispatch._run import PRIME_SUSPECT_LOSSES, Run, RunPhase
 from papayadyke_core.dispatch._settings import DispatchSettings
@@ -42,11 +43,6 @@
 # Seconds for which a prime suspect waits for an idle upstream; then it starts beside
 # other tasks.
 MAX_ALONE_WAIT_S = 30.0
-# Multiple of a gang's tasks for which tickets are requested if there is room.
-TICKET_MARGIN = 1.25
-# Multiple of a gang's tasks for which the upstreams that are looked for ahead have room
-# if idle.
-AHEAD_MARGIN = 3.0
 
 
 class PlacementRound:
@@ -232,25 +228,10 @@
         return False
 
     def search_ahead(self, step: StepRun, queue: QueuePolicy) -> None:
-        """Look for upstreams of a gang that may not start before a takeover ends.
-
-        Which upstreams it may use stays valid, unlike the tickets. Otherwise all gangs
-        of the earlier decider ask for the first time at the same moment.
-        """
+        """Look for upstreams of a step that may not start before a takeover ends."""
         pool = self._pools.get(queue.service)
-        policy = queue.advice
-        if pool is None or policy is None or not step.spec.is_gang:
-            return
-        allowed = self._advice_cache.get_or_create(step.step_id).allowed
-        slots = sum(
-            pool.members[name].total_slots_for(step.spec)
-            for name in allowed
-            if name in pool.members
-        )
-        if slots < AHEAD_MARGIN * step.spec.count and self._advice.may_request(
-            step, policy
-        ):
-            self._advice.request_for_gang(step, queue, policy, pool, set())
+        if pool is not None and queue.advice is not None and step.spec.is_gang:
+            self._advice.search_ahead(step, queue, queue.advice, pool)
 
     def _preempt(
         self, step: StepRun, queue: QueuePolicy, pool: Pool, factor: float
@@ -286,48 +267,28 @@
     def _request_for_gang(
         self, step: StepRun, queue: QueuePolicy, pool: Pool, factor: float
     ) -> None:
-        """Request the tickets that a gang needs to start, or look for more upstreams.
-
-        Its tickets must all be valid at one moment, so that those of all upstreams with
-        room are requested together.
-        """
+        """Request the tickets that a gang needs to start, or look for more upstreams."""
         policy = queue.advice
         if policy is None or not self._advice.may_request(step, policy):
             return
-        step_advice = self._advice_cache.get_or_create(step.step_id)
-        names: set[str] = set()
-        if step_advice.allowed and not self._claims.has_claim(step.step_id):
-            names = self._find_room(step, queue, pool, factor)
-        self._advice.request_for_gang(step, queue, policy, pool, names)
-
-    def _find_room(
-        self, step: StepRun, queue: QueuePolicy, pool: Pool, factor: float
-    ) -> set[str]:
-        """Return upstreams on which a gang fits now, or once runs are stopped there."""
-        step_advice = self._advice_cache.get_or_create(step.step_id)
+        if self._claims.has_claim(step.step_id):
+            return  # it has the tickets, and its room is being made
+        allowed = self._advice_cache.get_or_create(step.step_id).allowed
         taken = self._claims.list_claimed(except_for=step.step_id) | self._reserved
         usable = [
             upstream
             for name, upstream in pool.members.items()
-            if name in step_advice.allowed and name not in taken
+            if name in allowed and name not in taken
         ]
         min_speed = find_min_speed(step.job, queue, factor=factor, now=self._now)
         may_preempt = self._settings.preempts and not math.isinf(min_speed)
-        count = step.spec.count
-        # Other steps may take some of the room before the answer arrives.
-        for members in (math.ceil(TICKET_MARGIN * count), count):
-            chosen = choose_victims(
-                step,
-                usable,
-                may_stop=lambda run: (
-                    may_preempt and self._may_preempt(run, queue.priority)
-                ),
-                now=self._now,
-                members=members,
-            )
-            if chosen is not None:
-                return chosen[1]
-        return set()
+        names = find_room(
+            step,
+            usable,
+            may_stop=lambda run: may_preempt and self._may_preempt(run, queue.priority),
+            now=self._now,
+        )
+        self._advice.request_for_gang(step, queue, policy, pool, names)
 
     def _count_outside_reserve(
         self, step: StepRun, queue: QueuePolicy, pool: Pool
