--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -267,7 +267,7 @@
     def _request_for_gang(
         self, step: StepRun, queue: QueuePolicy, pool: Pool, factor: float
     ) -> None:
-        """Request the tickets that a gang needs to start, or look for more upstreams."""
+        """Request the tickets that a gang needs, or look for more upstreams."""
         policy = queue.advice
         if policy is None or not self._advice.may_request(step, policy):
             return
