Ask for tickets of gangs in the former way on services that one call covers

With 24 upstreams a call of the least size names all, so that their tickets expire together in the former way as well. Change: the tickets of a gang are requested together, and looked for during a takeover, only on services with more upstreams than one call names. The test of the takeover has 120 upstreams in place of 8, and fails without the search as before.

--- a/packages/core/src/papayadyke_core/dispatch/_advice_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_advice_round.py
@@ -57,8 +57,10 @@
         queue: QueuePolicy,
         policy: AdvicePolicy,
         pool: Pool,
+        *,
+        may_reserve: bool,
     ) -> None:
-        """Request tickets for a step without gang that has too few upstreams with room.
+        """Request tickets for a step that has too few upstreams with room.
 
         Parameters
         ----------
@@ -66,12 +68,16 @@
         queue : QueuePolicy
         policy : AdvicePolicy
         pool : Pool
+        may_reserve : bool
+            Whether upstreams are reserved for the step.
         """
         step_advice = self._cache.get_or_create(step.step_id)
         refresh_s = policy.decide_s + policy.per_upstream_s * len(step_advice.allowed)
         refreshed_at_s = self._now + refresh_s
         needs_renewal = refreshed_at_s >= step_advice.valid_until_s and (
-            not self._is_scarce() or _has_room(step, step_advice.allowed, pool)
+            not self.is_scarce
+            or may_reserve
+            or _has_room(step, step_advice.allowed, pool)
         )
         if (
             not (needs_renewal or self._now >= step_advice.next_search_s)
@@ -163,8 +169,11 @@
         """Look for upstreams of a gang that may not start before a takeover ends.
 
         Which upstreams it may use stays valid, unlike the tickets. Otherwise all gangs
-        of the earlier decider ask for the first time at the same moment.
+        of the earlier decider ask for the first time at the same moment. Nothing is
+        requested while steps that may start compete for calls.
         """
+        if self.is_scarce:
+            return
         allowed = self._cache.get_or_create(step.step_id).allowed
         slots = sum(
             pool.members[name].total_slots_for(step.spec)
@@ -181,12 +190,13 @@
         self._cache.begin_request(step.step_id)
         self.requests.append(AdviceRequest(step.step_id, names, expected_s))
 
-    def _is_scarce(self) -> bool:
-        """Return whether steps compete for advisory calls.
+    @property
+    def is_scarce(self) -> bool:
+        """Whether steps compete for advisory calls.
 
-        Then only those renew their tickets that have room to start. In a flood the
-        renewals of steps without room took most of the calls, and urgent steps waited
-        for their first one.
+        Then only those renew their tickets that have room to start, or gangs for which
+        room is reserved. In a flood the renewals of steps without room took most of the
+        calls, and urgent steps waited for their first one.
         """
         pending = self._cache.pending_requests
         return pending >= SPARE_ADVICE_SHARE * self._slots
@@ -199,8 +209,12 @@
 
 
 def _has_room(step: StepRun, names: Set[str], pool: Pool) -> bool:
-    """Return whether a task of a step fits on one of some upstreams."""
-    return any(
-        name in pool.members and pool.members[name].free_slots_for(step.spec) > 0
-        for name in names
-    )
+    """Return whether a gang, or a task of another step, fits on some upstreams."""
+    missing = step.spec.count if step.spec.is_gang else 1
+    for name in names:
+        upstream = pool.members.get(name)
+        if upstream is not None:
+            missing -= upstream.free_slots_for(step.spec)
+            if missing <= 0:
+                return True
+    return False
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -5,7 +5,7 @@
 import math
 from collections.abc import Callable, Mapping, Set
 
-from papayadyke_core.dispatch._advice import AdviceCache
+from papayadyke_core.dispatch._advice import MAX_UPSTREAMS_PER_REQUEST, AdviceCache
 from papayadyke_core.dispatch._advice_round import AdviceRound
 from papayadyke_core.dispatch._delays import DelayCause
 from papayadyke_core.dispatch._job import StepRun
@@ -215,13 +215,15 @@
         )
         # The steps of the highest rank get tickets even before they fit.
         may_ask = may_fit or self._position < self._advice_slots
-        if step.spec.is_gang:
-            if max_tasks > 0:
-                self._preempt(step, queue, pool, factor)
-            if may_ask:
+        if step.spec.is_gang and max_tasks > 0:
+            self._preempt(step, queue, pool, factor)
+        if queue.advice is not None and may_ask:
+            if step.spec.is_gang and len(pool.members) > MAX_UPSTREAMS_PER_REQUEST:
                 self._request_for_gang(step, queue, pool, factor)
-        elif queue.advice is not None and may_ask:
-            self._advice.request(step, queue, queue.advice, pool)
+            else:
+                self._advice.request(
+                    step, queue, queue.advice, pool, may_reserve=may_reserve
+                )
         if may_reserve:
             self._reserving_gangs += 1
             self._reserved |= self._choose_reserved(step, queue, pool)
@@ -230,7 +232,9 @@
     def search_ahead(self, step: StepRun, queue: QueuePolicy) -> None:
         """Look for upstreams of a step that may not start before a takeover ends."""
         pool = self._pools.get(queue.service)
-        if pool is not None and queue.advice is not None and step.spec.is_gang:
+        if pool is None or queue.advice is None or not step.spec.is_gang:
+            return
+        if len(pool.members) > MAX_UPSTREAMS_PER_REQUEST:
             self._advice.search_ahead(step, queue, queue.advice, pool)
 
     def _preempt(
@@ -267,12 +271,12 @@
     def _request_for_gang(
         self, step: StepRun, queue: QueuePolicy, pool: Pool, factor: float
     ) -> None:
-        """Request the tickets that a gang needs, or look for more upstreams."""
+        """Request tickets for a gang whose upstreams one call may not cover."""
         policy = queue.advice
-        if policy is None or not self._advice.may_request(step, policy):
+        # A gang with a claim has the tickets, and its room is being made.
+        has_claim = self._claims.has_claim(step.step_id)
+        if policy is None or has_claim or not self._advice.may_request(step, policy):
             return
-        if self._claims.has_claim(step.step_id):
-            return  # it has the tickets, and its room is being made
         allowed = self._advice_cache.get_or_create(step.step_id).allowed
         taken = self._claims.list_claimed(except_for=step.step_id) | self._reserved
         usable = [
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
@@ -575,14 +575,14 @@
     settings = DispatchSettings(lease_s=5.0, advice_slots=9)
     dispatcher = Dispatcher(settings, term=1, now=0.0)
     dispatcher.set_catalog(Catalog(1, {BATCH: queue}))
-    for number in range(8):
+    for number in range(120):
         dispatcher.add_or_update_upstream(make_entry(f"u{number}"))
     gang = make_step(4, is_gang=True, estimate_s=WIDE_RUN_S)
     spec = StagedJobSpec("gang", BATCH, "p", (gang,))
     dispatcher.restore_job(spec, None, is_cancelled=False, age_s=2.0, now=0.0)
 
     def report(now):
-        for number in range(7):
+        for number in range(119):
             dispatcher.process_report(f"u{number}", UpstreamReport(1, now, now), now)
 
     report(0.1)
