Do not rank the jobs that a takeover holds back

Cause: since they look for upstreams, their estimates were made before their runs were known, and kept for up to 10 s. Change: they are taken in the order of their acceptance.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -8,7 +8,7 @@
 from papayadyke_core.dispatch._crashes import TaskCrash
 from papayadyke_core.dispatch._delays import DelayCause
 from papayadyke_core.dispatch._gang_waits import GangWait, list_gang_waits
-from papayadyke_core.dispatch._job import StagedJob
+from papayadyke_core.dispatch._job import StagedJob, StepRun
 from papayadyke_core.dispatch._messages import (
     Advice,
     Commit,
@@ -458,7 +458,7 @@
             fast_cpu_millis=_estimate_needs(self._fast_reserves, now),
             now=now,
         )
-        ranked, held = self._rank_steps(now)
+        ranked = self._rank_steps(now)
         for step, queue, _ in ranked:
             is_suspected = step.crashes or step.doubts
             if is_suspected and placement.place_alone(step, queue):
@@ -474,9 +474,7 @@
                 step.wait.record(placement.wait_cause, now)
             else:
                 step.wait.end(now)
-        for step, queue, is_worthless in held:
-            if not is_worthless:
-                placement.search_ahead(step, queue)
+        self._search_ahead(placement, now)
         self._team_waits |= teams.waits
         for order in placement.starts:
             if order.checkpoint:
@@ -522,31 +520,41 @@
         overrun = self.settings.quota_overrun
         return TeamRound(self._schedule.ledger, teams, overrun=overrun)
 
-    def _rank_steps(self, now: float) -> tuple[list[RankedStep], list[RankedStep]]:
-        """Return the steps that may start, and those that wait for the takeover."""
+    def _is_held(self, step: StepRun, now: float) -> bool:
+        """Return whether a step may still run under an earlier decider."""
+        return self._takeover.barrier_s is not None and now < step.job.hold_until_s
+
+    def _search_ahead(self, placement: PlacementRound, now: float) -> None:
+        """Look for the upstreams of steps that a takeover holds back, oldest first.
+
+        They are not ranked: estimates made before their runs are known would be kept.
+        """
+        if self._takeover.barrier_s is None:
+            return
+        steps = self._schedule.ready_steps.values()
+        held = [step for step in steps if self._is_held(step, now)]
+        for step in sorted(held, key=lambda step: step.job.accepted_at_s):
+            queue = self._schedule.find_queue(step.job)
+            if queue is not None:
+                placement.search_ahead(step, queue)
+
+    def _rank_steps(self, now: float) -> list[RankedStep]:
         ranked = []
-        held_jobs: set[str] = set()
         rank_job = JOB_RANKS[self.settings.job_rank]
         for step in self._schedule.ready_steps.values():
             job = step.job
             queue = self._schedule.find_queue(job)
             if queue is None:
                 continue
-            if self._takeover.barrier_s is not None and now < job.hold_until_s:
+            if self._is_held(step, now):
                 step.wait.record(DelayCause.TAKEOVER, now)
-                held_jobs.add(job.job_id)
+                continue
             rank = rank_job(
                 job, queue, factor=self.get_estimate_factor(queue.key), now=now
             )
             ranked.append((rank, step.step_id, step, queue))
         ranked.sort(key=lambda row: row[:2])
-        rows = [(step, queue, rank.is_worthless) for rank, _, step, queue in ranked]
-        if not held_jobs:
-            return rows, []
-        return (
-            [row for row in rows if row[0].job.job_id not in held_jobs],
-            [row for row in rows if row[0].job.job_id in held_jobs],
-        )
+        return [(step, queue, rank.is_worthless) for rank, _, step, queue in ranked]
 
 
 def _estimate_needs(
