--- a/review/lab.py
+++ b/review/lab.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import hashlib
 import http.client
 import itertools
 import json
@@ -24,10 +25,20 @@
 ROOT = Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOLD_MAX_MS = 10_000
+VALUE_BYTES = 1_048_576
 MAX_LISTED_ENDS = 500  # PROTOCOL.md: "500 at a time"
 QUEUE_HOST, PREFIX, SERVICE = "quotes.example", "/quotes/", "service-a"
 
 
+def make_route(**changes):
+    """Return a route of a configuration."""
+    return {
+        "name": "r-1", "host": QUEUE_HOST, "prefix": PREFIX,
+        "kind": "non_idempotent", "timeout_ms": 3000, "target_latency_ms": 1000,
+        "priority": 1, "service": SERVICE, "max_attempts": 3, "stretch": 4.0, **changes,
+    }
+
+
 class Record:
     """The file `record.txt`: what was sent, answered and run, with the time."""
 
@@ -118,6 +129,7 @@
         self.leases = {}  # lease: (end, ttl)
         self.modes = {}  # name of a VM: "busy" (503), "reset", "silent"; "*" is all
         self.slow_s = 0.004
+        self.too_large = []  # writes with a value of over `value_bytes`
         self._numbers = itertools.count(1000)
         threading.Thread(target=self._expire, daemon=True).start()
 
@@ -263,8 +275,13 @@
         ]
         if any(lease and lease not in self.leases for _, _, lease in writes):
             return 404, {}
-        for key, _, _ in writes:
-            self.record.write("store: write by", vm, key)
+        for key, value, _ in writes:
+            if len(value) > VALUE_BYTES:
+                self.too_large.append((self.record.now(), vm, key, len(value)))
+                self.record.write("store: refused, too large:", vm, key, len(value))
+                return 400, {}
+        for key, value, _ in writes:
+            self.record.write("store: write by", vm, key, len(value))
         return 200, {"revision": self._apply(writes, body.get("remove", []))}
 
 
@@ -275,6 +292,7 @@
         self.worker, self.task, self.attempt, self.token = worker, task, attempt, token
         self.spec, self.began = spec, began
         self.number = self.ended = self.how = self.noted = None
+        self.saved = ""
         self.is_lapsed = False  # the worker's lease ended between its end and `noted`
 
 
@@ -393,8 +411,9 @@
             if left <= 0:
                 break
             self.lock.wait(min(left, 0.2))
-        running = [[r.task, r.attempt, "", 0, 0] for r in self.running.values()]
-        finished = [[r.number, r.task, r.attempt, r.how, ""]
+        running = [[r.task, r.attempt, self._save(r), 0, 0]
+                   for r in self.running.values()]
+        finished = [[r.number, r.task, r.attempt, r.how, r.saved]
                     for r in self.finished[:MAX_LISTED_ENDS]]
         return 200, {"running": running, "finished": finished}
 
@@ -431,12 +450,23 @@
 
     def _end(self, run, how):
         del self.running[run.task]
+        self._save(run)
         run.number, run.how, run.ended = next(self.numbers), how, self.lab.now()
         self.finished.append(run)
         self.lab.record.write("worker", self.name, "end", run.number, "of", run.task,
                               run.attempt, how)
         self.lock.notify_all()
 
+    def _save(self, run):
+        """Return the checkpoint of a run: a new one with each `save_ms` of work."""
+        every = run.spec.get("save_ms")
+        if every:
+            saves = int((self.lab.now() - run.began) * 1000 // every)
+            if saves:
+                digest = hashlib.sha256(f"{run.task} {run.attempt} {saves}".encode())
+                run.saved = digest.hexdigest()
+        return run.saved
+
     def _find_end(self, run):
         """Return how a run ends: `how`, or failed for the first `failures` runs."""
         earlier = [r for r in list(self.lab.runs) if r.task == run.task and r.how]
@@ -490,12 +520,7 @@
         return ports
 
     def configure(self, version=1, routes=None, **route):
-        routes = routes if routes is not None else [{
-            "name": "r-1", "host": QUEUE_HOST, "prefix": PREFIX,
-            "kind": "non_idempotent", "timeout_ms": 3000, "target_latency_ms": 1000,
-            "priority": 1, "service": SERVICE, "max_attempts": 3, "stretch": 4.0,
-            **route,
-        }]
+        routes = [make_route(**route)] if routes is None else routes
         self.store.put("op/config", {
             "version": version, "routes": routes,
             "services": [{"name": SERVICE, "health_path": "/healthz", "max_conns": 64,
@@ -538,7 +563,7 @@
                 "commands": "invoke", "advice": "",
                 "platform.address": f"127.0.0.1:{store}", "platform.form": "kv",
                 "platform.writes_per_s": "400", "platform.reads_per_s": "2000",
-                "platform.history_s": "20", "platform.value_bytes": "1048576",
+                "platform.history_s": "20", "platform.value_bytes": str(VALUE_BYTES),
                 "platform.ttl_min_ms": "1000",
             }.items()))
             self.vms[name] = [None, conf, open(self.logs / f"{name}.log", "ab")]
@@ -600,9 +625,9 @@
             self.answers.append((self.now(), vm, method, path, status, reply))
         return status, reply
 
-    def submit(self, vm, job_id, steps, spec):
+    def submit(self, vm, job_id, steps, spec, prefix=PREFIX):
         body = {"spec": json.dumps(spec), "job_steps": steps}
-        return self.call(vm, "POST", PREFIX + job_id, body)
+        return self.call(vm, "POST", prefix + job_id, body)
 
     def state(self, job_id, vm=None):
         vms = [vm] if vm else list(self.hosts)
