--- a/review/lab.py
+++ b/review/lab.py
@@ -376,12 +376,17 @@
         if headers.get("X-Expect-Instance") not in (None, self.name):
             return 421, {"clock_ms": self.clock_ms()}
         with self.lock:
-            self._check()
+            if self.is_down:
+                raise _Closed
             call = {"/api/hold": self._hold, "/api/run-start": self._start,
                     "/api/run-stop": self._stop}.get(path)
             status, reply = call(body) if call else (404, {})
-            self._check()
             reply |= {"clock_ms": self.clock_ms(), "born": self.born}
+        # An answer that the worker can't send is lost.
+        was_silent = self.is_silent
+        self._check()
+        if was_silent:
+            raise _Closed
         return status, reply
 
     def _is_fenced(self, body):
