--- a/review/lab.py
+++ b/review/lab.py
@@ -689,6 +689,8 @@
     """Play a case; exit with 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
     lab = None
     code = 2
+    # The processes are ended also if the script is asked to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         lab = Lab(folder, **settings)
         lab.record.write("TROUBLE =", int(TROUBLE))
