Hold only the occurrences of repeated jobs that are due and not done

What callers saw: five jobs that are due every ten minutes for a year were accepted, and then no accepted job ran any more.

Cause: reading a job made the state of each step of each occurrence, 1.8 kB, also of those that are due in months; each tick went through all of them, and the stored progress listed each occurrence that was done. Memory profiles tell this from the alternatives: 1,745,785 bytes for a job with 1,000 occurrences and 2,542 for one without; the specification and the records of the intake are the same size in both, so decoding and watching them is ruled out.

Change: an occurrence is opened when it is due, and its state is dropped when all of its steps are done; the progress stores ranges of occurrences that are done. Due times are in a heap, so that a tick looks only at what has become due. Of the occurrences that are due at once 1,000 steps of a job are open, and 5,000 of all jobs together; the earliest come first. A run that is reported of an occurrence that is not due on this VM's clock opens it, so that a successor with a slow clock does not stop what runs. Tasks that are done or wait are sets of ranges, a task that is done keeps no checkpoint, attempts or failures, and a job that has ended no state of tasks. A step that is done is followed by those that depend on it, without a look at all steps of the job. Repeated jobs with a negative interval, or with more occurrences of tasks that last than can be open, get 400.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -24,6 +24,7 @@
 from papayadyke_core.dispatch._policy import JOB_RANKS
 from papayadyke_core.dispatch._preemption import Claims, has_slack
 from papayadyke_core.dispatch._progress import FINAL_STATES, JobProgress, JobState
+from papayadyke_core.dispatch._rank import JobRank
 from papayadyke_core.dispatch._round import PlacementRound
 from papayadyke_core.dispatch._run import Run
 from papayadyke_core.dispatch._run_times import RunTimeModel
@@ -205,10 +206,10 @@
         job.record_runs_until_s = now + self.settings.record_runs_s
         self._unknown_use.is_outdated = True
         self.jobs[spec.job_id] = job
+        if not job.is_final:
+            self._schedule.add_job(job)
         if is_cancelled and not job.is_final:
             self._schedule.finish_job(job, JobState.CANCELLED, now)
-        if not job.is_final:
-            self._schedule.add_ready_steps(job)
 
     def record_ended_job(
         self, job_id: str, *, team: str = "", may_run: bool = False
@@ -252,7 +253,7 @@
         self.jobs[spec.job_id] = job
         self._tracker.claim_runs(job, now)
         if not job.is_final:
-            self._schedule.add_ready_steps(job)
+            self._schedule.add_job(job)
         return True
 
     def cancel(self, job_id: str, now: float) -> bool:
@@ -541,6 +542,7 @@
     def _rank_steps(self, now: float) -> list[RankedStep]:
         ranked = []
         rank_job = JOB_RANKS[self.settings.job_rank]
+        ranks: dict[str, JobRank] = {}
         for step in self._schedule.ready_steps.values():
             job = step.job
             queue = self._schedule.find_queue(job)
@@ -549,9 +551,11 @@
             if self._is_held(step, now):
                 step.wait.record(DelayCause.TAKEOVER, now)
                 continue
-            rank = rank_job(
-                job, queue, factor=self.get_estimate_factor(queue.key), now=now
-            )
+            rank = ranks.get(job.job_id)
+            if rank is None:
+                rank = ranks[job.job_id] = rank_job(
+                    job, queue, factor=self.get_estimate_factor(queue.key), now=now
+                )
             ranked.append((rank, step.step_id, step, queue))
         ranked.sort(key=lambda row: row[:2])
         return [(step, queue, rank.is_worthless) for rank, _, step, queue in ranked]
--- a/packages/core/src/papayadyke_core/dispatch/_job.py
+++ b/packages/core/src/papayadyke_core/dispatch/_job.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from papayadyke_core.dispatch._delays import JobDelays, StepWait
+from papayadyke_core.dispatch._index_set import IndexSet
 from papayadyke_core.dispatch._progress import (
     FINAL_STATES,
     JobProgress,
@@ -36,8 +37,8 @@
         self.job = job
         self.spec: StepSpec = job.spec.steps[number]
         self.step_id = StepId(job.spec.job_id, occurrence, number)
-        self.done: set[int] = set()
-        self.waiting: set[int] = set(range(self.spec.count))
+        self.done = IndexSet()
+        self.waiting = IndexSet(0, self.spec.count)
         self.live: dict[int, Run] = {}
         self.failed: dict[int, list[int]] = {}
         self.checkpoints: dict[int, str] = {}
@@ -77,7 +78,9 @@
         return max(last_attempt, floor) + 1
 
     def record_attempt(self, index: int, attempt: int) -> None:
-        """Record that an attempt number has been used."""
+        """Record that an attempt number has been used; a done task needs no other."""
+        if index in self.done:
+            return
         self.attempts[index] = max(self.attempts.get(index, 0), attempt)
 
     def count_failures(self, index: int) -> int:
@@ -154,9 +157,21 @@
         self.done.add(index)
         self.clear_suspicion(index)
         self.waiting.discard(index)
+        self._forget_runs(index)
         self.job.invalidate_estimates()
+        if self.is_done:
+            self.job.record_step_done(self.step_id.occurrence)
         return True
 
+    def _forget_runs(self, index: int) -> None:
+        """Drop what only a further run of a task would need."""
+        self.attempts.pop(index, None)
+        self.failed.pop(index, None)
+        self.checkpoints.pop(index, None)
+        self.avoided_upstreams.pop(index, None)
+        self.waiting_alone_s.pop(index, None)
+        self.kept_free.pop(index, None)
+
     def requeue(self, index: int) -> None:
         """Drop the live run of a task and, unless it is done, let it wait again."""
         self.live.pop(index, None)
@@ -181,7 +196,7 @@
         ):
             return None
         return StepProgress(
-            sorted(self.done),
+            self.done.list_rows(),
             dict(self.failed),
             dict(self.checkpoints),
             dict(self.crashes),
@@ -192,12 +207,21 @@
     def restore_progress(self, progress: StepProgress) -> None:
         """Restore the progress that an earlier decider stored."""
         valid = range(self.spec.count)
-        self.done = {index for index in progress.done if index in valid}
-        self.waiting -= self.done
+        self.done = IndexSet.from_rows(progress.done, self.spec.count)
+        for index in self.done:
+            self.waiting.discard(index)
+        if self.is_done:
+            self.job.record_step_done(self.step_id.occurrence)
         self.job.invalidate_estimates()
-        self.failed = {i: list(n) for i, n in progress.failed.items() if i in valid}
+        self.failed = {
+            i: list(n)
+            for i, n in progress.failed.items()
+            if i in valid and i not in self.done
+        }
         self.checkpoints = {
-            i: text for i, text in progress.checkpoints.items() if i in valid
+            i: text
+            for i, text in progress.checkpoints.items()
+            if i in valid and i not in self.done
         }
         self.crashes = {i: rows for i, rows in progress.crashes.items() if i in valid}
         self.doubts = {i: rows for i, rows in progress.doubts.items() if i in valid}
@@ -239,12 +263,23 @@
         self.hold_until_s = 0.0
         # Before this time it is stored where its tasks run.
         self.record_runs_until_s = 0.0
+        # Steps that depend on each step.
+        self._dependents: list[list[int]] = [[] for _ in spec.steps]
+        for number, step in enumerate(spec.steps):
+            for earlier in set(step.after):
+                self._dependents[earlier].append(number)
+        # Steps of the open occurrences, by occurrence and number.
         self.steps: dict[tuple[int, int], StepRun] = {}
         repeat = spec.repeat
         self.occurrences = 1 if repeat is None else repeat.count
-        for occurrence in range(self.occurrences):
-            for number in range(len(spec.steps)):
-                self.steps[occurrence, number] = StepRun(self, occurrence, number)
+        self._undone_steps: dict[int, int] = {}  # steps by open occurrence
+        self.done_occurrences = IndexSet()
+        # Occurrences from the first one whose due time has come.
+        self.due_count = 0
+        self._next_unopened = 0
+        if repeat is None:
+            self.due_count = 1
+            self.open_occurrence(0)
 
     @property
     def job_id(self) -> str:
@@ -273,14 +308,98 @@
             return None
         return repeat.first_due_s + occurrence * repeat.interval_s
 
+    def count_due(self, wall_s: float) -> int:
+        """Return how many occurrences are due at a wall-clock time, in seconds."""
+        repeat = self.spec.repeat
+        if repeat is None:
+            return self.occurrences
+        if wall_s < repeat.first_due_s:
+            return 0
+        if repeat.interval_s <= 0:
+            return self.occurrences
+        passed = (wall_s - repeat.first_due_s) / repeat.interval_s
+        count = int(min(passed, self.occurrences)) + 1
+        count = min(count, self.occurrences)
+        # Rounding must not let an occurrence start early.
+        while count and repeat.first_due_s + (count - 1) * repeat.interval_s > wall_s:
+            count -= 1
+        return count
+
+    def is_known(self, occurrence: int, number: int) -> bool:
+        """Return whether the job has a step of an occurrence, open or not."""
+        return 0 <= occurrence < self.occurrences and 0 <= number < len(self.spec.steps)
+
+    def open_occurrence(self, occurrence: int) -> None:
+        """Hold the state of the tasks of an occurrence from now on."""
+        for number in range(len(self.spec.steps)):
+            self.steps[occurrence, number] = StepRun(self, occurrence, number)
+        self._undone_steps[occurrence] = len(self.spec.steps)
+        self.invalidate_estimates()
+
+    def record_step_done(self, occurrence: int) -> None:
+        """Record that all tasks of a step of an open occurrence are done."""
+        self._undone_steps[occurrence] -= 1
+
+    def close_occurrence(self, occurrence: int) -> list[StepRun]:
+        """Drop the state of an occurrence that is done; return its steps."""
+        self.done_occurrences.add(occurrence)
+        del self._undone_steps[occurrence]
+        self.invalidate_estimates()
+        numbers = range(len(self.spec.steps))
+        return [self.steps.pop((occurrence, number)) for number in numbers]
+
+    def is_open(self, occurrence: int) -> bool:
+        """Return whether the state of the tasks of an occurrence is held."""
+        return (occurrence, 0) in self.steps
+
+    def list_open_occurrences(self) -> list[int]:
+        """Return the open occurrences, in the order in which they were opened."""
+        return [occurrence for occurrence, number in self.steps if number == 0]
+
+    def find_next_due(self) -> int | None:
+        """Return the first occurrence that is due and neither open nor done."""
+        occurrence = self._next_unopened
+        while occurrence < self.due_count:
+            if self.is_open(occurrence):
+                occurrence += 1
+            elif occurrence in self.done_occurrences:
+                occurrence = self.done_occurrences.find_missing(occurrence)
+            else:
+                break
+        # All before it are open or done, and never become unopened again.
+        self._next_unopened = occurrence
+        return occurrence if occurrence < self.due_count else None
+
+    def list_steps(self, occurrence: int) -> list[StepRun]:
+        """Return the steps of an open occurrence."""
+        return [self.steps[occurrence, n] for n in range(len(self.spec.steps))]
+
+    def list_dependents(self, step: StepRun) -> list[StepRun]:
+        """Return the steps of the same occurrence that depend on a step."""
+        occurrence, number = step.step_id.occurrence, step.step_id.step
+        return [self.steps[occurrence, n] for n in self._dependents[number]]
+
     def is_ready(self, step: StepRun) -> bool:
-        """Return whether all steps that a step depends on are done."""
+        """Return whether a step is due and all steps that it depends on are done."""
         occurrence = step.step_id.occurrence
+        if occurrence >= self.due_count or not self.is_open(occurrence):
+            return False
         return all(self.steps[occurrence, n].is_done for n in step.spec.after)
 
+    def is_occurrence_done(self, occurrence: int) -> bool:
+        """Return whether every task of an occurrence is done."""
+        if occurrence in self.done_occurrences:
+            return True
+        return self._undone_steps.get(occurrence) == 0
+
+    def drop_steps(self) -> None:
+        """Drop the state of all tasks once the job has ended."""
+        self.steps.clear()
+        self._undone_steps.clear()
+
     def is_finished(self) -> bool:
         """Return whether every task of every occurrence is done."""
-        return all(step.is_done for step in self.steps.values())
+        return len(self.done_occurrences) == self.occurrences
 
     @property
     def total_estimate_s(self) -> float:
@@ -321,14 +440,25 @@
             for (occurrence, number), step in self.steps.items()
             if (progress := step.snapshot_progress()) is not None
         }
-        return JobProgress(self.state, 0.0, steps, self.spec.team)
+        rows = self.done_occurrences.list_rows()
+        return JobProgress(self.state, 0.0, steps, self.spec.team, rows)
 
     def restore_progress(self, progress: JobProgress) -> None:
         """Restore the progress that an earlier decider stored."""
         self.state = self.stored_state = progress.state
         self.ended_s = progress.ended_s
+        self.done_occurrences = IndexSet.from_rows(
+            progress.done_occurrences, self.occurrences
+        )
         for name, stored in progress.steps.items():
-            occurrence, _, number = name.partition(".")
-            step = self.steps.get((int(occurrence), int(number)))
-            if step is not None:
-                step.restore_progress(stored)
+            occurrence, number = (int(text) for text in name.split("."))
+            if not self.is_known(occurrence, number):
+                continue
+            if occurrence in self.done_occurrences:
+                continue
+            if not self.is_open(occurrence):
+                self.open_occurrence(occurrence)
+            self.steps[occurrence, number].restore_progress(stored)
+            # Records of earlier versions list the steps of occurrences that are done.
+            if self.has_due_times and self.is_occurrence_done(occurrence):
+                self.close_occurrence(occurrence)
--- a/packages/core/src/papayadyke_core/dispatch/_placement.py
+++ b/packages/core/src/papayadyke_core/dispatch/_placement.py
@@ -86,8 +86,7 @@
     """
     slots = {upstream.upstream_id: count for upstream, count in candidates}
     placed: list[tuple[int, Upstream]] = []
-    waiting = step.waiting - held
-    suspects = step.suspects & waiting
+    suspects = {index for index in step.suspects if index in step.waiting} - held
     for index in sorted(suspects):
         if len(placed) == max_tasks:
             break
@@ -97,7 +96,9 @@
             break
         slots[apart.upstream_id] -= 1
         placed.append((index, apart))
-    for index in sorted(waiting - suspects):
+    for index in step.waiting:
+        if index in suspects or index in held:
+            continue
         if len(placed) == max_tasks:
             break
         avoided_upstreams = step.avoided_upstreams.get(index, set())
--- a/packages/core/src/papayadyke_core/dispatch/_progress.py
+++ b/packages/core/src/papayadyke_core/dispatch/_progress.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from papayadyke_core.dispatch._index_set import IndexRows
+
 
 class JobState(StrEnum):
     """State of a job as reported to callers."""
@@ -43,8 +45,8 @@
 
     Parameters
     ----------
-    done : list of int
-        Tasks that are done.
+    done : list of int or (int, int)
+        Tasks that are done; of several in a row the first and the last one.
     failed : dict of int to list of int
         Failed attempts of each task.
     checkpoints : dict of int to str
@@ -58,7 +60,7 @@
         whether they crashed before it began.
     """
 
-    done: list[int] = []
+    done: IndexRows = []
     failed: dict[int, list[int]] = {}
     checkpoints: dict[int, str] = {}
     crashes: dict[int, list[LostContact]] = {}
@@ -75,16 +77,19 @@
     ended_s : float
         Wall-clock time of the final state, in seconds; 0 before.
     steps : dict of str to StepProgress
-        By "occurrence.step"; steps without progress are absent. Empty once the
-        state is final.
+        By "occurrence.step"; steps without progress, and those of occurrences that
+        are done, are absent. Empty once the state is final.
     team : str
         Team that the job belongs to; empty for none.
+    done_occurrences : list of int or (int, int)
+        Occurrences that are done; of several in a row the first and the last one.
     """
 
     state: JobState
     ended_s: float = 0.0
     steps: dict[str, StepProgress] = {}
     team: str = ""
+    done_occurrences: IndexRows = []
 
 
 def encode_progress(progress: JobProgress) -> bytes:
--- a/packages/core/src/papayadyke_core/dispatch/_remaining.py
+++ b/packages/core/src/papayadyke_core/dispatch/_remaining.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import defaultdict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from zlib import crc32
@@ -50,12 +51,14 @@
 def estimate_job(job: StagedJob, run_times: RunTimeModel | None) -> JobEstimates:
     """Return the estimates of a job by learned run times, or by its declaration.
 
+    Of a repeated job only the open occurrences count.
+
     Parameters
     ----------
     job : StagedJob
     run_times : RunTimeModel or None
     """
-    durations_s: list[list[float]] = [[] for _ in range(job.occurrences)]
+    durations_s: defaultdict[int, list[float]] = defaultdict(list)
     work_core_s = 0.0
     has_live = False
     predicted = _predict_steps(job, run_times)
@@ -76,7 +79,8 @@
         durations_s[occurrence].append(duration_s)
         work_core_s += remaining * cores * task_s
     path_s = max(
-        (find_critical_path_s(job.spec.steps, row) for row in durations_s), default=0.0
+        (find_critical_path_s(job.spec.steps, row) for row in durations_s.values()),
+        default=0.0,
     )
     if run_times is None:
         declared_s = sum(step.estimate_s for step in job.spec.steps)
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -419,8 +419,9 @@
         """Return the waiting tasks that may not start beside others, or not yet."""
         return {
             index
-            for index in step.suspects & step.waiting
-            if step.count_losses(index) >= PRIME_SUSPECT_LOSSES
+            for index in step.suspects
+            if index in step.waiting
+            and step.count_losses(index) >= PRIME_SUSPECT_LOSSES
             and not (
                 self._may_try_again(step, index)
                 and (step.spec.is_gang or self._has_waited_alone(step, index))
--- a/packages/core/src/papayadyke_core/dispatch/_schedule.py
+++ b/packages/core/src/papayadyke_core/dispatch/_schedule.py
@@ -8,6 +8,7 @@
 from papayadyke_core.dispatch._job import StagedJob, StepRun
 from papayadyke_core.dispatch._messages import LossCause, LostRun, RunEnd, StopOrder
 from papayadyke_core.dispatch._moving_average import MovingAverages
+from papayadyke_core.dispatch._occurrences import OccurrenceWindow
 from papayadyke_core.dispatch._progress import JobState
 from papayadyke_core.dispatch._rank import find_objective_s
 from papayadyke_core.dispatch._run import Run, RunPhase
@@ -18,6 +19,7 @@
     QueuePolicy,
     StagedJobSpec,
     StepId,
+    StepSpec,
     TaskId,
 )
 from papayadyke_core.dispatch._upstream import Upstream
@@ -53,17 +55,41 @@
         )
         self.commits = CommitTracker(settings, self.jobs, self.upstreams)
         self.ready_steps: dict[StepId, StepRun] = {}
-        self.scheduled_steps: dict[StepId, StepRun] = {}
+        self.window = OccurrenceWindow(settings.early_start_s)
         self.pending_stops: list[StopOrder] = []
         self.stopping_runs: dict[tuple[TaskId, int], Run] = {}
         self.lost_runs: list[LostRun] = []
         self.needs_placement = True
 
     def find_step(self, task: TaskId) -> StepRun | None:
+        """Return the step of a task; None if it is unknown or its occurrence is done.
+
+        An occurrence of which an earlier decider has started a task is opened, even if
+        it is not due yet on the clock of this VM.
+        """
         job = self.jobs.get(task.job_id)
         if job is None:
             return None
-        return job.steps.get((task.occurrence, task.step))
+        step = job.steps.get((task.occurrence, task.step))
+        if (
+            step is None
+            and not job.is_final
+            and job.is_known(task.occurrence, task.step)
+            and task.occurrence not in job.done_occurrences
+        ):
+            job.open_occurrence(task.occurrence)
+            if job.has_due_times:
+                self.window.update(job)
+            self.add_ready_steps(job, task.occurrence)
+            step = job.steps[task.occurrence, task.step]
+        return step
+
+    def find_step_spec(self, task: TaskId) -> StepSpec | None:
+        """Return what a task needs, also if its occurrence is done."""
+        job = self.jobs.get(task.job_id)
+        if job is None or not job.is_known(task.occurrence, task.step):
+            return None
+        return job.spec.steps[task.step]
 
     def find_queue(self, job: StagedJob) -> QueuePolicy | None:
         return self.catalog.queues.get(job.spec.queue)
@@ -79,36 +105,43 @@
             job.run_times = self.run_times
         return job
 
-    def add_ready_steps(self, job: StagedJob) -> None:
-        for (occurrence, _), step in job.steps.items():
-            if step.is_done or not step.waiting or not job.is_ready(step):
-                continue
-            if job.due_wall_s(occurrence) is None:
+    def add_job(self, job: StagedJob) -> None:
+        """Let the steps of a job start, now or from the due time of each occurrence."""
+        if job.has_due_times:
+            self.window.add(job)
+        else:
+            self.add_ready_steps(job, 0)
+
+    def add_ready_steps(self, job: StagedJob, occurrence: int) -> None:
+        self._add_ready(job, job.list_steps(occurrence))
+
+    def add_dependent_steps(self, step: StepRun) -> None:
+        """Let the steps start that have waited for a step to be done."""
+        self._add_ready(step.job, step.job.list_dependents(step))
+
+    def _add_ready(self, job: StagedJob, steps: list[StepRun]) -> None:
+        for step in steps:
+            if step.waiting and job.is_ready(step):
                 self.ready_steps[step.step_id] = step
-            else:
-                self.scheduled_steps[step.step_id] = step
         self.needs_placement = True
 
     def add_due_steps(self, wall_s: float) -> None:
-        due = [
-            step_id
-            for step_id, step in self.scheduled_steps.items()
-            if (step.job.due_wall_s(step_id.occurrence) or 0.0)
-            - self.settings.early_start_s
-            <= wall_s
-        ]
-        for step_id in due:
-            self.ready_steps[step_id] = self.scheduled_steps.pop(step_id)
-            self.needs_placement = True
+        for job, occurrence in self.window.advance(wall_s):
+            self.add_ready_steps(job, occurrence)
+
+    def close_occurrence(self, job: StagedJob, occurrence: int, now: float) -> None:
+        """Drop the state of an occurrence that is done."""
+        steps = job.close_occurrence(occurrence)
+        if job.has_due_times:
+            self.window.update(job)
+        for step in steps:
+            step.wait.end(now)
+            self.ready_steps.pop(step.step_id, None)
+            self.advice_cache.remove_step(step.step_id)
 
     def update_ready_step(self, step: StepRun) -> None:
         job = step.job
-        is_startable = (
-            not job.is_final
-            and bool(step.waiting)
-            and job.is_ready(step)
-            and step.step_id not in self.scheduled_steps
-        )
+        is_startable = not job.is_final and bool(step.waiting) and job.is_ready(step)
         if is_startable:
             self.ready_steps[step.step_id] = step
         else:
@@ -133,12 +166,14 @@
         for step in job.steps.values():
             step.wait.end(now)
             self.ready_steps.pop(step.step_id, None)
-            self.scheduled_steps.pop(step.step_id, None)
             self.advice_cache.remove_step(step.step_id)
             for live in list(step.live.values()):
                 live.is_unwanted = True
                 self.stop_run(live, now, f"the job is {state}")
             step.live.clear()
+        if job.has_due_times:
+            self.window.remove(job)
+        job.drop_steps()
 
     def stop_run(self, run: Run, now: float, reason: str) -> None:
         run.stop_requested_s = now
--- a/packages/core/src/papayadyke_core/dispatch/_spec.py
+++ b/packages/core/src/papayadyke_core/dispatch/_spec.py
@@ -10,6 +10,8 @@
 
 # Bounds of a job. A larger one would exhaust the memory of each decider that reads it.
 MAX_TASKS = 100_000  # tasks of all occurrences
+# Steps of occurrences of a job whose state is held at a time.
+MAX_OPEN_STEPS_PER_JOB = 1_000
 MAX_AMOUNT = 10**12  # of any resource that a task needs
 MAX_ESTIMATE_S = 1e9  # seconds
 
@@ -175,7 +177,8 @@
     SpecError
         If there is no step, a step has no tasks, a negative or excessive need or
         estimate, or depends on a step that is not before it, or if the job has no
-        occurrence or too many tasks.
+        occurrence, too many tasks, a negative interval, or more occurrences of tasks
+        that last than may be open at a time.
     """
     if not spec.steps:
         raise SpecError("a job needs at least one step")
@@ -196,7 +199,18 @@
             raise SpecError(f"step {number} names a step that is not before it")
     if spec.repeat is not None and spec.repeat.count < 1:
         raise SpecError("a repeated job needs at least one occurrence")
+    if spec.repeat is not None and spec.repeat.interval_s < 0:
+        raise SpecError("the interval of a repeated job must not be negative")
     occurrences = 1 if spec.repeat is None else spec.repeat.count
+    lasts = any(step.is_long_running for step in spec.steps)
+    if lasts and occurrences > 1:
+        most = max(1, MAX_OPEN_STEPS_PER_JOB // len(spec.steps))
+        if occurrences > most:
+            # An occurrence of tasks that last is never done, so all stay in memory.
+            raise SpecError(
+                f"a job of {len(spec.steps)} steps whose tasks last has at most "
+                f"{most} occurrences"
+            )
     if spec.task_count * occurrences > MAX_TASKS:
         raise SpecError(f"a job has at most {MAX_TASKS} tasks")
 
--- a/packages/core/src/papayadyke_core/dispatch/_tracking.py
+++ b/packages/core/src/papayadyke_core/dispatch/_tracking.py
@@ -187,8 +187,10 @@
         for crash in crashes:
             task = crash.task
             job = self._schedule.jobs[task.job_id]
-            step = job.steps[task.occurrence, task.step]
-            step.avoided_upstreams.setdefault(task.number, set()).add(upstream_id)
+            step = self._schedule.find_step(task)
+            if step is not None:
+                avoided = step.avoided_upstreams.setdefault(task.number, set())
+                avoided.add(upstream_id)
             if crash.is_given_up and not job.is_final:
                 self._schedule.finish_job(job, JobState.FAILED, now)
 
@@ -251,7 +253,10 @@
             and index not in step.done
             and index not in step.live
         )
-        spec = step.spec if step is not None else _UNKNOWN_STEP
+        spec = self._schedule.find_step_spec(running.task)
+        is_unknown = spec is None
+        if spec is None:
+            spec = _UNKNOWN_STEP
         run = Run(
             running.task,
             running.attempt,
@@ -264,10 +269,10 @@
             is_unwanted=not is_needed,
             earlier_losses=step.count_losses(index) if step is not None else 0,
             is_urgent=self._is_urgent(step),
-            team=self._find_team(step, running.task.job_id),
+            team=self._find_team(running.task.job_id),
             is_timed=False,
         )
-        if step is None:
+        if is_unknown:
             # It needs at most what its upstream has.
             entry = upstream.entry
             run.charged_as = StepSpec(
@@ -283,9 +288,10 @@
             self._schedule.stop_run(run, now, "the run is not needed")
         return run
 
-    def _find_team(self, step: StepRun | None, job_id: str) -> str:
-        if step is not None:
-            return step.job.spec.team
+    def _find_team(self, job_id: str) -> str:
+        job = self._schedule.jobs.get(job_id)
+        if job is not None:
+            return job.spec.team
         team = self._takeover.find_team(job_id)
         return UNKNOWN_TEAM if team is None else team
 
@@ -366,8 +372,11 @@
         self._schedule.commits.mark_dirty(job.job_id)
         if job.is_final:
             return
-        if step.is_done:
-            self._schedule.add_ready_steps(job)
+        occurrence = step.step_id.occurrence
+        if job.is_occurrence_done(occurrence):
+            self._schedule.close_occurrence(job, occurrence, now)
+        elif step.is_done:
+            self._schedule.add_dependent_steps(step)
         if job.is_finished():
             self._schedule.finish_job(job, JobState.COMPLETE, now)
 
--- a/packages/core/src/papayadyke_core/dispatch/_unknown_use.py
+++ b/packages/core/src/papayadyke_core/dispatch/_unknown_use.py
@@ -13,6 +13,7 @@
 # Seconds between two computations while upstreams answer, each of which looks at every
 # job. An old bound is too high, never too low.
 INTERVAL_S = 0.1
+CLOCK_MARGIN_S = 10.0  # seconds by which the clocks of two VMs may differ
 
 
 class UnknownUse:
@@ -66,7 +67,7 @@
         self.is_outdated = False
         self._next_s = now + INTERVAL_S
         capacity = sum_unanswered(upstreams.values())
-        needs = sum_unconfirmed(jobs.values(), barrier_s)
+        needs = sum_unconfirmed(jobs.values(), barrier_s, now=now)
         for team in self._teams | needs.keys() | ended_teams:
             bound = capacity
             if team not in ended_teams:
@@ -97,12 +98,13 @@
 
 
 def sum_unconfirmed(
-    jobs: Iterable[StagedJob], barrier_s: float
+    jobs: Iterable[StagedJob], barrier_s: float, *, now: float
 ) -> dict[str, Resources]:
     """Return what the tasks of earlier terms need that are not known to run, by team.
 
     A task may run although the steps before its own are not stored as done, or its job
-    was cancelled.
+    was cancelled. An occurrence counts whole that is not open, but may be due on the
+    clock of an earlier decider.
     """
     needs: dict[str, Resources] = {}
     for job in jobs:
@@ -111,15 +113,27 @@
         team = job.spec.team
         if not team:
             continue
-        for step in job.steps.values():
-            spec = step.spec
-            count = spec.count - len(step.done) - len(step.live)
+        counts = [
+            (step.spec, step.spec.count - len(step.done) - len(step.live))
+            for step in job.steps.values()
+        ]
+        unopened = _count_unopened(job, now)
+        counts += [(spec, spec.count * unopened) for spec in job.spec.steps]
+        for spec, count in counts:
             if count > 0:
                 need = Resources(spec.cpu_millis, spec.memory_mb, spec.accelerators)
                 needs[team] = needs.get(team, ZERO_RESOURCES) + need * count
     return needs
 
 
+def _count_unopened(job: StagedJob, now: float) -> int:
+    """Return how many occurrences of a job are due and neither open nor done."""
+    wall_s = job.spec.accepted_s + now - job.accepted_at_s
+    due = job.count_due(wall_s + CLOCK_MARGIN_S)
+    opened = sum(occurrence < due for occurrence in job.list_open_occurrences())
+    return max(0, due - job.done_occurrences.count_below(due) - opened)
+
+
 def _read_capacity(upstream: Upstream) -> Resources:
     entry = upstream.entry
     return Resources(entry.cpu_millis, entry.memory_mb, entry.accelerators)
