Refuse jobs for which the VM that decides has no memory, before they are stored

What callers saw: nothing bounded the memory of all accepted jobs.

Cause: each job is checked by itself. Only the decider knows all of them, and it hears of a job when it is stored already.

Change: the decider counts the memory of its jobs and tells with each heartbeat how much more fits on the smallest VM, since any VM may become the decider. Half of the room is for repeated jobs, which keep theirs for long. Revisions of jobs whose records were removed are forgotten; they were kept for the whole term.

Estimated memory is between one and two times the traced one.

--- a/packages/core/src/papayadyke_core/dispatch/__init__.py
+++ b/packages/core/src/papayadyke_core/dispatch/__init__.py
@@ -10,6 +10,7 @@
     decode_learned,
     encode_learned,
 )
+from papayadyke_core.dispatch._memory import estimate_job_bytes
 from papayadyke_core.dispatch._messages import (
     Advice,
     AdviceRequest,
@@ -98,4 +99,5 @@
     "decode_progress",
     "encode_learned",
     "encode_progress",
+    "estimate_job_bytes",
 ]
--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -106,6 +106,16 @@
         run_times = self._schedule.run_times
         return run_times if isinstance(run_times, RunTimeModel) else None
 
+    @property
+    def held_bytes(self) -> int:
+        """Estimated memory of all jobs, in bytes."""
+        return self._schedule.held_bytes
+
+    @property
+    def later_bytes(self) -> int:
+        """Estimated memory of the repeated jobs that have not ended, in bytes."""
+        return self._schedule.later_bytes
+
     @property
     def team_ledger(self) -> TeamLedger:
         """What each team may have running."""
@@ -197,7 +207,7 @@
         now: float,
     ) -> None:
         """Restore a stored job of an earlier decider."""
-        job = self._schedule.make_job(spec, now=now, age_s=age_s)
+        job = self._schedule.add_new_job(spec, now=now, age_s=age_s)
         if progress is not None:
             job.restore_progress(progress)
             for step in job.steps.values():
@@ -205,9 +215,8 @@
         job.hold_until_s = self._takeover.barrier_s or 0.0
         job.record_runs_until_s = now + self.settings.record_runs_s
         self._unknown_use.is_outdated = True
-        self.jobs[spec.job_id] = job
         if not job.is_final:
-            self._schedule.add_job(job)
+            self._schedule.begin_job(job)
         if is_cancelled and not job.is_final:
             self._schedule.finish_job(job, JobState.CANCELLED, now)
 
@@ -246,14 +255,13 @@
         if spec.job_id in self.jobs:
             return False
         self._record_arrival(spec, now)
-        job = self._schedule.make_job(spec, now=now, age_s=age_s)
+        job = self._schedule.add_new_job(spec, now=now, age_s=age_s)
         if self._takeover.barrier_s is not None and may_have_started:
             job.hold_until_s = self._takeover.barrier_s
             self._unknown_use.is_outdated = True
-        self.jobs[spec.job_id] = job
         self._tracker.claim_runs(job, now)
         if not job.is_final:
-            self._schedule.add_job(job)
+            self._schedule.begin_job(job)
         return True
 
     def cancel(self, job_id: str, now: float) -> bool:
@@ -415,7 +423,7 @@
             and wall_s - job.ended_s > self.settings.status_kept_s
         ]
         for name in expired:
-            del self.jobs[name]
+            self._schedule.remove_job(name)
         return expired
 
     def get_estimate_factor(self, queue: str) -> float:
--- a/packages/core/src/papayadyke_core/dispatch/_schedule.py
+++ b/packages/core/src/papayadyke_core/dispatch/_schedule.py
@@ -6,6 +6,10 @@
 from papayadyke_core.dispatch._commits import CommitTracker
 from papayadyke_core.dispatch._delays import DelayCause
 from papayadyke_core.dispatch._job import StagedJob, StepRun
+from papayadyke_core.dispatch._memory import (
+    estimate_ended_bytes,
+    estimate_job_bytes,
+)
 from papayadyke_core.dispatch._messages import LossCause, LostRun, RunEnd, StopOrder
 from papayadyke_core.dispatch._moving_average import MovingAverages
 from papayadyke_core.dispatch._occurrences import OccurrenceWindow
@@ -39,6 +43,8 @@
 
     Attributes
     ----------
+    held_bytes, later_bytes : int
+        Estimated memory of all jobs, and of the repeated ones that have not ended.
     needs_placement : bool
         Whether something has changed since the last placement.
     """
@@ -47,6 +53,7 @@
         self.settings = settings
         self.catalog = Catalog()
         self.jobs: dict[str, StagedJob] = {}
+        self.held_bytes = self.later_bytes = 0
         self.upstreams: dict[str, Upstream] = {}
         self.ledger = TeamLedger()
         self.advice_cache = AdviceCache()
@@ -98,14 +105,20 @@
         """Return the learned ratio of run time to estimate of a queue."""
         return self.run_times.get_factor(queue)
 
-    def make_job(self, spec: StagedJobSpec, *, now: float, age_s: float) -> StagedJob:
-        """Return a new job, whose remaining time is estimated by learned run times."""
+    def add_new_job(
+        self, spec: StagedJobSpec, *, now: float, age_s: float
+    ) -> StagedJob:
+        """Add a job, whose remaining time is estimated by learned run times."""
         job = StagedJob(spec, now=now, age_s=age_s)
         if isinstance(self.run_times, RunTimeModel):
             job.run_times = self.run_times
+        self.jobs[spec.job_id] = job
+        self.held_bytes += estimate_job_bytes(spec)
+        if job.has_due_times:
+            self.later_bytes += estimate_job_bytes(spec)
         return job
 
-    def add_job(self, job: StagedJob) -> None:
+    def begin_job(self, job: StagedJob) -> None:
         """Let the steps of a job start, now or from the due time of each occurrence."""
         if job.has_due_times:
             self.window.add(job)
@@ -173,7 +186,14 @@
             step.live.clear()
         if job.has_due_times:
             self.window.remove(job)
+            self.later_bytes -= estimate_job_bytes(job.spec)
         job.drop_steps()
+        self.held_bytes += estimate_ended_bytes(job.spec) - estimate_job_bytes(job.spec)
+
+    def remove_job(self, job_id: str) -> None:
+        """Remove a job that has ended."""
+        job = self.jobs.pop(job_id)
+        self.held_bytes -= estimate_ended_bytes(job.spec)
 
     def stop_run(self, run: Run, now: float, reason: str) -> None:
         run.stop_requested_s = now
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_occurrences.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_occurrences.py
@@ -19,6 +19,7 @@
     decode_progress,
     encode_progress,
 )
+from papayadyke_core.dispatch._memory import JOB_BYTES
 from papayadyke_core.dispatch._occurrences import MAX_OPEN_STEPS
 from papayadyke_core.dispatch._spec import MAX_OPEN_STEPS_PER_JOB
 from papayadyke_core.dispatch.tests.dispatch_world import (
@@ -248,3 +249,35 @@
     """What a VM could not hold must be refused before it is accepted."""
     with pytest.raises(SpecError, match=message):
         check_job_spec(make_job("j", step, repeat=repeat))
+
+
+def test_memory_of_jobs_that_have_ended_is_free_again():
+    """Jobs would be refused for good if the memory of earlier ones still counted."""
+    world = make_world(status_kept_s=1.0)
+    dispatcher = world.dispatcher
+    world.submit(make_job("done", make_step(2), make_step(1, after=(0,))))
+    world.submit(make_job("cancelled", repeat=Repeat(9, world.now, 1.0)))
+    world.submit(make_job("failed", make_step(1)))
+    assert dispatcher.held_bytes > 3 * JOB_BYTES
+    world.run(0.2)
+    world.cancel("cancelled")
+    name, task, _ = next(run for run in world.running() if run[1].job_id == "failed")
+    world.end(world.upstreams[name], task, RunEnd.FAILED)
+    world.run(5.0)
+    assert dispatcher.held_bytes < 3 * JOB_BYTES
+    dispatcher.remove_expired_jobs(1e9)
+    assert dispatcher.held_bytes == 0
+
+
+@pytest.mark.parametrize("steps", [1, 100])
+def test_estimated_memory_of_a_job_is_not_too_low(steps):
+    """The bound of what is accepted relies on it."""
+    dispatcher = make_world().dispatcher
+
+    def submit():
+        for number in range(200):
+            spec = make_job(f"j{number}", *(make_step(1) for _ in range(steps)))
+            dispatcher.submit(spec, now=100.0)
+
+    used, _ = measure_bytes(submit)
+    assert used < dispatcher.held_bytes < 2 * used
--- a/packages/daemon/src/papayadyke_daemon/edge/_committer.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_committer.py
@@ -5,7 +5,7 @@
 import logging
 import queue
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from result import Err, Ok, Result
 
@@ -91,6 +91,11 @@
         """Record the revision at which the progress of a job is stored."""
         self._revisions[job_id] = revision
 
+    def forget_jobs(self, job_ids: Iterable[str]) -> None:
+        """Forget the revisions of jobs whose records are removed."""
+        for job_id in job_ids:
+            self._revisions.pop(job_id, None)
+
     def may_begin(self, now: float) -> bool:
         """Return whether a commit may begin."""
         return self.has_capacity and now >= self._next_s
--- a/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
@@ -17,6 +17,7 @@
 from papayadyke_daemon.edge._contact import StoreContact
 from papayadyke_daemon.edge._decider import Decider, Term
 from papayadyke_daemon.edge._intake import Intake, IntakeDependencies, IntakeOutcome
+from papayadyke_daemon.edge._job_memory import JobMemory
 from papayadyke_daemon.edge._leadership import KnownDecider, Leadership
 from papayadyke_daemon.edge._logs import log_event
 from papayadyke_daemon.edge._messages import (
@@ -102,6 +103,7 @@
         self._relay_slots = threading.BoundedSemaphore(RELAY_SLOTS)
         self._reports = StoreReports()
         self._clients = PeerClients()
+        self._job_memory = JobMemory(lambda: self._decider)
         self._leadership = Leadership(
             cfg,
             ports,
@@ -122,6 +124,7 @@
                 self._contact,
                 self._relay_gate,
                 self._is_catalog_confirmed,
+                self._job_memory,
             ),
             quota_overrun=cfg.quota_overrun,
         )
@@ -367,6 +370,7 @@
             own_address = f"{self.cfg.host}:{self.cfg.peers_port}"
             self._peers = [address for address in reply.peers if address != own_address]
             self._relay_gate.record_reply(sent_s, reaches_store=reply.reaches_store)
+            self._job_memory.record_reply(reply.free_bytes, reply.later_bytes)
             if not reply.reaches_store:
                 # The decider goes on only if the other VMs have lost the store too.
                 self._contact.request_probe()
@@ -409,6 +413,7 @@
             self._leadership.known_decider.token,
             self.cfg.strength,
             self._catalog_state.version,
+            self.cfg.job_bytes,
         )
         sent_s = read_clock()
         is_sent = True
@@ -477,7 +482,7 @@
         if decider is not None:
             if hello.decider > decider.term.token:
                 self._leadership.step_down(f"{hello.vm} follows a later decider")
-            decider.record_heartbeat(hello.address)
+            decider.record_heartbeat(hello.address, job_bytes=hello.job_bytes)
             if not hello.has_lost_store:
                 self._leadership.consider_handover(hello.vm, hello.strength)
             peers = decider.list_vms()
@@ -490,6 +495,9 @@
             known_decider.address,
             peers,
         )
+        room = None if decider is None else decider.find_job_room()
+        if room is not None:
+            reply.free_bytes, reply.later_bytes = room
         return self._catalog_state.make_reply(hello, reply, read_clock())
 
     def _answer_advice_request(self, message: AskAdvice) -> Message:
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -39,6 +39,7 @@
 from papayadyke_daemon.edge._gang_reports import GangReporter
 from papayadyke_daemon.edge._housekeeping import Housekeeper
 from papayadyke_daemon.edge._job_owner import JobStatus
+from papayadyke_daemon.edge._job_room import JobRoom
 from papayadyke_daemon.edge._keys import (
     CANCEL_PREFIX,
     INTAKE_PREFIX,
@@ -47,6 +48,7 @@
 )
 from papayadyke_daemon.edge._learned import LearnedWriter
 from papayadyke_daemon.edge._logs import log_event
+from papayadyke_daemon.edge._metrics import METRICS
 from papayadyke_daemon.edge._peers import PeerClients
 from papayadyke_daemon.edge._ports import (
     EdgePorts,
@@ -76,6 +78,7 @@
 # Seconds after the last heartbeat for which a VM counts as a possible decider: a VM
 # that is partitioned from this one may follow another decider for this long.
 VM_RETENTION_S = 60.0
+LATER_JOBS_SHARE = 0.5  # of the memory for jobs, for those that are due at later times
 
 
 class Decider:
@@ -140,6 +143,7 @@
         # Cancellations that arrived before their job, with the time of arrival.
         self._early_cancels: dict[str, float] = {}
         self._last_heartbeat_s: dict[str, float] = {}
+        self._job_bytes: dict[str, int] = {}  # memory for jobs, by address of the VM
         self._committer = Committer(
             ports.store,
             token=term.token,
@@ -275,9 +279,32 @@
                 continue
         return self._dispatcher.count_pending(queue)
 
-    def record_heartbeat(self, address: str) -> None:
-        """Record a heartbeat of a VM, which may then call the advisory service."""
+    def record_heartbeat(self, address: str, *, job_bytes: int | None = None) -> None:
+        """Record a heartbeat of a VM, which may then call the advisory service.
+
+        Parameters
+        ----------
+        address : str
+        job_bytes : int or None
+            Memory that jobs may take on that VM; None for no limit.
+        """
         self._last_heartbeat_s[address] = read_clock()
+        if job_bytes is None:
+            self._job_bytes.pop(address, None)
+        else:
+            self._job_bytes[address] = job_bytes
+
+    def find_job_room(self) -> JobRoom | None:
+        """Return the memory for further jobs on each VM; None for no limit."""
+        known = [self._job_bytes.get(address) for address in self.list_vms()]
+        bounds = [size for size in (self.cfg.job_bytes, *known) if size is not None]
+        if not bounds:
+            return None
+        bound = min(bounds)
+        return JobRoom(
+            bound - self._dispatcher.held_bytes,
+            int(LATER_JOBS_SHARE * bound) - self._dispatcher.later_bytes,
+        )
 
     def list_upstreams(self) -> list[str]:
         """Return the ids of the upstreams that this term calls."""
@@ -492,6 +519,7 @@
         if now < self._next_garbage_s:
             return
         self._next_garbage_s = now + GARBAGE_INTERVAL_S
+        METRICS.set_gauge("papayadyke_job_bytes", self._dispatcher.held_bytes)
         for job_id, received_s in list(self._early_cancels.items()):
             if now - received_s > EARLY_CANCEL_RETENTION_S:
                 del self._early_cancels[job_id]
@@ -509,6 +537,7 @@
         )
         if old:
             self._housekeeper.remove_jobs(old)
+            self._committer.forget_jobs(old)
 
     def _mark_recorded(self) -> None:
         """Let upstreams get work that the stored roster names."""
--- a/packages/daemon/src/papayadyke_daemon/edge/_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_intake.py
@@ -22,6 +22,7 @@
 from papayadyke_daemon.edge._clock import read_clock
 from papayadyke_daemon.edge._contact import RECOVERY_WAIT_S, StoreContact
 from papayadyke_daemon.edge._decider import Decider
+from papayadyke_daemon.edge._job_memory import JobMemory
 from papayadyke_daemon.edge._job_owner import (
     JobStatus,
     checks_owners,
@@ -80,6 +81,7 @@
 
     After `REFUSED` it is certainly not stored; after `UNKNOWN` it may be. After
     `OTHER_TEAM` it is not stored, because the job's id is that of another team's job.
+    After `NO_ROOM` it is not stored, because there is no memory for another job.
     """
 
     ACCEPTED = "accepted"
@@ -87,6 +89,7 @@
     UNKNOWN = "unknown"
     NO_SUCH_JOB = "no_such_job"
     OTHER_TEAM = "other_team"
+    NO_ROOM = "no_room"
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +121,8 @@
         Tells whether the decider's VM answers, and reaches the store.
     is_catalog_confirmed : callable
         Returns whether the keys of the configuration may be relied on.
+    job_memory : JobMemory or None
+        Tells whether there is memory for another job; None for no limit.
     """
 
     own_decider: Callable[[], Decider | None]
@@ -125,6 +130,7 @@
     contact: StoreContact
     relay_gate: RelayGate
     is_catalog_confirmed: Callable[[], bool] = lambda: True
+    job_memory: JobMemory | None = None
 
 
 class Intake:
@@ -186,7 +192,7 @@
         checks_owner : bool
             Whether the id of another team's job is refused.
         """
-        stored = self._store_job(spec, may_relay=may_relay)
+        stored = self._check_room(spec) or self._store_job(spec, may_relay=may_relay)
         if stored.existing_records is not None and checks_owner:
             stored = self._check_existing(spec, stored)
         outcome = self._qualify(spec.job_id, stored.outcome)
@@ -202,15 +208,32 @@
         METRICS.count("papayadyke_intake", outcome=outcome)
         if outcome is IntakeOutcome.ACCEPTED:
             self.notifier.put((spec, stored.revision))
+            memory = self._dependencies.job_memory
+            if memory is not None:
+                memory.record_accepted(spec)
         return outcome
 
+    def _check_room(self, spec: StagedJobSpec) -> StoreResult | None:
+        """Return the refusal of a job for which there is no memory, else None."""
+        memory = self._dependencies.job_memory
+        if memory is None or memory.has_room(spec):
+            return None
+        # A job that is stored already was accepted, and must not be refused.
+        status = self._find_status(spec.job_id)
+        if isinstance(status, JobStatus):
+            return None
+        if status is not None:
+            return StoreResult(IntakeOutcome.REFUSED)
+        return StoreResult(IntakeOutcome.NO_ROOM)
+
     def _qualify(self, job_id: str, outcome: IntakeOutcome) -> IntakeOutcome:
         """Return the outcome of an attempt, given the earlier ones of this VM.
 
         A later attempt that is refused does not tell that the job is not stored, if an
         earlier one may have been.
         """
-        if outcome is IntakeOutcome.REFUSED and job_id in self._uncertain_jobs:
+        refusals = (IntakeOutcome.REFUSED, IntakeOutcome.NO_ROOM)
+        if outcome in refusals and job_id in self._uncertain_jobs:
             return IntakeOutcome.UNKNOWN
         if outcome is IntakeOutcome.UNKNOWN:
             self._uncertain_jobs[job_id] = None
@@ -364,6 +387,10 @@
         relayed = self._relay(relayed_job)
         if relayed in (IntakeOutcome.ACCEPTED, IntakeOutcome.OTHER_TEAM):
             return StoreResult(relayed)
+        if relayed is stored.outcome or (
+            relayed is IntakeOutcome.NO_ROOM and stored.outcome is IntakeOutcome.REFUSED
+        ):
+            return StoreResult(relayed)
         if IntakeOutcome.UNKNOWN in (relayed, stored.outcome):
             return StoreResult(IntakeOutcome.UNKNOWN)
         return stored
--- a/packages/daemon/src/papayadyke_daemon/edge/_messages.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_messages.py
@@ -26,6 +26,8 @@
         Capacity of the VM as a decider, in cores.
     version : int or None
         Version of its configuration, negative if it has none; None if not stated.
+    job_bytes : int or None
+        Memory that it may use for jobs as a decider; None if unlimited or not stated.
     """
 
     vm: str
@@ -34,6 +36,7 @@
     decider: int
     strength: float
     version: int | None = None
+    job_bytes: int | None = None
 
 
 class HelloReply(Message):
@@ -56,6 +59,9 @@
         one; otherwise empty. It contains digests of keys, and no keys.
     catalog_age_s : float
         Seconds since the store confirmed the configuration of the receiver.
+    free_bytes, later_bytes : int or None
+        Memory that further jobs may take on each VM, and those of them that are due at
+        later times; None if unlimited or not stated.
     """
 
     is_decider: bool
@@ -67,6 +73,8 @@
     version: int | None = None
     catalog: bytes = b""
     catalog_age_s: float = math.inf
+    free_bytes: int | None = None
+    later_bytes: int | None = None
 
 
 class Submitted(Message):
--- a/packages/daemon/src/papayadyke_daemon/edge/_ports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_ports.py
@@ -266,6 +266,8 @@
         Fraction of a team's limit by which the platform tolerates an excess.
     learns_run_times : bool
         Whether the decider learns run times by queue and step, and speeds by upstream.
+    job_bytes : int or None
+        Memory that jobs may take on the VM that decides; None for no limit.
     """
 
     vm: str
@@ -292,3 +294,4 @@
     quota_overrun: float = 0.1
     log_level: str = field(default="INFO")
     learns_run_times: bool = True
+    job_bytes: int | None = None
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/outage_world.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/outage_world.py
@@ -115,9 +115,12 @@
         self.states = {"running": JobState.ACTIVE, "ended": JobState.COMPLETE}
         self._world = world
 
-    def record_heartbeat(self, address):
+    def record_heartbeat(self, address, *, job_bytes=None):
         pass
 
+    def find_job_room(self):
+        return None
+
     def list_vms(self):
         return [f"{name}:0" for name in self._world.vms]
 
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_intake.py
@@ -11,6 +11,7 @@
     StagedJobSpec,
     StepSpec,
     encode_progress,
+    estimate_job_bytes,
 )
 from papayadyke_core.verdicts import Verdict
 from papayadyke_daemon.edge import (
@@ -22,6 +23,7 @@
 )
 from papayadyke_daemon.edge._contact import StoreContact
 from papayadyke_daemon.edge._intake import IntakeDependencies
+from papayadyke_daemon.edge._job_memory import JobMemory
 from papayadyke_daemon.edge._keys import CANCEL_PREFIX, JOB_PREFIX, PROGRESS_PREFIX
 from papayadyke_daemon.edge._leadership import KnownDecider
 from papayadyke_daemon.edge._peers import PeerClients
@@ -38,13 +40,15 @@
     return FakeStore()
 
 
-def make_intake(store, *, reaches_store=True):
+def make_intake(store, *, reaches_store=True, memory=None):
     # A probe follows each doubt at once.
     contact = StoreContact(store, on_change=lambda: contact.check())
     if reaches_store:
         contact.check()
     gate = RelayGate(lambda: contact.doubted_s)
-    dependencies = IntakeDependencies(lambda: None, KnownDecider, contact, gate)
+    dependencies = IntakeDependencies(
+        lambda: None, KnownDecider, contact, gate, job_memory=memory
+    )
     return Intake(make_ports(contact.store), PeerClients(), dependencies)
 
 
@@ -67,6 +71,49 @@
     assert KEY not in store.records
 
 
+def make_memory(free_bytes):
+    memory = JobMemory(lambda: None)
+    memory.record_reply(free_bytes, free_bytes)
+    return memory
+
+
+def test_job_without_memory_on_the_deciding_vm_is_refused_and_not_stored(store):
+    """Jobs were accepted until the VM that decides was killed for its memory."""
+    room = estimate_job_bytes(SPEC)
+    intake = make_intake(store, memory=make_memory(room))
+    assert intake.accept(SPEC) is IntakeOutcome.ACCEPTED
+    other = replace(SPEC, job_id="b")
+    assert intake.accept(other) is IntakeOutcome.NO_ROOM
+    assert JOB_PREFIX + "b" not in store.records
+    # The heartbeat of a decider with more room is answered.
+    intake = make_intake(store, memory=make_memory(room))
+    assert intake.accept(other) is IntakeOutcome.ACCEPTED
+
+
+def test_job_that_is_stored_is_not_refused_for_want_of_memory(store):
+    """A caller that repeats an accepted job must not be told that it never runs."""
+    make_intake(store).accept(SPEC)
+    intake = make_intake(store, memory=make_memory(0))
+    assert intake.accept(SPEC) is IntakeOutcome.ACCEPTED
+
+
+def test_job_that_may_be_stored_is_not_refused_for_want_of_memory(store):
+    """An attempt without an answer may still take effect."""
+    memory = make_memory(None)
+    intake = make_intake(store, memory=memory)
+    store.fault = StoreErrorKind.UNKNOWN
+    assert intake.accept(SPEC) is IntakeOutcome.UNKNOWN
+    store.fault = None
+    memory.record_reply(0, 0)
+    assert intake.accept(SPEC) is IntakeOutcome.UNKNOWN
+
+
+def test_job_is_refused_without_a_reason_if_the_store_does_not_answer(store):
+    intake = make_intake(store, memory=make_memory(0))
+    store.fault = StoreErrorKind.NOT_DONE
+    assert intake.accept(SPEC) is IntakeOutcome.REFUSED
+
+
 def test_write_with_a_lost_answer_is_repeated_once_the_store_answers(store):
     intake = make_intake(store)
     store.lose_next_answer = True
