Take a run for lost only if its upstream has listed all of its ends

Cause: an upstream lists 500 ends at a time and the others once those are acknowledged, which happens when they are stored. A run in neither list counted as lost. The logs tell this from the alternatives: each loss has the cause not_listed, none silent (a lapsed lease) or restarted, and the tasks are those from the 501st end of each upstream on.

Change: a report says whether its list of ends is complete, and only a complete one ends a run that is not listed, frees its room or makes an upstream known to a new decider. That one holds back jobs of earlier terms as long as an upstream in contact has never listed everything, also beyond the time in which earlier leases run out; if contact is lost, until its own lease has. Ends are processed in their order. A list from the store that breaks off is an error.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -212,7 +212,7 @@
             job.restore_progress(progress)
             for step in job.steps.values():
                 self._tracker.crash_tracker.restore(step)
-        job.hold_until_s = self._takeover.barrier_s or 0.0
+        job.is_held_over = self._takeover.barrier_s is not None
         job.record_runs_until_s = now + self.settings.record_runs_s
         self._unknown_use.is_outdated = True
         if not job.is_final:
@@ -257,7 +257,7 @@
         self._record_arrival(spec, now)
         job = self._schedule.add_new_job(spec, now=now, age_s=age_s)
         if self._takeover.barrier_s is not None and may_have_started:
-            job.hold_until_s = self._takeover.barrier_s
+            job.is_held_over = True
             self._unknown_use.is_outdated = True
         self._tracker.claim_runs(job, now)
         if not job.is_final:
@@ -529,9 +529,9 @@
         overrun = self.settings.quota_overrun
         return TeamRound(self._schedule.ledger, teams, overrun=overrun)
 
-    def _is_held(self, step: StepRun, now: float) -> bool:
+    def _is_held(self, step: StepRun) -> bool:
         """Return whether a step may still run under an earlier decider."""
-        return self._takeover.barrier_s is not None and now < step.job.hold_until_s
+        return self._takeover.barrier_s is not None and step.job.is_held_over
 
     def _search_ahead(self, placement: PlacementRound, now: float) -> None:
         """Look for the upstreams of steps that a takeover holds back, oldest first.
@@ -541,7 +541,7 @@
         if self._takeover.barrier_s is None:
             return
         steps = self._schedule.ready_steps.values()
-        held = [step for step in steps if self._is_held(step, now)]
+        held = [step for step in steps if self._is_held(step)]
         for step in sorted(held, key=lambda step: step.job.accepted_at_s):
             queue = self._schedule.find_queue(step.job)
             if queue is not None:
@@ -556,7 +556,7 @@
             queue = self._schedule.find_queue(job)
             if queue is None:
                 continue
-            if self._is_held(step, now):
+            if self._is_held(step):
                 step.wait.record(DelayCause.TAKEOVER, now)
                 continue
             rank = ranks.get(job.job_id)
--- a/packages/core/src/papayadyke_core/dispatch/_job.py
+++ b/packages/core/src/papayadyke_core/dispatch/_job.py
@@ -258,9 +258,9 @@
         self.times = JobTimes()
         self.run_times: RunTimeModel | None = None  # None for declared estimates
         self._cached_estimates: JobEstimates | None = None
-        # Before this time a run that an earlier decider started may be unreported,
-        # so the job is not started.
-        self.hold_until_s = 0.0
+        # Whether an earlier decider may have started it, so that it is not started
+        # before the runs and ends of all upstreams are known.
+        self.is_held_over = False
         # Before this time it is stored where its tasks run.
         self.record_runs_until_s = 0.0
         # Steps that depend on each step.
--- a/packages/core/src/papayadyke_core/dispatch/_messages.py
+++ b/packages/core/src/papayadyke_core/dispatch/_messages.py
@@ -129,6 +129,9 @@
         When the poll was sent and answered, in seconds on the dispatcher's clock.
     running : list of RunningRun
     ended : list of EndedRun
+    is_complete : bool
+        Whether all ends that were not acknowledged are listed. Otherwise a run in
+        neither list may have ended.
     """
 
     incarnation: int
@@ -136,6 +139,7 @@
     answered_s: float
     running: list[RunningRun] = field(default_factory=list)
     ended: list[EndedRun] = field(default_factory=list)
+    is_complete: bool = True
 
 
 class StartOutcome(StrEnum):
--- a/packages/core/src/papayadyke_core/dispatch/_takeover.py
+++ b/packages/core/src/papayadyke_core/dispatch/_takeover.py
@@ -10,6 +10,12 @@
 from papayadyke_core.dispatch._upstream import Upstream
 
 
+def has_unknown_ends(upstream: Upstream, now: float) -> bool:
+    """Return whether an upstream under leases of this term has not listed all ends."""
+    has_lapsed = not upstream.is_reachable and now > upstream.lease_until_s
+    return upstream.has_answered and not upstream.has_reported and not has_lapsed
+
+
 class Takeover:
     """Times until which runs or jobs of earlier terms may be unknown, in seconds.
 
@@ -76,6 +82,9 @@
         all_reported = all(upstream.has_reported for upstream in upstreams.values())
         if not (all_reported and upstreams) and now < self.barrier_s:
             return False
+        if any(has_unknown_ends(upstream, now) for upstream in upstreams.values()):
+            # Tasks that they have done are not known to be, however long it takes.
+            return False
         self.barrier_s = None
         return True
 
--- a/packages/core/src/papayadyke_core/dispatch/_tracking.py
+++ b/packages/core/src/papayadyke_core/dispatch/_tracking.py
@@ -74,9 +74,11 @@
         ):
             self._handle_restart(upstream, now)
         upstream.incarnation = report.incarnation
-        is_regained = not (upstream.is_reachable and upstream.has_reported)
+        is_regained = not (upstream.is_reachable and upstream.has_answered)
         upstream.is_reachable = True
-        upstream.has_reported = True
+        upstream.has_answered = True
+        # Which tasks it runs or has done is known once it has listed all of them.
+        upstream.has_reported |= report.is_complete
         if is_regained:
             self._schedule.needs_placement = True
             for run in upstream.runs.values():
@@ -85,9 +87,10 @@
             for earlier in self._list_at_address(upstream):
                 if not earlier.is_reachable:
                     self.count_crashes(earlier.upstream_id, now, present=None)
-        new_ends = [
-            ended for ended in report.ended if ended.number > upstream.last_end_number
-        ]
+        new_ends = sorted(
+            (end for end in report.ended if end.number > upstream.last_end_number),
+            key=lambda end: end.number,
+        )
         for ended in new_ends:
             upstream.last_end_number = ended.number
             self._schedule.commits.record_end(
@@ -305,6 +308,9 @@
         """Drop or stop a run that a report of its upstream does not list."""
         if run.phase is RunPhase.ORDERED or run.phase_since_s >= report.requested_s:
             return
+        if not report.is_complete:
+            # Its end may be one of those that are listed once others are acknowledged.
+            return
         if run.phase is RunPhase.RUNNING:
             self._lose_run(upstream, run, now)
             return
--- a/packages/core/src/papayadyke_core/dispatch/_unknown_use.py
+++ b/packages/core/src/papayadyke_core/dispatch/_unknown_use.py
@@ -67,7 +67,7 @@
         self.is_outdated = False
         self._next_s = now + INTERVAL_S
         capacity = sum_unanswered(upstreams.values())
-        needs = sum_unconfirmed(jobs.values(), barrier_s, now=now)
+        needs = sum_unconfirmed(jobs.values(), now=now)
         for team in self._teams | needs.keys() | ended_teams:
             bound = capacity
             if team not in ended_teams:
@@ -97,9 +97,7 @@
     return total
 
 
-def sum_unconfirmed(
-    jobs: Iterable[StagedJob], barrier_s: float, *, now: float
-) -> dict[str, Resources]:
+def sum_unconfirmed(jobs: Iterable[StagedJob], *, now: float) -> dict[str, Resources]:
     """Return what the tasks of earlier terms need that are not known to run, by team.
 
     A task may run although the steps before its own are not stored as done, or its job
@@ -108,7 +106,7 @@
     """
     needs: dict[str, Resources] = {}
     for job in jobs:
-        if job.hold_until_s < barrier_s or job.state is JobState.COMPLETE:
+        if not job.is_held_over or job.state is JobState.COMPLETE:
             continue
         team = job.spec.team
         if not team:
--- a/packages/core/src/papayadyke_core/dispatch/_upstream.py
+++ b/packages/core/src/papayadyke_core/dispatch/_upstream.py
@@ -40,6 +40,8 @@
         self.departs_s: float | None = None
         self.incarnation: int | None = None
         self.is_reachable = False
+        # Whether it has answered, and whether it has listed all of its runs and ends.
+        self.has_answered = False
         self.has_reported = False
         self.lease_until_s = 0.0
         self.last_end_number = 0
--- a/packages/core/src/papayadyke_core/dispatch/tests/dispatch_world.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/dispatch_world.py
@@ -101,6 +101,8 @@
     running: dict[TaskId, int] = field(default_factory=dict)
     highest_attempts: dict[TaskId, int] = field(default_factory=dict)
     ended: list[EndedRun] = field(default_factory=list)
+    # Ends that are listed at a time, oldest first.
+    max_listed_ends: int = 500
     end_count: int = 0
     is_disconnected: bool = False
     back_s: float | None = None  # when it is back from a crash
@@ -144,7 +146,12 @@
             self.lease_until_s = max(self.lease_until_s, lease_until_s)
         running = [RunningRun(task, attempt) for task, attempt in self.running.items()]
         return UpstreamReport(
-            self.incarnation, requested_s, now, running, list(self.ended)
+            self.incarnation,
+            requested_s,
+            now,
+            running,
+            self.ended[: self.max_listed_ends],
+            is_complete=len(self.ended) < self.max_listed_ends,
         )
 
     def end(self, task: TaskId, run_end: RunEnd) -> None:
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher_machine.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher_machine.py
@@ -29,6 +29,7 @@
 STEPS = int(os.environ.get("PAPAYADYKE_STEPS", "60"))
 EXAMPLES = int(os.environ.get("PAPAYADYKE_EXAMPLES", "40"))
 NAMES = ("a", "b", "c")
+MAX_LISTED_ENDS = 3  # at a time, so that ends are often behind a full list
 NO_LIMITS = {"one": 0, "other": 0}
 SETTLE_S = 40.0  # seconds; well above the time in which leases expire and all jobs end
 
@@ -46,6 +47,8 @@
         )
         self.world = World(catalog, *(make_entry(name) for name in NAMES))
         self.job_count = 0
+        for upstream in self.world.upstreams.values():
+            upstream.max_listed_ends = MAX_LISTED_ENDS
 
     @rule(
         task_count=st.integers(1, 6),
--- a/packages/daemon/src/papayadyke_daemon/edge/_watch.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_watch.py
@@ -28,7 +28,8 @@
     """Return all records of a prefix.
 
     The pages are not one snapshot. The revision is that of the first page, so a
-    watch from there reports all changes made while later pages were read.
+    watch from there reports all changes made while later pages were read. A page
+    without records that is not the last one is an error: the list would be cut short.
     """
     records: list[Record] = []
     revision: int | None = None
@@ -40,8 +41,10 @@
         page = reply.ok_value
         revision = page.revision if revision is None else revision
         records += page.records
-        if not page.has_more or not page.records:
+        if not page.has_more:
             return Ok(Page(records, revision))
+        if not page.records:
+            return Err(StoreError(StoreErrorKind.UNKNOWN, "an empty page of a list"))
         after = page.records[-1].key
 
 
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/history_rules.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/history_rules.py
@@ -27,6 +27,13 @@
 QUOTA_OVERRUN, QUOTA_WINDOW_S = 0.1, 3.0
 
 
+def expand_rows(rows):
+    """Return each index of stored rows, which may be ranges."""
+    for row in rows:
+        first, last = (row, row) if isinstance(row, int) else row
+        yield from range(first, last + 1)
+
+
 @dataclass
 class SentJob:
     """A job that was handed in, and what its callers were told."""
@@ -220,7 +227,7 @@
             done = {
                 (name, index)
                 for name, step in progress.steps.items()
-                for index in step.done
+                for index in expand_rows(step.done)
             }
             state, earlier = self._progress.get(write.key, (None, set()))
             assert state not in FINAL_STATES or state is progress.state, (
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/virtual_upstream.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/virtual_upstream.py
@@ -21,6 +21,7 @@
 from papayadyke_daemon.edge import FencedError
 from papayadyke_daemon.edge.tests.virtual_store import CallFault
 
+MAX_LISTED_ENDS = 10  # at a time; the platform lists 500
 MAX_LEASE_S = 10.0  # longer leases are shortened
 # Seconds in which a change of the capacity has to be known: contact_ms and a heartbeat.
 CAPACITY_KNOWN_S = 4.5
@@ -99,7 +100,12 @@
         self.ended = [e for e in self.ended if e.number > acknowledged_end]
         running = [RunningRun(task, attempt) for task, attempt in self.running.items()]
         return UpstreamReport(
-            self.incarnation, self.now, self.now, running, list(self.ended)
+            self.incarnation,
+            self.now,
+            self.now,
+            running,
+            self.ended[:MAX_LISTED_ENDS],
+            is_complete=len(self.ended) < MAX_LISTED_ENDS,
         )
 
     def start(self, order: StartOrder, token, lease_until_s):
