Decide nothing final by a queue or a team that the configuration lacks

Cause: a queue that the configuration lacks counted as one with a single attempt, and the job was ended at once. No crash was counted, and the versions came in order, so neither a suspect task nor an older version explains it.

Change: failed runs of a job are judged only by a queue that is known and tells its attempts. Jobs with failed runs are judged again when a configuration comes into force, and by a new decider when it has read their progress: the attempts that failed meanwhile count, and no task starts beyond the last one. A route without max_attempts no longer counts as one attempt. Work of a team that is not named waits instead of running without a limit. On the project's own interface a task whose workload is missing is tried again instead of being ended. What waits for the configuration is named among the delays of a job.

test_without_teams_owners_are_not_checked asked that everybody may cancel a team's job while no teams are named. A cancellation is final, so the test now asks for its refusal and for its acceptance from the team once it is named.

--- a/packages/core/src/papayadyke_core/dispatch/_delays.py
+++ b/packages/core/src/papayadyke_core/dispatch/_delays.py
@@ -15,6 +15,7 @@
     takes time afterwards.
     """
 
+    CONFIGURATION = "configuration"  # it lacks the queue or the team, or their limits
     TAKEOVER = "takeover"  # it may still run under an earlier decider
     NO_UPSTREAM = "no_upstream"  # its service has no upstream that accepts runs
     ROOM = "room"
--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -73,6 +73,8 @@
         self._team_waits: dict[str, TeamWait] = {}
         self._claims = Claims()
         self._next_placement_s = 0.0
+        # Whether jobs may have to end by limits that were not known before.
+        self._has_new_limits = False
         # Room that is kept free for urgent work by service, and room on the fastest
         # upstreams that other work leaves to it while there is room elsewhere.
         self._urgent_reserves: dict[str, UrgentReserve] = {}
@@ -126,6 +128,7 @@
         if catalog.version > self.catalog.version:
             self._schedule.catalog = catalog
             self._schedule.needs_placement = True
+            self._has_new_limits = True
 
     def add_or_update_upstream(
         self, entry: UpstreamEntry, now: float = 0.0, *, is_recorded: bool = True
@@ -212,6 +215,9 @@
             job.restore_progress(progress)
             for step in job.steps.values():
                 self._tracker.crash_tracker.restore(step)
+                if step.failed:
+                    self._schedule.record_failure(step)
+                    self._has_new_limits = True
         job.is_held_over = self._takeover.barrier_s is not None
         job.record_runs_until_s = now + self.settings.record_runs_s
         self._unknown_use.is_outdated = True
@@ -387,6 +393,9 @@
         self._end_handover(now)
         if self.run_times is not None:
             self.run_times.now_s = now
+        if self._has_new_limits:
+            self._has_new_limits = False
+            self._schedule.end_failed_jobs(now)
         self._schedule.add_due_steps(wall_s)
         self._schedule.expire_leases(now)
         self._schedule.evacuate(now)
@@ -544,7 +553,7 @@
         held = [step for step in steps if self._is_held(step)]
         for step in sorted(held, key=lambda step: step.job.accepted_at_s):
             queue = self._schedule.find_queue(step.job)
-            if queue is not None:
+            if queue is not None and self._schedule.is_configured(step.job):
                 placement.search_ahead(step, queue)
 
     def _rank_steps(self, now: float) -> list[RankedStep]:
@@ -554,7 +563,8 @@
         for step in self._schedule.ready_steps.values():
             job = step.job
             queue = self._schedule.find_queue(job)
-            if queue is None:
+            if queue is None or not self._schedule.is_configured(job):
+                step.wait.record(DelayCause.CONFIGURATION, now)
                 continue
             if self._is_held(step):
                 step.wait.record(DelayCause.TAKEOVER, now)
--- a/packages/core/src/papayadyke_core/dispatch/_schedule.py
+++ b/packages/core/src/papayadyke_core/dispatch/_schedule.py
@@ -63,6 +63,8 @@
         self.commits = CommitTracker(settings, self.jobs, self.upstreams)
         self.ready_steps: dict[StepId, StepRun] = {}
         self.window = OccurrenceWindow(settings.early_start_s)
+        # Jobs with failed runs, which a configuration may end.
+        self.jobs_with_failures: set[str] = set()
         self.pending_stops: list[StopOrder] = []
         self.stopping_runs: dict[tuple[TaskId, int], Run] = {}
         self.lost_runs: list[LostRun] = []
@@ -160,6 +162,42 @@
         else:
             self.ready_steps.pop(step.step_id, None)
 
+    def record_failure(self, step: StepRun) -> None:
+        """Record that a run of a step has failed; tasks that last have no limit."""
+        if not step.job.is_final and not step.spec.is_long_running:
+            self.jobs_with_failures.add(step.job.job_id)
+
+    def end_failed_jobs(self, now: float) -> None:
+        """End the jobs whose tasks have failed as often as the configuration allows."""
+        for job_id in sorted(self.jobs_with_failures):
+            job = self.jobs[job_id]
+            for step in list(job.steps.values()):
+                if any(self.has_failed(step, index) for index in step.failed):
+                    self.finish_job(job, JobState.FAILED, now)
+                    break
+
+    def has_failed(self, step: StepRun, index: int) -> bool:
+        """Return whether a task has used up the attempts of its queue.
+
+        If the configuration does not tell how many there are, nothing is decided. It
+        may have lost the queue for some seconds only.
+        """
+        queue = self.find_queue(step.job)
+        if queue is None or not queue.max_attempts or step.spec.is_long_running:
+            return False
+        has_ended = step.job.is_final or index in step.done
+        return not has_ended and step.count_failures(index) >= queue.max_attempts
+
+    def is_configured(self, job: StagedJob) -> bool:
+        """Return whether the configuration tells under which limits a job may run."""
+        queue = self.find_queue(job)
+        if queue is None:
+            return False
+        if not queue.max_attempts and job.job_id in self.jobs_with_failures:
+            return False
+        team, teams = job.spec.team, self.catalog.teams
+        return not team or (teams is not None and team in teams)
+
     def mark_active(self, run: Run) -> None:
         job = self.jobs.get(run.task.job_id)
         if job is not None and job.state is JobState.QUEUED:
@@ -188,6 +226,7 @@
             self.window.remove(job)
             self.later_bytes -= estimate_job_bytes(job.spec)
         job.drop_steps()
+        self.jobs_with_failures.discard(job.job_id)
         self.held_bytes += estimate_ended_bytes(job.spec) - estimate_job_bytes(job.spec)
 
     def remove_job(self, job_id: str) -> None:
--- a/packages/core/src/papayadyke_core/dispatch/_spec.py
+++ b/packages/core/src/papayadyke_core/dispatch/_spec.py
@@ -241,7 +241,8 @@
     priority : int
         Queues with a lower number go first; 0 is the highest priority.
     max_attempts : int
-        Number of failed runs of a task after which its job fails.
+        Number of failed runs of a task after which its job fails; 0 if the
+        configuration does not tell.
     stretch, allowance_s : float
         The objective of a job is `stretch` times its critical path plus
         `allowance_s`.
--- a/packages/core/src/papayadyke_core/dispatch/_tracking.py
+++ b/packages/core/src/papayadyke_core/dispatch/_tracking.py
@@ -404,11 +404,8 @@
         attempts.append(ended.attempt)
         job = step.job
         self._schedule.commits.mark_dirty(job.job_id)
-        if job.is_final or index in step.done or step.spec.is_long_running:
-            return
-        queue = self._schedule.find_queue(job)
-        max_attempts = queue.max_attempts if queue is not None else 1
-        if step.count_failures(index) >= max_attempts:
+        self._schedule.record_failure(step)
+        if self._schedule.has_failed(step, index):
             self._schedule.finish_job(job, JobState.FAILED, now)
 
     def _count_failure(
--- a/packages/core/src/papayadyke_core/dispatch/tests/dispatch_world.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/dispatch_world.py
@@ -512,7 +512,8 @@
 
     def _check_start(self, task):
         assert task not in self.done, f"{task} started after it was done"
-        max_attempts = self.catalog.queues[QUEUE].max_attempts
+        # Where the number of attempts is not known, only first attempts may start.
+        max_attempts = self.catalog.queues[QUEUE].max_attempts or 1
         if not self.step_specs[task].is_long_running:
             assert self.failed.get(task, 0) < max_attempts, f"{task} started too often"
         if self.crashes[task] >= MAX_CRASHES:
--- a/packages/core/src/papayadyke_core/jobs/_task.py
+++ b/packages/core/src/papayadyke_core/jobs/_task.py
@@ -14,7 +14,6 @@
 PERMANENT_REASONS = frozenset(
     {
         Reason.BAD_REQUEST,
-        Reason.UNKNOWN_WORKLOAD,
         Reason.TOO_LARGE,
         Reason.CAN_NEVER_RUN,
         Reason.FAILS_EVERYWHERE,
--- a/packages/core/src/papayadyke_core/jobs/tests/test_job.py
+++ b/packages/core/src/papayadyke_core/jobs/tests/test_job.py
@@ -145,6 +145,16 @@
     )
 
 
+def test_task_is_retried_while_its_workload_is_missing():
+    """A version without the workload for some seconds ended its jobs for good."""
+    job = _job(idempotent=False)
+    missing = Refusal(Verdict.NOT_RUN, Reason.UNKNOWN_WORKLOAD, "no such workload")
+    (order,) = job.make_orders(0.0, 0.0, 10)
+    _finish(job, order.tasks[0], TaskResult.NOT_STARTED, refusal=missing, now=0.0)
+    (order,) = job.make_orders(40.0, 40.0, 10)
+    assert order.tasks[0].index == 0
+
+
 def test_cancelled_tasks_report_whether_they_had_run():
     job = _job(tasks=3, idempotent=False)
     specs = [order.tasks[0] for order in job.make_orders(0.0, 0.0, 2)]
--- a/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
@@ -315,7 +315,7 @@
         )
 
     def _use_catalog(self, catalog: Catalog) -> None:
-        self.intake.catalog = catalog
+        self.intake.use_catalog(catalog)
         decider = self._decider
         if decider is not None:
             decider.set_catalog(catalog)
--- a/packages/daemon/src/papayadyke_daemon/edge/_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_intake.py
@@ -26,6 +26,7 @@
 from papayadyke_daemon.edge._job_owner import (
     JobStatus,
     checks_owners,
+    is_owner_unknown,
     may_access,
     read_owner,
 )
@@ -81,7 +82,8 @@
 
     After `REFUSED` it is certainly not stored; after `UNKNOWN` it may be. After
     `OTHER_TEAM` it is not stored, because the job's id is that of another team's job.
-    After `NO_ROOM` it is not stored, because there is no memory for another job.
+    After `NO_ROOM` it is not stored, because there is no memory for another job, and
+    after `OWNER_UNKNOWN`, because the configuration does not tell who may cancel it.
     """
 
     ACCEPTED = "accepted"
@@ -90,6 +92,7 @@
     NO_SUCH_JOB = "no_such_job"
     OTHER_TEAM = "other_team"
     NO_ROOM = "no_room"
+    OWNER_UNKNOWN = "owner_unknown"
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,6 +157,8 @@
         quota_overrun: float = 0.1,
     ) -> None:
         self.catalog: Catalog | None = None
+        # Whether a configuration that was in force has named teams.
+        self.has_known_teams = False
         self.quota_overrun = quota_overrun
         self._ports = ports
         self._clients = clients
@@ -171,6 +176,11 @@
         """Start the thread that notifies the decider."""
         self.notifier.start()
 
+    def use_catalog(self, catalog: Catalog) -> None:
+        """Answer callers by a configuration from now on."""
+        self.catalog = catalog
+        self.has_known_teams |= catalog.teams is not None
+
     def is_catalog_confirmed(self) -> bool:
         """Return whether the keys of the configuration may be relied on."""
         return self._dependencies.is_catalog_confirmed()
@@ -284,6 +294,8 @@
         self, job_id: str, status: JobStatus, team: str | None
     ) -> IntakeOutcome:
         """Return the outcome of cancelling a job that has ended."""
+        if team is not None and is_owner_unknown(self.catalog, status.team):
+            return IntakeOutcome.OWNER_UNKNOWN
         if team is not None and not self._may_access(job_id, status.team, team):
             return IntakeOutcome.NO_SUCH_JOB
         return IntakeOutcome.ACCEPTED
@@ -446,11 +458,11 @@
                 return IntakeOutcome.REFUSED
             if progress.ok_value is None:
                 return IntakeOutcome.NO_SUCH_JOB
-            if not self._may_cancel(job_id, progress.ok_value, team):
-                return IntakeOutcome.NO_SUCH_JOB
-            return IntakeOutcome.ACCEPTED
-        if not self._may_cancel(job_id, job.ok_value, team):
-            return IntakeOutcome.NO_SUCH_JOB
+            refusal = self._check_cancel(job_id, progress.ok_value, team)
+            return refusal or IntakeOutcome.ACCEPTED
+        refusal = self._check_cancel(job_id, job.ok_value, team)
+        if refusal is not None:
+            return refusal
         key = CANCEL_PREFIX + job_id
         # If the job ends first, the write fails and leaves no cancellation behind.
         expected = [(key, 0), (JOB_PREFIX + job_id, job.ok_value.revision)]
@@ -460,10 +472,17 @@
     def _read(self, key: str) -> Result[Record | None, StoreError]:
         return self._ports.store.read(key, timeout_s=self._contact.timeout_s)
 
-    def _may_cancel(self, job_id: str, record: Record, team: str | None) -> bool:
+    def _check_cancel(
+        self, job_id: str, record: Record, team: str | None
+    ) -> IntakeOutcome | None:
+        """Return why a team may not cancel a job; None if it may."""
         if team is None:
-            return True
-        return self._may_access(job_id, read_owner([record]), team)
+            return None
+        owner = read_owner([record])
+        if is_owner_unknown(self.catalog, owner):
+            return IntakeOutcome.OWNER_UNKNOWN
+        may_access = self._may_access(job_id, owner, team)
+        return None if may_access else IntakeOutcome.NO_SUCH_JOB
 
     def _relay(self, message: StoreJob | StoreCancel) -> IntakeOutcome:
         """Have the decider's VM store what this VM cannot."""
--- a/packages/daemon/src/papayadyke_daemon/edge/_job_owner.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_job_owner.py
@@ -29,6 +29,21 @@
     return catalog is not None and catalog.teams is not None
 
 
+def is_owner_unknown(catalog: Catalog | None, owner: str) -> bool:
+    """Return whether a job has a team, and the configuration tells no teams.
+
+    Who may cancel the job is then not known: the configuration may have lost its teams
+    for some seconds.
+
+    Parameters
+    ----------
+    catalog : Catalog or None
+    owner : str
+        Team of the job; empty for none.
+    """
+    return bool(owner) and not checks_owners(catalog)
+
+
 def may_access(catalog: Catalog | None, *, owner: str, team: str) -> bool:
     """Return whether a team may see, cancel and resubmit a job.
 
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_job_owner.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_job_owner.py
@@ -21,7 +21,12 @@
 from papayadyke_daemon.edge._clock import read_clock
 from papayadyke_daemon.edge._contact import StoreContact
 from papayadyke_daemon.edge._intake import IntakeDependencies
-from papayadyke_daemon.edge._keys import JOB_PREFIX, PROGRESS_PREFIX, encode_record
+from papayadyke_daemon.edge._keys import (
+    CANCEL_PREFIX,
+    JOB_PREFIX,
+    PROGRESS_PREFIX,
+    encode_record,
+)
 from papayadyke_daemon.edge._leadership import KnownDecider
 from papayadyke_daemon.edge._messages import (
     AskState,
@@ -117,14 +122,21 @@
     assert intake.get_state(JOB_ID, "blue") is None
 
 
-def test_without_teams_owners_are_not_checked(store):
-    """A configuration that drops its teams must not orphan jobs that have one."""
+def test_without_teams_jobs_stay_visible_and_nobody_cancels_those_of_a_team(store):
+    """A configuration that drops its teams must not orphan jobs that have one.
+
+    It must not let every caller cancel them either, since a cancellation is final and
+    the teams may be missing for some seconds only.
+    """
     intake = make_intake(store, lambda message: StateReply(True))
     intake.catalog = Catalog(2)
     assert intake.accept(SPEC) is IntakeOutcome.ACCEPTED
     assert intake.accept(replace(SPEC, team="")) is IntakeOutcome.ACCEPTED
     assert intake.get_state(JOB_ID) is JobState.QUEUED
-    assert intake.cancel(JOB_ID) is IntakeOutcome.ACCEPTED
+    assert intake.cancel(JOB_ID) is IntakeOutcome.OWNER_UNKNOWN
+    assert CANCEL_PREFIX + JOB_ID not in store.records
+    intake.catalog = CATALOG
+    assert intake.cancel(JOB_ID, team="red") is IntakeOutcome.ACCEPTED
 
 
 def test_relayed_job_keeps_its_team_and_is_refused_as_another_teams(store, decider_vm):
