--- a/packages/core/src/papayadyke_core/dispatch/_occurrences.py
+++ b/packages/core/src/papayadyke_core/dispatch/_occurrences.py
@@ -43,8 +43,8 @@
         # When the next occurrence of each job becomes due, and how many of these
         # entries are of jobs that have ended.
         self._next_due: list[tuple[float, int, StagedJob]] = []
-        self._numbers = itertools.count()
-        self._ended = 0
+        self._entry_numbers = itertools.count()
+        self._ended_entries = 0
         # Jobs with occurrences that are due and not open, in the order of their turns.
         self._turns: deque[StagedJob] = deque()
         self._has_turn: set[str] = set()
@@ -57,12 +57,12 @@
     def remove(self, job: StagedJob) -> None:
         """Remove a job that has ended."""
         self.open_steps.pop(job.job_id, None)
-        self._ended += 1
-        if self._ended > len(self._next_due) // 2:
+        self._ended_entries += 1
+        if self._ended_entries > len(self._next_due) // 2:
             # Those that were due in the far future must not remain in memory.
             self._next_due = [row for row in self._next_due if not row[2].is_final]
             heapify(self._next_due)
-            self._ended = 0
+            self._ended_entries = 0
 
     def update(self, job: StagedJob) -> None:
         """Record how many steps of a repeated job are open."""
@@ -77,12 +77,12 @@
         while self._next_due and self._next_due[0][0] <= reached_s:
             _, _, job = heappop(self._next_due)
             if job.is_final:
-                self._ended = max(0, self._ended - 1)
+                self._ended_entries = max(0, self._ended_entries - 1)
                 continue
-            earlier, job.due_count = job.due_count, job.count_due(reached_s)
+            due_before, job.due_count = job.due_count, job.count_due(reached_s)
             for occurrence in job.list_open_occurrences():
                 # A run of it was reported before it became due on this VM's clock.
-                if earlier <= occurrence < job.due_count:
+                if due_before <= occurrence < job.due_count:
                     yield job, occurrence
             self._schedule_next(job)
             if job.job_id not in self._has_turn:
@@ -93,7 +93,7 @@
     def _schedule_next(self, job: StagedJob) -> None:
         due_s = job.due_wall_s(job.due_count)
         if due_s is not None and job.due_count < job.occurrences:
-            heappush(self._next_due, (due_s, next(self._numbers), job))
+            heappush(self._next_due, (due_s, next(self._entry_numbers), job))
 
     def _take_turns(self) -> Iterator[tuple[StagedJob, int]]:
         """Open one occurrence of each job in turn while there is room for its steps."""
