Log the incarnation of lost runs and the end of a takeover

The logs could not tell the hypotheses of the incident apart. A lost run now tells the incarnation of its upstream and whether its start was answered. An agent logs each incarnation that it meets. A new decider logs how long it has waited for the runs of earlier terms, and which upstreams had not reported by then.

--- a/packages/core/src/papayadyke_core/dispatch/__init__.py
+++ b/packages/core/src/papayadyke_core/dispatch/__init__.py
@@ -50,6 +50,7 @@
     TaskId,
     check_job_spec,
 )
+from papayadyke_core.dispatch._takeover import TakeoverEnd
 from papayadyke_core.dispatch._team_round import TeamWait
 from papayadyke_core.dispatch._upstream import Upstream
 
@@ -87,6 +88,7 @@
     "StepRun",
     "StepSpec",
     "StopOrder",
+    "TakeoverEnd",
     "TaskCrash",
     "TaskId",
     "TeamWait",
--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -31,7 +31,7 @@
 from papayadyke_core.dispatch._schedule import Schedule
 from papayadyke_core.dispatch._settings import DispatchSettings
 from papayadyke_core.dispatch._spec import Catalog, StagedJobSpec, StepId
-from papayadyke_core.dispatch._takeover import Takeover
+from papayadyke_core.dispatch._takeover import Takeover, TakeoverEnd
 from papayadyke_core.dispatch._team_round import RankedStep, TeamRound, TeamWait
 from papayadyke_core.dispatch._tracking import RunTracker
 from papayadyke_core.dispatch._unknown_use import UnknownUse
@@ -340,6 +340,10 @@
         """Record that an advisory call failed."""
         self.advice_cache.record_failure(step, retry_at_s=now + ADVICE_RETRY_S)
 
+    def take_takeover_end(self) -> TakeoverEnd | None:
+        """Return how the wait for the runs of earlier terms ended, once."""
+        return self._takeover.take_end()
+
     def take_lost_runs(self) -> list[LostRun]:
         """Remove and return the runs that were lost since the last call."""
         lost_runs, self._schedule.lost_runs = self._schedule.lost_runs, []
--- a/packages/core/src/papayadyke_core/dispatch/_messages.py
+++ b/packages/core/src/papayadyke_core/dispatch/_messages.py
@@ -108,6 +108,10 @@
     age_s : float
         Seconds since the run was ordered, or first reported if an earlier decider
         ordered it.
+    incarnation : int or None, default=None
+        Incarnation of the upstream that the run was ordered for or last listed by.
+    is_answered : bool, default=True
+        Whether the start was answered, or a report has listed the run.
     """
 
     upstream_id: str
@@ -115,6 +119,8 @@
     attempt: int
     cause: LossCause
     age_s: float
+    incarnation: int | None = None
+    is_answered: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/papayadyke_core/dispatch/_schedule.py
+++ b/packages/core/src/papayadyke_core/dispatch/_schedule.py
@@ -324,5 +324,13 @@
 
     def record_loss(self, run: Run, cause: LossCause, now: float) -> None:
         self.lost_runs.append(
-            LostRun(run.upstream_id, run.task, run.attempt, cause, now - run.started_s)
+            LostRun(
+                run.upstream_id,
+                run.task,
+                run.attempt,
+                cause,
+                now - run.started_s,
+                run.incarnation,
+                is_answered=run.phase is RunPhase.RUNNING,
+            )
         )
--- a/packages/core/src/papayadyke_core/dispatch/_takeover.py
+++ b/packages/core/src/papayadyke_core/dispatch/_takeover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 from papayadyke_core.dispatch._job import StagedJob
 from papayadyke_core.dispatch._settings import DispatchSettings
@@ -10,6 +11,22 @@
 from papayadyke_core.dispatch._upstream import Upstream
 
 
+@dataclass(frozen=True, slots=True)
+class TakeoverEnd:
+    """End of the time in which runs of earlier terms may be unknown.
+
+    Parameters
+    ----------
+    waited_s : float
+        Seconds since the takeover.
+    silent_upstreams : tuple of str
+        Upstreams that have not listed their runs; these have lost their leases.
+    """
+
+    waited_s: float
+    silent_upstreams: tuple[str, ...]
+
+
 def has_unknown_ends(upstream: Upstream, now: float) -> bool:
     """Return whether an upstream under leases of this term has not listed all ends."""
     has_lapsed = not upstream.is_reachable and now > upstream.lease_until_s
@@ -42,6 +59,8 @@
 
     def __init__(self, settings: DispatchSettings, *, term: int, now: float) -> None:
         self.barrier_s: float | None = None
+        self._began_s = now
+        self._end: TakeoverEnd | None = None
         self.handover_end_s = now + settings.handover_s
         self.unread_until_s: float | None = None
         self.unread_ends = UnreadJobEnds()
@@ -86,8 +105,15 @@
             # Tasks that they have done are not known to be, however long it takes.
             return False
         self.barrier_s = None
+        silent = [name for name, u in upstreams.items() if not u.has_reported]
+        self._end = TakeoverEnd(now - self._began_s, tuple(silent))
         return True
 
+    def take_end(self) -> TakeoverEnd | None:
+        """Remove and return the end of the wait; None if there is no new one."""
+        end, self._end = self._end, None
+        return end
+
     def end_handover(self, now: float) -> bool:
         """Stop waiting for unread jobs once their time is over; return if it did."""
         if self.unread_until_s is None or now < self.unread_until_s:
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_restarts_and_handovers.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_restarts_and_handovers.py
@@ -244,7 +244,15 @@
     assert stop.task == TASK
 
 
-# What the losses of runs tell operators
+# What the losses of runs and the end of a takeover tell operators
+
+
+def test_end_of_a_takeover_names_the_silent_upstreams_once(successor):
+    report(successor, "a", 0.1)
+    successor.tick(60.0, 60.0)
+    end = successor.take_takeover_end()
+    assert (end.waited_s, end.silent_upstreams) == (60.0, ("b",))
+    assert successor.take_takeover_end() is None
 
 
 def test_run_lost_in_a_restart_is_told_from_one_on_a_silent_upstream():
--- a/packages/daemon/src/papayadyke_daemon/edge/_agents.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_agents.py
@@ -171,6 +171,14 @@
         """Pass on a report; return the seconds until the next poll."""
         self._is_reached = True
         if self._incarnation != report.incarnation:
+            METRICS.count("papayadyke_upstream_incarnations")
+            log_event(
+                LOG,
+                "upstreams: incarnation began",
+                upstream=self.upstream_id,
+                incarnation=report.incarnation,
+                former=self._incarnation,
+            )
             # First contact or a restart: the ends are numbered anew.
             self._last_end = 0
             with self._acknowledgement_lock:
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -35,6 +35,7 @@
     log_losses,
     log_starts,
     log_stop,
+    log_takeover_end,
 )
 from papayadyke_daemon.edge._gang_reports import GangReporter
 from papayadyke_daemon.edge._housekeeping import Housekeeper
@@ -383,6 +384,7 @@
             # No order may be sent; placing would only reserve capacity.
             return now + MAX_STEP_INTERVAL_S
         orders = self._dispatcher.tick(now, time.time())
+        log_takeover_end(self._dispatcher.take_takeover_end(), token=self.term.token)
         log_losses(self._dispatcher.take_lost_runs())
         for request in orders.advice:
             self._advisory_pool.submit(request)
--- a/packages/daemon/src/papayadyke_daemon/edge/_decision_log.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decision_log.py
@@ -15,6 +15,7 @@
     StartOrder,
     StepId,
     StopOrder,
+    TakeoverEnd,
     TaskCrash,
 )
 from papayadyke_daemon.edge._logs import log_event
@@ -129,14 +130,31 @@
     )
 
 
+def log_takeover_end(end: TakeoverEnd | None, *, token: int) -> None:
+    """Log that the runs of earlier terms are known, and which upstreams are silent."""
+    if end is not None:
+        log_event(
+            LOG,
+            "decider: runs of earlier terms known",
+            waited_s=round(end.waited_s, 3),
+            silent=list(end.silent_upstreams),
+            token=token,
+        )
+
+
 def log_losses(lost_runs: Iterable[LostRun]) -> None:
-    """Log the runs that are gone without an end, one line per upstream, step, cause."""
-    groups: dict[tuple[str, StepId, LossCause], list[LostRun]] = {}
+    """Log the runs that are gone without an end.
+
+    Runs of a step share a line if they have the upstream, its incarnation and the cause
+    in common, and if all of their starts were answered, or none.
+    """
+    groups: dict[tuple[str, StepId, LossCause, int | None, bool], list[LostRun]] = {}
     for run in lost_runs:
         METRICS.count("papayadyke_runs_lost", cause=run.cause)
-        key = run.upstream_id, StepId(*run.task[:3]), run.cause
+        step = StepId(*run.task[:3])
+        key = run.upstream_id, step, run.cause, run.incarnation, run.is_answered
         groups.setdefault(key, []).append(run)
-    for (upstream_id, step, cause), runs in groups.items():
+    for (upstream_id, step, cause, incarnation, answered), runs in groups.items():
         log_event(
             LOG,
             "decider: runs lost",
@@ -144,7 +162,9 @@
             step=step,
             tasks=[run.task.number for run in runs],
             upstream=upstream_id,
+            incarnation=incarnation,
             cause=cause,
+            answered=answered,
             age_s=round(max(run.age_s for run in runs), 3),
         )
 
