Wait for the longest lease of a silent upstream after a takeover

Callers saw one task run twice, started by two deciders. An upstream that restarts under its old id begins its clock anew. A call that was on its way then carries a time of the former clock, and the upstream grants the longest lease that it knows, 10 s. The decider that notices the restart counts with that, but its successor waited for ordinary leases only: 6.85 s after the takeover, and 5.65 s after its own last call to an upstream that it reached once.

A successor now waits for the longest lease of upstreams that stay silent, and counts with it from its first contact with an upstream until all runs of earlier terms are known. An upstream at whose address another one answers has ended and is not waited for.

Ruled out: a late start order (the first run was answered and had begun). Storing for each upstream when it was last met would keep the wait short, but not for an upstream that restarts in the last second of a term.

The two tests of the wait fail on the code before: the task starts after 6.9 s and 5.9 s.

--- a/packages/core/src/papayadyke_core/dispatch/_takeover.py
+++ b/packages/core/src/papayadyke_core/dispatch/_takeover.py
@@ -71,8 +71,9 @@
         if term:
             self.unread_until_s = self.handover_end_s + settings.late_read_s
             # The previous decider may grant leases until the end of the handover. Runs
-            # under them may be unknown until the last of these leases has expired.
-            self.barrier_s = self.handover_end_s + settings.longest_lease_s
+            # under them may be unknown until the last of these leases has expired. An
+            # upstream that restarted shortly before may hold them the longest.
+            self.barrier_s = self.handover_end_s + settings.longest_hold_s
 
     def record_ended_job(
         self, job_id: str, *, team: str = "", may_run: bool = False
@@ -98,7 +99,15 @@
         """Lift the barrier once no earlier start can be unknown; return if it did."""
         if self.barrier_s is None:
             return False
-        all_reported = all(upstream.has_reported for upstream in upstreams.values())
+        reported = [
+            upstream for upstream in upstreams.values() if upstream.has_reported
+        ]
+        # Whatever ran at an address has ended once another upstream answers there.
+        addresses = {upstream.entry.address for upstream in reported}
+        all_reported = all(
+            upstream.has_reported or upstream.entry.address in addresses
+            for upstream in upstreams.values()
+        )
         if not (all_reported and upstreams) and now < self.barrier_s:
             return False
         if any(has_unknown_ends(upstream, now) for upstream in upstreams.values()):
--- a/packages/core/src/papayadyke_core/dispatch/_tracking.py
+++ b/packages/core/src/papayadyke_core/dispatch/_tracking.py
@@ -73,6 +73,10 @@
             and upstream.incarnation != report.incarnation
         ):
             self._handle_restart(upstream, now)
+        elif upstream.incarnation is None and self._takeover.barrier_s is not None:
+            # The previous decider may have met the incarnation by a call with a time of
+            # the former one's clock.
+            self._record_longest_hold(upstream, now)
         upstream.incarnation = report.incarnation
         is_regained = not (upstream.is_reachable and upstream.has_answered)
         upstream.is_reachable = True
@@ -209,12 +213,16 @@
         if upstream.is_reachable:
             self.crash_tracker.record_loss(upstream, now)
         # Leases sent since the restart had times of the previous incarnation's clock.
-        held_until_s = now + self._schedule.settings.longest_hold_s
-        upstream.lease_until_s = max(upstream.lease_until_s, held_until_s)
+        self._record_longest_hold(upstream, now)
         upstream.last_end_number = upstream.acknowledged_end_number = 0
         upstream.failures_in_row = 0
         self._schedule.advice_cache.remove_upstream(upstream.upstream_id)
 
+    def _record_longest_hold(self, upstream: Upstream, now: float) -> None:
+        """Record that a call before now may have granted the longest lease."""
+        held_until_s = now + self._schedule.settings.longest_hold_s
+        upstream.lease_until_s = max(upstream.lease_until_s, held_until_s)
+
     def _process_running(
         self, upstream: Upstream, running: RunningRun, now: float
     ) -> None:
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_restarts_and_handovers.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_restarts_and_handovers.py
@@ -4,6 +4,8 @@
 places, and a finished task must not run again.
 """
 
+from dataclasses import replace
+
 import pytest
 from dispatch_world import make_catalog, make_entry, make_job
 
@@ -244,6 +246,45 @@
     assert stop.task == TASK
 
 
+# Upstreams that restarted shortly before a takeover. The calls of the previous decider
+# may have told the new incarnation a time on the clock of the former one, which grants
+# the longest lease.
+
+
+def test_successor_waits_for_the_longest_lease_at_a_silent_upstream(successor):
+    """Guards against a second start while the run at the silent upstream goes on."""
+    report(successor, "b", 0.1)
+    successor.submit(make_job("j"), now=0.2, may_have_started=True)
+    for tenth in range(2, 118):
+        assert not successor.tick(tenth / 10, tenth / 10).starts
+    assert len(successor.tick(12.1, 12.1).starts) == 1
+
+
+def test_successor_counts_with_the_longest_lease_after_its_first_contact(successor):
+    """Guards against a second start once a successor loses an upstream again."""
+    successor.submit(make_job("j"), now=0.1, may_have_started=True)
+    successor.record_lease("a", 0.2)
+    report(successor, "a", 0.2, running=[RunningRun(TASK, 1)])
+    report(successor, "b", 0.2)
+    successor.mark_unreachable("a", 0.5)
+    for tenth in range(5, 108):
+        assert not successor.tick(tenth / 10, tenth / 10).starts
+    assert len(successor.tick(12.0, 12.0).starts) == 1
+
+
+def test_successor_does_not_wait_for_an_upstream_whose_address_another_has(successor):
+    """What ran there has ended, although the upstream itself never answers."""
+    entry = replace(
+        make_entry("c", cores=1), address=successor.upstreams["a"].entry.address
+    )
+    successor.add_or_update_upstream(entry)
+    report(successor, "b", 0.1)
+    successor.submit(make_job("j"), now=0.1, may_have_started=True)
+    assert not successor.tick(0.1, 0.1).starts
+    report(successor, "c", 0.2)
+    assert len(successor.tick(0.2, 0.2).starts) == 1
+
+
 # What the losses of runs and the end of a takeover tell operators
 
 
