Tell the incarnations of an upstream apart by its fencing token

An upstream that restarts under its old id knows nothing of before: its clock, its numbers of ends, the highest fencing token and the stops it has seen begin anew. Calls carry its id only, so one that was meant for the former incarnation is carried out by the next one, also seconds later: it starts a run that was given up, grants the longest lease instead of the one that was asked for, or removes ends that nobody has read.

The token of a term now rises with each incarnation of an upstream that the term meets. The first answer of a new incarnation is not passed on; a second poll with the raised token follows, and from its answer on the upstream refuses what was meant for the former one. Start orders name the incarnation that they are for, and are not sent to another one. The first poll after a call that failed grants no lease and acknowledges nothing, an acknowledgement is not repeated once it is answered, and the answer to a poll of an agent that has been replaced is dropped. Runs that a report does not list are dropped before the listed ones are adopted, so that a lost run does not make a listed one of its task unneeded. Whether an upstream has listed everything does not outlast its incarnation.

Ruled out: the field for the expected instance, which names the id only, and stops at each new incarnation, which leave leases and ends as they are.

The tests of the agent fail on the code before: reports are passed on at once, orders of the former incarnation are sent, and polls after a failure carry the lease and the end of the former one.

--- a/packages/core/src/papayadyke_core/dispatch/_messages.py
+++ b/packages/core/src/papayadyke_core/dispatch/_messages.py
@@ -127,6 +127,8 @@
 class UpstreamReport:
     """Runs in progress and unacknowledged ends of an upstream.
 
+    An incarnation that reports refuses all calls that were meant for the former one.
+
     Parameters
     ----------
     incarnation : int
@@ -153,7 +155,8 @@
 
     After `UNKNOWN` the run may have started or may start later. After every other
     outcome except `STARTED` it has not started. `EXPIRED` orders waited too long to
-    be sent; for `NOT_SENT` there was no connection.
+    be sent, or the upstream restarted meanwhile; for `NOT_SENT` there was no
+    connection.
     """
 
     STARTED = "started"
@@ -171,7 +174,8 @@
 class StartOrder:
     """Order to start a run at an upstream.
 
-    `ordered_s` is the time of the decision, in seconds on the dispatcher's clock.
+    `ordered_s` is the time of the decision, in seconds on the dispatcher's clock, and
+    `incarnation` that of the upstream at the time: others must not receive the order.
     """
 
     upstream_id: str
@@ -181,6 +185,7 @@
     checkpoint: str = ""
     ticket: str = ""
     ordered_s: float = 0.0
+    incarnation: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -485,7 +485,16 @@
             checkpoint = max(step.checkpoints.values(), default="", key=len)
         payload = step.job.spec.payload
         self.starts.append(
-            StartOrder(name, task, attempt, payload, checkpoint, ticket, now)
+            StartOrder(
+                name,
+                task,
+                attempt,
+                payload,
+                checkpoint,
+                ticket,
+                now,
+                upstream.incarnation,
+            )
         )
 
     def _choose_reserved(
--- a/packages/core/src/papayadyke_core/dispatch/_tracking.py
+++ b/packages/core/src/papayadyke_core/dispatch/_tracking.py
@@ -104,12 +104,12 @@
                 self._takeover.unread_ends.add(upstream_id, ended)
             else:
                 self._process_end(upstream, ended, now)
-        listed = set()
-        for running in report.running:
-            listed.add((running.task, running.attempt))
-            self._process_running(upstream, running, now)
+        listed = {(running.task, running.attempt) for running in report.running}
+        # A run that is gone must not make a listed run of its task unneeded.
         for run in [run for run in upstream.runs.values() if run.key not in listed]:
             self._check_unlisted_run(upstream, run, report, now)
+        for running in report.running:
+            self._process_running(upstream, running, now)
         self.count_crashes(upstream_id, now, present=report.incarnation)
         return new_ends
 
@@ -207,7 +207,6 @@
         Its runs are not dropped here: an order that is still in transit may reach the
         new incarnation. The report that follows drops the runs that it should list.
         """
-        LOG.info("dispatch: upstream %s restarted", upstream.upstream_id)
         self._takeover.unread_ends.remove_upstream(upstream.upstream_id)
         self._schedule.commits.forget_ends(upstream.upstream_id)
         if upstream.is_reachable:
@@ -216,6 +215,7 @@
         self._record_longest_hold(upstream, now)
         upstream.last_end_number = upstream.acknowledged_end_number = 0
         upstream.failures_in_row = 0
+        upstream.has_reported = False
         self._schedule.advice_cache.remove_upstream(upstream.upstream_id)
 
     def _record_longest_hold(self, upstream: Upstream, now: float) -> None:
--- a/packages/daemon/src/papayadyke_daemon/edge/_agents.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_agents.py
@@ -17,6 +17,7 @@
     UpstreamReport,
 )
 from papayadyke_daemon.edge._clock import read_clock
+from papayadyke_daemon.edge._fence import IncarnationFence
 from papayadyke_daemon.edge._logs import log_event
 from papayadyke_daemon.edge._metrics import METRICS
 from papayadyke_daemon.edge._ports import EdgeSettings, FencedError, UpstreamClient
@@ -72,8 +73,8 @@
     ----------
     upstream_id, address : str
     client : UpstreamClient
-    token : int
-        Fencing token of the decider.
+    fence : IncarnationFence
+        Fencing token of the term for the upstream.
     cfg : EdgeSettings
     callbacks : AgentCallbacks
     """
@@ -84,7 +85,7 @@
         *,
         address: str,
         client: UpstreamClient,
-        token: int,
+        fence: IncarnationFence,
         cfg: EdgeSettings,
         callbacks: AgentCallbacks,
     ) -> None:
@@ -92,16 +93,17 @@
         self.address = address
         self.acknowledged_end = 0
         self._client = client
-        self._token = token
+        self._fence = fence
         self._cfg = cfg
         self._callbacks = callbacks
         self._orders: queue.SimpleQueue[StartOrder | StopOrder | None]
         self._orders = queue.SimpleQueue()
         self._stopped = threading.Event()
         self._is_reached = False
-        self._incarnation: int | None = None
         self._last_end = 0
-        # Guards the incarnation and the acknowledged end, which belongs to it.
+        # Last end whose acknowledgement the upstream has answered.
+        self._confirmed_end = 0
+        # Guards the acknowledged end, which belongs to the incarnation of the fence.
         self._acknowledgement_lock = threading.Lock()
 
     def start(self) -> None:
@@ -127,7 +129,7 @@
         number : int
         """
         with self._acknowledgement_lock:
-            if incarnation == self._incarnation:
+            if incarnation == self._fence.incarnation:
                 self.acknowledged_end = number
 
     def send(self, order: StartOrder | StopOrder) -> None:
@@ -143,46 +145,69 @@
         # An unreachable upstream gets no new lease: its runs must lapse before
         # they may be started elsewhere. Nor does the first poll grant one: a lease
         # is sent as a time on the upstream's clock, which the reply to that poll
-        # contains.
-        extends_lease = self._is_reached
-        if extends_lease:
+        # contains. It acknowledges nothing either, as the upstream may have restarted
+        # and numbered its ends anew.
+        is_known = self._is_reached
+        acknowledged_end = self.acknowledged_end
+        if not is_known or acknowledged_end == self._confirmed_end:
+            acknowledged_end = 0
+        if is_known:
             self._callbacks.before_lease(self.upstream_id, checked_s)
         try:
             reply = self._client.poll(
-                token=self._token,
-                acknowledged_end=self.acknowledged_end,
-                lease_until_s=checked_s + self._cfg.lease_s if extends_lease else None,
-                wait_s=POLL_WAIT_S if extends_lease else 0.0,
+                token=self._fence.token,
+                acknowledged_end=acknowledged_end,
+                lease_until_s=checked_s + self._cfg.lease_s if is_known else None,
+                wait_s=POLL_WAIT_S if is_known else 0.0,
             )
+            if self._stopped.is_set():
+                # Another agent may call the upstream by now, at another address.
+                return
+            if isinstance(reply, Err):
+                self._handle_failed_poll(reply.err_value)
+                return
+            is_fenced = self._meet(reply.ok_value.incarnation)
         except FencedError:
             self._callbacks.on_fenced(self.upstream_id)
             self._stopped.wait(POLL_RETRY_S)
             return
-        if isinstance(reply, Err):
-            self._handle_failed_poll(reply.err_value)
-            return
-        self._stopped.wait(self._process_report(reply.ok_value))
+        if is_fenced:
+            self._confirmed_end = max(self._confirmed_end, acknowledged_end)
+            self._stopped.wait(self._process_report(reply.ok_value))
 
     def has_orders(self) -> bool:
         """Return whether an order waits to be sent."""
         return not self._orders.empty()
 
-    def _process_report(self, report: UpstreamReport) -> float:
-        """Pass on a report; return the seconds until the next poll."""
-        self._is_reached = True
-        if self._incarnation != report.incarnation:
-            METRICS.count("papayadyke_upstream_incarnations")
+    def _meet(self, incarnation: int) -> bool:
+        """Record which incarnation answered; return whether its report is final.
+
+        Until an incarnation has seen a raised token, calls that were meant for the
+        former one may still start runs there, extend leases and remove ends.
+        """
+        former = self._fence.incarnation
+        if former == incarnation:
+            return True
+        if former is not None:
+            METRICS.count("papayadyke_upstream_restarts")
             log_event(
                 LOG,
-                "upstreams: incarnation began",
+                "upstreams: restarted",
                 upstream=self.upstream_id,
-                incarnation=report.incarnation,
-                former=self._incarnation,
+                incarnation=incarnation,
+                former=former,
             )
-            # First contact or a restart: the ends are numbered anew.
-            self._last_end = 0
-            with self._acknowledgement_lock:
-                self.acknowledged_end, self._incarnation = 0, report.incarnation
+        # First contact or a restart: the ends are numbered anew.
+        self._last_end = self._confirmed_end = 0
+        with self._acknowledgement_lock:
+            is_fenced = self._fence.meet(incarnation)
+            self.acknowledged_end = 0
+        self._is_reached = False
+        return is_fenced
+
+    def _process_report(self, report: UpstreamReport) -> float:
+        """Pass on a report; return the seconds until the next poll."""
+        self._is_reached = True
         self._callbacks.on_report(self.upstream_id, report)
         newest_end = max((run.number for run in report.ended), default=0)
         pause_s = self._callbacks.poll_interval_s()
@@ -210,7 +235,7 @@
             return True
         try:
             is_accepted = self._callbacks.may_issue_orders() and self._client.stop(
-                order, token=self._token
+                order, token=self._fence.token
             )
         except Exception:
             # The dispatcher repeats a stop that is not acknowledged.
@@ -243,14 +268,24 @@
             or not self._callbacks.may_issue_orders()
         ):
             return StartOutcome.EXPIRED
+        token = self._fence.find_token(order.incarnation)
+        if token is None:
+            return StartOutcome.EXPIRED
         self._callbacks.before_lease(self.upstream_id, checked_s)
         try:
-            return self._client.start(
-                order, token=self._token, lease_until_s=checked_s + self._cfg.lease_s
+            outcome = self._client.start(
+                order, token=token, lease_until_s=checked_s + self._cfg.lease_s
             )
         except Exception:
             LOG.exception("upstreams: a start at %s failed", self.upstream_id)
-            return StartOutcome.UNKNOWN
+            outcome = StartOutcome.UNKNOWN
+        if outcome is StartOutcome.UNKNOWN:
+            # The upstream may have restarted; the next poll finds out.
+            self._is_reached = False
+        if outcome is StartOutcome.FENCED and token != self._fence.token:
+            # It was meant for a former incarnation.
+            return StartOutcome.STALE
+        return outcome
 
     def _poll_loop(self) -> None:
         while not self._stopped.is_set():
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -37,6 +37,7 @@
     log_stop,
     log_takeover_end,
 )
+from papayadyke_daemon.edge._fence import UpstreamFences
 from papayadyke_daemon.edge._gang_reports import GangReporter
 from papayadyke_daemon.edge._housekeeping import Housekeeper
 from papayadyke_daemon.edge._job_owner import JobStatus
@@ -133,6 +134,7 @@
         )
         self._mailbox = Mailbox("decider", self._tick, clock=read_clock)
         self._agents: dict[str, UpstreamAgent] = {}
+        self._fences = UpstreamFences(term.token)
         self._watches: list[PrefixWatch] = []
         self._is_started = False
         self._advisory_pool = AdvisoryPool(ports, clients, self._handle_advice)
@@ -509,7 +511,7 @@
             entry.upstream_id,
             address=entry.address,
             client=self._ports.connect_upstream(entry),
-            token=self.term.token,
+            fence=self._fences.get_or_create(entry.upstream_id),
             cfg=self.cfg,
             callbacks=self._agent_callbacks,
         )
@@ -529,6 +531,7 @@
             agent = self._agents.pop(name, None)
             if agent is not None:
                 agent.stop()
+            self._fences.remove(name)
             self._roster.mark_outdated()
         if self._housekeeper.is_busy:
             # The previous removal still waits for the store.
