Compute nothing for an incarnation that has not answered a poll

A decider notices a restart of an upstream by a poll. Until then it wrote times on the clock of the former incarnation, and the new one grants the longest lease for them. If the upstream was cut off before the next poll, the decider counted with the lease that it had asked for, 5 s instead of 10 s, and started the task again while it ran. A poll on a new connection also carried the number of the last stored end of the former incarnation, so that ends of the new one were removed unread, although no call had failed before.

A connection does not outlive a process. On a new connection the first poll does neither.

Ruled out: asking the registry, whose entries are up to one heartbeat old.

The new tests of the client and the case of a closed connection at the agent fail on the code before.

--- a/packages/clients/src/papayadyke_clients/http/_exchange.py
+++ b/packages/clients/src/papayadyke_clients/http/_exchange.py
@@ -92,6 +92,7 @@
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
         timeout_s: float,
+        reuses_connection: bool = False,
     ) -> Result[HttpReply, ExchangeError]:
         """Send a request and wait for the complete response.
 
@@ -102,8 +103,13 @@
         headers : mapping of str to str, optional
         timeout_s : float
             Longest time without data from the server, in seconds.
+        reuses_connection : bool, default=False
+            Whether to fail rather than send on a new connection, which another process
+            may answer than the one that answered before.
         """
         conn = self._acquire()
+        if reuses_connection and conn.sock is None:
+            return Err(ExchangeError(False, "ConnectionClosed"))
         try:
             if conn.sock is None:
                 conn.timeout = self.connect_timeout_s
@@ -123,6 +129,11 @@
         self._release(conn, response.headers.get("Connection", ""))
         return Ok(reply)
 
+    def is_connected(self) -> bool:
+        """Return whether an open connection is idle."""
+        with self._lock:
+            return any(conn.is_connected for conn in self._idle)
+
     def drop_idle(self) -> None:
         """Close the idle connections."""
         with self._lock:
--- a/packages/daemon/src/papayadyke_daemon/edge/_agents.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_agents.py
@@ -146,8 +146,8 @@
         # they may be started elsewhere. Nor does the first poll grant one: a lease
         # is sent as a time on the upstream's clock, which the reply to that poll
         # contains. It acknowledges nothing either, as the upstream may have restarted
-        # and numbered its ends anew.
-        is_known = self._is_reached
+        # and numbered its ends anew. The same holds on a new connection.
+        is_known = self._is_reached and self._client.is_connected()
         acknowledged_end = self.acknowledged_end
         if not is_known or acknowledged_end == self._confirmed_end:
             acknowledged_end = 0
--- a/packages/daemon/src/papayadyke_daemon/edge/_ports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_ports.py
@@ -126,6 +126,12 @@
 class UpstreamClient(Protocol):
     """Client of one upstream."""
 
+    def is_connected(self) -> bool:
+        """Return whether the connection on which a poll was answered is open.
+
+        An upstream that restarts does not answer on a connection from before.
+        """
+
     def poll(
         self,
         *,
@@ -145,7 +151,8 @@
             before it.
         lease_until_s : float or None
             End of the new lease in seconds, on the clock of `read_clock`; None
-            extends no lease.
+            extends no lease. A poll that extends leases is sent on the connection on
+            which one was answered, or not at all.
         wait_s : float
             Longest time in seconds to wait for the end of a run.
 
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/deciders.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/deciders.py
@@ -31,6 +31,9 @@
 class IdleUpstream:
     """Client of an upstream that runs nothing."""
 
+    def is_connected(self):
+        return True
+
     def poll(self, *, token, acknowledged_end, lease_until_s, wait_s):
         return Ok(UpstreamReport(1, 0.0, 0.0))
 
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_upstream_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_upstream_agent.py
@@ -36,6 +36,10 @@
         self.polls: list[tuple[int, int, float | None]] = []
         self.on_start = lambda: StartOutcome.STARTED
         self.start_tokens: list[int] = []
+        self.is_open = True
+
+    def is_connected(self):
+        return self.is_open
 
     def poll(self, *, token, acknowledged_end, lease_until_s, wait_s):
         self.leases.append(lease_until_s)
@@ -220,7 +224,7 @@
     assert send_start(running, incarnation=2) is StartOutcome.FENCED
 
 
-@pytest.mark.parametrize("failed_call", ["poll", "start"])
+@pytest.mark.parametrize("failed_call", ["poll", "start", "close"])
 def test_poll_after_a_failed_call_acknowledges_and_grants_nothing(clock, failed_call):
     """Guards against ends of a new incarnation that are forgotten before they are read.
 
@@ -234,10 +238,13 @@
         running.client.answers_polls = False
         running.agent.poll_once()
         running.client.answers_polls = True
-    else:
+    elif failed_call == "start":
         running.client.on_start = lambda: StartOutcome.UNKNOWN
         send_start(running, incarnation=1)
+    else:
+        running.client.is_open = False
     running.agent.poll_once()
+    running.client.is_open = True
     assert running.client.polls[-1] == (0, 0, None)
     running.agent.poll_once()
     assert running.client.polls[-1] == (0, 57, 100.0 + LEASE_S)
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/virtual_upstream.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/virtual_upstream.py
@@ -191,17 +191,24 @@
         self._upstream = upstream
         self._next_fault = next_fault
         self._pause = pause
+        # Incarnation that has answered on the connection for polls.
+        self._answered_by = None
+
+    def is_connected(self):
+        return self._answered_by == self._upstream.incarnation
 
     def poll(self, *, token, acknowledged_end, lease_until_s, wait_s):
         fault = self._begin()
-        if fault is CallFault.NOT_DONE:
+        is_lost = lease_until_s is not None and not self.is_connected()
+        if fault is CallFault.NOT_DONE or is_lost:
+            self._answered_by = None
             return Err("not sent")
         report = self._upstream.poll(token, acknowledged_end, lease_until_s)
-        return (
-            Err("no answer")
-            if fault in (CallFault.LOST, CallFault.LATE)
-            else (Ok(report))
-        )
+        if fault in (CallFault.LOST, CallFault.LATE):
+            self._answered_by = None
+            return Err("no answer")
+        self._answered_by = self._upstream.incarnation
+        return Ok(report)
 
     def start(self, order, *, token, lease_until_s):
         fault = self._begin()
@@ -211,8 +218,13 @@
         if fault is CallFault.LATE:
             self._delay(call)
             return StartOutcome.UNKNOWN
+        is_same_clock = self._answered_by == self._upstream.incarnation
         outcome = call()
-        return StartOutcome.UNKNOWN if fault is CallFault.LOST else outcome
+        if fault is CallFault.LOST:
+            return StartOutcome.UNKNOWN
+        if outcome is StartOutcome.STARTED and not is_same_clock:
+            return StartOutcome.UNKNOWN
+        return outcome
 
     def stop(self, order, *, token):
         fault = self._begin()
