Count with starts that are carried out late by a later incarnation

A start that got no answer was stopped where it was sent, and once the upstream no longer listed it the task was started elsewhere. The stop dies with the incarnation that has seen it. If the upstream restarted within the next seconds the next one carried the late start out, beside the run elsewhere. At a silent upstream the task was started elsewhere after 10.8 s, while a call may be carried out 12 s late and then holds its run for 10 s.

A task whose start got no answer may now start at the same upstream only, until the start can no longer be carried out (late_call_s, 12 s): runs at one upstream end with its incarnation, and its stop holds as long as that lives. Afterwards it is free once the upstream has listed all of its runs, or when the lease of a late run would have ended. A listed run or end of that start settles it at once. A gang gives such a member its place there. A silent upstream keeps an unanswered start for 12 s and the longest lease. A successor reads from the stored doubts which starts got no answer.

Ruled out: freeing the task once a new incarnation is fenced, as the one after that has seen no token again; waiting for 12 s everywhere, which costs each unanswered start of a sound upstream its time.

Of the tests, those of a silent upstream, of a waiting task, of a restart, of the listing after 12 s, of a gang and of a successor fail on the code before.

--- a/packages/core/src/papayadyke_core/dispatch/_delays.py
+++ b/packages/core/src/papayadyke_core/dispatch/_delays.py
@@ -23,6 +23,7 @@
     FASTER_UPSTREAM = "faster_upstream"  # it would be late on those with room
     TICKET = "ticket"
     TEAM_LIMIT = "team_limit"
+    UNANSWERED_START = "unanswered_start"  # it may still start where it was sent
     SUSPECT = "suspect"  # it may have crashed upstreams and starts apart
     BROKEN_GANG = "broken_gang"  # members of an earlier attempt are being stopped
 
--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -215,6 +215,7 @@
             job.restore_progress(progress)
             for step in job.steps.values():
                 self._tracker.crash_tracker.restore(step)
+                self._restore_unanswered_starts(step, now)
                 if step.failed:
                     self._schedule.record_failure(step)
                     self._has_new_limits = True
@@ -456,6 +457,16 @@
                 if run.task.job_id not in self.jobs and run.stop_requested_s is None:
                     self._schedule.stop_run(run, now, "the run is not needed")
 
+    def _restore_unanswered_starts(self, step: StepRun, now: float) -> None:
+        """Bind tasks to upstreams that may carry out a start of an earlier decider."""
+        until_s = now + self.settings.handover_s + self.settings.late_call_s
+        for index, doubts in step.doubts.items():
+            for doubt in doubts:
+                if not doubt.is_certain:
+                    self._schedule.unanswered_starts.add_earlier(
+                        step.task_id(index), doubt.upstream_id, until_s=until_s
+                    )
+
     # Placement
 
     def _place_steps(self, orders: Orders, now: float) -> None:
@@ -475,6 +486,7 @@
             unstored_jobs=self._schedule.commits.list_unstored_suspicions(),
             teams=teams,
             claims=self._claims,
+            unanswered_starts=self._schedule.unanswered_starts,
             may_preempt=lambda run, priority: self._may_preempt(run, priority, now),
             urgent_cpu_millis=_estimate_needs(self._urgent_reserves, now),
             fast_cpu_millis=_estimate_needs(self._fast_reserves, now),
--- a/packages/core/src/papayadyke_core/dispatch/_placement.py
+++ b/packages/core/src/papayadyke_core/dispatch/_placement.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Sequence, Set
+from collections.abc import Callable, Iterable, Mapping, Sequence, Set
 
 from papayadyke_core.dispatch._job import StepRun
 from papayadyke_core.dispatch._speed_needs import (
@@ -14,6 +14,8 @@
 )
 from papayadyke_core.dispatch._upstream import Upstream
 
+NOT_BOUND: Mapping[int, str | None] = {}
+
 
 def list_candidates(
     step: StepRun,
@@ -67,6 +69,7 @@
     candidates: list[tuple[Upstream, int]],
     *,
     held: Set[int] = frozenset(),
+    bound: Mapping[int, str | None] = NOT_BOUND,
     max_tasks: int | None = None,
 ) -> list[tuple[int, Upstream]]:
     """Assign waiting tasks of a step to upstreams until no slot is left.
@@ -81,11 +84,21 @@
         Upstreams with their free slots for the step, best first.
     held : set of int
         Waiting tasks that may not start yet.
+    bound : mapping of int to (str or None)
+        Upstream of each task that may start at one only; None if it may at none.
     max_tasks : int or None
         Most tasks to place.
     """
     slots = {upstream.upstream_id: count for upstream, count in candidates}
     placed: list[tuple[int, Upstream]] = []
+    by_id = {upstream.upstream_id: upstream for upstream, _ in candidates}
+    for index, name in bound.items():
+        if index not in step.waiting or index in held or name is None:
+            continue
+        if slots.get(name, 0) > 0 and len(placed) != max_tasks:
+            slots[name] -= 1
+            placed.append((index, by_id[name]))
+    held = held | bound.keys()
     suspects = {index for index in step.suspects if index in step.waiting} - held
     for index in sorted(suspects):
         if len(placed) == max_tasks:
@@ -156,6 +169,7 @@
     step: StepRun,
     candidates: list[tuple[Upstream, int]],
     *,
+    bound: Mapping[int, str | None] = NOT_BOUND,
     evens_speed: bool = False,
 ) -> list[tuple[int, Upstream]] | None:
     """Assign all tasks of a gang to upstreams, or return None if they do not fit.
@@ -165,6 +179,8 @@
     step : StepRun
     candidates : list of (Upstream, int)
         Upstreams with their free slots for the step, best first.
+    bound : mapping of int to (str or None)
+        Upstream of each task that may start at one only; None if it may at none.
     evens_speed : bool, default=False
         Whether members that cannot speed up the gang leave faster upstreams free: it
         ends with its slowest member.
@@ -173,6 +189,8 @@
     if step.spec.in_one_rack:
         candidates = _select_rack(count, candidates, by_speed=evens_speed)
     placed = _fill(count, candidates)
+    if placed is not None and bound:
+        return _place_bound(placed, candidates, bound)
     if placed is None or not evens_speed:
         return placed
     slowest = min(upstream.speed_class for _, upstream in placed)
@@ -188,6 +206,46 @@
     return _fill(count, even)
 
 
+def _place_bound(
+    placed: list[tuple[int, Upstream]],
+    candidates: list[tuple[Upstream, int]],
+    bound: Mapping[int, str | None],
+) -> list[tuple[int, Upstream]] | None:
+    """Give tasks that may start at one upstream only their places there.
+
+    Parameters
+    ----------
+    placed : list of (int, Upstream)
+        Places of all tasks of a gang, in any order.
+    candidates : list of (Upstream, int)
+        Upstreams with their free slots.
+    bound : mapping of int to (str or None)
+
+    Returns
+    -------
+    placed : list of (int, Upstream) or None
+        None if a task finds no slot.
+    """
+    slots = {upstream.upstream_id: (upstream, count) for upstream, count in candidates}
+    needed = Counter(bound.values())
+    chosen: dict[int, Upstream] = {}
+    for index, name in bound.items():
+        if name is None or name not in slots or needed[name] > slots[name][1]:
+            return None
+        chosen[index] = slots[name][0]
+    # Each bound task takes a place at its upstream, or that of the last other task.
+    others = [upstream for _, upstream in placed]
+    for upstream in chosen.values():
+        if upstream in others:
+            others.remove(upstream)
+        else:
+            others.pop()
+    for index, _ in placed:
+        if index not in chosen:
+            chosen[index] = others.pop(0)
+    return sorted(chosen.items())
+
+
 def _fill(
     count: int, candidates: list[tuple[Upstream, int]]
 ) -> list[tuple[int, Upstream]] | None:
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -37,6 +37,7 @@
     prefer_fastest,
 )
 from papayadyke_core.dispatch._team_round import TeamRound
+from papayadyke_core.dispatch._unanswered import UnansweredStarts
 from papayadyke_core.dispatch._upstream import Upstream
 from papayadyke_core.resources import Resources
 
@@ -63,6 +64,8 @@
         Limits of the teams.
     claims : Claims
         Upstreams that are kept for gangs for which runs were stopped.
+    unanswered_starts : UnansweredStarts
+        Tasks that may start at one upstream only.
     may_preempt : callable
         Returns whether a run may be stopped for a queue of a given priority.
     urgent_cpu_millis : mapping of str to float
@@ -92,6 +95,7 @@
         unstored_jobs: Set[str],
         teams: TeamRound,
         claims: Claims,
+        unanswered_starts: UnansweredStarts,
         may_preempt: Callable[[Run, int], bool],
         urgent_cpu_millis: Mapping[str, float],
         fast_cpu_millis: Mapping[str, float],
@@ -108,6 +112,7 @@
         self._unstored_jobs = unstored_jobs
         self._teams = teams
         self._claims = claims
+        self._unanswered_starts = unanswered_starts
         self._may_preempt = may_preempt
         self._urgent_cpu_millis = urgent_cpu_millis
         self._fast_cpu_millis = fast_cpu_millis
@@ -142,7 +147,8 @@
         if pool is None or step.spec.is_gang:
             return False
         has_started = False
-        for index in sorted(self._find_held_tasks(step)):
+        bound = self._unanswered_starts.find_upstreams(step.step_id)
+        for index in sorted(self._find_held_tasks(step) - bound.keys()):
             if not self._may_try_again(step, index):
                 continue
             if not self._teams.count_allowed(step):
@@ -189,6 +195,9 @@
         if step.spec.is_gang and step.live:
             self.wait_cause = DelayCause.BROKEN_GANG
             return False
+        if step.spec.is_gang and not self._may_reach_bound(step, pool):
+            self.wait_cause = DelayCause.UNANSWERED_START
+            return False
         self.wait_cause = DelayCause.ROOM
         fits_somewhere = pool.may_fit(step.spec)
         if not fits_somewhere and queue.advice is None and not step.spec.is_gang:
@@ -245,6 +254,8 @@
             return
         if self._find_held_tasks(step):
             return
+        if self._unanswered_starts.find_upstreams(step.step_id):
+            return
         min_speed = find_min_speed(step.job, queue, factor=factor, now=self._now)
         if math.isinf(min_speed):
             return
@@ -325,6 +336,7 @@
     ) -> bool:
         eligible = self._list_eligible(step, queue, pool, needs_room=True)
         held = self._find_held_tasks(step)
+        bound = self._unanswered_starts.find_upstreams(step.step_id)
         is_short = step.spec.estimate_s * factor <= self._settings.short_task_s
         reserved = self._claims.list_claimed(except_for=step.step_id)
         if not is_short:
@@ -344,12 +356,16 @@
             cfg = self._settings
             evens_speed = cfg.learns_run_times and cfg.evens_gang_speeds
             placed = (
-                None if held else place_gang(step, candidates, evens_speed=evens_speed)
+                None
+                if held
+                else place_gang(step, candidates, bound=bound, evens_speed=evens_speed)
             )
         else:
             placed = place_independent_tasks(
-                step, candidates, held=held, max_tasks=max_tasks
+                step, candidates, held=held, bound=bound, max_tasks=max_tasks
             )
+        if not placed and all(index in bound for index in step.waiting):
+            self.wait_cause = DelayCause.UNANSWERED_START
         for index, upstream in placed or ():
             self._start_task(step, queue, index, upstream)
             pool.record_start(upstream, step.spec)
@@ -370,6 +386,11 @@
             pool.left_to_urgent = find_left_to_urgent(pool.members.values(), expected)
         return SpeedNeeds(min_speed, pool.left_to_urgent)
 
+    def _may_reach_bound(self, step: StepRun, pool: Pool) -> bool:
+        """Return whether all upstreams that tasks of a step are bound to are usable."""
+        bound = self._unanswered_starts.find_upstreams(step.step_id)
+        return all(name in pool.members for name in bound.values())
+
     def _may_wait_for_speed(self, queue: QueuePolicy) -> bool:
         speed_waits = self._settings.speed_waits
         return speed_waits == "all" or (speed_waits == "urgent" and queue.is_urgent)
--- a/packages/core/src/papayadyke_core/dispatch/_schedule.py
+++ b/packages/core/src/papayadyke_core/dispatch/_schedule.py
@@ -26,6 +26,7 @@
     StepSpec,
     TaskId,
 )
+from papayadyke_core.dispatch._unanswered import UnansweredStarts
 from papayadyke_core.dispatch._upstream import Upstream
 from papayadyke_core.teams import TeamLedger
 
@@ -57,6 +58,7 @@
         self.upstreams: dict[str, Upstream] = {}
         self.ledger = TeamLedger()
         self.advice_cache = AdviceCache()
+        self.unanswered_starts = UnansweredStarts(settings)
         self.run_times: RunTimeModel | MovingAverages = (
             RunTimeModel() if settings.learns_run_times else MovingAverages()
         )
@@ -269,6 +271,7 @@
                     self.stop_run(run, now, "the upstream shuts down")
 
     def expire_leases(self, now: float) -> None:
+        self.unanswered_starts.expire(now)
         for upstream in self.upstreams.values():
             if upstream.is_reachable or not upstream.runs:
                 continue
@@ -281,9 +284,11 @@
         """Return the time after which an unreachable upstream cannot have a run."""
         if run.phase is RunPhase.RUNNING:
             return upstream.lease_until_s
-        # The upstream may have restarted unnoticed before the start arrived; the time
-        # in the order was then one of a clock that had started anew.
-        held_until_s = run.started_s + self.settings.longest_hold_s
+        # The upstream may have restarted unnoticed before the start arrived, which may
+        # be late; the times in this and later calls were then those of a clock that had
+        # started anew.
+        sent_s = max(run.phase_since_s, upstream.lease_sent_s)
+        held_until_s = sent_s + self.settings.longest_late_hold_s
         return max(upstream.lease_until_s, held_until_s)
 
     def drop_run(self, upstream: Upstream, run: Run, end: RunEnd, now: float) -> None:
--- a/packages/core/src/papayadyke_core/dispatch/_settings.py
+++ b/packages/core/src/papayadyke_core/dispatch/_settings.py
@@ -21,6 +21,9 @@
         Fraction by which an upstream's clock may run slow.
     lease_call_delay_s : float
         Longest delay between sending a call and its arrival at the upstream.
+    late_call_s : float
+        Longest time after which an upstream carries out a call that it has not
+        answered.
     handover_s : float
         Time after a takeover in which the previous decider may still start jobs that
         it had received before, unless every upstream has answered the new decider.
@@ -96,6 +99,7 @@
     max_hold_s: float = 10.0
     lease_drift: float = 0.03
     lease_call_delay_s: float = 0.5
+    late_call_s: float = 12.0
     handover_s: float = 1.2
     late_read_s: float = 2.0
     status_kept_s: float = 120.0
@@ -133,3 +137,8 @@
         """Upper bound of a lease that was sent to an unknown incarnation."""
         hold_s = max(self.max_hold_s, self.lease_s)
         return hold_s * (1 + self.lease_drift) + self.lease_call_delay_s
+
+    @property
+    def longest_late_hold_s(self) -> float:
+        """Upper bound of a lease that an unanswered call grants, from its sending."""
+        return self.late_call_s + self.longest_hold_s
--- a/packages/core/src/papayadyke_core/dispatch/_tracking.py
+++ b/packages/core/src/papayadyke_core/dispatch/_tracking.py
@@ -58,6 +58,7 @@
         """
         upstream = self._schedule.upstreams.get(upstream_id)
         if upstream is not None:
+            upstream.lease_sent_s = sent_s
             until_s = sent_s + self._schedule.settings.longest_lease_s
             upstream.lease_until_s = max(upstream.lease_until_s, until_s)
 
@@ -110,6 +111,10 @@
             self._check_unlisted_run(upstream, run, report, now)
         for running in report.running:
             self._process_running(upstream, running, now)
+        if report.is_complete:
+            self._schedule.unanswered_starts.settle_upstream(
+                upstream_id, report.requested_s
+            )
         self.count_crashes(upstream_id, now, present=report.incarnation)
         return new_ends
 
@@ -226,6 +231,7 @@
     def _process_running(
         self, upstream: Upstream, running: RunningRun, now: float
     ) -> None:
+        self._schedule.unanswered_starts.settle_run(running.task, running.attempt)
         run = upstream.runs.get((running.task, running.attempt))
         is_adopted = run is None
         if run is None:
@@ -327,9 +333,11 @@
             if run.stop_requested_s is None:
                 self._schedule.stop_run(run, now, "the start was not answered")
         elif run.stop_confirmed_s < report.requested_s:
+            self._schedule.unanswered_starts.add(run)
             self._lose_run(upstream, run, now)
 
     def _process_end(self, upstream: Upstream, ended: EndedRun, now: float) -> None:
+        self._schedule.unanswered_starts.settle_run(ended.task, ended.attempt)
         run = upstream.runs.get((ended.task, ended.attempt))
         if run is not None:
             upstream.remove(run)
--- /dev/null
+++ b/packages/core/src/papayadyke_core/dispatch/_unanswered.py
@@ -0,0 +1,138 @@
+"""Starts that got no answer and may still be carried out.
+
+A stop prevents such a start in the present incarnation of its upstream. The next one
+knows nothing of the stop and may carry the start out, seconds later and also while it
+is cut off. Until then the task may start at that upstream only, where both runs cannot
+go on at a time: what an upstream runs ends with its incarnation.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from papayadyke_core.dispatch._run import Run
+from papayadyke_core.dispatch._settings import DispatchSettings
+from papayadyke_core.dispatch._spec import StepId, TaskId
+
+
+@dataclass(slots=True)
+class _UnansweredStart:
+    """Starts of one task that may still be carried out.
+
+    Parameters
+    ----------
+    upstream_id : str or None
+        Upstream that they were sent to; None if there are several, so that the task may
+        start nowhere.
+    until_s : float
+        Time after which none of them is carried out.
+    attempts : set of int
+        Attempts that have not been seen; empty if they are unknown.
+    """
+
+    upstream_id: str | None
+    until_s: float
+    attempts: set[int] = field(default_factory=set)
+
+
+class UnansweredStarts:
+    """Tasks whose unanswered start may still be carried out.
+
+    All times are in seconds.
+
+    Parameters
+    ----------
+    settings : DispatchSettings
+    """
+
+    def __init__(self, settings: DispatchSettings) -> None:
+        self._settings = settings
+        self._starts: dict[StepId, dict[int, _UnansweredStart]] = {}
+
+    def add(self, run: Run) -> None:
+        """Record that the start of a run got no answer."""
+        until_s = run.phase_since_s + self._settings.late_call_s
+        start = self._add(run.task, run.upstream_id, until_s)
+        start.attempts.add(run.attempt)
+
+    def add_earlier(self, task: TaskId, upstream_id: str, *, until_s: float) -> None:
+        """Record an unanswered start of an earlier decider, whose attempt is unknown.
+
+        Parameters
+        ----------
+        task : TaskId
+        upstream_id : str
+        until_s : float
+            Time after which it is not carried out.
+        """
+        # No attempt has this number, so that no listed run settles it.
+        self._add(task, upstream_id, until_s).attempts.add(0)
+
+    def find_upstreams(self, step_id: StepId) -> Mapping[int, str | None]:
+        """Return where the tasks of a step may start that may not start anywhere.
+
+        Returns
+        -------
+        upstreams : mapping of int to (str or None)
+            By the number of the task; None for a task that may start nowhere.
+        """
+        starts = self._starts.get(step_id)
+        if not starts:
+            return {}
+        return {number: start.upstream_id for number, start in starts.items()}
+
+    def settle_run(self, task: TaskId, attempt: int) -> None:
+        """Record that an upstream lists a run or its end."""
+        start = self._starts.get(StepId(*task[:3]), {}).get(task.number)
+        if start is not None:
+            start.attempts.discard(attempt)
+            if not start.attempts:
+                self._remove(task)
+
+    def settle_upstream(self, upstream_id: str, requested_s: float) -> None:
+        """Record that an upstream has listed all of its runs and ends.
+
+        Parameters
+        ----------
+        upstream_id : str
+        requested_s : float
+            When the lists were requested.
+        """
+        self._remove_all(
+            lambda start: (
+                start.upstream_id == upstream_id and start.until_s < requested_s
+            )
+        )
+
+    def expire(self, now: float) -> None:
+        """Remove starts whose runs would have lost their leases by now."""
+        held_s = self._settings.longest_hold_s
+        self._remove_all(lambda start: start.until_s + held_s < now)
+
+    def _add(self, task: TaskId, upstream_id: str, until_s: float) -> _UnansweredStart:
+        starts = self._starts.setdefault(StepId(*task[:3]), {})
+        start = starts.setdefault(task.number, _UnansweredStart(upstream_id, until_s))
+        start.until_s = max(start.until_s, until_s)
+        if start.upstream_id != upstream_id:
+            start.upstream_id = None
+        return start
+
+    def _remove(self, task: TaskId) -> None:
+        step_id = StepId(*task[:3])
+        starts = self._starts.get(step_id, {})
+        starts.pop(task.number, None)
+        if not starts:
+            self._starts.pop(step_id, None)
+
+    def _remove_all(self, is_over: Callable[[_UnansweredStart], bool]) -> None:
+        if not self._starts:
+            return
+        over = [
+            TaskId(*step_id, number)
+            for step_id, starts in self._starts.items()
+            for number, start in starts.items()
+            if is_over(start)
+        ]
+        for task in over:
+            self._remove(task)
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_restarts_and_handovers.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_restarts_and_handovers.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 
 import pytest
-from dispatch_world import make_catalog, make_entry, make_job
+from dispatch_world import make_catalog, make_entry, make_job, make_step
 
 from papayadyke_core.dispatch import (
     Dispatcher,
@@ -20,6 +20,7 @@
     StartOutcome,
     TaskId,
     UpstreamReport,
+    decode_progress,
 )
 
 OLD, NEW = 1, 2  # incarnations of an upstream
@@ -100,15 +101,131 @@
     assert [start.task for start in dispatcher.tick(0.3, 0.3).starts] == [order.task]
 
 
-def test_unanswered_start_may_have_the_longest_lease():
-    """Its time may be one of the clock of an earlier incarnation."""
+def test_unanswered_start_may_be_late_and_have_the_longest_lease():
+    """Guards against a second start while a late one runs at a silent upstream.
+
+    It may be carried out 12 s later, by an incarnation on whose clock its time grants
+    the longest lease.
+    """
     dispatcher = make_dispatcher()
     order = start_job(dispatcher)
     dispatcher.record_lease(order.upstream_id, 0.1)
     dispatcher.process_start_outcome(order, StartOutcome.UNKNOWN, 0.2)
     dispatcher.mark_unreachable(order.upstream_id)
-    assert not dispatcher.tick(9.9, 9.9).starts
-    assert len(dispatcher.tick(11.0, 11.0).starts) == 1
+    for at_s in (9.9, 11.0, 22.9):
+        assert not dispatcher.tick(at_s, at_s).starts
+    assert len(dispatcher.tick(23.1, 23.1).starts) == 1
+
+
+# Starts that got no answer, and that a later incarnation may still carry out
+
+
+def stop_unanswered_start(dispatcher):
+    """Leave a start unanswered, stop it where it was sent, and return its order."""
+    order = start_job(dispatcher)
+    dispatcher.process_start_outcome(order, StartOutcome.UNKNOWN, 0.2)
+    report(dispatcher, order.upstream_id, 0.3)
+    (stop,) = dispatcher.tick(0.3, 0.3).stops
+    dispatcher.process_stop_answer(stop, 0.4)
+    report(dispatcher, order.upstream_id, 0.5)
+    return order
+
+
+def test_task_whose_start_got_no_answer_starts_again_at_the_same_upstream():
+    """Guards against two runs, since the next incarnation knows nothing of the stop."""
+    dispatcher = make_dispatcher()
+    order = stop_unanswered_start(dispatcher)
+    (repeated,) = dispatcher.tick(0.6, 0.6).starts
+    assert repeated.upstream_id == order.upstream_id
+    assert repeated.attempt > order.attempt
+
+
+def test_task_whose_start_got_no_answer_waits_for_its_upstream():
+    dispatcher = make_dispatcher()
+    order = stop_unanswered_start(dispatcher)
+    dispatcher.mark_unreachable(order.upstream_id, 0.55)
+    for at_s in (0.6, 12.1, 22.9):
+        assert not dispatcher.tick(at_s, at_s).starts
+    (repeated,) = dispatcher.tick(23.1, 23.1).starts
+    assert repeated.upstream_id != order.upstream_id
+
+
+def test_restart_of_the_upstream_does_not_free_a_task_whose_start_got_no_answer():
+    """An incarnation after the next one may carry the start out as well."""
+    dispatcher = make_dispatcher()
+    order = stop_unanswered_start(dispatcher)
+    report(dispatcher, order.upstream_id, 0.6, incarnation=NEW)
+    dispatcher.add_or_update_upstream(make_entry(order.upstream_id, cores=0))
+    assert not dispatcher.tick(0.7, 0.7).starts
+
+
+def test_task_is_free_once_a_late_start_would_be_listed():
+    dispatcher = make_dispatcher()
+    order = stop_unanswered_start(dispatcher)
+    dispatcher.add_or_update_upstream(make_entry(order.upstream_id, cores=0))
+    for at_s in (0.6, 12.0):
+        report(dispatcher, order.upstream_id, at_s)
+        assert not dispatcher.tick(at_s, at_s).starts
+    report(dispatcher, order.upstream_id, 12.3)
+    (repeated,) = dispatcher.tick(12.3, 12.3).starts
+    assert repeated.upstream_id != order.upstream_id
+
+
+def test_start_that_is_listed_late_is_adopted():
+    dispatcher = make_dispatcher()
+    order = stop_unanswered_start(dispatcher)
+    running = [RunningRun(order.task, order.attempt)]
+    report(dispatcher, order.upstream_id, 0.6, incarnation=NEW, running=running)
+    orders = dispatcher.tick(0.6, 0.6)
+    assert not orders.starts
+    assert not orders.stops
+
+
+def test_member_of_a_gang_whose_start_got_no_answer_starts_there_again():
+    dispatcher = make_dispatcher(upstreams=("a", "b", "c"))
+    for name in "abc":
+        report(dispatcher, name, 0.0)
+    dispatcher.submit(make_job("j", make_step(2, is_gang=True)), now=0.0)
+    orders = dispatcher.tick(0.1, 0.1).starts
+    first, second = orders
+    dispatcher.process_start_outcome(first, StartOutcome.UNKNOWN, 0.2)
+    dispatcher.process_start_outcome(second, StartOutcome.STARTED, 0.2)
+    running = [RunningRun(second.task, second.attempt)]
+    report(dispatcher, first.upstream_id, 0.3)
+    report(dispatcher, second.upstream_id, 0.3, running=running)
+    (stop,) = dispatcher.tick(0.3, 0.3).stops
+    dispatcher.process_stop_answer(stop, 0.4)
+    report(dispatcher, first.upstream_id, 0.5)
+    (stop,) = dispatcher.tick(0.5, 0.5).stops
+    ended = [EndedRun(1, second.task, second.attempt, RunEnd.STOPPED)]
+    report(dispatcher, second.upstream_id, 0.6, ended=ended)
+    # The others are preferred now.
+    dispatcher.upstreams[first.upstream_id].speed_class -= 5
+    repeated = {o.task.number: o.upstream_id for o in dispatcher.tick(0.6, 0.6).starts}
+    assert len(repeated) == 2
+    assert repeated[first.task.number] == first.upstream_id
+
+
+def test_successor_knows_the_stored_doubts_of_unanswered_starts():
+    dispatcher = make_dispatcher()
+    order = start_job(dispatcher)
+    dispatcher.process_start_outcome(order, StartOutcome.UNKNOWN, 0.2)
+    commit = dispatcher.begin_commit()
+    successor = make_dispatcher(term=1, upstreams=("a", "b", "c"))
+    successor.restore_job(
+        make_job("j"),
+        decode_progress(commit.progress["j"]),
+        is_cancelled=False,
+        age_s=0.0,
+        now=0.0,
+    )
+    for tenth in range(1, 230):
+        now = tenth / 10
+        for name in {"a", "b", "c"} - {order.upstream_id}:
+            report(successor, name, now)
+        assert not successor.tick(now, now).starts
+    now = 25.0
+    assert len(successor.tick(now, now).starts) == 1
 
 
 def test_lease_before_a_restart_was_noticed_may_be_the_longest():
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -123,6 +123,7 @@
             DispatchSettings(
                 lease_s=cfg.lease_s,
                 max_hold_s=cfg.max_hold_s,
+                late_call_s=cfg.late_call_s,
                 status_kept_s=cfg.status_kept_s,
                 stop_s=cfg.stop_s,
                 quota_overrun=cfg.quota_overrun,
--- a/packages/daemon/src/papayadyke_daemon/edge/_ports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_ports.py
@@ -247,6 +247,9 @@
         Lease of runs at upstreams.
     max_hold_s : float
         Longest lease that an upstream grants.
+    late_call_s : float
+        Longest time after which an upstream carries out a call that it has not
+        answered.
     stop_s : float
         Longest time that an upstream takes to stop a run.
     drain_s : float
@@ -289,6 +292,7 @@
     renew_s: float = 0.25
     lease_s: float = 5.0
     max_hold_s: float = 10.0
+    late_call_s: float = 12.0
     stop_s: float = 0.4
     drain_s: float = 3.0
     grace_s: float = 6.0
