Keep ends of a former incarnation out of the next one's acknowledgements

While the store fails, the ends of a commit that was not stored are put back, to be acknowledged with the next one. If their upstream had restarted meanwhile, their numbers were mixed with those of the new incarnation, and ends of it were acknowledged whose jobs were in no commit. After a takeover their tasks run again.

A commit in progress knows the incarnation that numbered its ends, and only ends of the present one are put back. The test acknowledges end 20 of the new incarnation on the code before, with none of its 20 jobs stored.

--- a/packages/core/src/papayadyke_core/dispatch/_commits.py
+++ b/packages/core/src/papayadyke_core/dispatch/_commits.py
@@ -37,13 +37,14 @@
         States of its jobs when it was begun.
     suspicions : set of str
         Jobs whose doubts or crashes it stores.
-    ends : dict of str to list of (int, str)
-        Ends that it acknowledges, by upstream: their numbers and jobs.
+    ends : dict of str to (int, list of (int, str))
+        Ends that it acknowledges, by upstream: the incarnation that numbered them, and
+        their numbers and jobs.
     """
 
     states: dict[str, JobState] = field(default_factory=dict)
     suspicions: set[str] = field(default_factory=set)
-    ends: dict[str, list[tuple[int, str]]] = field(default_factory=dict)
+    ends: dict[str, tuple[int, list[tuple[int, str]]]] = field(default_factory=dict)
 
 
 class CommitTracker:
@@ -149,7 +150,11 @@
             self._unstored_suspicions |= begun.suspicions
             for job_id in begun.states:
                 self.mark_dirty(job_id)
-            for upstream_id, ends in begun.ends.items():
+            for upstream_id, (incarnation, ends) in begun.ends.items():
+                upstream = self._upstreams.get(upstream_id)
+                if upstream is None or upstream.incarnation != incarnation:
+                    # The next incarnation numbers its ends anew.
+                    continue
                 later = self._unacknowledged.get(upstream_id, ())
                 self._unacknowledged[upstream_id] = deque(sorted((*ends, *later)))
             return []
@@ -197,7 +202,7 @@
             while ends and ends[0][0] <= limit and not self._is_waiting(ends[0][1]):
                 taken.append(ends.popleft())
             if taken:
-                begun.ends[name] = taken
+                begun.ends[name] = upstream.incarnation, taken
                 acknowledged_ends[name] = (upstream.incarnation, taken[-1][0])
         return acknowledged_ends
 
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_commits.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_commits.py
@@ -117,3 +117,26 @@
     world.run(2.0)
     assert world.get_state("j") is JobState.COMPLETE
     assert world.acknowledged.get("a", (1, 0))[1] <= world.upstreams["a"].end_count
+
+
+def test_failed_commit_does_not_bring_back_ends_of_the_earlier_incarnation():
+    """Guards against ends of the next incarnation that are acknowledged unstored."""
+    dispatcher, started = make_running(31, tasks=20)
+    end(dispatcher, started, [TaskId("j000", 0, 0, number) for number in range(20)])
+    failing = dispatcher.begin_commit()
+    assert failing.acknowledged_ends == {"u0": (1, 20)}
+    dispatcher.process_report("u0", UpstreamReport(2, 50.0, 50.0), 50.0)
+    orders = {order.task: order for order in dispatcher.tick(50.1, 50.1).starts}
+    dispatcher.finish_commit(failing, is_stored=False)
+    # Ends of jobs come first in a commit and fill it.
+    for number in range(21, 31):
+        dispatcher.cancel(f"j{number:03d}", 50.2)
+    jobs = [f"j{number:03d}" for number in range(1, 21)]
+    ended = []
+    for number, job_id in enumerate(jobs, start=1):
+        task = TaskId(job_id, 0, 0, 0)
+        ended.append(EndedRun(number, task, orders[task].attempt, RunEnd.DONE))
+    dispatcher.process_report("u0", UpstreamReport(2, 51.0, 51.0, [], ended), 51.0)
+    commit = dispatcher.begin_commit()
+    assert jobs[0] not in commit.progress
+    assert not commit.acknowledged_ends
