Settle what was handed on when an upstream changes its address

An upstream that returns at another address gets another agent. The orders that waited at the former one were dropped without an outcome, so that their tasks waited for good, and the upstream counted as reached, so that starts went to the new address before a poll had been answered there.

Waiting starts end as expired, and the upstream counts as unreachable until it has answered at its new address. Both tests fail on the code before.

--- a/packages/daemon/src/papayadyke_daemon/edge/_agents.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_agents.py
@@ -114,7 +114,10 @@
             ).start()
 
     def stop(self) -> None:
-        """Stop the threads once their current calls have returned."""
+        """Stop the threads once their current calls have returned.
+
+        Start orders that wait are not sent, and their outcome says so.
+        """
         self._stopped.set()
         self._orders.put(None)
         self._client.close()
@@ -228,8 +231,12 @@
     def send_next(self) -> bool:
         """Wait for an order and send it; return False once the agent has stopped."""
         order = self._orders.get()
-        if order is None or self._stopped.is_set():
+        if order is None:
             return False
+        if self._stopped.is_set():
+            if isinstance(order, StartOrder):
+                self._report_start(order, StartOutcome.EXPIRED)
+            return True
         if isinstance(order, StartOrder):
             self._report_start(order, self._start(order))
             return True
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -495,6 +495,7 @@
         agent = self._agents.get(upstream_id)
         if agent is not None and agent.address != entry.address:
             agent.stop()
+            self._dispatcher.mark_unreachable(upstream_id, read_clock())
             agent = None
         if agent is None:
             self._try_to_add_agent(entry)
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_roster.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_roster.py
@@ -101,3 +101,16 @@
     store_roster(decider)  # conflicts, and learns the revision
     store_roster(decider)
     assert list_recorded(decider) == ["known", "new"]
+
+
+def test_upstream_at_another_address_gets_no_work_before_it_answers_there():
+    """Guards against starts whose lease is a time of a clock that was never read."""
+    store = FakeStore()
+    decider = load_decider(store)
+    upstream = decider._dispatcher.upstreams["known"]
+    upstream.is_reachable = upstream.has_reported = True
+    assert upstream.may_start(now=1.0)
+    decider._agents["known"].address = "127.0.0.1:2"
+    entry = store.records["upstreams/known"]
+    decider._apply_registry_record(entry)
+    assert not upstream.may_start(now=1.0)
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_upstream_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_upstream_agent.py
@@ -296,3 +296,17 @@
     fence.meet(2)
     fences.remove("u")
     assert fences.get_or_create("u").token > fence.token
+
+
+def test_orders_that_wait_when_the_agent_stops_have_an_outcome(clock):
+    """Guards against tasks that wait for good after a change of the address."""
+    running = RunningAgent()
+    running.agent.poll_once()
+    for attempt in (1, 2):
+        order = StartOrder("u", TASK, attempt, "p", ordered_s=100.0, incarnation=1)
+        running.agent.send(order)
+    running.agent.stop()
+    while running.agent.send_next():
+        pass
+    assert running.outcomes == [StartOutcome.EXPIRED] * 2
+    assert not running.client.start_tokens
