Reset connections to upstreams when they are closed

Bytes of a call that was given up on stayed in the socket of a partitioned VM and arrived at the upstream when the partition healed, up to many seconds late and possibly in its next incarnation, also after the process had been killed. Sockets to upstreams now discard what was not delivered when they are closed, as the kernel does for a killed process as well. What the upstream's own kernel already holds still arrives.

--- a/packages/clients/src/papayadyke_clients/http/_exchange.py
+++ b/packages/clients/src/papayadyke_clients/http/_exchange.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import socket
+import struct
 import threading
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -27,6 +28,11 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
 ]
+# Closing a socket with this option resets the connection at once, also when its process
+# is killed.
+RESET_ON_CLOSE: list[tuple[int, int, int | bytes]] = [
+    (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,15 +78,25 @@
     kept : int
         Largest number of idle connections kept open; more may be in use.
     connect_timeout_s : float
+    resets_on_close : bool, default=False
+        Whether requests that are given up on must not arrive later. Bytes that were
+        not delivered are discarded when a connection is closed.
     """
 
     def __init__(
-        self, host: str, port: int, *, kept: int, connect_timeout_s: float
+        self,
+        host: str,
+        port: int,
+        *,
+        kept: int,
+        connect_timeout_s: float,
+        resets_on_close: bool = False,
     ) -> None:
         self.host = host
         self.port = port
         self.kept = kept
         self.connect_timeout_s = connect_timeout_s
+        self._socket_options = SOCKET_OPTIONS + RESET_ON_CLOSE * resets_on_close
         self._idle: list[HTTPConnection] = []
         self._lock = threading.Lock()
 
@@ -147,7 +163,7 @@
                 conn = self._idle.pop() if self._idle else None
             if conn is None:
                 return HTTPConnection(
-                    self.host, self.port, socket_options=SOCKET_OPTIONS
+                    self.host, self.port, socket_options=self._socket_options
                 )
             # The server may have closed the connection while it was idle.
             if conn.is_connected:
