--- a/packages/soak/src/papayadyke_soak/_fleet.py
+++ b/packages/soak/src/papayadyke_soak/_fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import threading
 from dataclasses import dataclass, field
 
@@ -114,7 +115,7 @@
             return
         name = member.server.upstream_id
         with self.lock:
-            member.server.crash()
+            member.server.crash(math.inf)
             del self._servers[name]
         member.server.stop()
         unlist_upstream(self._store, name)
@@ -166,7 +167,7 @@
             with self.lock:
                 del self._servers[server.upstream_id]
                 base, _, _ = server.upstream_id.partition(".")
-                server.upstream_id = f"{base}.{number}"
+                server.rename(f"{base}.{number}")
                 self._servers[server.upstream_id] = server
         self._list(member)
 
