--- a/packages/soak/src/papayadyke_soak/tests/lives_world.py
+++ b/packages/soak/src/papayadyke_soak/tests/lives_world.py
@@ -57,8 +57,22 @@
     def __init__(self, world: LivesWorld, name: str) -> None:
         self._world = world
         self._name = name
-
-    def send(self, method, path, *, body=b"", headers=None, timeout_s=0.0):
+        # Life that has answered on the open connection.
+        self._answered_by: int | None = None
+
+    def is_connected(self):
+        return self._answered_by == self._world.servers[self._name].incarnation
+
+    def send(
+        self,
+        method,
+        path,
+        *,
+        body=b"",
+        headers=None,
+        timeout_s=0.0,
+        reuses_connection=False,
+    ):
         before = self._world.before_call.pop((self._name, path), None)
         if before is not None:
             before()
@@ -66,18 +80,22 @@
         # A wait would take real time.
         fields.pop("wait_ms", None)
         names = {name.lower(): value for name, value in (headers or {}).items()}
+        if reuses_connection and not self.is_connected():
+            return Err(ExchangeError(False, "ConnectionClosed"))
         req = HttpRequest(method, path, "", names, msgspec.json.encode(fields))
         try:
             answer = self._world.servers[self._name].answer(req)
         except CloseConnection:
+            self._answered_by = None
             return Err(ExchangeError(True, "closed without an answer"))
+        self._answered_by = self._world.servers[self._name].incarnation
         after = self._world.after_call.pop((self._name, path), None)
         if after is not None:
             after()
         return Ok(HttpReply(answer.status, {}, answer.body))
 
     def drop_idle(self):
-        pass
+        self._answered_by = None
 
 
 class LivesWorld:
@@ -276,7 +294,9 @@
         delays = self.delays[name, path]
         return delays.pop(0) if delays else None
 
-    def _connect(self, address: str, *, kept: int) -> DirectExchange:
+    def _connect(
+        self, address: str, *, kept: int, resets_on_close: bool
+    ) -> DirectExchange:
         number = int(address.rpartition(":")[2])
         return DirectExchange(self, list(self.servers)[number - 1])
 
