Find unanswered starts by their upstream

Each complete list of an upstream looked at the unanswered starts of all, which grows with their number times the polls of the fleet in a fault that takes many answers. They are kept by upstream, and looked through for old ones each 0.2 s.

--- a/packages/core/src/papayadyke_core/dispatch/_unanswered.py
+++ b/packages/core/src/papayadyke_core/dispatch/_unanswered.py
@@ -8,13 +8,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from papayadyke_core.dispatch._run import Run
 from papayadyke_core.dispatch._settings import DispatchSettings
 from papayadyke_core.dispatch._spec import StepId, TaskId
 
+EXPIRY_INTERVAL_S = 0.2  # seconds between two looks for starts that are over
+
 
 @dataclass(slots=True)
 class _UnansweredStart:
@@ -49,6 +51,9 @@
     def __init__(self, settings: DispatchSettings) -> None:
         self._settings = settings
         self._starts: dict[StepId, dict[int, _UnansweredStart]] = {}
+        # Tasks with such a start at one upstream only, by upstream.
+        self._tasks: dict[str, set[TaskId]] = {}
+        self._next_expiry_s = 0.0
 
     def add(self, run: Run) -> None:
         """Record that the start of a run got no answer."""
@@ -84,7 +89,7 @@
 
     def settle_run(self, task: TaskId, attempt: int) -> None:
         """Record that an upstream lists a run or its end."""
-        start = self._starts.get(StepId(*task[:3]), {}).get(task.number)
+        start = self._find(task)
         if start is not None:
             start.attempts.discard(attempt)
             if not start.attempts:
@@ -99,40 +104,53 @@
         requested_s : float
             When the lists were requested.
         """
-        self._remove_all(
-            lambda start: (
-                start.upstream_id == upstream_id and start.until_s < requested_s
-            )
-        )
+        for task in list(self._tasks.get(upstream_id, ())):
+            start = self._find(task)
+            if start is not None and start.until_s < requested_s:
+                self._remove(task)
 
     def expire(self, now: float) -> None:
         """Remove starts whose runs would have lost their leases by now."""
+        if not self._starts or now < self._next_expiry_s:
+            return
+        self._next_expiry_s = now + EXPIRY_INTERVAL_S
         held_s = self._settings.longest_hold_s
-        self._remove_all(lambda start: start.until_s + held_s < now)
+        over = [
+            TaskId(*step_id, number)
+            for step_id, starts in self._starts.items()
+            for number, start in starts.items()
+            if start.until_s + held_s < now
+        ]
+        for task in over:
+            self._remove(task)
+
+    def _find(self, task: TaskId) -> _UnansweredStart | None:
+        return self._starts.get(StepId(*task[:3]), {}).get(task.number)
 
     def _add(self, task: TaskId, upstream_id: str, until_s: float) -> _UnansweredStart:
         starts = self._starts.setdefault(StepId(*task[:3]), {})
-        start = starts.setdefault(task.number, _UnansweredStart(upstream_id, until_s))
+        start = starts.get(task.number)
+        if start is None:
+            start = starts[task.number] = _UnansweredStart(upstream_id, until_s)
+            self._tasks.setdefault(upstream_id, set()).add(task)
         start.until_s = max(start.until_s, until_s)
-        if start.upstream_id != upstream_id:
+        if start.upstream_id not in (None, upstream_id):
+            # The lists of one upstream do not settle it.
+            self._forget_upstream(task, start)
             start.upstream_id = None
         return start
 
     def _remove(self, task: TaskId) -> None:
         step_id = StepId(*task[:3])
-        starts = self._starts.get(step_id, {})
-        starts.pop(task.number, None)
+        starts = self._starts[step_id]
+        self._forget_upstream(task, starts.pop(task.number))
         if not starts:
-            self._starts.pop(step_id, None)
+            del self._starts[step_id]
 
-    def _remove_all(self, is_over: Callable[[_UnansweredStart], bool]) -> None:
-        if not self._starts:
+    def _forget_upstream(self, task: TaskId, start: _UnansweredStart) -> None:
+        if start.upstream_id is None:
             return
-        over = [
-            TaskId(*step_id, number)
-            for step_id, starts in self._starts.items()
-            for number, start in starts.items()
-            if is_over(start)
-        ]
-        for task in over:
-            self._remove(task)
+        tasks = self._tasks[start.upstream_id]
+        tasks.discard(task)
+        if not tasks:
+            del self._tasks[start.upstream_id]
