Let the simulated upstreams carry out calls in later lives

The simulation of the dispatcher's tests left this out: late starts were dropped if the incarnation had changed, polls and stops were never late, deadlines were times of the simulation, and the acknowledged number was checked against the true incarnation.

Each life now has its own clock, which may be 2% slow. Deadlines are times on the clock that the caller read last, and are shortened to the longest hold. Late starts, polls and stops are carried out in whatever life is there, each at its time and with a check of the invariants. A done end counts as taken note of once its upstream has forgotten it. The caller has one fencing token per life, passes on only reports of lives that know theirs, and neither acknowledges nor grants leases in the first poll after a failed call.

A second machine, TestLivesMachine, adds restarts, cuts and late calls.

test_lives_of_an_upstream.py replays the single crossings.

--- a/packages/core/src/papayadyke_core/dispatch/tests/dispatch_world.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/dispatch_world.py
@@ -1,15 +1,17 @@
 """In-memory simulation of upstreams and a store, for tests of the dispatcher.
 
 The simulated upstreams follow the rules of the platform: fencing tokens, attempts that
-only increase, leases, and ends that stay listed until they are acknowledged. The
-invariants of the dispatcher are checked against the state of the upstreams.
+only increase, leases, and ends that stay listed until they are acknowledged. They
+start again under their ids, and carry out calls late, also in a later life and while
+they are cut off. The invariants of the dispatcher are checked against the state of the
+upstreams.
 """
 
 from __future__ import annotations
 
 import random
 from collections import Counter
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from papayadyke_core.dispatch import (
     Advice,
@@ -17,22 +19,24 @@
     Catalog,
     Dispatcher,
     DispatchSettings,
-    EndedRun,
     JobProgress,
     QueuePolicy,
     RunEnd,
-    RunningRun,
     StagedJobSpec,
-    StartOrder,
     StartOutcome,
     StepId,
     StepSpec,
-    StopOrder,
     TaskId,
     UpstreamEntry,
-    UpstreamReport,
     decode_progress,
 )
+from papayadyke_core.dispatch.tests.fake_upstream import (
+    FIRST_CLOCK_S,
+    MAX_CLOCK_DRIFT,
+    Contact,
+    FakeUpstream,
+    LateCall,
+)
 from papayadyke_core.resources import Resources
 from papayadyke_core.teams import TeamPolicy
 
@@ -40,6 +44,8 @@
 LEASE_S = 6.0
 CRASH_DELAY_S = 0.2  # seconds from the start of a deadly task to the crash
 DOWN_S = (2.0, 4.0)  # seconds until a crashed upstream is back
+MAX_LATE_S = 12.0  # seconds after which a call is no longer carried out
+SLOW_START_S = 0.3  # seconds that a slow start takes, which is answered
 # BUDGET: starts of a task after that many upstreams have crashed under it.
 MAX_CRASHES, MAX_LATER_STARTS = 3, 2
 # QUOTA: by which the runs of a team may exceed the highest limit of the last seconds,
@@ -90,88 +96,6 @@
     )
 
 
-@dataclass
-class FakeUpstream:
-    """An upstream that follows the rules of the platform."""
-
-    entry: UpstreamEntry
-    incarnation: int = 1
-    token: int = 0
-    lease_until_s: float = 0.0
-    running: dict[TaskId, int] = field(default_factory=dict)
-    highest_attempts: dict[TaskId, int] = field(default_factory=dict)
-    ended: list[EndedRun] = field(default_factory=list)
-    # Ends that are listed at a time, oldest first.
-    max_listed_ends: int = 500
-    end_count: int = 0
-    is_disconnected: bool = False
-    back_s: float | None = None  # when it is back from a crash
-    crashed_s: float = 0.0
-    # Checkpoint that a task saves when it is stopped, for those that save one.
-    checkpoints: dict[TaskId, str] = field(default_factory=dict)
-
-    def start(self, order: StartOrder, token: int, deadline_s: float, now: float):
-        if token < self.token:
-            return StartOutcome.FENCED
-        self.token = token
-        if now > deadline_s:
-            return StartOutcome.STALE
-        self.lease_until_s = max(self.lease_until_s, deadline_s)
-        if order.attempt <= self.highest_attempts.get(order.task, 0):
-            is_running = self.running.get(order.task) == order.attempt
-            return StartOutcome.STARTED if is_running else StartOutcome.STALE
-        self.highest_attempts[order.task] = order.attempt
-        self.running[order.task] = order.attempt
-        if order.checkpoint:
-            assert order.checkpoint == self.checkpoints[order.task], "of another task"
-        return StartOutcome.STARTED
-
-    def stop(self, order: StopOrder, token: int) -> bool:
-        if token < self.token:
-            return False
-        self.token = token
-        highest = self.highest_attempts.get(order.task, 0)
-        self.highest_attempts[order.task] = max(highest, order.attempt)
-        if self.running.get(order.task) == order.attempt:
-            self.end(order.task, RunEnd.STOPPED)
-        return True
-
-    def poll(self, token, acknowledged_end_number, lease_until_s, requested_s, now):
-        """Return a report, or None if the token is outdated."""
-        if token < self.token:
-            return None
-        self.token = token
-        self.ended = [run for run in self.ended if run.number > acknowledged_end_number]
-        if lease_until_s is not None:
-            self.lease_until_s = max(self.lease_until_s, lease_until_s)
-        running = [RunningRun(task, attempt) for task, attempt in self.running.items()]
-        return UpstreamReport(
-            self.incarnation,
-            requested_s,
-            now,
-            running,
-            self.ended[: self.max_listed_ends],
-            is_complete=len(self.ended) < self.max_listed_ends,
-        )
-
-    def end(self, task: TaskId, run_end: RunEnd) -> None:
-        attempt = self.running.pop(task)
-        self.end_count += 1
-        is_stopped = run_end is RunEnd.STOPPED
-        checkpoint = self.checkpoints.get(task, "") if is_stopped else ""
-        self.ended.append(EndedRun(self.end_count, task, attempt, run_end, checkpoint))
-
-    def expire(self, now: float) -> None:
-        if now > self.lease_until_s:
-            for task in list(self.running):
-                self.end(task, RunEnd.LAPSED)
-
-    def crash(self) -> None:
-        self.incarnation += 1
-        self.token = self.end_count = 0
-        self.running, self.highest_attempts, self.ended = {}, {}, []
-
-
 class World:
     """Simulation of upstreams, a store and one dispatcher at a time."""
 
@@ -180,31 +104,41 @@
         self.now = 100.0
         self.catalog = catalog or make_catalog()
         self.upstreams = {
-            upstream.upstream_id: FakeUpstream(upstream) for upstream in entries
+            entry.upstream_id: FakeUpstream(entry, self.now - FIRST_CLOCK_S)
+            for entry in entries
         }
         self.jobs: dict[str, StagedJobSpec] = {}
         self.cancelled: dict[str, float] = {}
         self.progress: dict[str, bytes] = {}
         self.step_specs: dict[TaskId, StepSpec] = {}
-        self.delayed_starts: list[
-            tuple[float, FakeUpstream, int, StartOrder, int, float]
-        ] = []
+        self.late_calls: list[LateCall] = []
         self.acknowledged: dict[str, tuple[int, int]] = {}
-        # Tasks that are done, without those whose end was lost in a crash; these stay
-        # in `ever_completed`.
+        self.contacts: dict[str, Contact] = {}
+        # Tasks that are done, without those whose end was lost in a crash before it was
+        # acknowledged; these stay in `ever_completed`. An end counts as acknowledged
+        # once its upstream has forgotten it, whichever call made it do so.
         self.done: set[TaskId] = set()
+        self.noted: set[TaskId] = set()
         self.ever_completed: set[TaskId] = set()
         self.failed: dict[TaskId, int] = {}
         self.run_first_seen_s: dict[tuple[str, TaskId, int], float] = {}
         self.starts = 0
         self.is_store_down = False
-        # Fault of the next start: "answer" loses the answer, "lost" the order, and
-        # "late" delays the order without an answer.
+        # Fault of the next start, of the next stop, and of the next poll of an
+        # upstream: "answer" loses the answer, "lost" the call, "late" delays the call
+        # by `late_s` without an answer, and before "crash" the upstream starts again,
+        # unless a task that it runs has been in a crash before.
+        # A "slow" start takes a while, and is answered.
         self.next_start_fault: str | None = None
+        self.next_stop_fault: str | None = None
+        self.poll_faults: dict[str, str] = {}
+        self.late_s = 3.0
         # Tasks that crash each upstream that starts them, `CRASH_DELAY_S` later.
         self.deadly: set[TaskId] = set()
         self.started_s: dict[tuple[TaskId, int], float] = {}
         self.crashes: Counter[TaskId] = Counter()
+        # Crashes of lives in which a task had been started, whatever crashed them.
+        self.crashed_lives: Counter[TaskId] = Counter()
         self.later_starts: Counter[TaskId] = Counter()
         # Whether a crashed upstream is back under a new id, at its old address.
         self.renames_crashed = False
@@ -223,6 +157,7 @@
         """Begin a term and return its dispatcher, as a new decider does."""
         self.term += 1
         self.acknowledged = {}
+        self.contacts = {}
         settings = self.settings
         dispatcher = Dispatcher(settings, term=self.term - 1, now=self.now)
         dispatcher.set_catalog(self.catalog)
@@ -248,6 +183,10 @@
         self.roster = {n: u.entry for n, u in self.dispatcher.upstreams.items()}
         self.dispatcher = self.make_dispatcher()
 
+    def use_slow_clock(self, name):
+        """Have the clock of an upstream run as slowly as it may in all its lives."""
+        self.upstreams[name].clock_rate = 1.0 - MAX_CLOCK_DRIFT
+
     def set_limits(self, limits):
         """Put other limits of the teams into force, in cores."""
         self.catalog = replace(
@@ -273,7 +212,7 @@
     def step(self, seconds=0.05):
         """Advance time, poll all upstreams, tick, and execute the orders."""
         self.now += seconds
-        self._deliver_delayed_starts()
+        self._deliver_late_calls()
         for upstream in list(self.upstreams.values()):
             upstream.expire(self.now)
             self._crash_or_return(upstream)
@@ -332,22 +271,34 @@
 
         Its unacknowledged ends are lost, so the dispatcher may not count on them.
         """
+        self._crash_at(name, self.now)
+
+    def _crash_at(self, name, at_s):
         upstream = self.upstreams[name]
+        self.crashed_lives.update(upstream.highest_attempts)
         gangs = {t[:3] for t in upstream.running if self.step_specs[t].is_gang}
         for run in upstream.ended:
             if run.end is RunEnd.DONE:
-                self.done -= self.tasks_ending_with(run.task)
+                self.done -= self.tasks_ending_with(run.task) - self.noted
             if run.end is RunEnd.FAILED:
                 self.failed[run.task] -= 1
-        upstream.crash()
+        upstream.crash(at_s)
         for other in self.upstreams.values():
             for task in [task for task in other.running if task[:3] in gangs]:
                 other.end(task, RunEnd.BROKEN)
 
+    def has_hit_task(self, name):
+        """Return whether an unfinished task of a life has been in a crashed one."""
+        return any(
+            self.crashed_lives[task] and task not in self.done
+            for task in self.upstreams[name].highest_attempts
+        )
+
     def _crash_or_return(self, upstream):
         """Crash an upstream that runs a deadly task; reconnect one that is back."""
         if upstream.back_s is not None and upstream.back_s <= self.now:
             upstream.back_s, upstream.is_disconnected = None, False
+            upstream.begin_clock(self.now)
             if self.renames_crashed:
                 self._rename(upstream)
                 return
@@ -405,23 +356,71 @@
 
     def poll(self):
         """Poll every connected upstream on behalf of the dispatcher."""
-        for name, upstream in self.upstreams.items():
+        for name, upstream in list(self.upstreams.items()):
+            contact = self.contacts.setdefault(name, Contact())
             if upstream.is_disconnected:
                 if self.now >= upstream.crashed_s + self.detection_s:
+                    contact.record_failure()
                     self.dispatcher.mark_unreachable(name, self.now)
                 continue
+            report = self._poll(name, contact)
+            if report is not None:
+                self.dispatcher.process_report(name, report, self.now)
+
+    def _poll(self, name, contact):
+        """Poll an upstream, and return a report of a life that knows its token.
+
+        The first answer of a life is followed by a poll with a token that was never
+        sent to another one, so that calls meant for another life are fenced from then
+        on. Only the answer to that poll is passed on.
+        """
+        is_known = False
+        while not is_known:
+            upstream = self.upstreams[name]
+            report = self._call_poll(name, contact)
+            if report is None:
+                contact.record_failure()
+                self.dispatcher.mark_unreachable(name, self.now)
+                return None
+            clock_s = upstream.read_clock(self.now)
+            is_known = contact.record_answer(report.incarnation, clock_s, self.now)
+        return report
+
+    def _call_poll(self, name, contact):
+        """Send a poll; return the report, or None if there is no answer."""
+        acknowledged, deadline_clock_s = 0, None
+        if contact.is_sound:
             incarnation, number = self.acknowledged.get(name, (0, 0))
-            acknowledged = number if incarnation == upstream.incarnation else 0
-            lease = None
-            state = self.dispatcher.upstreams[name]
-            if state.is_reachable:
-                lease = self.now + LEASE_S
-                self.dispatcher.record_lease(name, self.now)
+            acknowledged = number if incarnation == contact.incarnation else 0
+            deadline_clock_s = contact.convert_to_clock(self.now + LEASE_S)
+            self.dispatcher.record_lease(name, self.now)
+        token = contact.get_token(self.term)
+        requested_s = self.now - 0.001
+
+        def carry_out(upstream, at_s):
             report = upstream.poll(
-                self.term, acknowledged, lease, self.now - 0.001, self.now
+                token, acknowledged, deadline_clock_s, requested_s, at_s
             )
-            if report is not None:
-                self.dispatcher.process_report(name, report, self.now)
+            for run in upstream.forgotten:
+                if run.end is RunEnd.DONE:
+                    self.noted |= self.tasks_ending_with(run.task)
+            upstream.forgotten.clear()
+            return report
+
+        fault = self.poll_faults.pop(name, None)
+        return self._call(name, fault, carry_out)
+
+    def _call(self, name, fault, carry_out):
+        """Carry out a call, at once or late; return its answer, if there is one."""
+        if fault == "late":
+            due_s = self.now + self.late_s
+            self.late_calls.append(LateCall(due_s, self.now, name, carry_out))
+        if fault in ("late", "lost"):
+            return None
+        if fault == "crash" and not self.has_hit_task(name):
+            self._crash_at(name, self.now)
+        answer = carry_out(self.upstreams[name], self.now)
+        return None if fault == "answer" else answer
 
     def _commit(self):
         commit = self.dispatcher.begin_commit()
@@ -442,46 +441,81 @@
         for order in orders.starts:
             self._start(order)
         for order in orders.stops:
-            upstream = self.upstreams.get(order.upstream_id)
-            if upstream is None or upstream.is_disconnected:
-                continue
-            if upstream.stop(order, self.term):
-                self.dispatcher.process_stop_answer(order, self.now)
+            self._stop(order)
+
+    def _stop(self, order):
+        upstream = self.upstreams.get(order.upstream_id)
+        if upstream is None or upstream.is_disconnected:
+            return
+        contact = self.contacts.setdefault(order.upstream_id, Contact())
+        token = contact.get_token(self.term)
+        fault, self.next_stop_fault = self.next_stop_fault, None
+        is_accepted = self._call(
+            order.upstream_id, fault, lambda upstream, _: upstream.stop(order, token)
+        )
+        if is_accepted:
+            self.dispatcher.process_stop_answer(order, self.now)
+        else:
+            contact.record_failure()
 
     def _start(self, order):
-        upstream = self.upstreams[order.upstream_id]
-        deadline_s = self.now + LEASE_S
-        self.dispatcher.record_lease(order.upstream_id, self.now)
+        name = order.upstream_id
+        contact = self.contacts.setdefault(name, Contact())
+        present = self.dispatcher.upstreams[name].incarnation
+        if getattr(order, "incarnation", present) != contact.incarnation:
+            self._answer_start(order, StartOutcome.EXPIRED)
+            return
         fault, self.next_start_fault = self.next_start_fault, None
-        if fault == "late":
-            self.delayed_starts.append(
-                (
-                    self.now + 3.0,
-                    upstream,
-                    upstream.incarnation,
-                    order,
-                    self.term,
-                    deadline_s,
+        self.dispatcher.record_lease(name, self.now)
+        token = contact.get_token(self.term)
+        deadline_clock_s = contact.convert_to_clock(self.now + LEASE_S)
+        sent = replace(contact)
+
+        def carry_out(upstream, at_s):
+            outcome = self._start_on_upstream(
+                upstream, order, token, deadline_clock_s, at_s
+            )
+            if not sent.fits(upstream.read_clock(at_s), at_s):
+                outcome = StartOutcome.UNKNOWN
+            if outcome is StartOutcome.FENCED and token < contact.get_token(term):
+                outcome = StartOutcome.STALE
+            return outcome
+
+        term = self.term
+        if self.upstreams[name].is_disconnected:
+            self._answer_start(order, StartOutcome.UNKNOWN)
+        elif fault == "slow":
+            self.late_calls.append(
+                LateCall(
+                    self.now + SLOW_START_S,
+                    self.now,
+                    name,
+                    lambda *where: self._answer_start(order, carry_out(*where), term),
+                    lambda: self._answer_start(order, StartOutcome.UNKNOWN, term),
                 )
             )
-        if upstream.is_disconnected or fault in ("late", "lost"):
-            outcome = StartOutcome.UNKNOWN
         else:
-            outcome = self._start_on_upstream(upstream, order, self.term, deadline_s)
-            if fault == "answer":
-                outcome = StartOutcome.UNKNOWN
+            outcome = self._call(name, fault, carry_out)
+            self._answer_start(order, outcome or StartOutcome.UNKNOWN)
+
+    def _answer_start(self, order, outcome, term=None):
+        """Pass on the outcome of a start, unless its term has ended."""
+        if term not in (None, self.term):
+            return
+        if outcome is StartOutcome.UNKNOWN:
+            self.contacts[order.upstream_id].record_failure()
         self.dispatcher.process_start_outcome(order, outcome, self.now)
 
-    def _start_on_upstream(self, upstream, order, token, deadline_s):
+    def _start_on_upstream(self, upstream, order, token, deadline_clock_s, at_s):
         is_new = order.task not in upstream.running
         if self.step_specs[order.task].is_checkpointing:
             upstream.checkpoints[order.task] = self.make_checkpoint(order.task)
-        outcome = upstream.start(order, token, deadline_s, self.now)
+        outcome = upstream.start(order, token, deadline_clock_s, at_s)
         if outcome is StartOutcome.STARTED and is_new:
             self.starts += 1
-            self.started_s[order.task, order.attempt] = self.now
+            self.started_s[order.task, order.attempt] = at_s
             self._check_start(order.task)
-            self._check_quota(order.task)
+            self._check_quota(order.task, since_s=order.ordered_s)
         return outcome
 
     def make_checkpoint(self, task):
@@ -493,13 +527,17 @@
         """Return the tasks of a team that run at any upstream."""
         return [t for _, t, _ in self.running() if self.jobs[t.job_id].team == team]
 
-    def _check_quota(self, task):
-        """Judge what a team runs after a start; a lowered limit stops nothing."""
+    def _check_quota(self, task, *, since_s):
+        """Judge what a team runs after a start; a lowered limit stops nothing.
+
+        The limits since the order count: it may have been sent long before.
+        """
+        begun_s = min(since_s, self.now - QUOTA_WINDOW_S)
         team = self.jobs[task.job_id].team
         limits_millis = []
         until_s = self.now
         for from_s, teams in reversed(self.limits):
-            if until_s < self.now - QUOTA_WINDOW_S:
+            if until_s < begun_s:
                 break
             policy = None if teams is None else teams.get(team)
             if policy is None or not policy.limit.cpu_millis:
@@ -529,14 +567,29 @@
                     f"{task} started before {earlier}"
                 )
 
-    def _deliver_delayed_starts(self):
-        due = [start for start in self.delayed_starts if start[0] <= self.now]
-        self.delayed_starts = [
-            start for start in self.delayed_starts if start[0] > self.now
-        ]
-        for _, upstream, incarnation, order, token, deadline_s in due:
-            if upstream.incarnation == incarnation:
-                self._start_on_upstream(upstream, order, token, deadline_s)
+    def _deliver_late_calls(self):
+        """Carry out the calls that are due, each at its time and in any life.
+
+        A cut does not prevent it: the call may have passed before. One that is due
+        while no life is there waits for the next.
+        """
+        waiting, self.late_calls = self.late_calls, []
+        for call in sorted(waiting, key=lambda call: call.due_s):
+            if call.due_s > self.now:
+                self.late_calls.append(call)
+                continue
+            for other in self.upstreams.values():
+                other.expire(call.due_s)
+            upstream = self.upstreams.get(call.upstream_id)
+            if upstream is None or (call.on_failure and upstream.is_disconnected):
+                if call.on_failure is not None:
+                    call.on_failure()
+            elif upstream.back_s is None:
+                call.carry_out(upstream, call.due_s)
+                self.check_invariants()
+            elif upstream.back_s < call.sent_s + MAX_LATE_S:
+                due_s = max(call.due_s, upstream.back_s)
+                self.late_calls.append(replace(call, due_s=due_s))
 
 
 def read_stored_progress(world, job_id):
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher_machine.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher_machine.py
@@ -1,7 +1,9 @@
 """Random faults against the dispatcher; the simulation asserts its invariants.
 
-For a long run: `PAPAYADYKE_STEPS=2000 python -m pytest -k dispatcher_machine
---hypothesis-seed=N` from the root; the number of starts is printed with `-s`.
+For a long run: `PAPAYADYKE_STEPS=2000 python -m pytest -k TestDispatcherMachine
+--hypothesis-seed=N` from the root; the number of starts is printed with `-s`. The lives
+of upstreams have a machine of their own, with `PAPAYADYKE_LIVES_EXAMPLES=400` and
+`PAPAYADYKE_LIVES_STEPS`: `python -m pytest -k TestLivesMachine --hypothesis-seed=N`.
 """
 
 import os
@@ -15,7 +17,7 @@
     make_job,
     make_step,
 )
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
@@ -28,6 +30,16 @@
 
 STEPS = int(os.environ.get("PAPAYADYKE_STEPS", "60"))
 EXAMPLES = int(os.environ.get("PAPAYADYKE_EXAMPLES", "40"))
+LIVES_STEPS = int(os.environ.get("PAPAYADYKE_LIVES_STEPS", "60"))
+LIVES_EXAMPLES = int(os.environ.get("PAPAYADYKE_LIVES_EXAMPLES", "40"))
+# Shrinking a failure takes minutes, longer than the time limit of a test allows.
+LIVES_PHASES = tuple(
+    phase
+    for phase in Phase
+    if phase is not Phase.shrink or "PAPAYADYKE_LIVES_EXAMPLES" in os.environ
+)
+# Seconds after which a late call is carried out; the platform names 2 to 12.
+LATE_CALLS_S = (2.0, 2.5, 4.0, 8.0, 12.0)
 NAMES = ("a", "b", "c")
 MAX_LISTED_ENDS = 3  # at a time, so that ends are often behind a full list
 NO_LIMITS = {"one": 0, "other": 0}
@@ -46,7 +58,7 @@
             limits=NO_LIMITS,
         )
         self.world = World(catalog, *(make_entry(name) for name in NAMES))
-        self.job_count = 0
+        self.job_count, self.most_jobs = 0, 12
         for upstream in self.world.upstreams.values():
             upstream.max_listed_ends = MAX_LISTED_ENDS
 
@@ -69,7 +81,7 @@
         is_checkpointing,
         queue,
     ):
-        if self.job_count >= 12:
+        if self.job_count >= self.most_jobs:
             return
         self.job_count += 1
         first = make_step(
@@ -103,7 +115,8 @@
     @rule(name=st.sampled_from(NAMES))
     def toggle_connection(self, name):
         upstream = self.world.upstreams[name]
-        upstream.is_disconnected = not upstream.is_disconnected
+        if upstream.back_s is None:
+            upstream.is_disconnected = not upstream.is_disconnected
 
     @rule(name=st.sampled_from(NAMES))
     def crash(self, name):
@@ -137,7 +150,7 @@
         self.world.is_store_down = False
         self.world.set_limits(NO_LIMITS)
         for upstream in self.world.upstreams.values():
-            upstream.is_disconnected = False
+            upstream.is_disconnected = upstream.back_s is not None
         self.world.run(SETTLE_S, after_s=0.5)
         for name in self.world.jobs:
             state = self.world.get_state(name)
@@ -152,6 +165,116 @@
             print("starts:", self.world.starts)
 
 
+class LivesMachine(DispatcherMachine):
+    """The same, with upstreams that start again while calls to them are on the way.
+
+    Calls are carried out late, in any life and behind a cut. It guards against tasks
+    that run twice because a call meant for a former life acts in the present one.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.world.use_slow_clock("b")
+        self.most_jobs = 40
+
+    # A task under which two upstreams crash may be given up, which is judged by other
+    # tests. So each unfinished task is in at most one crash.
+
+    @rule(name=st.sampled_from(NAMES))
+    def crash(self, name):
+        self.restart(name)
+
+    def restart(self, name):
+        """Restart an upstream that is up; return whether it did."""
+        if self.world.upstreams[name].back_s is not None:
+            return False
+        if self.world.has_hit_task(name):
+            return False
+        self.world.crash(name)
+        return True
+
+    @rule(
+        fault=st.sampled_from(["late", "slow", "crash", "answer"]),
+        late_s=st.sampled_from(LATE_CALLS_S),
+    )
+    def inject_late_start(self, fault, late_s):
+        self.world.next_start_fault = fault
+        self.world.late_s = late_s
+
+    @rule(
+        name=st.sampled_from(NAMES),
+        fault=st.sampled_from(["late", "crash", "answer", "lost"]),
+        late_s=st.sampled_from(LATE_CALLS_S),
+    )
+    def inject_poll_fault(self, name, fault, late_s):
+        self.world.poll_faults[name] = fault
+        self.world.late_s = late_s
+
+    @rule(
+        fault=st.sampled_from(["late", "crash", "answer", "lost"]),
+        late_s=st.sampled_from(LATE_CALLS_S),
+    )
+    def inject_stop_fault(self, fault, late_s):
+        self.world.next_stop_fault = fault
+        self.world.late_s = late_s
+
+    @rule(name=st.sampled_from(NAMES))
+    def restart_behind_cut(self, name):
+        if self.restart(name):
+            self.world.upstreams[name].is_disconnected = True
+
+    @rule(name=st.sampled_from(NAMES), seconds=st.sampled_from([0.3, 0.6, 2.0, 4.0]))
+    def restart_later(self, name, seconds):
+        if not self.world.has_hit_task(name):
+            self.world.crash_for(name, seconds)
+
+    @rule(name=st.sampled_from(NAMES), seconds=st.sampled_from([0.05, 0.3, 2.0]))
+    def restart_and_cut_off_soon_after(self, name, seconds):
+        """Restart an upstream, and cut it off while it takes the first calls."""
+        upstream = self.world.upstreams[name]
+        if not self.restart(name):
+            return
+        upstream.is_disconnected = False
+        self.world.step(seconds)
+        upstream.is_disconnected = upstream.back_s is None
+
+    @rule(seconds=st.sampled_from([1.0, 4.0, 9.0]))
+    def run_on(self, seconds):
+        """Let leases lapse and late calls arrive while the tasks go on running."""
+        for _ in range(int(seconds / 0.25)):
+            self.world.step(0.25)
+
+    @rule(
+        late_s=st.sampled_from(LATE_CALLS_S),
+        seconds=st.sampled_from([0.3, 0.6, 1.0]),
+        is_cut=st.booleans(),
+    )
+    def lose_start_before_a_restart(self, late_s, seconds, is_cut):
+        """Lose the start of a new task, have it settled, and restart its upstream."""
+        if self.job_count >= self.most_jobs:
+            return
+        self.job_count += 1
+        self.world.next_start_fault, self.world.late_s = "late", late_s
+        known = len(self.world.late_calls)
+        self.world.submit(make_job(f"j{self.job_count}"))
+        self.world.step()
+        names = {call.upstream_id for call in self.world.late_calls[known:]}
+        self.world.step(seconds)
+        self.world.step(seconds)
+        for lost in names:
+            if self.restart(lost):
+                self.world.upstreams[lost].is_disconnected = is_cut
+
+    @rule(seconds=st.sampled_from([1.0, 3.0]))
+    def let_runs_end(self, seconds):
+        self.world.run(seconds, after_s=0.5)
+
+    @rule(name=st.sampled_from(NAMES))
+    def reconnect(self, name):
+        upstream = self.world.upstreams[name]
+        upstream.is_disconnected = upstream.back_s is not None
+
+
 TestDispatcherMachine = DispatcherMachine.TestCase
 TestDispatcherMachine.settings = settings(
     max_examples=EXAMPLES,
@@ -159,3 +282,12 @@
     deadline=None,
     suppress_health_check=list(HealthCheck),
 )
+
+TestLivesMachine = LivesMachine.TestCase
+TestLivesMachine.settings = settings(
+    max_examples=LIVES_EXAMPLES,
+    stateful_step_count=LIVES_STEPS,
+    phases=LIVES_PHASES,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
--- /dev/null
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_lives_of_an_upstream.py
@@ -0,0 +1,494 @@
+"""Calls meant for one life of an upstream that are carried out in the next one.
+
+An upstream that crashes may start again under its id. Its clock, its numbers of ends,
+its fencing token and its record of stopped runs start anew. A call that was not
+answered may be carried out up to `LATE_S` after it was sent, also behind a cut, and a
+lease in it then lasts the longest hold: it is a time on the clock of the former life.
+"""
+
+from dataclasses import replace
+
+import pytest
+from dispatch_world import World, make_catalog, make_entry, make_job
+
+from papayadyke_core.dispatch import (
+    Dispatcher,
+    DispatchSettings,
+    EndedRun,
+    JobState,
+    RunEnd,
+    RunningRun,
+    StartOutcome,
+    TaskId,
+    UpstreamReport,
+    decode_progress,
+)
+
+OLD, NEW = 1, 2  # incarnations of an upstream
+TASK = TaskId("j", 0, 0, 0)
+SPEC = make_job("j")
+SETTINGS = DispatchSettings(lease_s=5.0)
+LATE_S = 12.0  # longest time from sending a call until it is carried out
+HOLD_S = 10.0 * 1.03 + 0.5  # longest lease, on a slow clock, and the call's way
+HANDOVER_S = SETTINGS.handover_s
+ORDERED_S = 0.1  # when `order_start` has the task ordered
+EARLY_S = 0.1  # before a bound nothing may happen
+MARGIN_S = 0.2  # after a bound it has to
+
+
+def make_dispatcher(*, term=0, now=0.0, upstreams=("a", "b"), settings=SETTINGS):
+    dispatcher = Dispatcher(settings, term=term, now=now)
+    dispatcher.set_catalog(make_catalog())
+    for name in upstreams:
+        dispatcher.add_or_update_upstream(make_entry(name, cores=1))
+    return dispatcher
+
+
+def report(
+    dispatcher, name, at_s, incarnation=OLD, *, running=(), ended=(), is_complete=True
+):
+    """Process a report that was requested and answered at a time."""
+    lists = list(running), list(ended)
+    dispatcher.process_report(
+        name,
+        UpstreamReport(incarnation, at_s, at_s, *lists, is_complete=is_complete),
+        at_s,
+    )
+
+
+def order_start(dispatcher):
+    """Submit a job with one task; return its order and the other upstream."""
+    for name in dispatcher.upstreams:
+        report(dispatcher, name, 0.0)
+    dispatcher.submit(SPEC, now=0.0)
+    (order,) = dispatcher.tick(ORDERED_S, ORDERED_S).starts
+    (other,) = set(dispatcher.upstreams) - {order.upstream_id}
+    return order, other
+
+
+def lose_start(dispatcher):
+    """Order a start that is not answered, nor listed once it has been stopped."""
+    order, other = order_start(dispatcher)
+    dispatcher.record_lease(order.upstream_id, ORDERED_S)
+    dispatcher.process_start_outcome(order, StartOutcome.UNKNOWN, 0.2)
+    report(dispatcher, order.upstream_id, 0.3)
+    (stop,) = dispatcher.tick(0.3, 0.3).stops
+    dispatcher.process_stop_answer(stop, 0.4)
+    report(dispatcher, order.upstream_id, 0.5)
+    return order, other
+
+
+def list_starts(dispatcher, at_s):
+    """Return the upstreams at which tasks are started."""
+    return [order.upstream_id for order in dispatcher.tick(at_s, at_s).starts]
+
+
+def list_starts_until(dispatcher, end_s, *, begin_s, **reports):
+    """Tick and report twice a second; return the upstreams with starts.
+
+    `reports` names the life in which each upstream reports all it runs, which is
+    nothing. The other upstreams do not answer.
+    """
+    starts = []
+    at_s = begin_s
+    while at_s < end_s:
+        for name, incarnation in reports.items():
+            report(dispatcher, name, at_s, incarnation)
+        starts += list_starts(dispatcher, at_s)
+        at_s += 0.5
+    return starts
+
+
+def store_commits(dispatcher):
+    """Store what is to be committed; return the stored progress of the job."""
+    stored = None
+    while (commit := dispatcher.begin_commit()) is not None:
+        stored = commit.progress.get("j", stored)
+        dispatcher.finish_commit(commit, is_stored=True)
+    return None if stored is None else decode_progress(stored)
+
+
+def make_successor(progress=None, *, now=0.0):
+    """Return the dispatcher of a later term, which restores the job."""
+    successor = make_dispatcher(term=1, now=now)
+    successor.restore_job(SPEC, progress, is_cancelled=False, age_s=0.0, now=now)
+    return successor
+
+
+# Leases of the former life's clock
+
+
+@pytest.mark.parametrize("is_answered", [False, True])
+def test_successor_waits_for_the_longest_hold_of_an_unreachable_upstream(is_answered):
+    """A task ran twice: a start of the term before was held 10 s by a later life."""
+    successor = make_successor()
+    if is_answered:
+        report(successor, "a", 0.1, is_complete=False)
+        successor.mark_unreachable("a", 0.2)
+    early_s = HANDOVER_S + HOLD_S - EARLY_S
+    assert not list_starts_until(successor, early_s, begin_s=0.3, b=OLD)
+    # The last order of the term before may be carried out late.
+    over_s = HANDOVER_S + LATE_S + HOLD_S + MARGIN_S
+    assert list_starts_until(successor, over_s + 0.5, begin_s=over_s, b=OLD) == ["b"]
+
+
+# Starts that are not answered, and carried out in the next life
+
+
+def test_unanswered_start_is_not_placed_elsewhere_while_it_may_be_carried_out():
+    """A task ran twice: a restart forgot its stop, and its start came late."""
+    dispatcher = make_dispatcher()
+    order, other = lose_start(dispatcher)
+    dispatcher.mark_upstream_unlisted(order.upstream_id)
+    over_s = ORDERED_S + LATE_S
+    lives = {order.upstream_id: OLD, other: OLD}
+    early_s = over_s - EARLY_S
+    assert not list_starts_until(dispatcher, early_s, begin_s=0.5, **lives)
+    for name in lives:
+        report(dispatcher, name, over_s + MARGIN_S)
+    assert list_starts(dispatcher, over_s + MARGIN_S) == [other]
+
+
+def test_unanswered_start_may_be_repeated_at_the_same_upstream():
+    """Tasks must not wait for a late call that their upstream can itself refuse."""
+    dispatcher = make_dispatcher()
+    order, _ = lose_start(dispatcher)
+    assert list_starts(dispatcher, 0.6) == [order.upstream_id]
+
+
+def test_unanswered_start_is_placed_anywhere_after_a_full_report_of_a_later_life():
+    """Tasks must not wait for a call that the later life refuses."""
+    dispatcher = make_dispatcher()
+    order, other = lose_start(dispatcher)
+    dispatcher.mark_upstream_unlisted(order.upstream_id)
+    report(dispatcher, order.upstream_id, 0.7, NEW)
+    assert list_starts(dispatcher, 0.8) == [other]
+
+
+def test_cut_list_of_a_later_life_does_not_settle_an_unanswered_start():
+    """A task ran twice: its end was behind the first ones of the later life."""
+    dispatcher = make_dispatcher()
+    order, other = lose_start(dispatcher)
+    dispatcher.mark_upstream_unlisted(order.upstream_id)
+    report(dispatcher, order.upstream_id, 0.7, NEW, is_complete=False)
+    assert not list_starts(dispatcher, 0.8)
+    report(dispatcher, order.upstream_id, 0.9, NEW)
+    assert list_starts(dispatcher, 1.0) == [other]
+
+
+@pytest.mark.parametrize("is_stopped", [False, True])
+def test_unanswered_start_at_a_lost_upstream_waits_for_the_longest_hold(is_stopped):
+    """A task ran twice: a life behind a cut took its start late, and held it 10 s."""
+    dispatcher = make_dispatcher()
+    if is_stopped:
+        order, other = lose_start(dispatcher)
+        dispatcher.mark_upstream_unlisted(order.upstream_id)
+        dispatcher.mark_unreachable(order.upstream_id, 0.6)
+    else:
+        order, other = order_start(dispatcher)
+        dispatcher.record_lease(order.upstream_id, ORDERED_S)
+        dispatcher.process_start_outcome(order, StartOutcome.UNKNOWN, 0.2)
+    over_s = ORDERED_S + LATE_S + HOLD_S
+    life = {other: OLD}
+    early_s = over_s - EARLY_S
+    assert not list_starts_until(dispatcher, early_s, begin_s=0.6, **life)
+    report(dispatcher, other, over_s + MARGIN_S)
+    assert list_starts(dispatcher, over_s + MARGIN_S) == [other]
+
+
+def test_late_poll_may_extend_the_lease_of_a_late_start():
+    """A task ran twice: a late poll of the former life held its late run longer."""
+    dispatcher = make_dispatcher()
+    order, other = lose_start(dispatcher)
+    dispatcher.mark_upstream_unlisted(order.upstream_id)
+    polled_s = 3.0
+    dispatcher.record_lease(order.upstream_id, polled_s)
+    dispatcher.mark_unreachable(order.upstream_id, polled_s + 0.6)
+    early_s = polled_s + LATE_S + HOLD_S - EARLY_S
+    life = {other: OLD}
+    assert not list_starts_until(dispatcher, early_s, begin_s=3.7, **life)
+
+
+# Unanswered starts of an earlier term
+
+
+def lose_start_and_end_term(*, is_stopped):
+    """Return the stored progress of a job with an unanswered start, and its order."""
+    dispatcher = make_dispatcher()
+    if is_stopped:
+        order, _ = lose_start(dispatcher)
+    else:
+        order, _ = order_start(dispatcher)
+        dispatcher.process_start_outcome(order, StartOutcome.UNKNOWN, 0.2)
+    return order, store_commits(dispatcher)
+
+
+@pytest.mark.parametrize("is_stopped", [False, True])
+def test_restored_unanswered_start_is_not_placed_elsewhere(is_stopped):
+    """A task ran twice: the next decider did not know of the late start."""
+    order, progress = lose_start_and_end_term(is_stopped=is_stopped)
+    successor = make_successor(progress, now=0.6)
+    successor.mark_upstream_unlisted(order.upstream_id)
+    early_s = ORDERED_S + LATE_S - EARLY_S
+    lives = {"a": OLD, "b": OLD}
+    assert not list_starts_until(successor, early_s, begin_s=0.7, **lives)
+    (other,) = {"a", "b"} - {order.upstream_id}
+    # The order was sent before the end of the handover, at the latest.
+    over_s = 0.6 + HANDOVER_S + LATE_S + MARGIN_S
+    assert list_starts_until(successor, over_s + 0.5, begin_s=over_s, **lives) == [
+        other
+    ]
+
+
+@pytest.mark.parametrize("is_stopped", [False, True])
+def test_restored_unanswered_start_may_be_repeated_at_the_same_upstream(is_stopped):
+    """Tasks must not wait for a late call that their upstream can itself refuse."""
+    order, progress = lose_start_and_end_term(is_stopped=is_stopped)
+    successor = make_successor(progress, now=0.6)
+    for name in successor.upstreams:
+        report(successor, name, 0.7)
+    orders = successor.tick(0.8, 0.8)
+    assert [start.upstream_id for start in orders.starts] == [order.upstream_id]
+
+
+def test_restored_unanswered_start_is_settled_by_a_full_report_of_a_later_life():
+    """Tasks must not wait for a call that the later life refuses."""
+    order, progress = lose_start_and_end_term(is_stopped=True)
+    successor = make_successor(progress, now=0.6)
+    successor.mark_upstream_unlisted(order.upstream_id)
+    (other,) = {"a", "b"} - {order.upstream_id}
+    report(successor, other, 0.7)
+    report(successor, order.upstream_id, 0.7, NEW)
+    assert list_starts(successor, 0.8) == [other]
+
+
+@pytest.mark.parametrize("is_stopped", [False, True])
+def test_restored_unanswered_start_at_a_lost_upstream_waits_for_the_longest_hold(
+    is_stopped,
+):
+    """A task ran twice: a life behind a cut took the start of the term before late."""
+    order, progress = lose_start_and_end_term(is_stopped=is_stopped)
+    successor = make_successor(progress, now=0.6)
+    (other,) = {"a", "b"} - {order.upstream_id}
+    life = {other: OLD}
+    early_s = ORDERED_S + LATE_S + HOLD_S - EARLY_S
+    assert not list_starts_until(successor, early_s, begin_s=0.7, **life)
+    over_s = 0.6 + HANDOVER_S + LATE_S + HOLD_S + MARGIN_S
+    assert list_starts_until(successor, over_s + 0.5, begin_s=over_s, **life) == [other]
+
+
+# What was read of the former life
+
+
+def fail_commit_after_restart(dispatcher):
+    """Have the commit fail that covers end 7 of a former life; return the upstream."""
+    order, _ = order_start(dispatcher)
+    name = order.upstream_id
+    dispatcher.process_start_outcome(order, StartOutcome.STARTED, 0.2)
+    ended = EndedRun(7, order.task, order.attempt, RunEnd.FAILED)
+    report(dispatcher, name, 0.3, ended=[ended])
+    commit = dispatcher.begin_commit()
+    assert commit.acknowledged_ends == {name: (OLD, 7)}
+    report(dispatcher, name, 0.4, NEW)
+    dispatcher.finish_commit(commit, is_stored=False)
+    return name
+
+
+def make_end(number, job_id):
+    return EndedRun(number, TaskId(job_id, 0, 0, 0), 1, RunEnd.FAILED)
+
+
+def test_failed_commit_does_not_hold_up_ends_of_the_present_life():
+    """Ends were never acknowledged: the number of a former life was higher."""
+    dispatcher = make_dispatcher()
+    name = fail_commit_after_restart(dispatcher)
+    report(dispatcher, name, 0.5, NEW, ended=[make_end(1, "unknown")])
+    commit = dispatcher.begin_commit()
+    assert "j" in commit.progress
+    assert commit.acknowledged_ends == {name: (NEW, 1)}
+
+
+def test_failed_commit_does_not_acknowledge_ends_of_the_present_life():
+    """An end was forgotten before it was stored: a former life's number covered it."""
+    settings = replace(SETTINGS, max_commit_entries=2)  # one open job
+    dispatcher = make_dispatcher(settings=settings)
+    name = fail_commit_after_restart(dispatcher)
+    dispatcher.submit(make_job("k"), now=0.4)
+    ends = [make_end(1, "k"), *(make_end(n, "unknown") for n in range(2, 8))]
+    report(dispatcher, name, 0.5, NEW, ended=ends)
+    commit = dispatcher.begin_commit()
+    assert set(commit.progress) == {"j"}
+    assert not commit.acknowledged_ends
+
+
+def test_stored_commit_does_not_acknowledge_ends_of_the_present_life():
+    """Ends that nobody had read were forgotten: numbers of a former life named them."""
+    dispatcher = make_dispatcher()
+    order, _ = order_start(dispatcher)
+    name = order.upstream_id
+    dispatcher.process_start_outcome(order, StartOutcome.STARTED, 0.2)
+    ended = EndedRun(7, order.task, order.attempt, RunEnd.FAILED)
+    report(dispatcher, name, 0.3, ended=[ended])
+    commit = dispatcher.begin_commit()
+    report(dispatcher, name, 0.4, NEW)
+    dispatcher.finish_commit(commit, is_stored=True)
+    assert dispatcher.upstreams[name].acknowledged_end_number == 0
+
+
+def test_upstream_gets_no_work_before_its_present_life_has_listed_everything():
+    """Work was placed by what the former life had listed in full."""
+    dispatcher = make_dispatcher(upstreams=("a",))
+    report(dispatcher, "a", 0.0)
+    report(dispatcher, "a", 0.1, NEW, is_complete=False)
+    dispatcher.submit(SPEC, now=0.2)
+    assert not list_starts(dispatcher, 0.2)
+    report(dispatcher, "a", 0.3, NEW)
+    assert list_starts(dispatcher, 0.3) == ["a"]
+
+
+def test_successor_does_not_count_on_the_full_list_of_a_former_life():
+    """A task ran twice: a run of a life that had not listed everything was unknown."""
+    successor = make_successor()
+    report(successor, "a", 0.1)
+    report(successor, "a", 0.2, NEW, is_complete=False)
+    report(successor, "b", 0.2)
+    assert not list_starts(successor, 0.3)
+    report(successor, "a", 0.4, NEW)
+    assert len(list_starts(successor, 0.5)) == 1
+
+
+@pytest.mark.parametrize("is_ended", [False, True])
+def test_late_run_is_adopted_although_the_former_life_ran_the_task(is_ended):
+    """A task ran twice: its late run was stopped while it was started elsewhere."""
+    dispatcher = make_dispatcher()
+    lost, other = lose_start(dispatcher)
+    dispatcher.upstreams[other].set_aside_until_s = 0.7
+    (order,) = dispatcher.tick(0.6, 0.6).starts
+    assert order.upstream_id == lost.upstream_id
+    dispatcher.process_start_outcome(order, StartOutcome.STARTED, 0.7)
+    running = [RunningRun(order.task, order.attempt)]
+    report(dispatcher, order.upstream_id, 0.8, running=running)
+    late = [RunningRun(lost.task, lost.attempt)]
+    report(dispatcher, order.upstream_id, 1.0, NEW, running=late)
+    orders = dispatcher.tick(1.1, 1.1)
+    assert not orders.starts
+    assert not orders.stops
+    if is_ended:
+        ended = [EndedRun(1, lost.task, lost.attempt, RunEnd.DONE)]
+        report(dispatcher, order.upstream_id, 1.2, NEW, ended=ended)
+        assert dispatcher.jobs["j"].state is JobState.COMPLETE
+    else:
+        report(dispatcher, order.upstream_id, 1.2, NEW)
+        assert len(list_starts(dispatcher, 1.3)) == 1
+
+
+# The same with upstreams that follow the rules
+
+
+def make_world(*names, **settings):
+    names = names or ("a", "b")
+    return World(make_catalog(), *(make_entry(n, cores=1) for n in names), **settings)
+
+
+def step_until(world, at_s, *, step_s=0.05):
+    while world.now < at_s:
+        world.step(min(step_s, at_s - world.now + 1e-6))
+
+
+@pytest.mark.parametrize("late_s", [2.0, 5.0, 8.0, 12.0])
+@pytest.mark.parametrize("restart_s", [1.0, 1.9])
+@pytest.mark.parametrize("is_cut", [False, True])
+def test_late_start_in_the_next_life_runs_no_task_twice(late_s, restart_s, is_cut):
+    """A task ran twice: a start stopped in one life was carried out in the next."""
+    world = make_world()
+    begin_s = world.now
+    world.step()
+    world.next_start_fault, world.late_s = "late", late_s
+    world.submit(make_job("j"))
+    step_until(world, begin_s + restart_s)
+    for name in world.upstreams:
+        if world.late_calls and world.late_calls[0].upstream_id == name:
+            world.crash(name)
+            world.upstreams[name].is_disconnected = is_cut
+    step_until(world, begin_s + 40.0)
+    assert len(world.running()) == 1
+
+
+def lose_start_in_world(world, *, late_s):
+    """Order a start that is carried out late; return its upstream."""
+    world.step()
+    world.next_start_fault, world.late_s = "late", late_s
+    world.submit(make_job("j"))
+    world.step()
+    (call,) = world.late_calls
+    return call.upstream_id
+
+
+def restart_behind_cut(world, name):
+    world.crash(name)
+    world.upstreams[name].is_disconnected = True
+
+
+@pytest.mark.parametrize("polled_s", [1.0, 2.0, 4.0])
+def test_late_poll_behind_a_cut_holds_no_run_while_the_task_is_started(polled_s):
+    """A task ran twice: a late poll held a late run of a life behind a cut."""
+    world = make_world()
+    begin_s = world.now
+    name = lose_start_in_world(world, late_s=12.0)
+    # Its task must wait for the same upstream.
+    world.dispatcher.mark_upstream_unlisted(name)
+    step_until(world, begin_s + polled_s)
+    world.poll_faults[name] = "late"
+    world.step()
+    restart_behind_cut(world, name)
+    step_until(world, begin_s + 45.0)
+    assert len(world.running()) == 1
+
+
+def test_takeover_while_an_upstream_that_was_just_back_is_cut_off():
+    """A task ran twice: the order of the term before reached a later life."""
+    world = make_world()
+    world.step()
+    world.next_start_fault = "crash"
+    world.submit(make_job("j"))
+    world.step()
+    ((name, _, _),) = world.running()
+    world.upstreams[name].is_disconnected = True
+    world.take_over()
+    step_until(world, world.now + 40.0)
+    assert len(world.running()) == 1
+
+
+@pytest.mark.parametrize("late_s", [2.0, 5.0, 8.0, 12.0])
+@pytest.mark.parametrize("is_stored", [False, True])
+def test_takeover_after_a_start_that_comes_late_behind_a_cut(late_s, is_stored):
+    """A task ran twice: its start of the term before came late in the next life."""
+    world = make_world()
+    name = lose_start_in_world(world, late_s=late_s)
+    if is_stored:
+        world.step()
+    restart_behind_cut(world, name)
+    world.take_over()
+    step_until(world, world.now + 45.0)
+    assert len(world.running()) == 1
+
+
+@pytest.mark.parametrize("is_cut", [False, True])
+def test_late_poll_does_not_forget_ends_of_the_next_life(is_cut):
+    """A done task was started again: a late poll had its end forgotten unread."""
+    world = make_world("a")
+    world.submit(make_job("one"))
+    world.run(2.0, after_s=0.2)
+    assert world.acknowledged["a"] == (1, 1)
+    lose_start_in_world(world, late_s=2.0)
+    world.dispatcher.mark_upstream_unlisted("a")
+    world.step()
+    world.poll_faults["a"], world.late_s = "late", 4.0
+    world.run(0.2)
+    world.crash("a")
+    world.upstreams["a"].is_disconnected = is_cut
+    world.run(6.0, after_s=0.2)
+    world.upstreams["a"].is_disconnected = False
+    world.dispatcher.add_or_update_upstream(world.upstreams["a"].entry, world.now)
+    world.run(40.0, after_s=0.2)
+    assert world.get_state("j") is JobState.COMPLETE
