Replay two late starts after a repeat at the same upstream

A start is not answered, is stopped and not listed, and the task is repeated at the same upstream. Then its life ends. Behind a cut, the next life carries out the first start late: while the task runs elsewhere after the ordinary lease, or after the repeated run was done and acknowledged.

--- a/packages/core/src/papayadyke_core/dispatch/tests/test_lives_of_an_upstream.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_lives_of_an_upstream.py
@@ -209,6 +209,25 @@
     assert not list_starts_until(dispatcher, early_s, begin_s=3.7, **life)
 
 
+def test_run_at_the_same_upstream_does_not_settle_an_unanswered_start():
+    """A task ran twice: it was repeated, lost in a restart, and its start came late."""
+    dispatcher = make_dispatcher()
+    lost, other = lose_start(dispatcher)
+    name = lost.upstream_id
+    (order,) = dispatcher.tick(0.6, 0.6).starts
+    dispatcher.record_lease(name, 0.6)
+    dispatcher.process_start_outcome(order, StartOutcome.STARTED, 0.7)
+    assert order.upstream_id == name
+    running = [RunningRun(order.task, order.attempt)]
+    report(dispatcher, name, 0.8, running=running)
+    dispatcher.mark_unreachable(name, 1.0)
+    over_s = ORDERED_S + LATE_S + HOLD_S
+    early_s = over_s - EARLY_S
+    assert not list_starts_until(dispatcher, early_s, begin_s=1.0, **{other: OLD})
+    report(dispatcher, other, over_s + MARGIN_S)
+    assert list_starts(dispatcher, over_s + MARGIN_S) == [other]
+
+
 # Unanswered starts of an earlier term
 
 
@@ -492,3 +511,16 @@
     world.dispatcher.add_or_update_upstream(world.upstreams["a"].entry, world.now)
     world.run(40.0, after_s=0.2)
     assert world.get_state("j") is JobState.COMPLETE
+
+
+@pytest.mark.parametrize("late_s", [5.0, 8.0, 12.0])
+def test_late_start_does_not_run_a_task_that_is_done_at_the_same_upstream(late_s):
+    """A done task ran again: its start came late in a later life."""
+    world = make_world("a")
+    name = lose_start_in_world(world, late_s=late_s)
+    world.run(3.0, after_s=0.2)
+    restart_behind_cut(world, name)
+    world.run(20.0, after_s=0.2)
+    world.upstreams[name].is_disconnected = False
+    world.run(5.0, after_s=0.2)
+    assert world.get_state("j") is JobState.COMPLETE
