--- a/packages/clients/src/papayadyke_clients/http/_exchange.py
+++ b/packages/clients/src/papayadyke_clients/http/_exchange.py
@@ -98,6 +98,7 @@
         self.connect_timeout_s = connect_timeout_s
         self._socket_options = SOCKET_OPTIONS + RESET_ON_CLOSE * resets_on_close
         self._idle: list[HTTPConnection] = []
+        self._keeps_connections = True
         self._lock = threading.Lock()
 
     def send(
@@ -121,10 +122,11 @@
             Longest time without data from the server, in seconds.
         reuses_connection : bool, default=False
             Whether to fail rather than send on a new connection, which another process
-            may answer than the one that answered before.
+            may answer than the one that answered before. Without effect if the server
+            closes each connection.
         """
         conn = self._acquire()
-        if reuses_connection and conn.sock is None:
+        if reuses_connection and conn.sock is None and self._keeps_connections:
             return Err(ExchangeError(False, "ConnectionClosed"))
         try:
             if conn.sock is None:
@@ -146,9 +148,11 @@
         return Ok(reply)
 
     def is_connected(self) -> bool:
-        """Return whether an open connection is idle."""
+        """Return whether a connection is idle, or the server closes each one."""
         with self._lock:
-            return any(conn.is_connected for conn in self._idle)
+            return not self._keeps_connections or any(
+                conn.is_connected for conn in self._idle
+            )
 
     def drop_idle(self) -> None:
         """Close the idle connections."""
@@ -171,7 +175,8 @@
             conn.close()
 
     def _release(self, conn: HTTPConnection, connection_header: str) -> None:
-        if connection_header.lower() == "close":
+        self._keeps_connections = connection_header.lower() != "close"
+        if not self._keeps_connections:
             conn.close()
             return
         with self._lock:
--- a/packages/daemon/src/papayadyke_daemon/edge/_agents.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_agents.py
@@ -100,6 +100,7 @@
         self._orders = queue.SimpleQueue()
         self._stopped = threading.Event()
         self._is_reached = False
+        self._was_unfenced = False
         self._last_end = 0
         # Last end whose acknowledgement the upstream has answered.
         self._confirmed_end = 0
@@ -171,9 +172,14 @@
                 return
             is_fenced = self._meet(reply.ok_value.incarnation)
         except FencedError:
-            self._callbacks.on_fenced(self.upstream_id)
+            if not self._stopped.is_set():
+                self._callbacks.on_fenced(self.upstream_id)
             self._stopped.wait(POLL_RETRY_S)
             return
+        if not is_fenced and self._was_unfenced:
+            # Restarts in a row must not make a loop without a pause.
+            self._stopped.wait(POLL_RETRY_S)
+        self._was_unfenced = not is_fenced
         if is_fenced:
             self._confirmed_end = max(self._confirmed_end, acknowledged_end)
             self._stopped.wait(self._process_report(reply.ok_value))
