Hold back tasks whose start may be carried out late

Starting such a task again at the same upstream was not safe: the new attempt can be done and acknowledged, and the upstream restart before the old one is carried out, which is a start after its end. If two starts got no answer, a later incarnation can carry out both. And where no start is answered, the task tried the same upstream for good, with others idle.

A task that lasts, which is never done, may start at the same upstream once more. The starts without an answer are part of the stored progress from the moment they get none, so that a successor holds the tasks back as well; stored doubts were dropped by the next report. They hold for the late calls that extend leases, and an upstream is not forgotten while there are any. A first contact counts with the longest lease if there was a decider before or the upstream lists runs.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -179,6 +179,7 @@
             if not upstream.is_listed
             and not upstream.is_reachable
             and not upstream.runs
+            and not self._schedule.unanswered_starts.has_starts(name)
             and now > upstream.lease_until_s
             # Before the barrier, runs that an earlier decider started may be unknown.
             and (upstream.has_reported or self._takeover.barrier_s is None)
@@ -215,7 +216,7 @@
             job.restore_progress(progress)
             for step in job.steps.values():
                 self._tracker.crash_tracker.restore(step)
-                self._restore_unanswered_starts(step, now)
+                self._restore_unanswered_starts(step, progress, now)
                 if step.failed:
                     self._schedule.record_failure(step)
                     self._has_new_limits = True
@@ -457,15 +458,19 @@
                 if run.task.job_id not in self.jobs and run.stop_requested_s is None:
                     self._schedule.stop_run(run, now, "the run is not needed")
 
-    def _restore_unanswered_starts(self, step: StepRun, now: float) -> None:
-        """Bind tasks to upstreams that may carry out a start of an earlier decider."""
+    def _restore_unanswered_starts(
+        self, step: StepRun, progress: JobProgress, now: float
+    ) -> None:
+        """Hold back tasks of which a start of an earlier decider got no answer."""
+        stored = progress.steps.get(f"{step.step_id.occurrence}.{step.step_id.step}")
+        if stored is None:
+            return
         until_s = now + self.settings.handover_s + self.settings.late_call_s
-        for index, doubts in step.doubts.items():
-            for doubt in doubts:
-                if not doubt.is_certain:
-                    self._schedule.unanswered_starts.add_earlier(
-                        step.task_id(index), doubt.upstream_id, until_s=until_s
-                    )
+        for index, upstream_id in stored.unanswered.items():
+            if index in step.waiting:
+                self._schedule.unanswered_starts.add_earlier(
+                    step.task_id(index), upstream_id, until_s=until_s
+                )
 
     # Placement
 
--- a/packages/core/src/papayadyke_core/dispatch/_job.py
+++ b/packages/core/src/papayadyke_core/dispatch/_job.py
@@ -21,6 +21,7 @@
     TaskId,
 )
 from papayadyke_core.dispatch._time_samples import JobTimes
+from papayadyke_core.dispatch._unanswered import UnansweredStarts
 
 
 class StepRun:
@@ -186,6 +187,9 @@
             for index in sorted(self.recorded_runs)
             if (run := self.live.get(index)) is not None and run.incarnation is not None
         }
+        unanswered = {}
+        if self.job.unanswered_starts is not None:
+            unanswered = self.job.unanswered_starts.list_stored(self.step_id)
         if not (
             self.done
             or self.failed
@@ -193,6 +197,7 @@
             or self.crashes
             or self.doubts
             or runs
+            or unanswered
         ):
             return None
         return StepProgress(
@@ -202,6 +207,7 @@
             dict(self.crashes),
             dict(self.doubts),
             runs,
+            unanswered,
         )
 
     def restore_progress(self, progress: StepProgress) -> None:
@@ -257,6 +263,7 @@
         self.objective_s: float | None = None
         self.times = JobTimes()
         self.run_times: RunTimeModel | None = None  # None for declared estimates
+        self.unanswered_starts: UnansweredStarts | None = None
         self._cached_estimates: JobEstimates | None = None
         # Whether an earlier decider may have started it, so that it is not started
         # before the runs and ends of all upstreams are known.
--- a/packages/core/src/papayadyke_core/dispatch/_progress.py
+++ b/packages/core/src/papayadyke_core/dispatch/_progress.py
@@ -58,6 +58,9 @@
     runs : dict of int to LostContact
         Upstreams on which some of the tasks were running. A successor cannot know
         whether they crashed before it began.
+    unanswered : dict of int to str
+        Upstream of each task whose start got no answer and may still be carried out;
+        empty for several.
     """
 
     done: IndexRows = []
@@ -66,6 +69,7 @@
     crashes: dict[int, list[LostContact]] = {}
     doubts: dict[int, list[LostContact]] = {}
     runs: dict[int, LostContact] = {}
+    unanswered: dict[int, str] = {}
 
 
 class JobProgress(msgspec.Struct):
--- a/packages/core/src/papayadyke_core/dispatch/_schedule.py
+++ b/packages/core/src/papayadyke_core/dispatch/_schedule.py
@@ -114,6 +114,7 @@
     ) -> StagedJob:
         """Add a job, whose remaining time is estimated by learned run times."""
         job = StagedJob(spec, now=now, age_s=age_s)
+        job.unanswered_starts = self.unanswered_starts
         if isinstance(self.run_times, RunTimeModel):
             job.run_times = self.run_times
         self.jobs[spec.job_id] = job
@@ -271,7 +272,7 @@
                     self.stop_run(run, now, "the upstream shuts down")
 
     def expire_leases(self, now: float) -> None:
-        self.unanswered_starts.expire(now)
+        self.unanswered_starts.expire(now, self.upstreams)
         for upstream in self.upstreams.values():
             if upstream.is_reachable or not upstream.runs:
                 continue
--- a/packages/core/src/papayadyke_core/dispatch/_takeover.py
+++ b/packages/core/src/papayadyke_core/dispatch/_takeover.py
@@ -51,6 +51,8 @@
         all are known.
     handover_end_s : float
         Until then the previous decider may grant leases.
+    has_earlier_terms : bool
+        Whether there was a decider before.
     unread_until_s : float or None
         Until then an upstream may run or list a job that was not read yet; None once
         all such jobs are known.
@@ -59,6 +61,7 @@
 
     def __init__(self, settings: DispatchSettings, *, term: int, now: float) -> None:
         self.barrier_s: float | None = None
+        self.has_earlier_terms = term > 0
         self._began_s = now
         self._end: TakeoverEnd | None = None
         self.handover_end_s = now + settings.handover_s
--- a/packages/core/src/papayadyke_core/dispatch/_tracking.py
+++ b/packages/core/src/papayadyke_core/dispatch/_tracking.py
@@ -74,16 +74,20 @@
             and upstream.incarnation != report.incarnation
         ):
             self._handle_restart(upstream, now)
-        elif upstream.incarnation is None and self._takeover.barrier_s is not None:
-            # The previous decider may have met the incarnation by a call with a time of
-            # the former one's clock.
+        elif upstream.incarnation is None and (
+            self._takeover.has_earlier_terms or report.running
+        ):
+            # A decider before may have met the incarnation by a call with a time of the
+            # former one's clock.
             self._record_longest_hold(upstream, now)
         upstream.incarnation = report.incarnation
         is_regained = not (upstream.is_reachable and upstream.has_answered)
         upstream.is_reachable = True
         upstream.has_answered = True
         # Which tasks it runs or has done is known once it has listed all of them.
-        upstream.has_reported |= report.is_complete
+        if report.is_complete and not upstream.has_reported:
+            upstream.has_reported = True
+            self._schedule.needs_placement = True
         if is_regained:
             self._schedule.needs_placement = True
             for run in upstream.runs.values():
@@ -144,6 +148,7 @@
         elif outcome is StartOutcome.UNKNOWN:
             if run.phase is RunPhase.ORDERED:
                 run.phase, run.phase_since_s = RunPhase.UNCERTAIN, now
+                self._record_unanswered_start(run)
             self._lose_contact(upstream, now)
             self._doubt_run(run, now)
         else:
@@ -168,6 +173,12 @@
             # so answers to repeated stops must not outdate such polls.
             run.stop_confirmed_s = now
 
+    def _record_unanswered_start(self, run: Run) -> None:
+        self._schedule.unanswered_starts.add(run)
+        job = self._schedule.jobs.get(run.task.job_id)
+        if job is not None and not job.is_final:
+            self._schedule.commits.mark_dirty(job.job_id)
+
     def claim_runs(self, job: StagedJob, now: float) -> None:
         """Adopt the runs and ends of a job that upstreams reported before it."""
         if self._takeover.unread_until_s is None:
@@ -333,7 +344,6 @@
             if run.stop_requested_s is None:
                 self._schedule.stop_run(run, now, "the start was not answered")
         elif run.stop_confirmed_s < report.requested_s:
-            self._schedule.unanswered_starts.add(run)
             self._lose_run(upstream, run, now)
 
     def _process_end(self, upstream: Upstream, ended: EndedRun, now: float) -> None:
--- a/packages/core/src/papayadyke_core/dispatch/_unanswered.py
+++ b/packages/core/src/papayadyke_core/dispatch/_unanswered.py
@@ -2,8 +2,9 @@
 
 A stop prevents such a start in the present incarnation of its upstream. The next one
 knows nothing of the stop and may carry the start out, seconds later and also while it
-is cut off. Until then the task may start at that upstream only, where both runs cannot
-go on at a time: what an upstream runs ends with its incarnation.
+is cut off, even if another attempt of the task is done by then. Until then the task
+waits. A task that lasts may start at that upstream only: it is never done, and what an
+upstream runs ends with its incarnation.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 from papayadyke_core.dispatch._run import Run
 from papayadyke_core.dispatch._settings import DispatchSettings
 from papayadyke_core.dispatch._spec import StepId, TaskId
+from papayadyke_core.dispatch._upstream import Upstream
 
 EXPIRY_INTERVAL_S = 0.2  # seconds between two looks for starts that are over
 
@@ -75,17 +77,36 @@
         self._add(task, upstream_id, until_s).attempts.add(0)
 
     def find_upstreams(self, step_id: StepId) -> Mapping[int, str | None]:
-        """Return where the tasks of a step may start that may not start anywhere.
+        """Return the upstreams of the unanswered starts of a step.
 
         Returns
         -------
         upstreams : mapping of int to (str or None)
-            By the number of the task; None for a task that may start nowhere.
+            By the number of the task; None if the task may not start there either, as
+            several starts got no answer.
         """
         starts = self._starts.get(step_id)
         if not starts:
             return {}
-        return {number: start.upstream_id for number, start in starts.items()}
+        return {
+            number: start.upstream_id if len(start.attempts) == 1 else None
+            for number, start in starts.items()
+        }
+
+    def list_stored(self, step_id: StepId) -> dict[int, str]:
+        """Return the upstreams of the unanswered starts, as they are stored.
+
+        Returns
+        -------
+        upstreams : dict of int to str
+            By the number of the task; empty for several upstreams.
+        """
+        starts = self._starts.get(step_id, {})
+        return {number: start.upstream_id or "" for number, start in starts.items()}
+
+    def has_starts(self, upstream_id: str) -> bool:
+        """Return whether unanswered starts were sent to an upstream."""
+        return upstream_id in self._tasks
 
     def settle_run(self, task: TaskId, attempt: int) -> None:
         """Record that an upstream lists a run or its end."""
@@ -109,21 +130,39 @@
             if start is not None and start.until_s < requested_s:
                 self._remove(task)
 
-    def expire(self, now: float) -> None:
-        """Remove starts whose runs would have lost their leases by now."""
+    def expire(self, now: float, upstreams: Mapping[str, Upstream]) -> None:
+        """Remove starts whose runs would have lost their leases by now.
+
+        Parameters
+        ----------
+        now : float
+        upstreams : mapping of str to Upstream
+            All known upstreams by id. A call that extends the leases of one may be
+            carried out late as well.
+        """
         if not self._starts or now < self._next_expiry_s:
             return
         self._next_expiry_s = now + EXPIRY_INTERVAL_S
-        held_s = self._settings.longest_hold_s
         over = [
             TaskId(*step_id, number)
             for step_id, starts in self._starts.items()
             for number, start in starts.items()
-            if start.until_s + held_s < now
+            if self._find_hold_end_s(start, upstreams) < now
         ]
         for task in over:
             self._remove(task)
 
+    def _find_hold_end_s(
+        self, start: _UnansweredStart, upstreams: Mapping[str, Upstream]
+    ) -> float:
+        """Return the time after which no run of a start can hold a lease."""
+        until_s = start.until_s
+        upstream = upstreams.get(start.upstream_id or "")
+        if upstream is not None:
+            late_call_s = self._settings.late_call_s
+            until_s = max(until_s, upstream.lease_sent_s + late_call_s)
+        return until_s + self._settings.longest_hold_s
+
     def _find(self, task: TaskId) -> _UnansweredStart | None:
         return self._starts.get(StepId(*task[:3]), {}).get(task.number)
 
--- a/packages/core/src/papayadyke_core/dispatch/tests/fake_upstream.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/fake_upstream.py
@@ -151,6 +151,8 @@
     is_sound : bool
         Whether the last call was answered by the life of the answer before it. The
         next poll neither acknowledges ends nor grants a lease otherwise.
+    confirmed_end : int
+        Last end whose acknowledgement the present life has answered.
     clock_s, read_s : float
         Last reading of the upstream's clock, and when it was read.
     """
@@ -158,6 +160,7 @@
     incarnation: int | None = None
     lives: int = 0
     is_sound: bool = False
+    confirmed_end: int = 0
     clock_s: float = 0.0
     read_s: float = 0.0
 
@@ -174,6 +177,7 @@
         is_known = incarnation == self.incarnation
         if not is_known:
             self.incarnation = incarnation
+            self.confirmed_end = 0
             self.lives += 1
         self.is_sound = is_known
         self.clock_s, self.read_s = clock_s, now
