Let the soak crash upstreams under their old ids beside a cut

Change: the fault kind upstream_recut delays calls to half of the upstreams, crashes them for 0.6 s under their ids and cuts them off for 4 to 9 s, before or after the crash; in half of the cases the deciding VM is killed before the cut, and in half of those that last long enough the entries expire. `--fault` selects kinds, `--long-share` the jobs whose tasks last 4 to 12 s.

The promise "nothing starts again once it is done" was judged by task: the start after an end that is never noted (its lease had lapsed) counted as soon as the end of the later run was noted. Violations name both runs.

--- a/packages/soak/src/papayadyke_soak/__main__.py
+++ b/packages/soak/src/papayadyke_soak/__main__.py
@@ -11,7 +11,8 @@
 import msgspec
 import typer
 
-from papayadyke_soak._soak import SoakSettings, run_soak
+from papayadyke_soak._faults import ALL_KINDS, FaultKind
+from papayadyke_soak._soak import LONG_SHARE, SoakSettings, run_soak
 
 BROKEN = 1  # exit code when a promise was broken
 
@@ -22,6 +23,14 @@
     minutes: Annotated[float, typer.Option(min=0.05, help="Of load and faults.")] = 1.0,
     processes: Annotated[int, typer.Option(min=1, max=200, help="VMs.")] = 5,
     upstreams: Annotated[int, typer.Option(min=1, max=200)] = 6,
+    fault: Annotated[
+        list[FaultKind] | None,
+        typer.Option(help="Kind of fault, may be given several times; else all."),
+    ] = None,
+    long_share: Annotated[
+        float,
+        typer.Option(min=0.0, max=1.0, help="Part of the jobs with long tasks."),
+    ] = LONG_SHARE,
     keep: Annotated[
         Path | None, typer.Option(help="Folder for logs; a temporary one if not given.")
     ] = None,
@@ -32,7 +41,12 @@
     is_broken = False
     for number in range(seed, seed + seeds):
         cfg = SoakSettings(
-            seed=number, minutes=minutes, processes=processes, upstreams=upstreams
+            seed=number,
+            minutes=minutes,
+            processes=processes,
+            upstreams=upstreams,
+            kinds=tuple(fault) if fault else ALL_KINDS,
+            long_share=long_share,
         )
         with tempfile.TemporaryDirectory(prefix="papayadyke-soak-") as temporary:
             directory = Path(temporary) if keep is None else keep / str(number)
--- a/packages/soak/src/papayadyke_soak/_faults.py
+++ b/packages/soak/src/papayadyke_soak/_faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -36,14 +37,20 @@
     UPSTREAM_SHRINK = "upstream_shrink"
     CONFIG_CHANGE = "config_change"
     CALLER_LINK_RESET = "caller_link_reset"
+    # Upstreams crash, are back under their old ids and are cut off shortly after or
+    # before, while calls are delayed.
+    UPSTREAM_RECUT = "upstream_recut"
 
 
+ALL_KINDS = tuple(FaultKind)
 # Seconds of a calm beginning, before the first fault.
 CALM_S = 3.0
 SERIES_GAP_S = 2.5  # mean seconds between two series
 SERIES_MOST = 4  # faults of one series; they overlap
 SERIES_SPREAD_S = 1.5  # seconds within which a series begins
 LENGTH_S = (0.2, 6.0)  # seconds that a fault lasts
+RECUT_GAP_S = 12.0  # mean seconds between two faults of that kind
+CUT_S = (4.0, 9.0)  # seconds that their cuts last
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +77,9 @@
     share: float
 
 
-def draw_faults(rng: random.Random, length_s: float) -> list[Fault]:
+def draw_faults(
+    rng: random.Random, length_s: float, kinds: Collection[FaultKind] = ALL_KINDS
+) -> list[Fault]:
     """Return the faults of a run in order of time.
 
     Parameters
@@ -78,10 +87,22 @@
     rng : Random
     length_s : float
         Seconds of the load; no fault lasts beyond it.
+    kinds : collection of FaultKind
+        Kinds to draw from; all by default.
     """
+    in_series = [kind for kind in kinds if kind is not FaultKind.UPSTREAM_RECUT]
+    faults = _draw_series(rng, length_s, in_series) if in_series else []
+    # Drawn last, so that a seed has the same faults of other kinds as without these.
+    if FaultKind.UPSTREAM_RECUT in kinds:
+        faults += _draw_recuts(rng, length_s)
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def _draw_series(
+    rng: random.Random, length_s: float, kinds: Sequence[FaultKind]
+) -> list[Fault]:
     faults: list[Fault] = []
     at_s = CALM_S
-    kinds = list(FaultKind)
     while at_s < length_s:
         for _ in range(rng.randint(1, SERIES_MOST)):
             begin_s = at_s + rng.uniform(0.0, SERIES_SPREAD_S)
@@ -90,4 +111,15 @@
             fault = Fault(begin_s, kind, rng.randrange(1000), for_s, rng.random())
             faults.append(fault)
         at_s += rng.expovariate(1.0 / SERIES_GAP_S)
-    return sorted(faults, key=lambda fault: fault.at_s)
+    return faults
+
+
+def _draw_recuts(rng: random.Random, length_s: float) -> list[Fault]:
+    faults: list[Fault] = []
+    at_s = CALM_S
+    while at_s < length_s:
+        for_s = min(rng.uniform(*CUT_S), max(0.1, length_s - at_s))
+        kind = FaultKind.UPSTREAM_RECUT
+        faults.append(Fault(at_s, kind, rng.randrange(1000), for_s, rng.random()))
+        at_s += rng.expovariate(1.0 / RECUT_GAP_S)
+    return faults
--- a/packages/soak/src/papayadyke_soak/_fleet.py
+++ b/packages/soak/src/papayadyke_soak/_fleet.py
@@ -28,6 +28,8 @@
     link: Proxy
     cores: int
     is_draining: bool = False
+    # Whether its entry has expired, because it is cut off from the registry.
+    has_expired: bool = False
     # Earlier capacities in cores, each with the time of the change to the next.
     earlier_cores: list[tuple[float, int]] = field(default_factory=list)
 
@@ -55,6 +57,8 @@
         self._seed = seed
         self._numbers = itertools.count(1)
         self._servers: dict[str, UpstreamServer] = {}
+        # Ids of crashed upstreams that are to be back under them.
+        self._keeps_id: set[str] = set()
         self._observer: Observer | None = None
 
     def start(self, count: int, observer: Observer) -> None:
@@ -109,6 +113,27 @@
         """Return the present upstreams by id."""
         return {member.server.upstream_id: member for member in list(self.members)}
 
+    def crash(self, member: Member, down_s: float) -> None:
+        """Crash an upstream, which is back under its id after some seconds."""
+        with self.lock:
+            self._keeps_id.add(member.server.upstream_id)
+            member.server.crash(down_s)
+
+    def expire(self, member: Member) -> None:
+        """Remove the entry of an upstream that is cut off, until `reconnect`."""
+        if member in self.members and member.server.is_cut:
+            member.has_expired = True
+            unlist_upstream(self._store, member.server.upstream_id)
+
+    def reconnect(self, member: Member) -> None:
+        """End the cut of an upstream; an entry that has expired is written again."""
+        if member not in self.members:
+            return
+        member.server.reconnect()
+        if member.has_expired:
+            member.has_expired = False
+            self._list(member)
+
     def replace(self, member: Member) -> None:
         """Remove an upstream with its runs, and start another."""
         if member not in self.members:
@@ -133,6 +158,7 @@
             self.replace(member)
         self.heal()
         for member in self.members:
+            self.reconnect(member)
             if member.cores != self._cores:
                 self.resize(member, self._cores)
 
@@ -157,12 +183,17 @@
         return member
 
     def _handle_return(self, server: UpstreamServer) -> None:
-        """List an upstream that is back from a crash, each second one anew."""
+        """List an upstream that is back from a crash.
+
+        Each second one has another id, unless it is to keep it.
+        """
         member = self.list_members().get(server.upstream_id)
         if member is None:
             return
         number = next(self._numbers)
-        if number % 2:
+        if server.upstream_id in self._keeps_id:
+            self._keeps_id.discard(server.upstream_id)
+        elif number % 2:
             unlist_upstream(self._store, server.upstream_id)
             with self.lock:
                 del self._servers[server.upstream_id]
@@ -172,6 +203,8 @@
         self._list(member)
 
     def _list(self, member: Member) -> None:
+        if member.has_expired:
+            return
         list_upstream(
             self._store,
             member.server.upstream_id,
--- a/packages/soak/src/papayadyke_soak/_injector.py
+++ b/packages/soak/src/papayadyke_soak/_injector.py
@@ -5,6 +5,7 @@
 import heapq
 import itertools
 import logging
+import random
 import threading
 from collections import Counter
 from collections.abc import Callable, Sequence
@@ -14,7 +15,7 @@
 from papayadyke_adapter_standins import StoreFault, StoreServer, UpstreamFault
 from papayadyke_daemon.edge import read_clock
 from papayadyke_soak._faults import Fault, FaultKind
-from papayadyke_soak._fleet import Fleet
+from papayadyke_soak._fleet import Fleet, Member
 from papayadyke_soak._proxy import LinkMode
 from papayadyke_soak._vms import VmProcess
 
@@ -23,6 +24,14 @@
 RESTART_S = 0.5  # seconds until a process that ended is started again
 SLOW_LINK_S = 0.3  # seconds that a slow link holds each chunk
 DRAIN_S = 3.0  # seconds that a draining upstream goes on
+# Upstreams that are cut off shortly after or before a crash. Times are in seconds.
+RECUT_SHARE = 0.5  # of the upstreams
+LATE_SHARE = 0.3  # of their calls are delayed, from the beginning to the end of the cut
+CRASH_AFTER_S = 1.0  # from the beginning to the crash
+DOWN_S = 0.6  # from the crash to the return
+CUT_WITHIN_S = 2.5  # longest time from the return to the cut
+KILL_BEFORE_CUT_S = 0.6  # from the kill of the VM that decides to the cut
+EXPIRE_AFTER_S = 4.5  # from the cut to the removal of an entry: three heartbeats
 
 _STORE_FAULTS = {
     FaultKind.STORE_BUSY: StoreFault.BUSY,
@@ -195,11 +204,51 @@
             return partial(fleet.resize, member, cores)
         elif kind is FaultKind.UPSTREAM_LINK_RESET:
             member.link.reset()
+        elif kind is FaultKind.UPSTREAM_RECUT:
+            self._begin_recut(fault, fleet)
         else:
             member.link.set_mode(_LINK_MODES[kind])
             return fleet.heal
         return None
 
+    def _begin_recut(self, fault: Fault, fleet: Fleet) -> None:
+        """Schedule a crash under the old ids and a cut, beside delayed calls."""
+        count = len(fleet.members)
+        hit = [
+            fleet.members[(fault.target + number) % count]
+            for number in range(max(1, int(count * RECUT_SHARE)))
+        ]
+        choice = random.Random(fault.target)
+        returns_behind_cut = choice.random() < 0.25
+        now_s = read_clock() - self._begun_s
+        crash_s = now_s + CRASH_AFTER_S
+        cut_s = crash_s + DOWN_S + fault.share * CUT_WITHIN_S
+        if returns_behind_cut:
+            cut_s = crash_s - fault.share * CRASH_AFTER_S
+        if choice.random() < 0.5:
+            self._at(cut_s - KILL_BEFORE_CUT_S, self._kill_decider)
+        if choice.random() < 0.5 and fault.for_s > EXPIRE_AFTER_S:
+            self._at_each(cut_s + EXPIRE_AFTER_S, hit, fleet.expire)
+        for member in hit:
+            member.server.fault_share = LATE_SHARE
+            member.server.fault = UpstreamFault.LATE
+        self._at_each(crash_s, hit, lambda member: fleet.crash(member, DOWN_S))
+        self._at_each(cut_s, hit, lambda member: member.server.cut())
+        self._at_each(cut_s + fault.for_s, hit, fleet.reconnect)
+        self._at(cut_s + fault.for_s, fleet.heal)
+
+    def _at_each(
+        self, at_s: float, members: Sequence[Member], act: Callable[[Member], None]
+    ) -> None:
+        for member in members:
+            self._at(at_s, partial(act, member))
+
+    def _kill_decider(self) -> None:
+        vm = self._targets.find_decider()
+        if vm is not None:
+            self.counts[FaultKind.DECIDER_KILL] += 1
+            vm.kill()
+
     def _end_store_fault(self) -> None:
         self._targets.store.fault = StoreFault.NONE
         self._disturb_all()
--- a/packages/soak/src/papayadyke_soak/_load.py
+++ b/packages/soak/src/papayadyke_soak/_load.py
@@ -25,6 +25,8 @@
 DEADLY_SHARE = 0.02  # of the jobs, which crash each upstream that starts them
 CRASH_AFTER_S = (0.05, 0.5)  # seconds from the start of such a task to the crash
 GANG_SHARE = 0.25  # of the jobs
+LONG_CPU_MILLIS = 1000  # that a long task needs, in thousandths of a core
+LONG_RUN_S = (4.0, 12.0)  # seconds that a task lasts which outlasts its lease
 REPEAT_SHARE = 0.1  # of the accepted submissions are sent again
 FORGED_SHARE = 0.03  # of the jobs are sent with a key that no configuration has held
 PROBE_SHARE = 0.2  # of the turns of a caller begin with a call with a withdrawn key
@@ -34,8 +36,16 @@
 DISTURBED_S = 5.0
 
 
-def draw_job(rng: random.Random, queue: str) -> JobRecord:
-    """Return a job of one to three steps, or a gang."""
+def draw_job(rng: random.Random, queue: str, *, long_share: float = 0.0) -> JobRecord:
+    """Return a job of one to three steps, or a gang.
+
+    Parameters
+    ----------
+    rng : Random
+    queue : str
+    long_share : float
+        Part of the jobs that have one step of long tasks instead, which succeed.
+    """
     succeeds = rng.random() >= FAIL_SHARE
     is_gang = rng.random() < GANG_SHARE
     cpu = rng.choice((1000, 2000, 4000, 8000))
@@ -52,8 +62,22 @@
     if not is_gang:
         for number in range(1, rng.randint(1, 3)):
             steps.append(replace(step, after=(number - 1,)))
-    payload = msgspec.json.encode(needs).decode()
     job_id = f"{rng.getrandbits(64):016x}"
+    # Drawn apart, so that the other jobs of a seed do not depend on the long ones.
+    long_rng = random.Random(job_id)
+    if long_rng.random() < long_share:
+        duration_s = long_rng.uniform(*LONG_RUN_S)
+        succeeds, crash_after_s = True, None
+        needs = Needs(duration_s, LONG_CPU_MILLIS)
+        steps = [
+            StepSpec(
+                long_rng.randint(1, 3),
+                cpu_millis=LONG_CPU_MILLIS,
+                memory_mb=100,
+                estimate_s=duration_s,
+            )
+        ]
+    payload = msgspec.json.encode(needs).decode()
     spec = StagedJobSpec(
         job_id, queue, payload, tuple(steps), time.time(), team=find_team(job_id)
     )
@@ -73,6 +97,8 @@
     promises : Promises
     keys : KeyRing
     queue : str
+    long_share : float
+        Part of the jobs that have long tasks.
     """
 
     def __init__(
@@ -86,6 +112,7 @@
         promises: Promises,
         keys: KeyRing,
         queue: str,
+        long_share: float,
     ) -> None:
         self._rng = random.Random(seed * 1000 + number)
         # Separate, so that the jobs of a seed do not depend on the keys.
@@ -96,6 +123,7 @@
         self._ledger = ledger
         self._promises = promises
         self._queue = queue
+        self._long_share = long_share
         self._open: list[JobRecord] = []
         self._stopped = threading.Event()
         self._thread = threading.Thread(
@@ -116,7 +144,8 @@
             if self._keys_rng.random() < PROBE_SHARE:
                 self._probe()
             if self._rng.random() < 0.5 or not self._open:
-                self._submit(draw_job(self._rng, self._queue))
+                record = draw_job(self._rng, self._queue, long_share=self._long_share)
+                self._submit(record)
             else:
                 self._ask(self._rng.choice(self._open))
 
--- a/packages/soak/src/papayadyke_soak/_promises.py
+++ b/packages/soak/src/papayadyke_soak/_promises.py
@@ -74,10 +74,10 @@
         self._max_attempts = max_attempts
         self._list_running = list_running
         self._lock = threading.RLock()
-        self._done: set[TaskId] = set()
         self._ever_done: set[TaskId] = set()
         self._noted_done: set[TaskId] = set()
-        self._started_after_done: set[TaskId] = set()
+        # Runs that ended done and are not noted, and what has started since.
+        self._starts_since: dict[tuple[TaskId, int], list[RunSeen]] = {}
         self._crashes: Counter[TaskId] = Counter()
         self._later_starts: Counter[TaskId] = Counter()
         self._failed: Counter[TaskId] = Counter()
@@ -108,9 +108,10 @@
             self._check_order(run, record.spec)
             self._check_crashes(run)
             if run.task in self._noted_done:
-                self._break("nothing starts again once it is done", run.task)
-            elif run.task in self._done:
-                self._started_after_done.add(run.task)
+                self._break("nothing starts again once it is done", _describe(run))
+            for (task, _), started in self._starts_since.items():
+                if run.task in self._group(task):
+                    started.append(run)
             if self._noted_failed[run.task] >= self._max_attempts:
                 self._break("no more attempts than allowed", run.task)
 
@@ -119,7 +120,7 @@
         with self._lock:
             self.counts[end] += 1
             if end is RunEnd.DONE:
-                self._done |= self._group(run.task)
+                self._starts_since[run.task, run.attempt] = []
                 self._ever_done |= self._group(run.task)
             elif end is RunEnd.FAILED:
                 self._failed[run.task] += 1
@@ -131,10 +132,10 @@
                 self._noted_failed[run.task] += 1
             if run.end is not RunEnd.DONE:
                 return
-            group = self._group(run.task)
-            self._noted_done |= group
-            for name in group & self._started_after_done:
-                self._break("nothing starts again once it is done", name)
+            self._noted_done |= self._group(run.task)
+            for later in self._starts_since.pop((run.task, run.attempt), []):
+                detail = f"{_describe(later)}, attempt {run.attempt} was done"
+                self._break("nothing starts again once it is done", detail)
 
     def crashed(self, running: list[RunSeen], unnoted: list[EndedRun]) -> None:
         """Count a crash, and discard ends that were lost in it unacknowledged."""
@@ -142,9 +143,7 @@
             self.counts["crashed"] += 1
             self._crashes.update(run.task for run in running)
             for run in unnoted:
-                if run.end is RunEnd.DONE and run.task not in self._noted_done:
-                    self._done -= self._group(run.task)
-                    self._started_after_done -= self._group(run.task)
+                self._starts_since.pop((run.task, run.attempt), None)
 
     def told(self, record: JobRecord, state: JobState) -> None:
         """Check a state that a caller received."""
@@ -212,7 +211,8 @@
     def _check_alone(self, run: RunSeen) -> None:
         for other in self._list_running():
             if other is not run and other.task == run.task:
-                self._break("a task runs once at a time", run.task)
+                detail = f"{_describe(run)} beside {_describe(other)}"
+                self._break("a task runs once at a time", detail)
 
     def _check_room(self, run: RunSeen) -> None:
         used = sum(
@@ -260,5 +260,13 @@
     return set().union(*(_list_step(spec, n) for n in range(len(spec.steps))))
 
 
+def _describe(run: RunSeen) -> str:
+    late = ", late" if run.is_late else ""
+    return (
+        f"{run.task} attempt {run.attempt} of term {run.token} on {run.upstream_id} "
+        f"ordered at {run.ordered_s:.2f} s{late}"
+    )
+
+
 def _read_needs(payload: str) -> Needs:
     return msgspec.json.decode(payload, type=Needs)
--- a/packages/soak/src/papayadyke_soak/_soak.py
+++ b/packages/soak/src/papayadyke_soak/_soak.py
@@ -18,7 +18,7 @@
     write_catalog,
 )
 from papayadyke_daemon.edge import read_clock, read_decider_vm
-from papayadyke_soak._faults import LENGTH_S, draw_faults
+from papayadyke_soak._faults import ALL_KINDS, LENGTH_S, FaultKind, draw_faults
 from papayadyke_soak._fleet import Fleet
 from papayadyke_soak._injector import Injector, Targets
 from papayadyke_soak._keys import TEAMS, KeyRing, find_team
@@ -32,6 +32,7 @@
 PREFIX = "/jobs/"
 CORES = 16  # of an upstream
 MAX_ATTEMPTS = 4
+LONG_SHARE = 0.05  # of the jobs, whose tasks outlast their lease
 CALLERS = 6
 START_S = 30.0  # seconds in which the VMs come up
 SETTLE_S = 60.0  # seconds in which all that was accepted must end after the faults
@@ -56,12 +57,18 @@
     processes : int
         VMs, each one process.
     upstreams : int
+    kinds : tuple of FaultKind
+        Kinds of faults; all by default.
+    long_share : float
+        Part of the jobs that have tasks which outlast their lease.
     """
 
     seed: int
     minutes: float = 1.0
     processes: int = 5
     upstreams: int = 6
+    kinds: tuple[FaultKind, ...] = ALL_KINDS
+    long_share: float = LONG_SHARE
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,7 +150,7 @@
         for vm in vms:
             vm.start()
         _wait_until(lambda: _serves(clients, keys), START_S, "no VM serves")
-        faults = draw_faults(random.Random(cfg.seed), cfg.minutes * 60)
+        faults = draw_faults(random.Random(cfg.seed), cfg.minutes * 60, cfg.kinds)
         targets = Targets(
             vms, fleet, store, lambda: _find_decider(store, vms), keys.change
         )
@@ -158,6 +165,7 @@
                 promises=promises,
                 keys=keys,
                 queue=QUEUE_HOST + PREFIX,
+                long_share=cfg.long_share,
             )
             for number in range(CALLERS)
         ]
--- a/packages/soak/src/papayadyke_soak/tests/test_fleet.py
+++ b/packages/soak/src/papayadyke_soak/tests/test_fleet.py
@@ -71,6 +71,11 @@
         time.sleep(0.01)
 
 
+def wait_for_later_life(member, born):
+    wait_until(lambda: member.server.incarnation > born)
+    return member.server.incarnation
+
+
 # A drain that had begun shortly before the end of the load never ended.
 def test_all_upstreams_are_of_use_once_the_fleet_has_settled(fleet, store):
     drained, shrunk = fleet.members
@@ -83,6 +88,33 @@
     assert [entry.cpu_millis for entry in entries] == [CORES * 1000] * 2
 
 
+def test_upstream_returns_under_its_id_behind_a_cut(fleet, store):
+    """Its entry has expired meanwhile, and is back after the cut."""
+    member = fleet.members[0]
+    name = member.server.upstream_id
+    born = member.server.incarnation
+    member.server.cut()
+    fleet.expire(member)
+    assert store.read(f"servers/{name}") is None
+    for _ in range(2):
+        # Of the others, each second one returns under another id.
+        fleet.crash(member, 0.1)
+        born = wait_for_later_life(member, born)
+        assert member.server.upstream_id == name
+    assert store.read(f"servers/{name}") is None
+    fleet.reconnect(member)
+    assert read_entry(store, member).incarnation == born
+
+
+def test_settled_fleet_is_not_cut_off(fleet, store):
+    member = fleet.members[0]
+    member.server.cut()
+    fleet.expire(member)
+    fleet.settle()
+    assert not member.server.is_cut
+    assert not read_entry(store, member).is_draining
+
+
 def test_capacity_that_has_shrunk_counts_once_it_is_settled(fleet):
     member = fleet.members[0]
     name = member.server.upstream_id
