Log what the stand-ins of upstreams do, and play a forgotten end

Cause: a violation named a start, and nothing told why the upstream had forgotten the end before it.

One more forced interleaving: a start and a poll without answers, both carried out in a life that nobody has called.

--- a/packages/soak/src/papayadyke_soak/_soak.py
+++ b/packages/soak/src/papayadyke_soak/_soak.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import itertools
+import logging
 import os
 import random
 import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -99,13 +101,18 @@
     ----------
     cfg : SoakSettings
     directory : Path
-        Gets settings files and logs of the VMs.
+        Gets settings files and logs of the VMs, and the log of the upstreams.
 
     Raises
     ------
     TimeoutError
         If the VMs do not come up.
     """
+    with _log_upstreams(directory):
+        return _run(cfg, directory)
+
+
+def _run(cfg: SoakSettings, directory: Path) -> SoakReport:
     store = StoreServer(threads=16 + STORE_THREADS_A_VM * cfg.processes, seed=cfg.seed)
     store_port = store.start()
     advisory = AdvisoryServer()
@@ -198,6 +205,25 @@
     )
 
 
+@contextmanager
+def _log_upstreams(directory: Path) -> Iterator[None]:
+    """Log what the upstreams observe, with Unix times as in the logs of the VMs."""
+    logger = logging.getLogger("papayadyke_adapter_standins")
+    handler = logging.FileHandler(directory / "upstreams.log")
+    handler.setFormatter(logging.Formatter("%(created).3f %(message)s"))
+    logger.addHandler(handler)
+    level, propagates = logger.level, logger.propagate
+    logger.setLevel(logging.INFO)
+    logger.propagate = False
+    try:
+        yield
+    finally:
+        logger.setLevel(level)
+        logger.propagate = propagates
+        logger.removeHandler(handler)
+        handler.close()
+
+
 def _make_vm(
     number: int, loop: ProxyLoop, store_port: int, advisory_port: int, directory: Path
 ) -> VmProcess:
--- a/packages/soak/src/papayadyke_soak/tests/test_upstream_lives.py
+++ b/packages/soak/src/papayadyke_soak/tests/test_upstream_lives.py
@@ -262,3 +262,19 @@
     world.restart("a")
     world.run(10.0)
     check(world)
+
+
+# A start and a poll without answers were both carried out behind a cut, in a life that
+# nobody had called; the poll forgot the end of the run, which was started again.
+def test_end_in_a_life_that_nobody_has_called_is_not_forgotten(world):
+    world.submit(JOB, SHORT_S, count=3)
+    world.run(2.0)
+    assert world.read_state(JOB) is JobState.COMPLETE
+    world.delays["a", POLL] = [5.0]
+    world.delays["a", START] = [3.0]
+    world.submit(LATER_JOB, SHORT_S)
+    world.run_until(lambda: not world.delays["a", START])
+    world.servers["a"].cut()
+    world.servers["a"].crash(down_s=0.6)
+    world.run(6.0)
+    check(world)
