--- a/packages/clients/src/papayadyke_clients/http/_exchange.py
+++ b/packages/clients/src/papayadyke_clients/http/_exchange.py
@@ -20,6 +20,8 @@
 KEEPALIVE_IDLE_S = 5
 KEEPALIVE_INTERVAL_S = 2
 KEEPALIVE_PROBES = 3
+# Connections in a row that a server closes after its response if it keeps none.
+CLOSED_IN_ROW = 3
 
 SOCKET_OPTIONS: list[tuple[int, int, int | bytes]] = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -98,7 +100,7 @@
         self.connect_timeout_s = connect_timeout_s
         self._socket_options = SOCKET_OPTIONS + RESET_ON_CLOSE * resets_on_close
         self._idle: list[HTTPConnection] = []
-        self._keeps_connections = True
+        self._closed_in_row = 0
         self._lock = threading.Lock()
 
     def send(
@@ -126,7 +128,7 @@
             closes each connection.
         """
         conn = self._acquire()
-        if reuses_connection and conn.sock is None and self._keeps_connections:
+        if reuses_connection and conn.sock is None and not self._is_closed_each_time:
             return Err(ExchangeError(False, "ConnectionClosed"))
         try:
             if conn.sock is None:
@@ -150,10 +152,15 @@
     def is_connected(self) -> bool:
         """Return whether a connection is idle, or the server closes each one."""
         with self._lock:
-            return not self._keeps_connections or any(
+            return self._is_closed_each_time or any(
                 conn.is_connected for conn in self._idle
             )
 
+    @property
+    def _is_closed_each_time(self) -> bool:
+        """Whether the server keeps no connection; one that stops closes its last."""
+        return self._closed_in_row >= CLOSED_IN_ROW
+
     def drop_idle(self) -> None:
         """Close the idle connections."""
         with self._lock:
@@ -175,10 +182,11 @@
             conn.close()
 
     def _release(self, conn: HTTPConnection, connection_header: str) -> None:
-        self._keeps_connections = connection_header.lower() != "close"
-        if not self._keeps_connections:
+        if connection_header.lower() == "close":
+            self._closed_in_row += 1
             conn.close()
             return
+        self._closed_in_row = 0
         with self._lock:
             if len(self._idle) < self.kept:
                 self._idle.append(conn)
--- a/packages/daemon/src/papayadyke_daemon/edge/_agents.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_agents.py
@@ -212,6 +212,9 @@
             is_fenced = self._fence.meet(incarnation)
             self.acknowledged_end = 0
         self._is_reached = False
+        if not is_fenced:
+            # Orders for the former incarnation are not sent from here on.
+            self._callbacks.on_contact_lost(self.upstream_id, "restarted")
         return is_fenced
 
     def _process_report(self, report: UpstreamReport) -> float:
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_upstream_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_upstream_agent.py
@@ -76,6 +76,7 @@
         self.client = FakeClient()
         self.outcomes = []
         self.reports: list[UpstreamReport] = []
+        self.losses: list[str] = []
         self.answered = threading.Event()
         self.stop_accepted = threading.Event()
         self.may_issue = True
@@ -89,7 +90,7 @@
             callbacks=AgentCallbacks(
                 may_issue_orders=lambda: self.may_issue,
                 on_report=lambda name, report: self.reports.append(report),
-                on_contact_lost=lambda name, why: None,
+                on_contact_lost=lambda name, why: self.losses.append(why),
                 on_start_outcome=self._record_outcome,
                 on_stop_acknowledged=lambda order: self.stop_accepted.set(),
                 before_lease=before_lease,
@@ -190,6 +191,8 @@
     running.client.incarnation = 2
     running.agent.poll_once()
     assert [report.incarnation for report in running.reports] == [1]
+    # Orders that are not sent must not be given again and again.
+    assert running.losses == ["restarted"]
     running.agent.poll_once()
     assert [report.incarnation for report in running.reports] == [1, 2]
     assert running.client.polls[-1] == (1, 0, None)
--- a/packages/soak/src/papayadyke_soak/_soak.py
+++ b/packages/soak/src/papayadyke_soak/_soak.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import itertools
+import logging
 import os
 import random
 import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -18,7 +20,7 @@
     write_catalog,
 )
 from papayadyke_daemon.edge import read_clock, read_decider_vm
-from papayadyke_soak._faults import LENGTH_S, draw_faults
+from papayadyke_soak._faults import ALL_KINDS, LENGTH_S, FaultKind, draw_faults
 from papayadyke_soak._fleet import Fleet
 from papayadyke_soak._injector import Injector, Targets
 from papayadyke_soak._keys import TEAMS, KeyRing, find_team
@@ -32,6 +34,7 @@
 PREFIX = "/jobs/"
 CORES = 16  # of an upstream
 MAX_ATTEMPTS = 4
+LONG_SHARE = 0.05  # of the jobs, whose tasks outlast their lease
 CALLERS = 6
 START_S = 30.0  # seconds in which the VMs come up
 SETTLE_S = 60.0  # seconds in which all that was accepted must end after the faults
@@ -56,12 +59,18 @@
     processes : int
         VMs, each one process.
     upstreams : int
+    kinds : tuple of FaultKind
+        Kinds of faults; all by default.
+    long_share : float
+        Part of the jobs that have tasks which outlast their lease.
     """
 
     seed: int
     minutes: float = 1.0
     processes: int = 5
     upstreams: int = 6
+    kinds: tuple[FaultKind, ...] = ALL_KINDS
+    long_share: float = LONG_SHARE
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,13 +101,18 @@
     ----------
     cfg : SoakSettings
     directory : Path
-        Gets settings files and logs of the VMs.
+        Gets settings files and logs of the VMs, and the log of the upstreams.
 
     Raises
     ------
     TimeoutError
         If the VMs do not come up.
     """
+    with _log_upstreams(directory):
+        return _run(cfg, directory)
+
+
+def _run(cfg: SoakSettings, directory: Path) -> SoakReport:
     store = StoreServer(threads=16 + STORE_THREADS_A_VM * cfg.processes, seed=cfg.seed)
     store_port = store.start()
     advisory = AdvisoryServer()
@@ -143,7 +157,7 @@
         for vm in vms:
             vm.start()
         _wait_until(lambda: _serves(clients, keys), START_S, "no VM serves")
-        faults = draw_faults(random.Random(cfg.seed), cfg.minutes * 60)
+        faults = draw_faults(random.Random(cfg.seed), cfg.minutes * 60, cfg.kinds)
         targets = Targets(
             vms, fleet, store, lambda: _find_decider(store, vms), keys.change
         )
@@ -158,6 +172,7 @@
                 promises=promises,
                 keys=keys,
                 queue=QUEUE_HOST + PREFIX,
+                long_share=cfg.long_share,
             )
             for number in range(CALLERS)
         ]
@@ -190,6 +205,25 @@
     )
 
 
+@contextmanager
+def _log_upstreams(directory: Path) -> Iterator[None]:
+    """Log what the upstreams observe, with Unix times as in the logs of the VMs."""
+    logger = logging.getLogger("papayadyke_adapter_standins")
+    handler = logging.FileHandler(directory / "upstreams.log")
+    handler.setFormatter(logging.Formatter("%(created).3f %(message)s"))
+    logger.addHandler(handler)
+    level, propagates = logger.level, logger.propagate
+    logger.setLevel(logging.INFO)
+    logger.propagate = False
+    try:
+        yield
+    finally:
+        logger.setLevel(level)
+        logger.propagate = propagates
+        logger.removeHandler(handler)
+        handler.close()
+
+
 def _make_vm(
     number: int, loop: ProxyLoop, store_port: int, advisory_port: int, directory: Path
 ) -> VmProcess:
