--- a/packages/core/src/papayadyke_core/dispatch/_unanswered.py
+++ b/packages/core/src/papayadyke_core/dispatch/_unanswered.py
@@ -32,7 +32,7 @@
     until_s : float
         Time after which none of them is carried out.
     attempts : set of int
-        Attempts that have not been seen; empty if they are unknown.
+        Attempts that no list has named; 0 stands for one of an earlier decider.
     """
 
     upstream_id: str | None
