Believe that a task has not run only in the boot of the upstream that got its start

A start whose answer is lost is resolved at its upstream. If the upstream had restarted in between, it answered that it never saw the start, although the task had run before the restart. Attempts that a crash had ended did not count.

Ruled out: a late start in the next boot (its token is older than the restart, and it is refused), and the direct answers to starts (each belongs to the one delivery of that start).

The upstream sends its boot id with the answer to `resolve`, and the permit of a start holds that of its session. If they differ, the outcome is `Restarted`: the task may have run, runs no longer and can't start any more. A request gets `may_have_run` at once, or another attempt if its workload is idempotent. A task of a job ends as `LAPSED`. Resolving by another VM, which does not know the boot of the start, is as before.

Tests that resolve pass the boot id.

--- a/packages/clients/src/papayadyke_clients/upstream/__init__.py
+++ b/packages/clients/src/papayadyke_clients/upstream/__init__.py
@@ -6,12 +6,14 @@
     Failed,
     Lost,
     NotStarted,
+    Restarted,
     Running,
     Stopped,
     TaskCall,
     UpstreamClient,
 )
 from papayadyke_clients.upstream._messages import (
+    BOOT_HEADER,
     OUTCOME_HEADER,
     START_HEADER,
     EndsReport,
@@ -26,6 +28,7 @@
 )
 
 __all__ = [
+    "BOOT_HEADER",
     "OUTCOME_HEADER",
     "START_HEADER",
     "Answered",
@@ -35,6 +38,7 @@
     "Lost",
     "NotStarted",
     "OpenMessage",
+    "Restarted",
     "Running",
     "RunningTaskMessage",
     "SessionRefused",
--- a/packages/clients/src/papayadyke_clients/upstream/_client.py
+++ b/packages/clients/src/papayadyke_clients/upstream/_client.py
@@ -11,6 +11,7 @@
 
 from papayadyke_clients.http import HttpExchange, HttpReply
 from papayadyke_clients.upstream._messages import (
+    BOOT_HEADER,
     OUTCOME_HEADER,
     START_HEADER,
     EndsReport,
@@ -87,6 +88,14 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class Restarted:
+    """The upstream has restarted since the start, as far as is known.
+
+    The task may have run, is not running and never will be started under this id.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class Running:
     """The task is running."""
@@ -99,7 +108,7 @@
     detail: str
 
 
-CallResult = Answered | Failed | Stopped | NotStarted | Running | Lost
+CallResult = Answered | Failed | Stopped | NotStarted | Restarted | Running | Lost
 
 
 class UpstreamClient:
@@ -217,15 +226,19 @@
             return None
         return _decode(result.ok_value.body, EndsReport).ok()
 
-    def resolve(self, task_id: str, *, wait_s: float = 0.0) -> CallResult:
+    def resolve(self, task_id: str, *, boot_id: str, wait_s: float = 0.0) -> CallResult:
         """Query the outcome of a start, on a new connection.
 
         If the upstream has not received the start, it refuses the start from then
-        on, so that `NotStarted` is final.
+        on, so that `NotStarted` is final. An upstream that has restarted does not
+        know whether it had received the start before.
 
         Parameters
         ----------
         task_id : str
+        boot_id : str
+            Boot id of the upstream in the session of the start; empty if it is
+            unknown.
         wait_s : float, default=0.0
             Longest wait of the upstream for a running task to end, in seconds.
         """
@@ -235,9 +248,14 @@
             f"/tasks/{task_id}/resolve?wait_s={wait_s:.3f}",
             timeout_s=CONTROL_TIMEOUT_S + wait_s,
         )
-        if isinstance(result, Ok):
-            return _parse_outcome(result.ok_value)
-        return Lost(result.err_value.detail)
+        if isinstance(result, Err):
+            return Lost(result.err_value.detail)
+        outcome = _parse_outcome(result.ok_value)
+        answered_boot_id = result.ok_value.headers.get(BOOT_HEADER, "")
+        is_same_boot = boot_id != "" and answered_boot_id == boot_id
+        if isinstance(outcome, NotStarted) and not is_same_boot:
+            return Restarted()
+        return outcome
 
     def stop(self, task_id: str, *, way: str = "stop") -> bool:
         """Stop, checkpoint or throttle a task; return whether the upstream confirmed.
--- a/packages/clients/src/papayadyke_clients/upstream/_messages.py
+++ b/packages/clients/src/papayadyke_clients/upstream/_messages.py
@@ -25,6 +25,8 @@
 
 START_HEADER = "Task-Start"
 OUTCOME_HEADER = "Task-Outcome"
+# Boot id of the upstream that resolved a task.
+BOOT_HEADER = "Boot-Id"
 
 
 class StartMessage(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/packages/core/src/papayadyke_core/jobs/_types.py
+++ b/packages/core/src/papayadyke_core/jobs/_types.py
@@ -16,7 +16,8 @@
     `NOT_STARTED`: it certainly never ran and never will. `STOPPED`: it ran, was
     stopped and no longer runs. `LOST`: it may be running. `RUNNING`: the upstream
     reported it as running; it is polled until it ends. `LAPSED`: nothing is known
-    of it, and its lease has expired, with margin, so it no longer runs.
+    of it, and it no longer runs: its lease has expired, with margin, or its upstream
+    has restarted.
     """
 
     ANSWERED = "answered"
--- a/packages/core/src/papayadyke_core/ownership/_gate.py
+++ b/packages/core/src/papayadyke_core/ownership/_gate.py
@@ -41,12 +41,15 @@
         this long.
     upstream_now_s : float
         Clock of the upstream at the time of the grant, in seconds.
+    boot_id : str, default=""
+        Changes when the upstream restarts; empty if it is unknown.
     """
 
     token: int
     epoch: int
     ttl_s: float
     upstream_now_s: float
+    boot_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/papayadyke_core/ownership/_session.py
+++ b/packages/core/src/papayadyke_core/ownership/_session.py
@@ -32,6 +32,7 @@
     renew_at_s: float
     received_s: float
     upstream_now_s: float
+    boot_id: str
 
 
 class Session:
@@ -121,7 +122,7 @@
             1 - self.settings.max_clock_drift
         )
         self._in_flight_until_s = max(self._in_flight_until_s, refused_after_s)
-        return StartPermit(lease.token, start_before_s, refused_after_s)
+        return StartPermit(lease.token, start_before_s, refused_after_s, lease.boot_id)
 
     def unanswered_s(self, now: float) -> float:
         """Return the seconds for which the upstream has left requests unanswered."""
@@ -251,6 +252,7 @@
             renew_at_s=request.sent_s + valid_for_s * RENEW_FRACTION,
             received_s=now,
             upstream_now_s=answer.upstream_now_s,
+            boot_id=answer.boot_id,
         )
         self._next_attempt_s = now
         return previous_token != answer.token
--- a/packages/core/src/papayadyke_core/ownership/_session_types.py
+++ b/packages/core/src/papayadyke_core/ownership/_session_types.py
@@ -90,8 +90,11 @@
         Time on the clock of the owner, in seconds, from which the upstream is
         certain to refuse the start if it has not received it yet, whatever the
         clock drift and the network delay.
+    boot_id : str, default=""
+        Boot id of the upstream that granted the session; empty if it is unknown.
     """
 
     token: int
     start_before_s: float
     refused_after_s: float
+    boot_id: str = ""
--- a/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
@@ -411,6 +411,7 @@
         epoch=report.epoch,
         ttl_s=report.ttl_s,
         upstream_now_s=report.clock_s,
+        boot_id=report.boot_id,
     )
 
 
--- a/packages/daemon/src/papayadyke_daemon/fleet/_fleet.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_fleet.py
@@ -79,15 +79,23 @@
         """Return the names of all upstreams of the zone."""
         return list(self.upstreams)
 
-    def resolve(self, name: str, task_id: str) -> CallResult:
-        """Query the outcome of a task at any upstream of the zone."""
+    def resolve(self, name: str, task_id: str, *, boot_id: str) -> CallResult:
+        """Query the outcome of a task at any upstream of the zone.
+
+        Parameters
+        ----------
+        name, task_id : str
+        boot_id : str
+            Boot id of the upstream in the session of the start; empty if it is
+            unknown.
+        """
         upstream = self.upstreams.get(name)
         if upstream is None:
             return Lost(f"no upstream {name} in this zone")
         address = upstream.address
         client = UpstreamClient(address.host, address.port, connections=1)
         try:
-            return client.resolve(task_id)
+            return client.resolve(task_id, boot_id=boot_id)
         finally:
             client.close()
 
--- a/packages/daemon/src/papayadyke_daemon/serving/_run.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/_run.py
@@ -17,6 +17,7 @@
     Failed,
     Lost,
     NotStarted,
+    Restarted,
     Running,
     Stopped,
     TaskCall,
@@ -237,7 +238,7 @@
         call = self._make_call(order, permit, placed)
         outcome = agent.client.run(call, timeout_s=min(limit_s, RESOLVE_AFTER_S))
         if isinstance(outcome, Lost):
-            outcome = self._resolve(agent, call, resolve_until_s)
+            outcome = self._resolve(agent, call, permit.boot_id, resolve_until_s)
         if isinstance(outcome, NotStarted):
             agent.record_start_refusal(permit.token, outcome.detail)
         return outcome
@@ -258,13 +259,17 @@
         )
 
     def _resolve(
-        self, agent: UpstreamAgent, call: TaskCall, resolve_until_s: float
+        self,
+        agent: UpstreamAgent,
+        call: TaskCall,
+        boot_id: str,
+        resolve_until_s: float,
     ) -> CallResult:
         """Query the outcome of a start that got no answer on its connection."""
         outcome: CallResult = Lost("not resolved")
         while True:
             wait_s = min(max(resolve_until_s - self.clock(), 0.0), RESOLVE_WAIT_S)
-            outcome = agent.client.resolve(call.task_id, wait_s=wait_s)
+            outcome = agent.client.resolve(call.task_id, boot_id=boot_id, wait_s=wait_s)
             if not isinstance(outcome, Running | Lost):
                 # A new connection got the answer that the old ones did not.
                 agent.client.replace_connections()
@@ -275,7 +280,9 @@
                 time.sleep(RESOLVE_PAUSE_S)
         if isinstance(outcome, Running):
             agent.client.stop(call.task_id)
-            outcome = agent.client.resolve(call.task_id, wait_s=STOP_GRACE_S)
+            outcome = agent.client.resolve(
+                call.task_id, boot_id=boot_id, wait_s=STOP_GRACE_S
+            )
         if isinstance(outcome, Running | Lost):
             agent.track_unresolved(call.task_id, call.start_before_s)
             return Lost("no answer about the task")
@@ -303,10 +310,14 @@
         if isinstance(outcome, Stopped):
             self.loop.send(Finish(task_id, Outcome.STOPPED, progress.run_s))
             return self._conclude_stopped(progress)
-        self.loop.send(Finish(task_id, Outcome.FAILED, progress.run_s))
         progress.avoid = (*progress.avoid, progress.upstream)
-        assert isinstance(outcome, Failed)
-        refusal = refusals.refuse_failed(progress.upstream, outcome.detail)
+        if isinstance(outcome, Restarted):
+            self.loop.send(Finish(task_id, Outcome.LOST, progress.run_s))
+            refusal = refusals.refuse_lost(progress.upstream)
+        else:
+            assert isinstance(outcome, Failed)
+            self.loop.send(Finish(task_id, Outcome.FAILED, progress.run_s))
+            refusal = refusals.refuse_failed(progress.upstream, outcome.detail)
         if not progress.workload.idempotent:
             return Err(refusal)
         return self._retry_or_refuse(progress, refusal)
--- a/packages/daemon/src/papayadyke_daemon/serving/_tasks.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/_tasks.py
@@ -14,6 +14,7 @@
     Failed,
     Lost,
     NotStarted,
+    Restarted,
     Running,
     Stopped,
     TaskCall,
@@ -38,6 +39,7 @@
     Answered: TaskResult.ANSWERED,
     Failed: TaskResult.FAILED,
     NotStarted: TaskResult.NOT_STARTED,
+    Restarted: TaskResult.LAPSED,
     Stopped: TaskResult.STOPPED,
     Running: TaskResult.RUNNING,
     Lost: TaskResult.LOST,
@@ -47,6 +49,7 @@
     TaskResult.FAILED: Outcome.FAILED,
     TaskResult.NOT_STARTED: Outcome.NOT_STARTED,
     TaskResult.STOPPED: Outcome.STOPPED,
+    TaskResult.LAPSED: Outcome.LOST,
 }
 
 
@@ -58,6 +61,7 @@
     spec: TaskSpec
     on_done: OnDone
     placed: Placed | None = None
+    boot_id: str = ""
     authorization_requested_s: float = 0.0
     started_s: float = 0.0
     is_started: bool = False
@@ -212,6 +216,7 @@
             self._post_result(attempt, NotStarted("the session has ended"))
             return
         task_id = attempt.spec.task_id
+        attempt.boot_id = permit.boot_id
         call = TaskCall(
             task_id=task_id,
             request_id=f"{attempt.order.job_id}.{attempt.spec.index}",
@@ -224,7 +229,9 @@
         )
         outcome = agent.client.start(call)
         if isinstance(outcome, Lost):
-            outcome = agent.client.resolve(task_id, wait_s=RESOLVE_WAIT_S)
+            outcome = agent.client.resolve(
+                task_id, boot_id=permit.boot_id, wait_s=RESOLVE_WAIT_S
+            )
         if isinstance(outcome, Lost):
             # The reservation stays until the task neither runs nor can start.
             agent.track_unresolved(placed.start.task_id, call.start_before_s)
@@ -261,10 +268,12 @@
         agent = self.fleet.find(placed.start.upstream)
         outcome: CallResult = Lost("the upstream is another VM's")
         if agent is not None:
-            outcome = agent.client.resolve(attempt.spec.task_id)
+            outcome = agent.client.resolve(
+                attempt.spec.task_id, boot_id=attempt.boot_id
+            )
         if isinstance(outcome, Running):
             outcome = Lost("it runs on without a session")
-        if isinstance(outcome, NotStarted):
+        if isinstance(outcome, NotStarted | Restarted):
             # It was running there, so the upstream has restarted since.
             outcome = Failed("the upstream has restarted")
         self._mailbox.post(lambda: self._end_attempt(attempt, outcome))
@@ -322,8 +331,8 @@
     def _resolve_at(self, task_id: str, names: Iterable[str], on_done: OnDone) -> None:
         outcome: CallResult = NotStarted("no upstream has seen it")
         for name in names:
-            reported = self.fleet.resolve(name, task_id)
-            if not isinstance(reported, NotStarted | Lost):
+            reported = self.fleet.resolve(name, task_id, boot_id="")
+            if not isinstance(reported, NotStarted | Restarted | Lost):
                 on_done(_make_done(task_id, reported, name))
                 return
             if isinstance(reported, Lost):
--- a/packages/daemon/src/papayadyke_daemon/serving/tests/test_refused_starts.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/tests/test_refused_starts.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from papayadyke_clients.upstream import Failed, Lost, NotStarted, Running
+from papayadyke_clients.upstream import Failed, Lost, NotStarted, Restarted, Running
 from papayadyke_core.jobs import TaskOrder, TaskResult, TaskSpec
 from papayadyke_core.ownership import StartPermit
 from papayadyke_core.resources import Resources
@@ -53,7 +53,7 @@
         self.client = SimpleNamespace(
             run=lambda call, *, timeout_s: outcome,
             start=lambda call: outcome,
-            resolve=lambda task_id, *, wait_s=0.0: resolved,
+            resolve=lambda task_id, *, boot_id, wait_s=0.0: resolved,
             replace_connections=lambda: None,
         )
 
@@ -142,7 +142,10 @@
 
 # A task that crashed its upstream was told to have never run, and was started again
 # without counting: an upstream that has restarted knows nothing of its tasks.
-def test_running_task_that_its_upstream_no_longer_knows_has_failed():
-    agent = FakeAgent(Running(), resolved=NotStarted("resolved as never started"))
+@pytest.mark.parametrize(
+    "resolved", [NotStarted("resolved as never started"), Restarted()]
+)
+def test_running_task_that_its_upstream_no_longer_knows_has_failed(resolved):
+    agent = FakeAgent(Running(), resolved=resolved)
     (done,) = run_task(agent)
     assert done.result is TaskResult.FAILED
--- a/packages/standins/src/papayadyke_standins/upstream/_server.py
+++ b/packages/standins/src/papayadyke_standins/upstream/_server.py
@@ -7,6 +7,7 @@
 import urllib.parse
 import uuid
 from collections.abc import Callable
+from dataclasses import replace
 
 import msgspec
 
@@ -18,6 +19,7 @@
     HttpServer,
 )
 from papayadyke_clients.upstream import (
+    BOOT_HEADER,
     OUTCOME_HEADER,
     START_HEADER,
     OpenMessage,
@@ -221,9 +223,11 @@
     def _resolve(self, task_id: str, wait_s: float) -> HttpAnswer:
         task = self.registry.resolve(task_id, self.clock())
         if task is None:
-            return _answer_end(TaskEnd.NOT_STARTED, b"resolved as never started")
-        task.ended.wait(min(wait_s, MAX_WAIT_S))
-        return self._answer_task(task)
+            answer = _answer_end(TaskEnd.NOT_STARTED, b"resolved as never started")
+        else:
+            task.ended.wait(min(wait_s, MAX_WAIT_S))
+            answer = self._answer_task(task)
+        return replace(answer, headers={**answer.headers, BOOT_HEADER: self.boot_id})
 
     def _start(self, req: HttpRequest, task_id: str) -> HttpAnswer:
         header = req.headers.get(START_HEADER.lower(), "")
--- a/packages/standins/src/papayadyke_standins/upstream/tests/test_upstream_standin.py
+++ b/packages/standins/src/papayadyke_standins/upstream/tests/test_upstream_standin.py
@@ -10,6 +10,7 @@
     Lost,
     NotStarted,
     OpenMessage,
+    Restarted,
     Running,
     Stopped,
     TaskCall,
@@ -108,16 +109,40 @@
 
 def test_task_resolved_as_never_started_cannot_start_later(client):
     report = open_session(client).unwrap()
-    assert isinstance(client.resolve("r1/0/1"), NotStarted)
+    assert isinstance(client.resolve("r1/0/1", boot_id=report.boot_id), NotStarted)
     outcome = client.run(make_call(report), timeout_s=LONG_S)
     assert outcome == NotStarted("resolved_before")
 
 
+# Each start of a former life was told to have never been received.
+@pytest.mark.parametrize("has_run", [False, True])
+def test_restarted_upstream_does_not_know_the_starts_of_its_former_life(has_run):
+    former = UpstreamStandin(SPEC)
+    former.start()
+    client = UpstreamClient(*former.address, connections=4)
+    report = open_session(client).unwrap()
+    if has_run:
+        assert isinstance(client.run(make_call(report), timeout_s=LONG_S), Answered)
+    client.close()
+    former.stop()
+    restarted = UpstreamStandin(SPEC)
+    restarted.start()
+    client = UpstreamClient(*restarted.address, connections=4)
+    try:
+        assert client.resolve("r1/0/1", boot_id=report.boot_id) == Restarted()
+        assert client.resolve("r1/0/1", boot_id="") == Restarted()
+        outcome = client.resolve("r1/0/1", boot_id=restarted.boot_id)
+        assert isinstance(outcome, NotStarted)
+    finally:
+        client.close()
+        restarted.stop()
+
+
 def test_resolving_returns_a_lost_answer(client, upstream):
     report = open_session(client).unwrap()
     upstream.order_faults(Faults(lose_answers=True))
     assert isinstance(client.run(make_call(report), timeout_s=LONG_S), Lost)
-    assert isinstance(client.resolve("r1/0/1"), Answered)
+    assert isinstance(client.resolve("r1/0/1", boot_id=report.boot_id), Answered)
 
 
 def test_new_connection_works_after_an_old_one_goes_silent(client, upstream):
@@ -125,14 +150,14 @@
     client.run(make_call(report, "r0/0/1"), timeout_s=LONG_S)
     upstream.order_faults(Faults(silent_old=True))
     assert isinstance(client.run(make_call(report), timeout_s=SHORT_S), Lost)
-    assert isinstance(client.resolve("r1/0/1"), NotStarted)
+    assert isinstance(client.resolve("r1/0/1", boot_id=report.boot_id), NotStarted)
 
 
 def test_running_task_is_listed_and_reported_stopped_after_a_stop(client, upstream):
     report = open_session(client).unwrap()
     with run_in_background(client, make_call(report, work_s=LONG_S)) as results:
         wait_until(upstream.registry.list_running)
-        assert isinstance(client.resolve("r1/0/1"), Running)
+        assert isinstance(client.resolve("r1/0/1", boot_id=report.boot_id), Running)
         renewed = client.renew(report.token).unwrap()
         assert [task.task_id for task in renewed.running] == ["r1/0/1"]
         assert client.stop("r1/0/1")
@@ -193,7 +218,7 @@
         wait_until(upstream.registry.list_running)
         assert client.stop("r1/0/1", way="throttle")
         assert upstream.registry.find("r1/0/1").throttle > 1.0
-        assert isinstance(client.resolve("r1/0/1"), Running)
+        assert isinstance(client.resolve("r1/0/1", boot_id=report.boot_id), Running)
         client.stop("r1/0/1")
 
 
