Log the boot of the upstream with the intent of a start

A successor asks the upstream that the log names for the outcome of a task. An upstream that had restarted since the start answered that it never saw it, and a task that must run once ran twice: the new test got an answer from the second run. The owner of the job asked in the same way about a start that had no answer. `Restarted` was taken for "not started" there, as the boot of the start was not known.

Ruled out: the tombstone (it refuses late starts, and says nothing of former boots) and the lease, which a resolved attempt does not wait for.

The intent of a start holds the boot id of the session under which it was decided, and the question for its outcome has it too. With another boot id the attempt ends as `LAPSED`: `may_have_run`, or another attempt if the workload is idempotent. A start that was not sent is still found to have never run, if the upstream has not restarted. Attempts whose upstream is not in the log, keys and intents of earlier versions are as before.

Fakes of tests and of a benchmark take the additional argument.

--- a/benchmarks/journal.py
+++ b/benchmarks/journal.py
@@ -49,7 +49,7 @@
             find_workload=WORKLOADS.get,
             submit_task=self._run,
             stop_task=lambda task_id: None,
-            resolve_task=lambda task_id, upstream, on_done: None,
+            resolve_task=lambda task_id, upstream, boot_id, on_done: None,
         )
         self.jobs = JobService(self.journal, JobSettings(append_wait_s=10.0), hooks)
         self.journal.start()
@@ -67,7 +67,10 @@
         done = TaskDone(task.task_id, TaskResult.ANSWERED, answer)
         refused = TaskDone(task.task_id, TaskResult.NOT_STARTED)
         self.jobs.authorize_start(
-            task.task_id, "u1", lambda allowed: on_done(done if allowed else refused)
+            task.task_id,
+            "u1",
+            "b1",
+            lambda allowed: on_done(done if allowed else refused),
         )
 
     def stop(self):
--- a/packages/core/src/papayadyke_core/jobs/_job.py
+++ b/packages/core/src/papayadyke_core/jobs/_job.py
@@ -89,6 +89,7 @@
             task.logged_attempt = entry.attempt
             task.logged_starts += 1
             task.upstream = entry.upstream
+            task.boot_id = entry.boot_id
         elif isinstance(entry, TaskEnded):
             task = self.tasks[entry.index]
             check(task.outcome in (None, entry), "final outcome changed")
@@ -175,6 +176,7 @@
         now_s: float,
         *,
         is_owner: bool,
+        boot_id: str = "",
     ) -> Authorization:
         """Decide whether a placed attempt may be sent to its upstream.
 
@@ -187,6 +189,9 @@
         is_owner : bool
             Whether this VM has recent proof that it owns the partition. Without
             it, no attempt starts before its intent is in the log.
+        boot_id : str, default=""
+            Boot id of the upstream in the session of the start; empty if it is
+            unknown.
         """
         task = self._find_latest_attempt(index, attempt)
         if task is None or task.attempt_state is not AttemptState.ORDERED:
@@ -194,7 +199,8 @@
         if task.stop_requested or self._stop_reason(now_s) is not None:
             return _DENIED
         task.upstream = upstream
-        entry = TaskIntended(self.id, index, attempt, upstream)
+        task.boot_id = boot_id
+        entry = TaskIntended(self.id, index, attempt, upstream, boot_id)
         is_first = attempt == first_attempt_number(self.accepted.epoch)
         if is_owner and is_first and self.accepted.idempotent:
             task.mark_started()
@@ -307,6 +313,7 @@
                 task.attempt,
                 task.upstream,
                 task.unresolved_since_s,
+                task.boot_id,
             )
             for task in self.tasks
             if task.attempt_state is AttemptState.UNRESOLVED
--- a/packages/core/src/papayadyke_core/jobs/_task.py
+++ b/packages/core/src/papayadyke_core/jobs/_task.py
@@ -58,6 +58,8 @@
         Number of attempts that ran and ended without an answer.
     upstream : str or None
         Upstream of the latest attempt, if it is known.
+    boot_id : str, default=""
+        Boot id of that upstream in the session of the start; empty if it is unknown.
     unresolved_since_s : float, default=0.0
         Log time in seconds at which an unresolved attempt was lost, or last
         reported as running.
@@ -83,6 +85,7 @@
     starts: int = 0
     failures: int = 0
     upstream: str | None = None
+    boot_id: str = ""
     unresolved_since_s: float = 0.0
     not_before_s: float = 0.0
     stop_requested: bool = False
@@ -130,6 +133,7 @@
         self.stop_requested = False
         self.attempt_end = None
         self.upstream = None
+        self.boot_id = ""
 
     def mark_started(self) -> None:
         """Record that the latest attempt may run from now on."""
@@ -151,7 +155,9 @@
         )
         ran = attempt_end.result is not TaskResult.NOT_STARTED
         check(not (never_authorized and ran), "attempt ran without authorization")
-        self.upstream = attempt_end.upstream or self.upstream
+        if attempt_end.upstream not in (None, self.upstream):
+            self.upstream = attempt_end.upstream
+            self.boot_id = ""
         if attempt_end.result in (TaskResult.LOST, TaskResult.RUNNING):
             is_running = attempt_end.result is TaskResult.RUNNING
             if is_running or self.attempt_state is not AttemptState.UNRESOLVED:
--- a/packages/core/src/papayadyke_core/jobs/_types.py
+++ b/packages/core/src/papayadyke_core/jobs/_types.py
@@ -108,13 +108,26 @@
 
 @dataclass(frozen=True, slots=True)
 class UnresolvedTask:
-    """An attempt that may be running, and its upstream, if that is known."""
+    """An attempt that may be running, and its upstream, if that is known.
+
+    Parameters
+    ----------
+    task_id : str
+    index : int
+    attempt : int
+    upstream : str or None
+    unresolved_since_s : float
+        Log time in seconds.
+    boot_id : str, default=""
+        Boot id of the upstream in the session of the start; empty if it is unknown.
+    """
 
     task_id: str
     index: int
     attempt: int
     upstream: str | None
     unresolved_since_s: float
+    boot_id: str = ""
 
 
 def make_task_id(job_id: str, index: int, attempt: int) -> str:
--- a/packages/core/src/papayadyke_core/jobs/tests/test_job.py
+++ b/packages/core/src/papayadyke_core/jobs/tests/test_job.py
@@ -233,6 +233,24 @@
     assert attempt > spec.attempt, "attempt numbers of different owners never overlap"
 
 
+def test_successor_knows_the_boot_of_the_upstream_that_got_a_start():
+    """Without it, the successor believed a restarted upstream that nothing had run."""
+    job = _job(idempotent=False)
+    (order,) = job.make_orders(0.0, 0.0, 10)
+    authorization = job.authorize(
+        0, order.tasks[0].attempt, "u1", 0.0, is_owner=True, boot_id="b1"
+    )
+    successor = _job(idempotent=False, epoch=1)
+    successor.apply(authorization.entry, 0.0)
+    successor.mark_recovered(1.0)
+    (unresolved,) = successor.unresolved()
+    assert (unresolved.upstream, unresolved.boot_id) == ("u1", "b1")
+    found = TaskDone(unresolved.task_id, TaskResult.RUNNING, upstream="u2")
+    successor.end_attempt(0, unresolved.attempt, found, 2.0)
+    (unresolved,) = successor.unresolved()
+    assert (unresolved.upstream, unresolved.boot_id) == ("u2", "")
+
+
 def _intent(spec):
     return TaskIntended("j", spec.index, spec.attempt, "u1")
 
--- a/packages/core/src/papayadyke_core/journal/_entries.py
+++ b/packages/core/src/papayadyke_core/journal/_entries.py
@@ -153,12 +153,23 @@
 
 
 class TaskIntended(_Record, frozen=True, tag="intent"):
-    """Intent to start an attempt: it may run on the upstream from now on."""
+    """Intent to start an attempt: it may run on the upstream from now on.
+
+    Parameters
+    ----------
+    job_id : str
+    index : int
+    attempt : int
+    upstream : str
+    boot_id : str, default=""
+        Boot id of the upstream in the session of the start; empty if it is unknown.
+    """
 
     job_id: str
     index: int
     attempt: int
     upstream: str
+    boot_id: str = ""
 
 
 class TaskEnded(_Record, frozen=True, tag="end"):
--- a/packages/core/src/papayadyke_core/ownership/_session.py
+++ b/packages/core/src/papayadyke_core/ownership/_session.py
@@ -124,6 +124,11 @@
         self._in_flight_until_s = max(self._in_flight_until_s, refused_after_s)
         return StartPermit(lease.token, start_before_s, refused_after_s, lease.boot_id)
 
+    def find_boot_id(self, token: int) -> str:
+        """Return the boot id of the upstream in a session; empty if it has ended."""
+        lease = self._lease
+        return lease.boot_id if lease is not None and lease.token == token else ""
+
     def unanswered_s(self, now: float) -> float:
         """Return the seconds for which the upstream has left requests unanswered."""
         if self._unanswered_since_s is None:
--- a/packages/daemon/src/papayadyke_daemon/durable.py
+++ b/packages/daemon/src/papayadyke_daemon/durable.py
@@ -161,4 +161,4 @@
         # An earlier attempt may have gone to another upstream than the last, so
         # all are asked where that is possible.
         upstream = None if self.covers_cell() else key.upstream
-        self.tasks.resolve(task_id, upstream, took)
+        self.tasks.resolve(task_id, upstream, "", took)
--- a/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
@@ -201,6 +201,17 @@
             permit = self._session.permit_start(self.clock())
         return None if permit is None or permit.token != token else permit
 
+    def find_boot_id(self, token: int) -> str:
+        """Return the boot id of the upstream in a session; empty if it has ended.
+
+        Parameters
+        ----------
+        token : int
+            Fencing token of the session.
+        """
+        with self._lock:
+            return self._session.find_boot_id(token)
+
     def record_start_refusal(self, token: int, detail: str) -> None:
         """Apply the reason for which the upstream refused a start.
 
--- a/packages/daemon/src/papayadyke_daemon/jobs/_service.py
+++ b/packages/daemon/src/papayadyke_daemon/jobs/_service.py
@@ -147,7 +147,7 @@
         )
 
     def authorize_start(
-        self, task_id: str, upstream: str, on_reply: OnPermission
+        self, task_id: str, upstream: str, boot_id: str, on_reply: OnPermission
     ) -> None:
         """Request permission to send a placed attempt to its upstream.
 
@@ -155,13 +155,18 @@
         ----------
         task_id : str
         upstream : str
+        boot_id : str
+            Boot id of the upstream in the session of the start; empty if it is
+            unknown.
         on_reply : callable
             Called on the service's thread with whether the attempt may be sent.
             After False the attempt must not be sent, and the caller has to call
             its `on_done` with `NOT_STARTED`.
         """
         self._mailbox.post(
-            lambda: self._start_authorizer.authorize(task_id, upstream, on_reply)
+            lambda: self._start_authorizer.authorize(
+                task_id, upstream, boot_id, on_reply
+            )
         )
 
     def _call(
--- a/packages/daemon/src/papayadyke_daemon/jobs/_starts.py
+++ b/packages/daemon/src/papayadyke_daemon/jobs/_starts.py
@@ -37,7 +37,9 @@
         self._unlogged_start_s = unlogged_start_s
         self._clock = clock
 
-    def authorize(self, task_id: str, upstream: str, on_reply: OnPermission) -> None:
+    def authorize(
+        self, task_id: str, upstream: str, boot_id: str, on_reply: OnPermission
+    ) -> None:
         """Reply whether an attempt may be sent to an upstream."""
         parsed = parse_task_id(task_id)
         owned = None if parsed is None else self._table.find(parsed[0])
@@ -52,6 +54,7 @@
             upstream,
             now_s,
             is_owner=now_s - owned.partition_jobs.proved_s < self._unlogged_start_s,
+            boot_id=boot_id,
         )
         must_wait = authorization.permission is Permission.WHEN_DURABLE
         if authorization.entry is not None:
--- a/packages/daemon/src/papayadyke_daemon/jobs/_tracker.py
+++ b/packages/daemon/src/papayadyke_daemon/jobs/_tracker.py
@@ -112,7 +112,7 @@
             if requested_s is None or now - requested_s >= interval_s:
                 self._resolve_requested_s[attempt.task_id] = now
                 self._hooks.resolve_task(
-                    attempt.task_id, attempt.upstream, self._on_done
+                    attempt.task_id, attempt.upstream, attempt.boot_id, self._on_done
                 )
 
     def _next_check_s(self, owned: OwnedJob, now: float) -> float:
--- a/packages/daemon/src/papayadyke_daemon/jobs/_types.py
+++ b/packages/daemon/src/papayadyke_daemon/jobs/_types.py
@@ -69,15 +69,17 @@
         Cancels an attempt in the queue or stops it at its upstream.
     resolve_task : callable
         Asks the upstream, or all upstreams if it is None, for the outcome of a
-        lost attempt, and calls back. `NOT_STARTED` must mean that a late start is
-        refused as well; `RUNNING` that its lease is being renewed, and `LOST` that
-        the outcome is not known yet: in both cases the request is repeated later.
+        lost attempt, and calls back; also given the boot id of the upstream in the
+        session of the start, empty if it is unknown. `NOT_STARTED` must mean that a
+        late start is refused as well; `RUNNING` that its lease is being renewed, and
+        `LOST` that the outcome is not known yet: in both cases the request is
+        repeated later.
     """
 
     find_workload: Callable[[str], Workload | None]
     submit_task: Callable[[TaskOrder, OnDone], None]
     stop_task: Callable[[str], None]
-    resolve_task: Callable[[str, str | None, OnDone], None]
+    resolve_task: Callable[[str, str | None, str, OnDone], None]
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/papayadyke_daemon/jobs/tests/test_job_service.py
+++ b/packages/daemon/src/papayadyke_daemon/jobs/tests/test_job_service.py
@@ -55,14 +55,14 @@
             answer = Answer(200, "application/json", task.payload)
             on_done(TaskDone(task.task_id, TaskResult.ANSWERED, answer))
 
-        self.service.authorize_start(task.task_id, "u1", on_reply)
+        self.service.authorize_start(task.task_id, "u1", "b1", on_reply)
 
     def stop(self, task_id):
         for task, on_done in self.held_tasks:
             if task.task_id == task_id:
                 on_done(TaskDone(task_id, TaskResult.NOT_STARTED))
 
-    def resolve(self, task_id, upstream, on_done):
+    def resolve(self, task_id, upstream, boot_id, on_done):
         self.resolve_requests.append((task_id, upstream))
         on_done(self.resolutions.get(task_id, TaskDone(task_id, TaskResult.LOST)))
 
@@ -136,7 +136,7 @@
 def test_successor_does_not_restart_a_non_idempotent_task(vms):
     started: queue.SimpleQueue[bool] = queue.SimpleQueue()
     vms[0].task_runner.run = lambda task, on_done: vms[0].jobs.authorize_start(
-        task.task_id, "u1", lambda allowed: started.put(allowed)
+        task.task_id, "u1", "b1", lambda allowed: started.put(allowed)
     )
     job_id = vms[0].jobs.submit(_model("order", tasks=1)).unwrap().job_id
     assert started.get(timeout=10)
--- a/packages/daemon/src/papayadyke_daemon/journal/tests/journal_simulation.py
+++ b/packages/daemon/src/papayadyke_daemon/journal/tests/journal_simulation.py
@@ -295,7 +295,7 @@
                 remaining.append(queued)
         self.queued = remaining
 
-    def resolve_task(self, task_id, upstream, on_done):
+    def resolve_task(self, task_id, upstream, boot_id, on_done):
         on_done(self.simulation.upstreams.resolve(task_id, upstream))
 
     def resolve_key(self, key, on_done):
@@ -314,7 +314,7 @@
             else:
                 on_done(TaskDone(task.task_id, TaskResult.NOT_STARTED))
 
-        self.jobs.authorize_start(task.task_id, upstream, on_reply)
+        self.jobs.authorize_start(task.task_id, upstream, "b1", on_reply)
 
     def send(self):
         """Send the first authorized task to its upstream."""
--- a/packages/daemon/src/papayadyke_daemon/serving/_tasks.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/_tasks.py
@@ -33,7 +33,7 @@
 MAX_START_DELAY_S = 10.0
 
 OnDone = Callable[[TaskDone], None]
-Authorize = Callable[[str, str, Callable[[bool], None]], None]
+Authorize = Callable[[str, str, str, Callable[[bool], None]], None]
 
 _RESULT_BY_OUTCOME: dict[type, TaskResult] = {
     Answered: TaskResult.ANSWERED,
@@ -134,17 +134,28 @@
         """Apply a decision of the scheduler to preempt a task."""
         self._mailbox.post(lambda: self._preempt(stop))
 
-    def resolve(self, task_id: str, upstream: str | None, on_done: OnDone) -> None:
+    def resolve(
+        self, task_id: str, upstream: str | None, boot_id: str, on_done: OnDone
+    ) -> None:
         """Query the outcome of an attempt at one upstream, or at all if None.
 
         The result is `NOT_STARTED` only if every upstream on which the attempt may
         have been started refuses it from then on.
+
+        Parameters
+        ----------
+        task_id : str
+        upstream : str or None
+        boot_id : str
+            Boot id of the upstream in the session of the start; empty if it is
+            unknown.
+        on_done : callable
         """
         if upstream is None and not self.covers_cell():
             on_done(TaskDone(task_id, TaskResult.LOST))
             return
         names = self.fleet.list_names() if upstream is None else [upstream]
-        self._calls.submit(self._resolve_at, task_id, names, on_done)
+        self._calls.submit(self._resolve_at, task_id, names, boot_id, on_done)
 
     def _submit(self, order: TaskOrder, on_done: OnDone) -> None:
         open_order = _OpenOrder(order)
@@ -178,9 +189,11 @@
         attempt.placed = reply
         attempt.authorization_requested_s = self.clock()
         self._attempts_by_start[start.task_id] = attempt
+        agent = self.fleet.find(start.upstream)
         self.authorize(
             attempt.spec.task_id,
             start.upstream,
+            "" if agent is None else agent.find_boot_id(reply.token),
             lambda allowed: self._mailbox.post(lambda: self._send(attempt, allowed)),
         )
 
@@ -328,14 +341,17 @@
         if agent is not None:
             agent.client.stop(task_id, way=mode)
 
-    def _resolve_at(self, task_id: str, names: Iterable[str], on_done: OnDone) -> None:
+    def _resolve_at(
+        self, task_id: str, names: Iterable[str], boot_id: str, on_done: OnDone
+    ) -> None:
         outcome: CallResult = NotStarted("no upstream has seen it")
         for name in names:
-            reported = self.fleet.resolve(name, task_id, boot_id="")
+            reported = self.fleet.resolve(name, task_id, boot_id=boot_id)
             if not isinstance(reported, NotStarted | Restarted | Lost):
                 on_done(_make_done(task_id, reported, name))
                 return
-            if isinstance(reported, Lost):
+            is_known_restart = boot_id and isinstance(reported, Restarted)
+            if isinstance(reported, Lost) or is_known_restart:
                 outcome = reported
         on_done(_make_done(task_id, outcome, None))
 
--- a/packages/daemon/src/papayadyke_daemon/serving/tests/test_refused_starts.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/tests/test_refused_starts.py
@@ -57,6 +57,9 @@
             replace_connections=lambda: None,
         )
 
+    def find_boot_id(self, token):
+        return "b1"
+
     def permit_start(self, token):
         return StartPermit(token, 100.0, 200.0)
 
@@ -90,7 +93,7 @@
     runner = TaskRunner(
         loop=cast(Any, FakeLoop()),
         fleet=cast(Any, SimpleNamespace(find=lambda name: agent)),
-        authorize=lambda task_id, upstream, allow: allow(True),
+        authorize=lambda task_id, upstream, boot_id, allow: allow(True),
         task_lease_s=30.0,
         covers_cell=lambda: True,
     )
--- a/packages/daemon/src/papayadyke_daemon/serving/tests/test_restarted_upstream.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/tests/test_restarted_upstream.py
@@ -1,6 +1,7 @@
 """Starts whose answer is lost because the upstream restarts under its name."""
 
 import socket
+import threading
 import time
 from types import SimpleNamespace
 from typing import Any, cast
@@ -14,10 +15,13 @@
 from papayadyke_core.scheduling import Outcome, Start
 from papayadyke_core.verdicts import Verdict
 from papayadyke_core.workloads import Kind, Workload
-from papayadyke_daemon.fleet import Holder, UpstreamAgent
+from papayadyke_daemon.durable import DurableParts
+from papayadyke_daemon.fleet import Fleet, Holder, UpstreamAgent
+from papayadyke_daemon.jobs import parse_job
 from papayadyke_daemon.scheduler import AddUpstream, Finish, Placed, Submit
 from papayadyke_daemon.serving import IdSource, RunOrder, RunService, TaskRunner
 from papayadyke_daemon.settings import Address, FleetSettings, UpstreamAddress
+from papayadyke_standins.store import MemoryStore, StoreService
 from papayadyke_standins.upstream import UpstreamStandin
 
 TIMEOUT_S = 60.0
@@ -28,6 +32,10 @@
     rack="rack-1",
     capacity=Resources(4000, 4096),
 )
+WORKLOADS = {
+    "order": Workload("order", Kind.BATCH, DEMAND, idempotent=False),
+    "tally": Workload("tally", Kind.BATCH, DEMAND, idempotent=True),
+}
 SETTINGS = FleetSettings(session_ttl_s=3.0, expiry_margin_s=0.3)
 
 
@@ -176,7 +184,7 @@
         runner = TaskRunner(
             loop=cast(Any, self.loop),
             fleet=self.fleet,
-            authorize=lambda task_id, upstream, allow: allow(True),
+            authorize=lambda task_id, upstream, boot_id, allow: allow(True),
             task_lease_s=30.0,
             covers_cell=lambda: True,
         )
@@ -196,6 +204,117 @@
         return done
 
 
+class Vm:
+    """VM that runs the jobs of partition 0 while its plan contains it."""
+
+    def __init__(self, store, name, *, epoch, upstream):
+        self.plan: frozenset[int] = frozenset()
+        self.loop = PlacingLoop()
+        self.fleet = Fleet(
+            holder=Holder(name, 1),
+            settings=SETTINGS,
+            upstreams=[UpstreamAddress(SPEC.name, Address(*upstream.address))],
+            send=self.loop.send,
+        )
+        self.fleet.own([SPEC.name], epoch=epoch)
+        self.parts = DurableParts(
+            store=MemoryStore(store, client=name),
+            vm=name,
+            incarnation=1,
+            loop=cast(Any, self.loop),
+            fleet=self.fleet,
+            find_workload=WORKLOADS.get,
+            plan=lambda: self.plan,
+            covers_cell=lambda: True,
+            is_holder_lost=lambda holder: False,
+            task_lease_s=30.0,
+            count_vms=lambda: 2,
+        )
+        self.parts.start()
+
+    def submit(self, workload):
+        body = f'{{"workload": "{workload}", "tasks": [{{"payload": {{}}}}]}}'
+        model = parse_job(body.encode()).unwrap()
+        submitted = []
+
+        def is_accepted():
+            submitted.append(self.parts.jobs.submit(model))
+            return submitted[-1].is_ok()
+
+        wait_until(is_accepted)
+        return submitted[-1].unwrap().job_id
+
+    def wait_for_end(self, job_id):
+        def is_finished():
+            status = self.parts.jobs.get(job_id, wait_s=1.0)
+            return status.is_ok() and status.unwrap().view["state"] == "finished"
+
+        wait_until(is_finished)
+        return self.parts.jobs.get(job_id).unwrap().view
+
+    def stop(self):
+        self.parts.stop()
+        self.fleet.stop()
+
+
+class SuccessorHarness:
+    """VM that is lost at its first start, and its successor."""
+
+    def __init__(self):
+        self.upstream = RestartingUpstream()
+        self.store = StoreService()
+        self.has_died = threading.Event()
+        self.may_end = threading.Event()
+        self.vms = [Vm(self.store, "a", epoch=1, upstream=self.upstream)]
+
+    def run_until_death(self, workload, *, is_sent):
+        """Submit a job, and lose the VM after or before it sends the start."""
+        (vm,) = self.vms
+        agent = cast(Any, vm.fleet.find(SPEC.name))
+        client = agent.client
+        agent.client = SimpleNamespace(
+            open=client.open,
+            renew=client.renew,
+            release=client.release,
+            wait_for_ends=client.wait_for_ends,
+            resolve=client.resolve,
+            close=client.close,
+            start=lambda call: self.die(client.start, call, is_sent=is_sent),
+        )
+        vm.plan = frozenset({0})
+        job_id = vm.submit(workload)
+        assert self.has_died.wait(TIMEOUT_S)
+        return job_id
+
+    def die(self, start, call, *, is_sent):
+        if is_sent:
+            start(call)
+            wait_until(lambda: self.upstream.list_runs()[0])
+        self.vms[0].plan = frozenset()
+        self.has_died.set()
+        self.may_end.wait()
+        return Lost("no answer")
+
+    def take_over(self):
+        successor = Vm(self.store, "b", epoch=2, upstream=self.upstream)
+        successor.plan = frozenset({0})
+        self.vms.append(successor)
+        return successor
+
+    def stop(self):
+        self.may_end.set()
+        for vm in self.vms:
+            vm.stop()
+        self.upstream.lives[-1].stop()
+
+
+@pytest.fixture
+def successor_harness():
+    harness = SuccessorHarness()
+    yield harness
+    harness.stop()
+
+
 @pytest.fixture
 def harness():
     harness = Harness()
@@ -227,3 +346,24 @@
     assert done.result is TaskResult.LAPSED
     assert harness.upstream.list_runs() == [["job.0"], []]
     assert harness.loop.list_outcomes() == [Outcome.LOST]
+
+
+# The successor of a VM was told by a restarted upstream that a task which had run was
+# never started, and ran it again.
+def test_successor_does_not_repeat_a_task_that_ran_before_a_restart(successor_harness):
+    harness = successor_harness
+    job_id = harness.run_until_death("order", is_sent=True)
+    harness.upstream.restart()
+    view = harness.take_over().wait_for_end(job_id)
+    assert [task["state"] for task in view["tasks"]] == ["may_have_run"]
+    assert harness.upstream.list_runs() == [[f"{job_id}.0"], []]
+
+
+# The boot id of the start is known from the log, so that a task which was not sent
+# is not given up.
+def test_successor_runs_a_task_that_was_not_sent(successor_harness):
+    harness = successor_harness
+    job_id = harness.run_until_death("order", is_sent=False)
+    view = harness.take_over().wait_for_end(job_id)
+    assert [task["state"] for task in view["tasks"]] == ["answered"]
+    assert harness.upstream.list_runs() == [[f"{job_id}.0"]]
