Release no key and no attempt because an unknown boot does not know it

For the key of a lost VM, and for an attempt whose intent is not in the log, all upstreams are asked, and nobody knows in which boot of which upstream a start may have arrived. If all answered that they never saw it, it counted as never started, although one may have restarted. The key was released, so that the repeat of a request that must not be repeated ran again; a cancelled task was told to have not run.

Ruled out: the boot id in the log of keys. The upstream of a keyed request is logged beside the start and only for the last one, so what the log lacks shows nothing. The age of the upstream: log time stands still while a partition has no owner, so the age of a claim is not known.

Such an attempt is `LAPSED`. A key asks for the other attempts as before, and ends with `may_have_run` if none is known. This also holds if no upstream has restarted, where the key was released: what is not known is not told as `not_run`. An idempotent task is attempted again, and an attempt without a known upstream does not count as a failed one, since it may never have been sent; it failed a job of one attempt when its lease had run out.

--- a/packages/core/src/papayadyke_core/jobs/_task.py
+++ b/packages/core/src/papayadyke_core/jobs/_task.py
@@ -166,7 +166,9 @@
             return
         if attempt_end.result is TaskResult.NOT_STARTED and not never_authorized:
             self.starts -= 1
-        if attempt_end.result in (TaskResult.FAILED, TaskResult.LAPSED):
+        # An attempt without a known upstream may never have been sent.
+        is_lapsed = attempt_end.result is TaskResult.LAPSED
+        if attempt_end.result is TaskResult.FAILED or (is_lapsed and self.upstream):
             self.failures += 1
             if self.upstream and self.upstream not in self.avoid:
                 self.avoid.append(self.upstream)
--- a/packages/core/src/papayadyke_core/jobs/_types.py
+++ b/packages/core/src/papayadyke_core/jobs/_types.py
@@ -17,7 +17,7 @@
     stopped and no longer runs. `LOST`: it may be running. `RUNNING`: the upstream
     reported it as running; it is polled until it ends. `LAPSED`: nothing is known
     of it, and it no longer runs: its lease has expired, with margin, or its upstream
-    has restarted.
+    has restarted, as far as is known.
     """
 
     ANSWERED = "answered"
--- a/packages/core/src/papayadyke_core/jobs/tests/test_job.py
+++ b/packages/core/src/papayadyke_core/jobs/tests/test_job.py
@@ -251,6 +251,31 @@
     assert (unresolved.upstream, unresolved.boot_id) == ("u2", "")
 
 
+def _recover_unknown_attempt():
+    """Return a job with an attempt that no upstream knows; one may have restarted."""
+    accepted = JobAccepted("j", "w", (b"1",), False, 100.0, True, 1)
+    job = Job(accepted, 0.0, epoch=3)
+    job.mark_recovered(1.0)
+    (unresolved,) = job.unresolved()
+    lapsed = TaskDone(unresolved.task_id, TaskResult.LAPSED)
+    assert job.end_attempt(0, unresolved.attempt, lapsed, 2.0) == []
+    return job
+
+
+def test_attempt_that_may_not_have_been_sent_does_not_count_as_failed():
+    job = _recover_unknown_attempt()
+    (order,) = job.make_orders(10.0, 10.0, 10)
+    assert order.tasks[0].index == 0
+
+
+def test_cancelled_task_with_an_attempt_that_no_upstream_knows_may_have_run():
+    job = _recover_unknown_attempt()
+    job.apply(job.cancel(), 3.0)
+    (entry,) = job.decide_outcomes(3.0)
+    assert entry.had_run
+    assert entry.refusal.verdict is Verdict.MAY_HAVE_RUN
+
+
 def _intent(spec):
     return TaskIntended("j", spec.index, spec.attempt, "u1")
 
--- a/packages/daemon/src/papayadyke_daemon/durable.py
+++ b/packages/daemon/src/papayadyke_daemon/durable.py
@@ -149,10 +149,11 @@
         self, key: UnresolvedKey, attempt: int, on_done: Callable[[TaskDone], None]
     ) -> None:
         def took(done: TaskDone) -> None:
-            never = done.result is TaskResult.NOT_STARTED
-            if never and attempt < MAX_ATTEMPTS:
+            # An upstream that has restarted does not know the attempts before.
+            is_unknown = done.result in (TaskResult.NOT_STARTED, TaskResult.LAPSED)
+            if is_unknown and attempt < MAX_ATTEMPTS:
                 self._calls.submit(self._ask, key, attempt + 1, on_done)
-            elif never and not self.covers_cell():
+            elif is_unknown and not self.covers_cell():
                 on_done(TaskDone(done.task_id, TaskResult.LOST))
             else:
                 on_done(done)
--- a/packages/daemon/src/papayadyke_daemon/serving/_tasks.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/_tasks.py
@@ -140,7 +140,8 @@
         """Query the outcome of an attempt at one upstream, or at all if None.
 
         The result is `NOT_STARTED` only if every upstream on which the attempt may
-        have been started refuses it from then on.
+        have been started refuses it from then on, and none has restarted since. If
+        one may have restarted, the result is `LAPSED`.
 
         Parameters
         ----------
@@ -350,8 +351,8 @@
             if not isinstance(reported, NotStarted | Restarted | Lost):
                 on_done(_make_done(task_id, reported, name))
                 return
-            is_known_restart = boot_id and isinstance(reported, Restarted)
-            if isinstance(reported, Lost) or is_known_restart:
+            may_still_run = isinstance(outcome, Lost)
+            if not isinstance(reported, NotStarted) and not may_still_run:
                 outcome = reported
         on_done(_make_done(task_id, outcome, None))
 
--- a/packages/daemon/src/papayadyke_daemon/serving/tests/test_restarted_upstream.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/tests/test_restarted_upstream.py
@@ -1,5 +1,6 @@
 """Starts whose answer is lost because the upstream restarts under its name."""
 
+import itertools
 import socket
 import threading
 import time
@@ -8,8 +9,10 @@
 
 import pytest
 
-from papayadyke_clients.upstream import Lost
-from papayadyke_core.jobs import TaskOrder, TaskResult, TaskSpec
+from papayadyke_clients.upstream import Answered, Lost, TaskCall
+from papayadyke_core.idempotency import ClaimKind
+from papayadyke_core.jobs import TaskOrder, TaskResult, TaskSpec, make_task_id
+from papayadyke_core.journal import partition_of
 from papayadyke_core.placement import UpstreamSpec
 from papayadyke_core.resources import Resources
 from papayadyke_core.scheduling import Outcome, Start
@@ -209,6 +212,7 @@
 
     def __init__(self, store, name, *, epoch, upstream):
         self.plan: frozenset[int] = frozenset()
+        self.lost_holders: set[str] = set()
         self.loop = PlacingLoop()
         self.fleet = Fleet(
             holder=Holder(name, 1),
@@ -226,7 +230,7 @@
             find_workload=WORKLOADS.get,
             plan=lambda: self.plan,
             covers_cell=lambda: True,
-            is_holder_lost=lambda holder: False,
+            is_holder_lost=self.lost_holders.__contains__,
             task_lease_s=30.0,
             count_vms=lambda: 2,
         )
@@ -252,6 +256,36 @@
         wait_until(is_finished)
         return self.parts.jobs.get(job_id).unwrap().view
 
+    def claim(self, key, request_id, *, holder):
+        """Claim a key until it is known whether its request has run."""
+        claims = []
+
+        def is_known():
+            claim = self.parts.keys.claim(key, "order", b"", request_id, holder=holder)
+            claims.append(claim)
+            if claim.is_err():
+                return False
+            return claim.unwrap().kind in (ClaimKind.FIRST, ClaimKind.ENDED)
+
+        wait_until(is_known)
+        return claims[-1].unwrap()
+
+    def run_task(self, task_id, request_id):
+        wait_until(self.loop.find_token)
+        agent = cast(Any, self.fleet.find(SPEC.name))
+        permit = agent.permit_start(self.loop.find_token())
+        call = TaskCall(
+            task_id=task_id,
+            request_id=request_id,
+            workload="order",
+            demand=DEMAND,
+            token=permit.token,
+            start_before_s=permit.start_before_s,
+            lease_s=30.0,
+            payload=b"{}",
+        )
+        return agent.client.run(call, timeout_s=TIMEOUT_S)
+
     def stop(self):
         self.parts.stop()
         self.fleet.stop()
@@ -348,6 +382,50 @@
     assert harness.loop.list_outcomes() == [Outcome.LOST]
 
 
+# An attempt whose intent is not in the log may have been started at any upstream, in
+# any of its former lives.
+@pytest.mark.parametrize("upstream", [None, SPEC.name])
+def test_attempt_of_an_unknown_boot_is_not_resolved_as_never_started(upstream):
+    restarting = RestartingUpstream()
+    vm = Vm(StoreService(), "a", epoch=1, upstream=restarting)
+    done: list[Any] = []
+    try:
+        restarting.restart()
+        vm.parts.tasks.resolve("job.0.1", upstream, "", done.append)
+        wait_until(lambda: done)
+    finally:
+        vm.stop()
+        restarting.lives[-1].stop()
+    assert [end.result for end in done] == [TaskResult.LAPSED]
+
+
+# The key of a request that ran before a restart was released, so that its repeat ran
+# again.
+@pytest.mark.parametrize("attempt", [1, 2])
+@pytest.mark.parametrize("is_restarted", [True, False])
+def test_key_of_a_lost_vm_is_not_released_after_a_restart(attempt, is_restarted):
+    restarting = RestartingUpstream()
+    vm = Vm(StoreService(), "a", epoch=1, upstream=restarting)
+    key = next(name for name in map(str, itertools.count()) if partition_of(name) == 0)
+    try:
+        vm.plan = frozenset({0})
+        assert vm.claim(key, "r1", holder="b").kind is ClaimKind.FIRST
+        task_id = make_task_id("r1", 0, attempt)
+        assert isinstance(vm.run_task(task_id, "r1"), Answered)
+        if is_restarted:
+            restarting.restart()
+        vm.lost_holders.add("b")
+        claim = vm.claim(key, "r2", holder="a")
+    finally:
+        vm.stop()
+        restarting.lives[-1].stop()
+    assert claim.kind is ClaimKind.ENDED
+    if is_restarted:
+        assert claim.refusal.verdict is Verdict.MAY_HAVE_RUN
+    else:
+        assert claim.answer.status == 200
+
+
 # The successor of a VM was told by a restarted upstream that a task which had run was
 # never started, and ran it again.
 def test_successor_does_not_repeat_a_task_that_ran_before_a_restart(successor_harness):
