Finish the unresolved starts of a session that has ended

A start of unknown outcome is tracked until the upstream's clock is past the time from which it refuses the start. Starts that were tracked when the session ended were dropped and never finished. But the scheduler loop kept the request of each such start, so that its memory grew.

Ruled out: a start under the token of a former session that still begins. The upstream refuses it, in the same boot and in the next, and what runs in a new session is adopted.

The token is kept with the start. One of another session is finished as soon as it is not running, and all that are left are finished with their session.

Measured: both new tests fail on the code before (no `Finish` was sent). 41 tests of fleet and serving pass, lint and types too. Tests of the tracking pass the token, and the restarting stand-in has moved to a module of its own.

--- a/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
@@ -77,11 +77,15 @@
     Parameters
     ----------
     task_id : str
+    token : int
+        Fencing token of the session under which it was sent.
     start_before_s : float
-        Time on the upstream's clock after which its start is refused.
+        Time on the upstream's clock in that session after which its start is
+        refused.
     """
 
     task_id: str
+    token: int
     start_before_s: float
 
 
@@ -148,7 +152,7 @@
         self._announced_token: int | None = None
         self._adopted: set[str] = set()
         self._new_unresolved: queue.SimpleQueue[UnresolvedTask] = queue.SimpleQueue()
-        self._unresolved: dict[str, float] = {}
+        self._unresolved: dict[str, UnresolvedTask] = {}
         self._new_subscriptions: queue.SimpleQueue[EndSubscription] = (
             queue.SimpleQueue()
         )
@@ -246,16 +250,19 @@
         with self._lock:
             return self._session.unanswered_s(self.clock())
 
-    def track_unresolved(self, task_id: str, start_before_s: float) -> None:
+    def track_unresolved(self, task_id: str, token: int, start_before_s: float) -> None:
         """Finish a task of unknown outcome once it neither runs nor can start.
 
         Parameters
         ----------
         task_id : str
+        token : int
+            Fencing token of the session under which it was sent.
         start_before_s : float
-            Time on the upstream's clock after which its start is refused.
+            Time on the upstream's clock in that session after which its start is
+            refused.
         """
-        self._new_unresolved.put(UnresolvedTask(task_id, start_before_s))
+        self._new_unresolved.put(UnresolvedTask(task_id, token, start_before_s))
 
     def subscribe_to_end(self, task_id: str, on_end: Callable[[str], None]) -> None:
         """Call a function once when a task that was reported running has ended.
@@ -355,7 +362,7 @@
         for task_id in [name for name in self._subscriptions if name not in running]:
             self._notify_end(task_id)
         self._finish_adopted(running)
-        self._finish_unresolved(running, report.clock_s)
+        self._finish_unresolved(running, report)
         if report.leaving and not self._draining:
             LOG.info("fleet: %s is leaving", self.upstream.name)
             self._draining = True
@@ -376,8 +383,11 @@
             for task_id in list(self._subscriptions):
                 self._notify_end(task_id)
             self._adopted.clear()
-            self._unresolved.clear()
             self.send(RemoveUpstream(self.upstream.name))
+            self._add_unresolved()
+            for task_id in self._unresolved:
+                self.send(Finish(task_id, Outcome.LOST))
+            self._unresolved.clear()
         if report is None:
             return
         self._announced_token = report.token
@@ -392,12 +402,21 @@
             self.send(Finish(task_id, Outcome.ANSWERED))
         self._adopted &= running
 
-    def _finish_unresolved(self, running: set[str], clock_s: float) -> None:
+    def _add_unresolved(self) -> None:
         while not self._new_unresolved.empty():
             unresolved = self._new_unresolved.get()
-            self._unresolved[unresolved.task_id] = unresolved.start_before_s
-        for task_id, start_before_s in list(self._unresolved.items()):
-            if task_id not in running and clock_s > start_before_s:
+            self._unresolved[unresolved.task_id] = unresolved
+
+    def _finish_unresolved(self, running: set[str], report: SessionReport) -> None:
+        self._add_unresolved()
+        for task_id, unresolved in list(self._unresolved.items()):
+            # Clocks of two sessions cannot be compared: the upstream may have
+            # restarted, and refuses starts of the former session in any case.
+            can_start = (
+                unresolved.token == report.token
+                and report.clock_s <= unresolved.start_before_s
+            )
+            if task_id not in running and not can_start:
                 del self._unresolved[task_id]
                 self.send(Finish(task_id, Outcome.LOST))
 
--- a/packages/daemon/src/papayadyke_daemon/fleet/tests/test_upstream_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/tests/test_upstream_agent.py
@@ -15,6 +15,7 @@
 from papayadyke_core.resources import Resources
 from papayadyke_core.scheduling import Outcome
 from papayadyke_daemon.fleet import Holder, UpstreamAgent
+from papayadyke_daemon.fleet.tests.restarting_upstream import RestartingUpstream
 from papayadyke_daemon.scheduler import (
     AddUpstream,
     Adopt,
@@ -182,7 +183,7 @@
 
 def test_unknown_outcome_is_finished_only_after_start_before(make_harness, clock):
     harness = make_harness().start()
-    harness.agent.track_unresolved(TASK, clock.now_s + 1.0)
+    harness.agent.track_unresolved(TASK, harness.token(), clock.now_s + 1.0)
     harness.wait_for_renewals(3)
     assert harness.find_messages(Finish) == []
     clock.now_s += 1.5
@@ -194,7 +195,7 @@
 def test_unknown_outcome_is_not_finished_while_the_task_runs(make_harness, clock):
     harness = make_harness().start()
     harness.start_task()
-    harness.agent.track_unresolved(TASK, clock.now_s + 1.0)
+    harness.agent.track_unresolved(TASK, harness.token(), clock.now_s + 1.0)
     clock.now_s += 1.5
     harness.wait_for_renewals(3)
     assert harness.find_messages(Finish) == []
@@ -279,3 +280,57 @@
     wait_until(lambda: harness.token() != old_token)
     assert harness.agent.permit_start(old_token) is None
     assert harness.agent.permit_start(harness.token()) is not None
+
+
+@pytest.fixture
+def restarting():
+    upstream = RestartingUpstream(SPEC)
+    yield upstream
+    upstream.stop()
+
+
+@pytest.fixture
+def start_harness(restarting):
+    harnesses = []
+
+    def start(settings=SETTINGS):
+        harnesses.append(AgentHarness(restarting, "a", settings).start())
+        return harnesses[-1]
+
+    yield start
+    for harness in harnesses:
+        harness.stop()
+
+
+def restart(restarting, harness, clock=time.monotonic):
+    """Restart the upstream, and wait until the agent has a session again."""
+    former_token = harness.token()
+    restarting.restart(clock)
+    harness.agent.record_start_refusal(former_token, "stale_token")
+    wait_until(lambda: harness.token() != former_token)
+
+
+# The time limit of a start was compared with the clock of the next life, which may be
+# days behind, so that the start was tracked for as long.
+def test_start_of_a_former_session_is_finished_at_once(start_harness, restarting):
+    harness = start_harness()
+    former_token = harness.token()
+    restart(restarting, harness, clock=Clock())
+    harness.agent.track_unresolved(TASK, former_token, 1e6)
+    harness.wait_for_renewals()
+    assert harness.find_messages(Finish) == [Finish(TASK, Outcome.LOST)]
+
+
+# Nothing finished it any more, and the scheduler loop kept its request.
+def test_unresolved_start_is_finished_with_its_session(start_harness, restarting):
+    harness = start_harness()
+    harness.agent.track_unresolved(TASK, harness.token(), 1e6)
+    harness.wait_for_renewals()
+    assert harness.find_messages(Finish) == []
+    restart(restarting, harness)
+    assert [type(message) for message in harness.messages] == [
+        AddUpstream,
+        RemoveUpstream,
+        Finish,
+        AddUpstream,
+    ]
--- a/packages/daemon/src/papayadyke_daemon/serving/_run.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/_run.py
@@ -284,7 +284,7 @@
                 call.task_id, boot_id=boot_id, wait_s=STOP_GRACE_S
             )
         if isinstance(outcome, Running | Lost):
-            agent.track_unresolved(call.task_id, call.start_before_s)
+            agent.track_unresolved(call.task_id, call.token, call.start_before_s)
             return Lost("no answer about the task")
         return outcome
 
--- a/packages/daemon/src/papayadyke_daemon/serving/_tasks.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/_tasks.py
@@ -248,7 +248,9 @@
             )
         if isinstance(outcome, Lost):
             # The reservation stays until the task neither runs nor can start.
-            agent.track_unresolved(placed.start.task_id, call.start_before_s)
+            agent.track_unresolved(
+                placed.start.task_id, call.token, call.start_before_s
+            )
         if isinstance(outcome, NotStarted):
             agent.record_start_refusal(permit.token, outcome.detail)
         self._post_result(attempt, outcome)
--- a/packages/daemon/src/papayadyke_daemon/serving/tests/test_refused_starts.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/tests/test_refused_starts.py
@@ -69,7 +69,7 @@
     def subscribe_to_end(self, task_id, on_end):
         on_end(task_id)
 
-    def track_unresolved(self, task_id, start_before_s):
+    def track_unresolved(self, task_id, token, start_before_s):
         raise AssertionError(
             "a start with a known outcome was passed to track_unresolved()"
         )
--- a/packages/daemon/src/papayadyke_daemon/serving/tests/test_restarted_upstream.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/tests/test_restarted_upstream.py
@@ -1,7 +1,6 @@
 """Starts whose answer is lost because the upstream restarts under its name."""
 
 import itertools
-import socket
 import threading
 import time
 from types import SimpleNamespace
@@ -20,12 +19,12 @@
 from papayadyke_core.workloads import Kind, Workload
 from papayadyke_daemon.durable import DurableParts
 from papayadyke_daemon.fleet import Fleet, Holder, UpstreamAgent
+from papayadyke_daemon.fleet.tests.restarting_upstream import RestartingUpstream
 from papayadyke_daemon.jobs import parse_job
 from papayadyke_daemon.scheduler import AddUpstream, Finish, Placed, Submit
 from papayadyke_daemon.serving import IdSource, RunOrder, RunService, TaskRunner
 from papayadyke_daemon.settings import Address, FleetSettings, UpstreamAddress
 from papayadyke_standins.store import MemoryStore, StoreService
-from papayadyke_standins.upstream import UpstreamStandin
 
 TIMEOUT_S = 60.0
 DEMAND = Resources(1000, 512)
@@ -49,36 +48,6 @@
         time.sleep(0.01)
 
 
-def find_free_port():
-    # A server that has chosen its port itself does not let another one bind it.
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
-class RestartingUpstream:
-    """Upstream that can restart at its address; it keeps the records of all lives."""
-
-    def __init__(self):
-        self.lives = []
-        self.address = ("127.0.0.1", find_free_port())
-        self.start()
-
-    def start(self):
-        self.lives.append(UpstreamStandin(SPEC, port=self.address[1]))
-        self.lives[-1].start()
-
-    def restart(self):
-        self.lives[-1].stop()
-        self.start()
-
-    def list_runs(self):
-        return [
-            [record.request_id for record in life.registry.list_records()]
-            for life in self.lives
-        ]
-
-
 class LosingClient:
     """Client that loses the first answer of a task, whose upstream then restarts."""
 
@@ -148,7 +117,7 @@
     """Agent of an upstream that restarts after it has run the first task."""
 
     def __init__(self):
-        self.upstream = RestartingUpstream()
+        self.upstream = RestartingUpstream(SPEC)
         self.loop = PlacingLoop()
         self.agent = UpstreamAgent(
             UpstreamAddress(SPEC.name, Address(*self.upstream.address)),
@@ -168,7 +137,7 @@
     def stop(self):
         self.agent.begin_stop()
         self.agent.join()
-        self.upstream.lives[-1].stop()
+        self.upstream.stop()
 
     def run_request(self, *, idempotent):
         workload = Workload("check", Kind.SERVICE, DEMAND, idempotent=idempotent)
@@ -295,7 +264,7 @@
     """VM that is lost at its first start, and its successor."""
 
     def __init__(self):
-        self.upstream = RestartingUpstream()
+        self.upstream = RestartingUpstream(SPEC)
         self.store = StoreService()
         self.has_died = threading.Event()
         self.may_end = threading.Event()
@@ -339,7 +308,7 @@
         self.may_end.set()
         for vm in self.vms:
             vm.stop()
-        self.upstream.lives[-1].stop()
+        self.upstream.stop()
 
 
 @pytest.fixture
@@ -386,7 +355,7 @@
 # any of its former lives.
 @pytest.mark.parametrize("upstream", [None, SPEC.name])
 def test_attempt_of_an_unknown_boot_is_not_resolved_as_never_started(upstream):
-    restarting = RestartingUpstream()
+    restarting = RestartingUpstream(SPEC)
     vm = Vm(StoreService(), "a", epoch=1, upstream=restarting)
     done: list[Any] = []
     try:
@@ -395,7 +364,7 @@
         wait_until(lambda: done)
     finally:
         vm.stop()
-        restarting.lives[-1].stop()
+        restarting.stop()
     assert [end.result for end in done] == [TaskResult.LAPSED]
 
 
@@ -404,7 +373,7 @@
 @pytest.mark.parametrize("attempt", [1, 2])
 @pytest.mark.parametrize("is_restarted", [True, False])
 def test_key_of_a_lost_vm_is_not_released_after_a_restart(attempt, is_restarted):
-    restarting = RestartingUpstream()
+    restarting = RestartingUpstream(SPEC)
     vm = Vm(StoreService(), "a", epoch=1, upstream=restarting)
     key = next(name for name in map(str, itertools.count()) if partition_of(name) == 0)
     try:
@@ -418,7 +387,7 @@
         claim = vm.claim(key, "r2", holder="a")
     finally:
         vm.stop()
-        restarting.lives[-1].stop()
+        restarting.stop()
     assert claim.kind is ClaimKind.ENDED
     if is_restarted:
         assert claim.refusal.verdict is Verdict.MAY_HAVE_RUN
