Ignore that an upstream was leaving in a former session

A start that was refused as `leaving` drains its upstream at once. If the answer was read after the upstream had restarted and a new session was open, it drained the upstream in its new boot, which was not leaving. Callers got no start there until that session ended, as only a new session undoes a drain.

Ruled out: the report of a renewal, which belongs to its session.

The refusal drains only if its token is that of the session that the scheduler knows. A lock orders this with the messages that end and begin sessions.

--- a/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
@@ -107,8 +107,9 @@
 class UpstreamAgent:
     """Open, renew and release the session at one upstream.
 
-    A lock guards the session, because each thread that sends a start requests a
-    permit from it. All other state belongs to the agent's own thread.
+    A lock guards the session and the announced token, because each thread that sends
+    a start requests a permit and reports a refusal. All other state belongs to the
+    agent's own thread.
 
     Parameters
     ----------
@@ -220,7 +221,8 @@
         """Apply the reason for which the upstream refused a start.
 
         The reason may end the session. It may also drain the upstream before the
-        next renewal reports that the upstream is leaving.
+        next renewal reports that the upstream is leaving. A refusal of a former
+        session has no effect: the upstream may have restarted since.
 
         Parameters
         ----------
@@ -230,7 +232,9 @@
             Reason that the upstream gave; an unknown reason is ignored.
         """
         if detail == LEAVING:
-            self.send(DrainUpstream(self.upstream.name))
+            with self._lock:
+                if token == self._announced_token:
+                    self.send(DrainUpstream(self.upstream.name))
             return
         try:
             reason = StartRefusal(detail)
@@ -378,7 +382,8 @@
     def _announce(self, report: SessionReport | None) -> None:
         """Notify the scheduler of the end of the last session and of a new one."""
         if self._announced_token is not None:
-            self._announced_token = None
+            with self._lock:
+                self._announced_token = None
             self._add_subscriptions()
             for task_id in list(self._subscriptions):
                 self._notify_end(task_id)
@@ -390,9 +395,10 @@
             self._unresolved.clear()
         if report is None:
             return
-        self._announced_token = report.token
         self._draining = False
-        self.send(AddUpstream(report.spec.to_spec(), report.token))
+        with self._lock:
+            self._announced_token = report.token
+            self.send(AddUpstream(report.spec.to_spec(), report.token))
         for task in report.running:
             self._adopted.add(task.task_id)
             self.send(Adopt(_read_task(task, self.upstream.name)))
--- a/packages/daemon/src/papayadyke_daemon/fleet/tests/test_upstream_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/tests/test_upstream_agent.py
@@ -334,3 +334,14 @@
         Finish,
         AddUpstream,
     ]
+
+
+# The answer to a start, read after the restart, drained the upstream of the next life
+# until its session ended.
+def test_refusal_of_a_former_session_does_not_drain(start_harness, restarting):
+    harness = start_harness()
+    former_token = harness.token()
+    restart(restarting, harness)
+    harness.agent.record_start_refusal(former_token, "leaving")
+    harness.wait_for_renewals()
+    assert harness.find_messages(DrainUpstream) == []
