Ask for the ends of a restarted upstream from the first one on

An agent asks for the ends after the last one that it knows by number. After a restart of the upstream the numbers begin anew, and it went on with the number of the former boot. The end of a task in its first wait of up to 2 s was skipped, and noticed only by the next renewal: answers of jobs came late by up to a third of the session's time to live (2 s by default).

Ruled out: a lost end, since each renewal lists what still runs.

The number is reset when a session of another boot is announced.

--- a/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
@@ -159,6 +159,7 @@
         )
         self._subscriptions: dict[str, EndSubscription] = {}
         self._last_end_sequence = 0
+        self._boot_id = ""
         # A task may end before its end is subscribed to.
         self._recent_ends: deque[str] = deque(maxlen=MAX_RECENT_ENDS)
         self._draining = False
@@ -396,6 +397,10 @@
         if report is None:
             return
         self._draining = False
+        if report.boot_id != self._boot_id:
+            # The sequence numbers of ends begin anew with each boot.
+            self._boot_id = report.boot_id
+            self._last_end_sequence = 0
         with self._lock:
             self._announced_token = report.token
             self.send(AddUpstream(report.spec.to_spec(), report.token))
--- a/packages/daemon/src/papayadyke_daemon/fleet/tests/test_upstream_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/tests/test_upstream_agent.py
@@ -345,3 +345,23 @@
     harness.agent.record_start_refusal(former_token, "leaving")
     harness.wait_for_renewals()
     assert harness.find_messages(DrainUpstream) == []
+
+
+# The ends of a session were asked for after the last end of the former life, and were
+# noticed only by the next renewal.
+def test_end_after_a_restart_is_notified_before_the_next_renewal(
+    start_harness, restarting
+):
+    harness = start_harness(SLOW_RENEWAL)
+    ends: list[str] = []
+    for number in range(3):
+        task_id = f"former-{number}/0/1"
+        harness.start_task(task_id, work_s=0.0)
+        harness.agent.subscribe_to_end(task_id, ends.append)
+        wait_until(lambda task_id=task_id: task_id in ends)
+    restart(restarting, harness)
+    report = harness.agent.report
+    assert isinstance(harness.start_task(work_s=0.5), Running)
+    harness.agent.subscribe_to_end(TASK, ends.append)
+    wait_until(lambda: TASK in ends)
+    assert harness.agent.report is report
