--- a/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
+++ b/packages/daemon/src/papayadyke_daemon/fleet/_agent.py
@@ -77,11 +77,15 @@
     Parameters
     ----------
     task_id : str
+    token : int
+        Fencing token of the session under which it was sent.
     start_before_s : float
-        Time on the upstream's clock after which its start is refused.
+        Time on the upstream's clock in that session after which its start is
+        refused.
     """
 
     task_id: str
+    token: int
     start_before_s: float
 
 
@@ -103,8 +107,9 @@
 class UpstreamAgent:
     """Open, renew and release the session at one upstream.
 
-    A lock guards the session, because each thread that sends a start requests a
-    permit from it. All other state belongs to the agent's own thread.
+    A lock guards the session and the announced token, because each thread that sends
+    a start requests a permit and reports a refusal. All other state belongs to the
+    agent's own thread.
 
     Parameters
     ----------
@@ -148,12 +153,13 @@
         self._announced_token: int | None = None
         self._adopted: set[str] = set()
         self._new_unresolved: queue.SimpleQueue[UnresolvedTask] = queue.SimpleQueue()
-        self._unresolved: dict[str, float] = {}
+        self._unresolved: dict[str, UnresolvedTask] = {}
         self._new_subscriptions: queue.SimpleQueue[EndSubscription] = (
             queue.SimpleQueue()
         )
         self._subscriptions: dict[str, EndSubscription] = {}
         self._last_end_sequence = 0
+        self._boot_id = ""
         # A task may end before its end is subscribed to.
         self._recent_ends: deque[str] = deque(maxlen=MAX_RECENT_ENDS)
         self._draining = False
@@ -201,11 +207,23 @@
             permit = self._session.permit_start(self.clock())
         return None if permit is None or permit.token != token else permit
 
+    def find_boot_id(self, token: int) -> str:
+        """Return the boot id of the upstream in a session; empty if it has ended.
+
+        Parameters
+        ----------
+        token : int
+            Fencing token of the session.
+        """
+        with self._lock:
+            return self._session.find_boot_id(token)
+
     def record_start_refusal(self, token: int, detail: str) -> None:
         """Apply the reason for which the upstream refused a start.
 
         The reason may end the session. It may also drain the upstream before the
-        next renewal reports that the upstream is leaving.
+        next renewal reports that the upstream is leaving. A refusal of a former
+        session has no effect: the upstream may have restarted since.
 
         Parameters
         ----------
@@ -215,7 +233,9 @@
             Reason that the upstream gave; an unknown reason is ignored.
         """
         if detail == LEAVING:
-            self.send(DrainUpstream(self.upstream.name))
+            with self._lock:
+                if token == self._announced_token:
+                    self.send(DrainUpstream(self.upstream.name))
             return
         try:
             reason = StartRefusal(detail)
@@ -235,16 +255,19 @@
         with self._lock:
             return self._session.unanswered_s(self.clock())
 
-    def track_unresolved(self, task_id: str, start_before_s: float) -> None:
+    def track_unresolved(self, task_id: str, token: int, start_before_s: float) -> None:
         """Finish a task of unknown outcome once it neither runs nor can start.
 
         Parameters
         ----------
         task_id : str
+        token : int
+            Fencing token of the session under which it was sent.
         start_before_s : float
-            Time on the upstream's clock after which its start is refused.
+            Time on the upstream's clock in that session after which its start is
+            refused.
         """
-        self._new_unresolved.put(UnresolvedTask(task_id, start_before_s))
+        self._new_unresolved.put(UnresolvedTask(task_id, token, start_before_s))
 
     def subscribe_to_end(self, task_id: str, on_end: Callable[[str], None]) -> None:
         """Call a function once when a task that was reported running has ended.
@@ -344,7 +367,7 @@
         for task_id in [name for name in self._subscriptions if name not in running]:
             self._notify_end(task_id)
         self._finish_adopted(running)
-        self._finish_unresolved(running, report.clock_s)
+        self._finish_unresolved(running, report)
         if report.leaving and not self._draining:
             LOG.info("fleet: %s is leaving", self.upstream.name)
             self._draining = True
@@ -360,18 +383,27 @@
     def _announce(self, report: SessionReport | None) -> None:
         """Notify the scheduler of the end of the last session and of a new one."""
         if self._announced_token is not None:
-            self._announced_token = None
+            with self._lock:
+                self._announced_token = None
             self._add_subscriptions()
             for task_id in list(self._subscriptions):
                 self._notify_end(task_id)
             self._adopted.clear()
-            self._unresolved.clear()
             self.send(RemoveUpstream(self.upstream.name))
+            self._add_unresolved()
+            for task_id in self._unresolved:
+                self.send(Finish(task_id, Outcome.LOST))
+            self._unresolved.clear()
         if report is None:
             return
-        self._announced_token = report.token
         self._draining = False
-        self.send(AddUpstream(report.spec.to_spec(), report.token))
+        if report.boot_id != self._boot_id:
+            # The sequence numbers of ends begin anew with each boot.
+            self._boot_id = report.boot_id
+            self._last_end_sequence = 0
+        with self._lock:
+            self._announced_token = report.token
+            self.send(AddUpstream(report.spec.to_spec(), report.token))
         for task in report.running:
             self._adopted.add(task.task_id)
             self.send(Adopt(_read_task(task, self.upstream.name)))
@@ -381,12 +413,21 @@
             self.send(Finish(task_id, Outcome.ANSWERED))
         self._adopted &= running
 
-    def _finish_unresolved(self, running: set[str], clock_s: float) -> None:
+    def _add_unresolved(self) -> None:
         while not self._new_unresolved.empty():
             unresolved = self._new_unresolved.get()
-            self._unresolved[unresolved.task_id] = unresolved.start_before_s
-        for task_id, start_before_s in list(self._unresolved.items()):
-            if task_id not in running and clock_s > start_before_s:
+            self._unresolved[unresolved.task_id] = unresolved
+
+    def _finish_unresolved(self, running: set[str], report: SessionReport) -> None:
+        self._add_unresolved()
+        for task_id, unresolved in list(self._unresolved.items()):
+            # Clocks of two sessions cannot be compared: the upstream may have
+            # restarted, and refuses starts of the former session in any case.
+            can_start = (
+                unresolved.token == report.token
+                and report.clock_s <= unresolved.start_before_s
+            )
+            if task_id not in running and not can_start:
                 del self._unresolved[task_id]
                 self.send(Finish(task_id, Outcome.LOST))
 
@@ -411,6 +452,7 @@
         epoch=report.epoch,
         ttl_s=report.ttl_s,
         upstream_now_s=report.clock_s,
+        boot_id=report.boot_id,
     )
 
 
--- a/packages/daemon/src/papayadyke_daemon/serving/_tasks.py
+++ b/packages/daemon/src/papayadyke_daemon/serving/_tasks.py
@@ -14,6 +14,7 @@
     Failed,
     Lost,
     NotStarted,
+    Restarted,
     Running,
     Stopped,
     TaskCall,
@@ -32,12 +33,13 @@
 MAX_START_DELAY_S = 10.0
 
 OnDone = Callable[[TaskDone], None]
-Authorize = Callable[[str, str, Callable[[bool], None]], None]
+Authorize = Callable[[str, str, str, Callable[[bool], None]], None]
 
 _RESULT_BY_OUTCOME: dict[type, TaskResult] = {
     Answered: TaskResult.ANSWERED,
     Failed: TaskResult.FAILED,
     NotStarted: TaskResult.NOT_STARTED,
+    Restarted: TaskResult.LAPSED,
     Stopped: TaskResult.STOPPED,
     Running: TaskResult.RUNNING,
     Lost: TaskResult.LOST,
@@ -47,6 +49,7 @@
     TaskResult.FAILED: Outcome.FAILED,
     TaskResult.NOT_STARTED: Outcome.NOT_STARTED,
     TaskResult.STOPPED: Outcome.STOPPED,
+    TaskResult.LAPSED: Outcome.LOST,
 }
 
 
@@ -58,6 +61,7 @@
     spec: TaskSpec
     on_done: OnDone
     placed: Placed | None = None
+    boot_id: str = ""
     authorization_requested_s: float = 0.0
     started_s: float = 0.0
     is_started: bool = False
@@ -130,17 +134,29 @@
         """Apply a decision of the scheduler to preempt a task."""
         self._mailbox.post(lambda: self._preempt(stop))
 
-    def resolve(self, task_id: str, upstream: str | None, on_done: OnDone) -> None:
+    def resolve(
+        self, task_id: str, upstream: str | None, boot_id: str, on_done: OnDone
+    ) -> None:
         """Query the outcome of an attempt at one upstream, or at all if None.
 
         The result is `NOT_STARTED` only if every upstream on which the attempt may
-        have been started refuses it from then on.
+        have been started refuses it from then on, and none has restarted since. If
+        one may have restarted, the result is `LAPSED`.
+
+        Parameters
+        ----------
+        task_id : str
+        upstream : str or None
+        boot_id : str
+            Boot id of the upstream in the session of the start; empty if it is
+            unknown.
+        on_done : callable
         """
         if upstream is None and not self.covers_cell():
             on_done(TaskDone(task_id, TaskResult.LOST))
             return
         names = self.fleet.list_names() if upstream is None else [upstream]
-        self._calls.submit(self._resolve_at, task_id, names, on_done)
+        self._calls.submit(self._resolve_at, task_id, names, boot_id, on_done)
 
     def _submit(self, order: TaskOrder, on_done: OnDone) -> None:
         open_order = _OpenOrder(order)
@@ -174,9 +190,11 @@
         attempt.placed = reply
         attempt.authorization_requested_s = self.clock()
         self._attempts_by_start[start.task_id] = attempt
+        agent = self.fleet.find(start.upstream)
         self.authorize(
             attempt.spec.task_id,
             start.upstream,
+            "" if agent is None else agent.find_boot_id(reply.token),
             lambda allowed: self._mailbox.post(lambda: self._send(attempt, allowed)),
         )
 
@@ -212,6 +230,7 @@
             self._post_result(attempt, NotStarted("the session has ended"))
             return
         task_id = attempt.spec.task_id
+        attempt.boot_id = permit.boot_id
         call = TaskCall(
             task_id=task_id,
             request_id=f"{attempt.order.job_id}.{attempt.spec.index}",
@@ -224,10 +243,14 @@
         )
         outcome = agent.client.start(call)
         if isinstance(outcome, Lost):
-            outcome = agent.client.resolve(task_id, wait_s=RESOLVE_WAIT_S)
+            outcome = agent.client.resolve(
+                task_id, boot_id=permit.boot_id, wait_s=RESOLVE_WAIT_S
+            )
         if isinstance(outcome, Lost):
             # The reservation stays until the task neither runs nor can start.
-            agent.track_unresolved(placed.start.task_id, call.start_before_s)
+            agent.track_unresolved(
+                placed.start.task_id, call.token, call.start_before_s
+            )
         if isinstance(outcome, NotStarted):
             agent.record_start_refusal(permit.token, outcome.detail)
         self._post_result(attempt, outcome)
@@ -261,10 +284,12 @@
         agent = self.fleet.find(placed.start.upstream)
         outcome: CallResult = Lost("the upstream is another VM's")
         if agent is not None:
-            outcome = agent.client.resolve(attempt.spec.task_id)
+            outcome = agent.client.resolve(
+                attempt.spec.task_id, boot_id=attempt.boot_id
+            )
         if isinstance(outcome, Running):
             outcome = Lost("it runs on without a session")
-        if isinstance(outcome, NotStarted):
+        if isinstance(outcome, NotStarted | Restarted):
             # It was running there, so the upstream has restarted since.
             outcome = Failed("the upstream has restarted")
         self._mailbox.post(lambda: self._end_attempt(attempt, outcome))
@@ -319,14 +344,17 @@
         if agent is not None:
             agent.client.stop(task_id, way=mode)
 
-    def _resolve_at(self, task_id: str, names: Iterable[str], on_done: OnDone) -> None:
+    def _resolve_at(
+        self, task_id: str, names: Iterable[str], boot_id: str, on_done: OnDone
+    ) -> None:
         outcome: CallResult = NotStarted("no upstream has seen it")
         for name in names:
-            reported = self.fleet.resolve(name, task_id)
-            if not isinstance(reported, NotStarted | Lost):
+            reported = self.fleet.resolve(name, task_id, boot_id=boot_id)
+            if not isinstance(reported, NotStarted | Restarted | Lost):
                 on_done(_make_done(task_id, reported, name))
                 return
-            if isinstance(reported, Lost):
+            may_still_run = isinstance(outcome, Lost)
+            if not isinstance(reported, NotStarted) and not may_still_run:
                 outcome = reported
         on_done(_make_done(task_id, outcome, None))
 
