--- a/packages/daemon/src/papayadyke_daemon/edge/tests/virtual_upstream.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/virtual_upstream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -25,7 +26,7 @@
 MAX_LEASE_S = 10.0  # longer leases are shortened
 # Seconds in which a change of the capacity has to be known: contact_ms and a heartbeat.
 CAPACITY_KNOWN_S = 4.5
-LATE_ORDER_S = 3.0  # delay of an order that is carried out late
+LATE_CALL_S = 3.0  # delay of a call that is carried out late
 
 
 class Observer(Protocol):
@@ -56,6 +57,7 @@
     observer: Observer
     now: float = 0.0
     incarnation: int = 1
+    # When its clock showed 0; each life has a clock of its own.
     clock_origin_s: float = 0.0
     token: int = 0
     lease_until_s: float = 0.0
@@ -71,29 +73,33 @@
     # Capacity before the last change, and when that was.
     earlier_cpu_millis: int = 0
     resized_s: float = 0.0
-    late_orders: list[tuple[float, int, Callable[[], object]]] = field(
-        default_factory=list
-    )
+    # Calls that were not answered, and when they are due.
+    late_calls: list[tuple[float, Callable[[], object]]] = field(default_factory=list)
 
     def advance(self, now):
-        """Carry out late orders that are due, and end the runs of a lapsed lease."""
+        """Carry out late calls that are due, and end the runs of a lapsed lease.
+
+        They are carried out in any life, also while the upstream is cut off.
+        """
         self.now = now
         if self.back_s is not None and now >= self.back_s:
             self.back_s = None
-        due = [row for row in self.late_orders if row[0] <= now]
-        self.late_orders = [row for row in self.late_orders if row[0] > now]
-        for _, incarnation, order in due:
-            if incarnation == self.incarnation and not self.is_gone:
-                order()
+            self.clock_origin_s = now
+        if self.back_s is None and not self.is_gone:
+            self._carry_out_late_calls()
         if now > self.lease_until_s:
             self.lapsed_s = now
             for task in list(self.running):
                 self.end(task, RunEnd.LAPSED)
 
-    def poll(self, token, acknowledged_end, lease_until_s):
+    def read_clock_s(self):
+        """Return the time on the clock of the present life."""
+        return self.now - self.clock_origin_s
+
+    def poll(self, token, acknowledged_end, deadline_s):
         self._check_token(token)
-        if lease_until_s is not None:
-            self._extend(lease_until_s)
+        if deadline_s is not None:
+            self._extend(deadline_s)
         for ended in self.ended:
             if ended.number <= acknowledged_end:
                 self.observer.acknowledged(self, ended)
@@ -108,13 +114,13 @@
             is_complete=len(self.ended) < MAX_LISTED_ENDS,
         )
 
-    def start(self, order: StartOrder, token, lease_until_s):
+    def start(self, order: StartOrder, token, deadline_s):
         if token < self.token:
             return StartOutcome.FENCED
         self.token = token
-        if lease_until_s < self.now:
+        if deadline_s < self.read_clock_s():
             return StartOutcome.STALE
-        self._extend(lease_until_s)
+        self._extend(deadline_s)
         task, attempt = order.task, order.attempt
         if attempt <= self.highest_attempts.get(task, 0):
             is_running = self.running.get(task) == attempt
@@ -146,6 +152,7 @@
         """Lose everything, and start again under the same id."""
         self.observer.crashed(self)
         self.incarnation += 1
+        self.clock_origin_s = self.now
         self.token = self.end_count = 0
         self.lease_until_s = 0.0
         self.running, self.highest_attempts, self.ended = {}, {}, []
@@ -170,8 +177,17 @@
             raise FencedError
         self.token = token
 
-    def _extend(self, lease_until_s):
-        lease_until_s = min(lease_until_s, self.now + MAX_LEASE_S)
+    def _carry_out_late_calls(self):
+        due = [row for row in self.late_calls if row[0] <= self.now]
+        self.late_calls = [row for row in self.late_calls if row[0] > self.now]
+        for _, call in due:
+            # Nobody waits for the answer.
+            with contextlib.suppress(FencedError):
+                call()
+
+    def _extend(self, deadline_s):
+        """Extend the lease to a time on the clock of the present life."""
+        lease_until_s = min(self.clock_origin_s + deadline_s, self.now + MAX_LEASE_S)
         self.lease_until_s = max(self.lease_until_s, lease_until_s)
 
 
@@ -193,32 +209,46 @@
         self._pause = pause
         # Incarnation that has answered on the connection for polls.
         self._answered_by = None
+        # When the clock of the upstream showed 0, by the last answer to a poll, and
+        # whose clock that is.
+        self._known_origin_s = 0.0
+        self._clock_of = None
 
     def is_connected(self):
         return self._answered_by == self._upstream.incarnation
 
     def poll(self, *, token, acknowledged_end, lease_until_s, wait_s):
+        deadline_s = None
+        if lease_until_s is not None:
+            deadline_s = lease_until_s - self._known_origin_s
         fault = self._begin()
         is_lost = lease_until_s is not None and not self.is_connected()
         if fault is CallFault.NOT_DONE or is_lost:
             self._answered_by = None
             return Err("not sent")
-        report = self._upstream.poll(token, acknowledged_end, lease_until_s)
-        if fault in (CallFault.LOST, CallFault.LATE):
+        call = lambda: self._upstream.poll(token, acknowledged_end, deadline_s)  # noqa: E731
+        if fault is CallFault.LATE:
+            self._delay(call)
+        report = None if fault is CallFault.LATE else call()
+        if report is None or fault is CallFault.LOST:
             self._answered_by = None
             return Err("no answer")
-        self._answered_by = self._upstream.incarnation
+        self._answered_by = self._clock_of = self._upstream.incarnation
+        self._known_origin_s = self._upstream.clock_origin_s
         return Ok(report)
 
     def start(self, order, *, token, lease_until_s):
+        if self._clock_of != order.incarnation:
+            return StartOutcome.EXPIRED
+        deadline_s = lease_until_s - self._known_origin_s
         fault = self._begin()
         if fault is CallFault.NOT_DONE:
             return StartOutcome.NOT_SENT
-        call = lambda: self._upstream.start(order, token, lease_until_s)  # noqa: E731
+        call = lambda: self._upstream.start(order, token, deadline_s)  # noqa: E731
         if fault is CallFault.LATE:
             self._delay(call)
             return StartOutcome.UNKNOWN
-        is_same_clock = self._answered_by == self._upstream.incarnation
+        is_same_clock = self._clock_of == self._upstream.incarnation
         outcome = call()
         if fault is CallFault.LOST:
             return StartOutcome.UNKNOWN
@@ -250,6 +280,4 @@
         return fault
 
     def _delay(self, call):
-        self._upstream.late_orders.append(
-            (self._upstream.now + LATE_ORDER_S, self._upstream.incarnation, call)
-        )
+        self._upstream.late_calls.append((self._upstream.now + LATE_CALL_S, call))
