Use the seed that a run of the random tests is given

Change: with the option, a profile without `derandomize` is in force.

Measured: the probe draws other integers with seeds 1 and 2, the same with seed 2 twice, and without a seed those of before.

--- a/conftest.py
+++ b/conftest.py
@@ -16,9 +16,16 @@
     suppress_health_check=list(HealthCheck),
     max_examples=50,
 )
+settings.register_profile("seeded", settings.get_profile("ci"), derandomize=False)
 settings.load_profile("ci")
 
 
+def pytest_configure(config):
+    # With `derandomize`, hypothesis ignores the seed.
+    if config.getoption("--hypothesis-seed", default=None) is not None:
+        settings.load_profile("seeded")
+
+
 def read_known_red():
     """Return the reason of each test that is listed as known to fail."""
     lines = KNOWN_RED.read_text().splitlines()
