--- a/review/lab2.py
+++ b/review/lab2.py
@@ -30,7 +30,7 @@
 
 
 class Server:
-    """HTTP/1.1 server; `handle` returns (status, body) or None for no answer."""
+    """HTTP/1.1 server; `handle` returns (status, body), "silent", or None to close."""
 
     def __init__(self, host, handle):
         self.host, self.port, self.handle = host, 0, handle
@@ -106,6 +106,10 @@
         parts = urlsplit(target)
         query = {k: v[0] for k, v in parse_qs(parts.query).items()}
         answer = self.handle(method, parts.path, query, headers, body)
+        if answer == "silent":
+            # The connection stays open, and no answer comes.
+            time.sleep(30)
+            return False
         if answer is None:
             return False
         status, fields = answer
@@ -385,7 +389,7 @@
                 text = f"{path} {call.get('task')} attempt {call.get('attempt')}"
                 self.lab.note(f"{self.name} does not answer {text}; carries it out {late_s:.1f} s later")
                 threading.Timer(late_s, self._carry_out_late, [path, call]).start()
-                return None
+                return "silent"
             answer = self._carry_out(path, call)
             if not self.is_up or self.born != life:
                 return None
