--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Two crashes of workers end a job that lasts; none of its runs has failed."""
+"""A gang that has lost a machine for good keeps the whole idle fleet from other jobs."""
 
 import sys
 import time
@@ -8,44 +8,44 @@
 
 from lab2 import CannotRun, main, route
 
-JOB = "00000000000000a1"
-TASKS = 2
-CPU = {JOB: 18000}
-DOWN_S = 3.0
+GANG, JOB = "00000000000000a1", "00000000000000b1"
+CPU = {GANG: 60000, JOB: 16000}
+FINISH_S = 14.0
 
 
 def case(lab):
-    for number in range(1, 9):
-        lab.add_worker(f"i-{number:04d}")
-    lab.configure([route("/batch/", max_attempts=3, stretch=4.0)])
+    # Machines of two kinds: one of kind a, seven of kind b.
+    lab.add_worker("i-0001", labels=("a", "r1-1"))
+    for number in range(2, 9):
+        lab.add_worker(f"i-{number:04d}", labels=("b", "r1-1"))
+    gangs = route("/gangs/", priority=1, stretch=4.0, max_attempts=3)
+    lab.configure([gangs, route("/batch/", priority=2, stretch=4.0)])
     lab.start_vms()
-    step = {
-        "count": TASKS,
-        "cpu": 18000,
+    gang = {
+        "count": 7,
+        "cpu": 60000,
         "mem_mb": 4096,
-        "estimate_ms": 5000,
-        "long_running": True,
+        "estimate_ms": 10000,
+        "gang": True,
+        "constraints": "b",
     }
-    lab.submit(f"/batch/{JOB}", [step], {"run_s": [1e9]})
-    for crash in range(2):
-        if not lab.wait(lambda: len(lab.starts) >= TASKS * (crash + 1), 20.0):
-            raise CannotRun("the tasks did not start")
-        time.sleep(3.0)
-        if not lab.trouble:
-            break
-        worker = next(w for w in lab.workers if w.runs)
-        worker.crash(DOWN_S)
-        time.sleep(DOWN_S)
+    lab.submit(f"/gangs/{GANG}", [gang], {"run_s": [10.0], "gang": {"0": 7}})
+    if not lab.wait(lambda: len(lab.starts) == 7, 5.0):
+        raise CannotRun("the gang did not start")
+    time.sleep(2.0)
+    if lab.trouble:
+        lab.workers[-1].leave()
+    # By then the leases of its runs are over, and so is the gang without the trouble.
     time.sleep(9.0)
-    state = lab.state(f"/batch/{JOB}")
-    failed = [e for e in lab.ends if e[3] == "failed"]
-    running = sum(len(w.runs) for w in lab.workers)
-    lab.note(f"the job is {state}; {running} tasks run; ends `failed`: {len(failed)}")
-    if state == "failed" and not failed:
-        return "LOST, shown as failed without cause"
-    if lab.stalls(JOB, TASKS, CPU, needs=36000, seconds=3.0):
-        return "LOST, no task of the job runs"
-    return "" if running == TASKS else "LOST"
+    step = {"count": 2, "cpu": 16000, "mem_mb": 4096, "estimate_ms": 4000}
+    lab.submit(f"/batch/{JOB}", [step], {"run_s": [4.0]})
+    end = time.monotonic()
+    lab.note("end of the traffic")
+    lab.wait(lambda: False, end + FINISH_S - time.monotonic())
+    lab.state(f"/batch/{JOB}")
+    if lab.stalls(JOB, 2, CPU, needs=32000, seconds=20.0):
+        return "LOST, the job has not started though all machines are idle"
+    return "" if lab.state(f"/batch/{JOB}") == "complete" else "LOST"
 
 
 main(case)
