--- a/review/lab2.py
+++ b/review/lab2.py
@@ -65,7 +65,9 @@
             conns, self._conns = self._conns, set()
         for conn in conns:
             try:
-                conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                conn.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                )
                 conn.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass
@@ -99,7 +101,7 @@
             return False
         method, target, _ = line.decode("latin-1").split()
         headers = {}
-        while (line := stream.readline().strip()):
+        while line := stream.readline().strip():
             name, _, value = line.decode("latin-1").partition(":")
             headers[name.strip().lower()] = value.strip()
         body = stream.read(int(headers.get("content-length", 0)))
@@ -194,12 +196,20 @@
         with self.cond:
             if name == "kv-key":
                 item = self.items.get(query["key"])
-                return (404, {}) if item is None else (200, {**item, "at": self.revision})
+                return (
+                    (404, {}) if item is None else (200, {**item, "at": self.revision})
+                )
             if name == "kv-range":
                 prefix, after = query["prefix"], query.get("after", "")
-                keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
+                keys = sorted(
+                    k for k in self.items if k.startswith(prefix) and k > after
+                )
                 page = [self.items[k] for k in keys[:500]]
-                return 200, {"items": page, "has_more": len(keys) > 500, "at": self.revision}
+                return 200, {
+                    "items": page,
+                    "has_more": len(keys) > 500,
+                    "at": self.revision,
+                }
             if name == "kv-txn":
                 return self._commit(json.loads(body))
             if name == "kv-lease":
@@ -222,7 +232,9 @@
         until = time.monotonic() + int(query["wait_ms"]) / 1000
         with self.cond:
             while True:
-                events = [e for r, k, e in self.history if r > after and k.startswith(prefix)]
+                events = [
+                    e for r, k, e in self.history if r > after and k.startswith(prefix)
+                ]
                 left = until - time.monotonic()
                 if events or left <= 0:
                     return 200, {"events": events, "at": self.revision}
@@ -239,7 +251,9 @@
                 return 412, {"items": [item for item in rows if item]}
         if any(w.get("lease") and w["lease"] not in self.leases for w in writes):
             return 404, {}
-        rows = [(w["key"], base64.b64decode(w["value"]), w.get("lease", 0)) for w in writes]
+        rows = [
+            (w["key"], base64.b64decode(w["value"]), w.get("lease", 0)) for w in writes
+        ]
         return 200, {"revision": self._apply(rows, removed)}
 
 
@@ -387,7 +401,9 @@
             late_s = self.delay(path, call)
             if late_s is not None:
                 text = f"{path} {call.get('task')} attempt {call.get('attempt')}"
-                self.lab.note(f"{self.name} does not answer {text}; carries it out {late_s:.1f} s later")
+                self.lab.note(
+                    f"{self.name} does not answer {text}; carries it out {late_s:.1f} s later"
+                )
                 threading.Timer(late_s, self._carry_out_late, [path, call]).start()
                 return "silent"
             answer = self._carry_out(path, call)
@@ -407,7 +423,9 @@
             if self.is_up:
                 status, answer = self._carry_out(path, {**call, "wait_ms": 0})
                 text = f"{path} {call.get('task')} attempt {call.get('attempt')}"
-                self.lab.note(f"{self.name} carries out late: {text} -> {status} {answer.get('reason', '')}")
+                self.lab.note(
+                    f"{self.name} carries out late: {text} -> {status} {answer.get('reason', '')}"
+                )
 
     def cut(self, seconds):
         """Be cut off from all VMs; what runs goes on."""
@@ -448,7 +466,11 @@
                 break
             self.cond.wait(left)
         running = [[t, a, "", 50, 0] for t, a in self.runs]
-        return 200, {"born": self.born, "running": running, "finished": self.ended[:500]}
+        return 200, {
+            "born": self.born,
+            "running": running,
+            "finished": self.ended[:500],
+        }
 
     def _start(self, call):
         key = call["task"], call["attempt"]
@@ -564,7 +586,9 @@
         }
         self.store.put("op/config", config)
         prefixes = [route["prefix"] for route in routes]
-        self.note(f"operator: configuration {self.config_version} acknowledged, routes {prefixes}")
+        self.note(
+            f"operator: configuration {self.config_version} acknowledged, routes {prefixes}"
+        )
 
     def start_vm(self, name):
         host = self.vms[name]
@@ -577,7 +601,11 @@
         env["PYTHONDONTWRITEBYTECODE"] = "1"
         log = open(self.folder / f"{name}.log", "a")
         self.processes[name] = subprocess.Popen(
-            ["python3", "-m", "papayadyke_adapter.main"], cwd=ROOT, env=env, stdout=log, stderr=log
+            ["python3", "-m", "papayadyke_adapter.main"],
+            cwd=ROOT,
+            env=env,
+            stdout=log,
+            stderr=log,
         )
         self.note(f"{name} started as process {self.processes[name].pid}")
 
@@ -668,7 +696,11 @@
             self._turn += 1
             vm = names[self._turn % len(names)]
         data = b"" if body is None else json.dumps(body).encode()
-        headers = {"Host": QUEUE_HOST, "Content-Type": "application/json", "X-Deadline-Ms": "3000"}
+        headers = {
+            "Host": QUEUE_HOST,
+            "Content-Type": "application/json",
+            "X-Deadline-Ms": "3000",
+        }
         try:
             conn = http.client.HTTPConnection(self.vms[vm], 8161, timeout=timeout)
             conn.request(method, path, body=data, headers=headers)
@@ -678,13 +710,17 @@
         except (OSError, http.client.HTTPException, ValueError) as exc:
             answer = 0, {"error": type(exc).__name__}
         if not quiet:
-            self.note(f"client: {method} {path} at {vm} -> {answer[0]} {json.dumps(answer[1])}")
+            self.note(
+                f"client: {method} {path} at {vm} -> {answer[0]} {json.dumps(answer[1])}"
+            )
         return answer
 
     def submit(self, path, steps, spec):
         """Submit a job until it is accepted; the same id is sent again after no answer."""
         body = {"spec": json.dumps(spec), "job_steps": steps}
-        self.note(f"client: job {path} steps {json.dumps(steps)} spec {json.dumps(spec)}")
+        self.note(
+            f"client: job {path} steps {json.dumps(steps)} spec {json.dumps(spec)}"
+        )
         for _ in range(20):
             if self.call("POST", path, body)[0] == 200:
                 return
@@ -714,11 +750,22 @@
         """
         until = time.monotonic() + seconds
         while time.monotonic() < until:
-            running = [k for w in self.workers for k in list(w.runs) if k[0].startswith(job)]
-            done = {key[0] for _, _, key, how in self.ends if how == "done" and key[0].startswith(job)}
+            running = [
+                k for w in self.workers for k in list(w.runs) if k[0].startswith(job)
+            ]
+            done = {
+                key[0]
+                for _, _, key, how in self.ends
+                if how == "done" and key[0].startswith(job)
+            }
             total = sum(w.cpu for w in self.workers if w.is_up)
             used = self.used_cpu(cpu)
-            if running or len(done) >= tasks or total - used < 2 * needs or 2 * used >= total:
+            if (
+                running
+                or len(done) >= tasks
+                or total - used < 2 * needs
+                or 2 * used >= total
+            ):
                 return False
             time.sleep(0.05)
         self.note(
