Log which upstreams a takeover waits for

No log line told what held them back before the wait was over.

Three hypotheses: (1) an entry that names no upstream counts as a silent one; (2) an upstream that answers has not listed all of its ends; (3) the thread of the entry holds up the decider. The new line, once a second from 0.5 s after the takeover on, names the silent upstreams, those with unlisted ends, the time left and the jobs held back.

--- a/packages/core/src/papayadyke_core/dispatch/__init__.py
+++ b/packages/core/src/papayadyke_core/dispatch/__init__.py
@@ -50,7 +50,7 @@
     TaskId,
     check_job_spec,
 )
-from papayadyke_core.dispatch._takeover import TakeoverEnd
+from papayadyke_core.dispatch._takeover import TakeoverEnd, TakeoverWait
 from papayadyke_core.dispatch._team_round import TeamWait
 from papayadyke_core.dispatch._upstream import Upstream
 
@@ -89,6 +89,7 @@
     "StepSpec",
     "StopOrder",
     "TakeoverEnd",
+    "TakeoverWait",
     "TaskCrash",
     "TaskId",
     "TeamWait",
--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -31,7 +31,7 @@
 from papayadyke_core.dispatch._schedule import Schedule
 from papayadyke_core.dispatch._settings import DispatchSettings
 from papayadyke_core.dispatch._spec import Catalog, StagedJobSpec, StepId
-from papayadyke_core.dispatch._takeover import Takeover, TakeoverEnd
+from papayadyke_core.dispatch._takeover import Takeover, TakeoverEnd, TakeoverWait
 from papayadyke_core.dispatch._team_round import RankedStep, TeamRound, TeamWait
 from papayadyke_core.dispatch._tracking import RunTracker
 from papayadyke_core.dispatch._unknown_use import UnknownUse
@@ -346,6 +346,16 @@
         """Return how the wait for the runs of earlier terms ended, once."""
         return self._takeover.take_end()
 
+    def describe_takeover_wait(self, now: float) -> TakeoverWait | None:
+        """Return what holds back the jobs of earlier terms; None if nothing does."""
+        return self._takeover.describe_wait(self.upstreams, now)
+
+    def count_held_jobs(self) -> int:
+        """Return the number of open jobs that a takeover may hold back."""
+        return sum(
+            1 for job in self.jobs.values() if job.is_held_over and not job.is_final
+        )
+
     def take_lost_runs(self) -> list[LostRun]:
         """Remove and return the runs that were lost since the last call."""
         lost_runs, self._schedule.lost_runs = self._schedule.lost_runs, []
--- a/packages/core/src/papayadyke_core/dispatch/_takeover.py
+++ b/packages/core/src/papayadyke_core/dispatch/_takeover.py
@@ -27,12 +27,46 @@
     silent_upstreams: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class TakeoverWait:
+    """What holds back the jobs of earlier terms.
+
+    Parameters
+    ----------
+    waited_s : float
+        Seconds since the takeover.
+    left_s : float
+        Seconds after which silent upstreams are no longer waited for.
+    silent_upstreams : tuple of str
+        Upstreams that have not listed their runs.
+    unlisted_ends : tuple of str
+        Upstreams under leases of this term that have not listed all ends, for which
+        there is no such time.
+    """
+
+    waited_s: float
+    left_s: float
+    silent_upstreams: tuple[str, ...]
+    unlisted_ends: tuple[str, ...]
+
+
 def has_unknown_ends(upstream: Upstream, now: float) -> bool:
     """Return whether an upstream under leases of this term has not listed all ends."""
     has_lapsed = not upstream.is_reachable and now > upstream.lease_until_s
     return upstream.has_answered and not upstream.has_reported and not has_lapsed
 
 
+def list_awaited(upstreams: Mapping[str, Upstream]) -> list[str]:
+    """Return the upstreams that may have runs of earlier terms and list none."""
+    # Whatever ran at an address has ended once another upstream answers there.
+    addresses = {u.entry.address for u in upstreams.values() if u.has_reported}
+    return [
+        name
+        for name, upstream in upstreams.items()
+        if not upstream.has_reported and upstream.entry.address not in addresses
+    ]
+
+
 class Takeover:
     """Times until which runs or jobs of earlier terms may be unknown, in seconds.
 
@@ -102,16 +136,8 @@
         """Lift the barrier once no earlier start can be unknown; return if it did."""
         if self.barrier_s is None:
             return False
-        reported = [
-            upstream for upstream in upstreams.values() if upstream.has_reported
-        ]
-        # Whatever ran at an address has ended once another upstream answers there.
-        addresses = {upstream.entry.address for upstream in reported}
-        all_reported = all(
-            upstream.has_reported or upstream.entry.address in addresses
-            for upstream in upstreams.values()
-        )
-        if not (all_reported and upstreams) and now < self.barrier_s:
+        is_waiting = not upstreams or bool(list_awaited(upstreams))
+        if is_waiting and now < self.barrier_s:
             return False
         if any(has_unknown_ends(upstream, now) for upstream in upstreams.values()):
             # Tasks that they have done are not known to be, however long it takes.
@@ -121,6 +147,20 @@
         self._end = TakeoverEnd(now - self._began_s, tuple(silent))
         return True
 
+    def describe_wait(
+        self, upstreams: Mapping[str, Upstream], now: float
+    ) -> TakeoverWait | None:
+        """Return what holds back the jobs of earlier terms; None if nothing does."""
+        if self.barrier_s is None:
+            return None
+        unlisted = [name for name, u in upstreams.items() if has_unknown_ends(u, now)]
+        return TakeoverWait(
+            now - self._began_s,
+            max(0.0, self.barrier_s - now),
+            tuple(list_awaited(upstreams)),
+            tuple(unlisted),
+        )
+
     def take_end(self) -> TakeoverEnd | None:
         """Remove and return the end of the wait; None if there is no new one."""
         end, self._end = self._end, None
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -59,6 +59,7 @@
 )
 from papayadyke_daemon.edge._roster import RosterWriter, Term
 from papayadyke_daemon.edge._stored_jobs import decode_job_record, read_stored_jobs
+from papayadyke_daemon.edge._takeover_reports import TakeoverReporter
 from papayadyke_daemon.edge._team_reports import TeamReporter
 from papayadyke_daemon.edge._watch import PrefixWatch, list_prefix
 from papayadyke_daemon.mailbox import Mailbox
@@ -165,6 +166,7 @@
         )
         self._team_reporter = TeamReporter()
         self._gang_reporter = GangReporter()
+        self._takeover_reporter = TakeoverReporter()
         self._learned = LearnedWriter(
             ports.store, self._dispatcher, token=term.token, post=self._mailbox.post
         )
@@ -409,6 +411,7 @@
         self._roster.update(self._dispatcher.upstreams, now)
         self._team_reporter.update(self._dispatcher, now)
         self._gang_reporter.update(self._dispatcher, now)
+        self._takeover_reporter.update(self._dispatcher, now)
         self._learned.update(now)
         self._collect_garbage(now)
         return self._committer.next_commit_s(now + MAX_STEP_INTERVAL_S)
