Use no registry entry whose service the configuration does not name

Callers saw nothing run of their accepted jobs for 12 s after each change of the leader, with all upstreams idle, as long as the registry held an entry of another program.

Cause: each entry that can be decoded became an upstream. One at an address where nobody listens never reports, so a takeover waited for it as for a silent upstream, until the longest lease was over. It also got two threads, calls every 0.3 s, a row in the roster of the next term and a part in the rate of polls. An entry that cannot be decoded was logged at each of its heartbeats.

The configuration now tells which services it names, and an entry of another service is not used, whatever else it says. It is kept until a configuration names its service. An upstream that may have runs, of this term or by the roster of earlier ones, is followed and waited for as before, whatever the configuration names. Each reason for which an entry is not used is logged once.

Ruled out: unlisted ends and a late decider (the log of the takeover's wait, and the case without the entry, which held before).

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -147,6 +147,10 @@
         if upstream is None:
             upstream = Upstream(entry, self._schedule.ledger)
             self.upstreams[entry.upstream_id] = upstream
+            # Earlier deciders gave no work to an upstream that they had not recorded.
+            upstream.may_have_earlier_runs = (
+                is_recorded and self._takeover.barrier_s is not None
+            )
             self._unknown_use.is_outdated = True
             if self.run_times is not None:
                 self.run_times.apply_speed(upstream)
--- a/packages/core/src/papayadyke_core/dispatch/_spec.py
+++ b/packages/core/src/papayadyke_core/dispatch/_spec.py
@@ -289,6 +289,8 @@
         Teams by name; None if callers need no keys.
     team_keys : TeamKeys
         Keys of the teams.
+    services : frozenset of str or None
+        Services whose upstreams may be used; None if the configuration does not tell.
     """
 
     version: int = 0
@@ -296,6 +298,7 @@
     max_body_bytes: int = 262_144
     teams: dict[str, TeamPolicy] | None = None
     team_keys: TeamKeys = field(default_factory=TeamKeys)
+    services: frozenset[str] | None = None
 
     def find_queue(self, host: str, path: str) -> QueuePolicy | None:
         """Return the queue of a host whose prefix is the longest match for a path."""
--- a/packages/core/src/papayadyke_core/dispatch/_upstream.py
+++ b/packages/core/src/papayadyke_core/dispatch/_upstream.py
@@ -40,6 +40,9 @@
         self.departs_s: float | None = None
         self.incarnation: int | None = None
         self.is_reachable = False
+        # Whether a decider of an earlier term may have started runs that this one does
+        # not know of.
+        self.may_have_earlier_runs = False
         # Whether it has answered, and whether it has listed all of its runs and ends.
         self.has_answered = False
         self.has_reported = False
@@ -78,6 +81,11 @@
             and now >= self.set_aside_until_s
         )
 
+    @property
+    def may_have_runs(self) -> bool:
+        """Whether a decider may have started runs: it starts none before an answer."""
+        return self.has_answered or self.may_have_earlier_runs
+
     @property
     def has_present_entry(self) -> bool:
         """Whether the entry tells the capacity and labels of the present incarnation.
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -57,6 +57,7 @@
     EdgeSettings,
     Record,
 )
+from papayadyke_daemon.edge._registry import Registry
 from papayadyke_daemon.edge._roster import RosterWriter, Term
 from papayadyke_daemon.edge._stored_jobs import decode_job_record, read_stored_jobs
 from papayadyke_daemon.edge._takeover_reports import TakeoverReporter
@@ -136,6 +137,7 @@
         )
         self._mailbox = Mailbox("decider", self._tick, clock=read_clock)
         self._agents: dict[str, UpstreamAgent] = {}
+        self._registry = Registry(ports.decode_upstream)
         self._fences = UpstreamFences(term.token)
         self._watches: list[PrefixWatch] = []
         self._is_started = False
@@ -265,7 +267,7 @@
 
     def set_catalog(self, catalog: Catalog) -> None:
         """Apply a configuration if it is newer than the current one."""
-        self._mailbox.post(lambda: self._dispatcher.set_catalog(catalog))
+        self._mailbox.post(lambda: self._set_catalog(catalog))
 
     def get_status(self, job_id: str) -> JobStatus | None:
         """Return the state and the team of a job, or None if the job is unknown."""
@@ -459,24 +461,32 @@
         elif record.key.startswith(CANCEL_PREFIX):
             self._cancel(record.key.removeprefix(CANCEL_PREFIX))
 
-    def _decode_upstream(self, record: Record) -> UpstreamEntry | None:
-        upstream_id = record.key.removeprefix(self._ports.registry_prefix)
-        if record.value is None:
-            return None
-        try:
-            return self._ports.decode_upstream(upstream_id, record.value)
-        except Exception:
-            # Other programs write the registry; none of its entries may end a term.
-            LOG.exception("decider: registry entry %s is unreadable", upstream_id)
-            return None
+    def _set_catalog(self, catalog: Catalog) -> None:
+        self._dispatcher.set_catalog(catalog)
+        for entry in self._registry.take_named(self._dispatcher.catalog.services):
+            self._apply_entry(entry)
 
     def _apply_registry_record(self, record: Record) -> None:
         upstream_id = record.key.removeprefix(self._ports.registry_prefix)
-        entry = self._decode_upstream(record)
-        if entry is None:
+        upstream = self._dispatcher.upstreams.get(upstream_id)
+        entry = None
+        if record.value is None:
+            self._registry.forget(upstream_id)
+        else:
+            entry = self._registry.read(
+                upstream_id,
+                record.value,
+                services=self._dispatcher.catalog.services,
+                is_used=upstream is not None and upstream.may_have_runs,
+            )
+        if entry is not None:
+            self._apply_entry(entry, revision=record.revision)
+        elif upstream is not None and upstream.is_listed:
             self._dispatcher.mark_upstream_unlisted(upstream_id)
             log_event(LOG, "decider: upstream unlisted", upstream=upstream_id)
-            return
+
+    def _apply_entry(self, entry: UpstreamEntry, *, revision: int = 0) -> None:
+        upstream_id = entry.upstream_id
         known_upstream = self._dispatcher.upstreams.get(upstream_id)
         is_recorded = self._roster.names(entry)
         if not is_recorded:
@@ -493,7 +503,7 @@
                 "decider: upstream listed",
                 upstream=upstream_id,
                 draining=entry.is_draining,
-                revision=record.revision,
+                revision=revision,
             )
         agent = self._agents.get(upstream_id)
         if agent is not None and agent.address != entry.address:
@@ -676,6 +686,8 @@
             names = {record.key.removeprefix(prefix) for record in records}
             for name in self._dispatcher.upstreams.keys() - names:
                 self._dispatcher.mark_upstream_unlisted(name)
+            for name in self._registry.list_ids() - names:
+                self._registry.forget(name)
             for record in records:
                 self._apply_registry_record(record)
             return
--- a/packages/daemon/src/papayadyke_daemon/edge/_ports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_ports.py
@@ -193,7 +193,7 @@
     decode_catalog : callable
         Decodes a stored configuration; returns None if it is unreadable.
     decode_upstream : callable
-        Decodes a registry entry; returns None if it is not an upstream.
+        Decodes a registry entry; the error tells why it names no upstream.
     catalog_key, registry_prefix : str
     """
 
@@ -201,7 +201,7 @@
     connect_upstream: Callable[[UpstreamEntry], UpstreamClient]
     request_advice: Callable[[StepId, Sequence[str]], Result[Advice, str]]
     decode_catalog: Callable[[bytes], Catalog | None]
-    decode_upstream: Callable[[str, bytes], UpstreamEntry | None]
+    decode_upstream: Callable[[str, bytes], Result[UpstreamEntry, str]]
     catalog_key: str
     registry_prefix: str
 
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/deciders.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/deciders.py
@@ -49,7 +49,7 @@
 
 def decode_upstream(name, data):
     """Decode a registry entry, which holds only the state of the upstream."""
-    return UpstreamEntry(name, SERVICE, ADDRESS, is_draining=data == b"draining")
+    return Ok(UpstreamEntry(name, SERVICE, ADDRESS, is_draining=data == b"draining"))
 
 
 def make_decider(
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/fake_store.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/fake_store.py
@@ -124,7 +124,7 @@
         connect_upstream=fail_to_connect,
         request_advice=lambda step, names: Err("no advisory service"),
         decode_catalog=lambda data: None,
-        decode_upstream=lambda name, data: None,
+        decode_upstream=lambda name, data: Err("no upstream"),
         catalog_key="config",
         registry_prefix="upstreams/",
     )
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/history_world.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/history_world.py
@@ -326,15 +326,17 @@
     def _decode_upstream(self, name, data):
         state, _, capacity = data.decode().partition(" ")
         if state not in ("ready", "draining"):
-            return None
-        return UpstreamEntry(
-            name,
-            "service",
-            f"{name.partition('-')[0]}:1",
-            "zone",
-            int(capacity),
-            100_000,
-            is_draining=state == "draining",
+            return Err(f"the state is {state}")
+        return Ok(
+            UpstreamEntry(
+                name,
+                "service",
+                f"{name.partition('-')[0]}:1",
+                "zone",
+                int(capacity),
+                100_000,
+                is_draining=state == "draining",
+            )
         )
 
 
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_unexpected_errors.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_unexpected_errors.py
@@ -119,7 +119,7 @@
     """Decode a registry entry; an entry of a test fails in an unexpected way."""
     if data == b"malformed":
         raise OverflowError("port must be 0-65535")
-    return UpstreamEntry(name, "service", f"127.0.0.1:{data.decode()}")
+    return Ok(UpstreamEntry(name, "service", f"127.0.0.1:{data.decode()}"))
 
 
 def wait_for(condition):
--- a/packages/soak/src/papayadyke_soak/tests/test_fleet.py
+++ b/packages/soak/src/papayadyke_soak/tests/test_fleet.py
@@ -61,7 +61,7 @@
 
 def read_entry(store, member):
     name = member.server.upstream_id
-    return decode_entry(name, store.read(f"servers/{name}"))
+    return decode_entry(name, store.read(f"servers/{name}")).unwrap()
 
 
 def wait_until(condition):
