Wait at a takeover only for upstreams that may have had work

A takeover waited for each upstream that was listed or in the roster, also for one that no decider had ever reached: nothing can run there, since an upstream gets no work before it has answered. An entry of a named service at an address where nobody listens held up all earlier jobs for 12 s at each change of the leader, and so did an upstream that had been silent since the change before, whose leases were over by then.

The roster now names the upstreams that have answered, and those of earlier terms until the takeover has waited for them. Only these are waited for, and count as unknown use of the teams. One that is silent when the wait ends is left out of the roster, and gets no work until it has answered and is recorded again. A row that a write removes no longer counts as stored while the write is in progress or its answer is lost; it did, so that an upstream could have got work that the stored roster did not name.

An upstream that an earlier decider reached and that is silent is waited for as before, also by a successor whose predecessor has not waited to the end (tests).

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -186,7 +186,7 @@
             and not self._schedule.unanswered_starts.has_starts(name)
             and now > upstream.lease_until_s
             # Before the barrier, runs that an earlier decider started may be unknown.
-            and (upstream.has_reported or self._takeover.barrier_s is None)
+            and (upstream.has_reported or not upstream.may_have_earlier_runs)
         ]
         for name in unused:
             del self.upstreams[name]
--- a/packages/core/src/papayadyke_core/dispatch/_takeover.py
+++ b/packages/core/src/papayadyke_core/dispatch/_takeover.py
@@ -20,7 +20,8 @@
     waited_s : float
         Seconds since the takeover.
     silent_upstreams : tuple of str
-        Upstreams that have not listed their runs; these have lost their leases.
+        Upstreams that may have had runs of earlier terms and have not listed them;
+        these have lost their leases.
     """
 
     waited_s: float
@@ -63,7 +64,9 @@
     return [
         name
         for name, upstream in upstreams.items()
-        if not upstream.has_reported and upstream.entry.address not in addresses
+        if upstream.may_have_earlier_runs
+        and not upstream.has_reported
+        and upstream.entry.address not in addresses
     ]
 
 
@@ -136,14 +139,17 @@
         """Lift the barrier once no earlier start can be unknown; return if it did."""
         if self.barrier_s is None:
             return False
-        is_waiting = not upstreams or bool(list_awaited(upstreams))
-        if is_waiting and now < self.barrier_s:
+        if list_awaited(upstreams) and now < self.barrier_s:
             return False
         if any(has_unknown_ends(upstream, now) for upstream in upstreams.values()):
             # Tasks that they have done are not known to be, however long it takes.
             return False
         self.barrier_s = None
-        silent = [name for name, u in upstreams.items() if not u.has_reported]
+        silent = []
+        for name, upstream in upstreams.items():
+            if upstream.may_have_earlier_runs and not upstream.has_reported:
+                silent.append(name)
+            upstream.end_takeover()
         self._end = TakeoverEnd(now - self._began_s, tuple(silent))
         return True
 
--- a/packages/core/src/papayadyke_core/dispatch/_unknown_use.py
+++ b/packages/core/src/papayadyke_core/dispatch/_unknown_use.py
@@ -77,9 +77,10 @@
 
 
 def sum_unanswered(upstreams: Iterable[Upstream]) -> Resources:
-    """Return the capacity of the upstreams that have not answered in this term.
+    """Return the capacity of the upstreams that may have unknown runs.
 
-    One whose entry tells no capacity counts as the largest of its service.
+    They may have runs of earlier terms, and have not answered in this one. One whose
+    entry tells no capacity counts as the largest of its service.
     """
     upstreams = list(upstreams)
     largest: dict[str, Resources] = {}
@@ -89,7 +90,7 @@
         largest[service] = _find_maximum(known, _read_capacity(upstream))
     total = ZERO_RESOURCES
     for upstream in upstreams:
-        if not upstream.has_reported:
+        if upstream.may_have_earlier_runs and not upstream.has_reported:
             capacity = _read_capacity(upstream)
             if capacity == ZERO_RESOURCES:
                 capacity = largest[upstream.entry.service]
--- a/packages/core/src/papayadyke_core/dispatch/_upstream.py
+++ b/packages/core/src/papayadyke_core/dispatch/_upstream.py
@@ -81,6 +81,16 @@
             and now >= self.set_aside_until_s
         )
 
+    def end_takeover(self) -> None:
+        """Record that no run of an earlier term can be unknown from now on.
+
+        An upstream that has not answered by then runs nothing, so that a successor need
+        not know of it until it has been recorded again.
+        """
+        self.may_have_earlier_runs = False
+        if not self.has_answered:
+            self.is_recorded = False
+
     @property
     def may_have_runs(self) -> bool:
         """Whether a decider may have started runs: it starts none before an answer."""
--- a/packages/core/src/papayadyke_core/dispatch/tests/dispatch_world.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/dispatch_world.py
@@ -180,7 +180,11 @@
 
     def take_over(self):
         """Replace the dispatcher by one that reads only the store and the upstreams."""
-        self.roster = {n: u.entry for n, u in self.dispatcher.upstreams.items()}
+        self.roster = {
+            name: upstream.entry
+            for name, upstream in self.dispatcher.upstreams.items()
+            if upstream.is_recorded or upstream.may_have_runs
+        }
         self.dispatcher = self.make_dispatcher()
 
     def use_slow_clock(self, name):
@@ -366,6 +370,7 @@
             report = self._poll(name, contact)
             if report is not None:
                 self.dispatcher.process_report(name, report, self.now)
+                self.dispatcher.mark_upstream_recorded(name)
 
     def _poll(self, name, contact):
         """Poll an upstream, and return a report of a life that knows its token.
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_restarts_and_handovers.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_restarts_and_handovers.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 
 import pytest
-from dispatch_world import make_catalog, make_entry, make_job, make_step
+from dispatch_world import World, make_catalog, make_entry, make_job, make_step
 
 from papayadyke_core.dispatch import (
     Dispatcher,
@@ -22,6 +22,7 @@
     UpstreamReport,
     decode_progress,
 )
+from papayadyke_core.dispatch.tests.fake_upstream import FakeUpstream
 
 OLD, NEW = 1, 2  # incarnations of an upstream
 TASK = TaskId("j", 0, 0, 0)
@@ -448,3 +449,44 @@
     report(dispatcher, order.upstream_id, 0.4, incarnation=NEW)
     (lost,) = dispatcher.take_lost_runs()
     assert lost.cause is LossCause.NOT_LISTED
+
+
+def test_takeover_does_not_wait_for_an_upstream_that_was_never_recorded():
+    """Guards against jobs that wait for an upstream which no decider gave work."""
+    world = World(None, make_entry("a"))
+    world.submit(make_job("j"))
+    world.take_over()
+    world.dispatcher.add_or_update_upstream(make_entry("dead"), is_recorded=False)
+    world.run(0.2)
+    assert [name for name, _, _ in world.running()] == ["a"]
+
+
+def test_second_takeover_does_not_wait_for_an_upstream_that_is_silent_since_the_first():
+    """Guards against one dead upstream that holds up each change of the decider."""
+    world = World(None, make_entry("a"), make_entry("b"))
+    world.run(0.2)
+    world.upstreams["b"].is_disconnected = True
+    world.take_over()
+    settings = world.dispatcher.settings
+    world.run(settings.handover_s + settings.longest_hold_s + 0.2)
+    world.submit(make_job("j"), may_have_started=True)
+    del world.upstreams["b"]
+    world.take_over()
+    world.run(0.2)
+    assert [name for name, _, _ in world.running()] == ["a"]
+
+
+def test_takeover_during_the_wait_of_another_still_waits_for_the_silent_upstream():
+    """Guards against a task that runs twice: its upstream was silent for both."""
+    world = World(None, make_entry("a"))
+    world.submit(make_job("j"))
+    world.run(0.2, after_s=60.0)
+    assert world.running()
+    world.upstreams["a"].is_disconnected = True
+    world.upstreams["b"] = FakeUpstream(make_entry("b"), world.now)
+    world.take_over()
+    world.run(3.0, after_s=60.0)
+    world.take_over()
+    settings = world.dispatcher.settings
+    world.run(settings.handover_s + settings.longest_hold_s - 0.2, after_s=60.0)
+    assert all(name == "a" for name, _, _ in world.running())
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -21,6 +21,7 @@
     StartOrder,
     StartOutcome,
     StopOrder,
+    TakeoverEnd,
     UpstreamEntry,
     UpstreamReport,
 )
@@ -391,7 +392,7 @@
             # No order may be sent; placing would only reserve capacity.
             return now + MAX_STEP_INTERVAL_S
         orders = self._dispatcher.tick(now, time.time())
-        log_takeover_end(self._dispatcher.take_takeover_end(), token=self.term.token)
+        self._handle_takeover_end(self._dispatcher.take_takeover_end())
         log_losses(self._dispatcher.take_lost_runs())
         for request in orders.advice:
             self._advisory_pool.submit(request)
@@ -418,6 +419,12 @@
         self._collect_garbage(now)
         return self._committer.next_commit_s(now + MAX_STEP_INTERVAL_S)
 
+    def _handle_takeover_end(self, end: TakeoverEnd | None) -> None:
+        log_takeover_end(end, token=self.term.token)
+        if end is not None and end.silent_upstreams:
+            # They run nothing, and must not hold up the next takeover.
+            self._roster.mark_outdated()
+
     def _update_advisory_vms(self, now: float) -> None:
         heartbeats = dict(self._last_heartbeat_s)
         alive = {
@@ -489,7 +496,8 @@
         upstream_id = entry.upstream_id
         known_upstream = self._dispatcher.upstreams.get(upstream_id)
         is_recorded = self._roster.names(entry)
-        if not is_recorded:
+        may_have_runs = known_upstream is not None and known_upstream.may_have_runs
+        if may_have_runs and not is_recorded:
             self._roster.mark_outdated()
         self._dispatcher.add_or_update_upstream(
             entry, read_clock(), is_recorded=is_recorded
@@ -608,6 +616,9 @@
 
     def _handle_report(self, upstream_id: str, report: UpstreamReport) -> None:
         ended = self._dispatcher.process_report(upstream_id, report, read_clock())
+        upstream = self._dispatcher.upstreams.get(upstream_id)
+        if upstream is not None and not upstream.is_recorded:
+            self._roster.mark_outdated()
         if ended:
             log_ends(upstream_id, ended)
         log_losses(self._dispatcher.take_lost_runs())
--- a/packages/daemon/src/papayadyke_daemon/edge/_roster.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_roster.py
@@ -1,4 +1,9 @@
-"""Store which upstreams a successor must ask for runs."""
+"""Store which upstreams a successor must ask for runs.
+
+These are the upstreams that may have any: an upstream gets no work before it has
+answered and the stored roster names it. Once a takeover has waited for those that are
+silent, they run nothing and are left out until they answer.
+"""
 
 from __future__ import annotations
 
@@ -49,7 +54,7 @@
 
 
 class RosterWriter:
-    """Write the roster whenever upstreams come or go, on the decider's condition.
+    """Write the roster when upstreams answer or leave, on the decider's condition.
 
     All methods must be called on the decider's thread.
 
@@ -76,6 +81,7 @@
         self._terms = term.number + 1
         self._post = post
         self._on_stored = on_stored
+        # Rows that the stored roster holds, also if the write in progress succeeds.
         self._stored = dict(term.roster.upstreams)
         # The roster was written in the same transaction as the decider's key.
         self._revision = term.token
@@ -92,12 +98,17 @@
         self._is_outdated = True
 
     def update(self, upstreams: Mapping[str, Upstream], now: float) -> None:
-        """Store the roster in the background if upstreams came or went."""
+        """Store the roster in the background if it is outdated."""
         if not self._is_outdated or self._is_write_active or now < self._next_s:
             return
         self._is_outdated = False
         self._is_write_active = True
-        rows = {name: _make_row(upstream.entry) for name, upstream in upstreams.items()}
+        rows = {
+            name: _make_row(upstream.entry)
+            for name, upstream in upstreams.items()
+            if upstream.is_recorded or upstream.may_have_runs
+        }
+        self._keep_stored(rows)
         threading.Thread(
             target=self.write, args=(rows,), name="roster", daemon=True
         ).start()
@@ -116,6 +127,12 @@
         finally:
             self._post(lambda: self._handle_result(rows, stored))
 
+    def _keep_stored(self, rows: Mapping[str, tuple[str, str]]) -> None:
+        """Forget the rows that a write removes, as its answer may be lost."""
+        self._stored = {
+            name: row for name, row in self._stored.items() if rows.get(name) == row
+        }
+
     def _handle_result(
         self, rows: dict[str, tuple[str, str]], stored: Result[int, StoreError]
     ) -> None:
