Keep room for a gang only where and while it can start

Callers saw nothing run of a job for 20 s and more on an idle fleet, behind a gang that had lost an upstream of its kind for good.

Cause: a gang that waits reserved upstreams if its members would fit on as many, counted by the slots of all upstreams of the service when idle. Upstreams without its label counted, and so did slots beyond its limit per upstream and room of tasks that last. The "gangs wait" line now tells `possible_slots`: 6 for 7 members in the case, which rules out a reservation that only waits for runs to end.

A gang now reserves upstreams only if it fits there once the runs have ended that are expected to end, by its label, its limit per upstream and tasks that last. It reserves none while a member is bound to one upstream by an unanswered start or is held as a suspect, and none beyond its valid tickets while new ones cannot be had. A gang that reserves nothing does not use up the turn of the next one. Each reservation has a time at which the gang is expected to fit; a run that is overdue puts it off by as long again. Tasks that end before may use the room meanwhile; tasks that last never do by a short estimate. A job of which nothing runs, and each task that lasts, starts a task in kept room after 1.5 s if there is room for two: LOST allows 3 s.

The log names each second for which gangs room is kept, since when, the upstreams, the idle CPU and when the gang starts; the gauge papayadyke_reserved_upstreams counts them.

--- a/packages/core/src/papayadyke_core/dispatch/__init__.py
+++ b/packages/core/src/papayadyke_core/dispatch/__init__.py
@@ -35,6 +35,7 @@
     decode_progress,
     encode_progress,
 )
+from papayadyke_core.dispatch._reservations import Reservation
 from papayadyke_core.dispatch._retry import choose_retry_after
 from papayadyke_core.dispatch._run_times import RunTimeModel
 from papayadyke_core.dispatch._settings import DispatchSettings
@@ -75,6 +76,7 @@
     "Orders",
     "QueuePolicy",
     "Repeat",
+    "Reservation",
     "RunEnd",
     "RunTimeModel",
     "RunningRun",
--- a/packages/core/src/papayadyke_core/dispatch/_advice.py
+++ b/packages/core/src/papayadyke_core/dispatch/_advice.py
@@ -55,6 +55,8 @@
         Time before which no further upstreams are looked for.
     valid_until_s : float
         When the tickets of the last answer expire; infinite if there are none.
+    has_failed : bool
+        Whether the last request failed.
     """
 
     tickets: dict[str, tuple[str, float]] = field(default_factory=dict)
@@ -64,6 +66,7 @@
     retry_at_s: float = 0.0
     next_search_s: float = 0.0
     valid_until_s: float = math.inf
+    has_failed: bool = False
 
     def list_missing(self, names: Iterable[str], at_s: float) -> list[str]:
         """Return those of some upstreams whose ticket is not valid at a time."""
@@ -116,7 +119,7 @@
         self.pending_requests -= 1
         if step_advice is None:
             return
-        step_advice.is_request_pending = False
+        step_advice.is_request_pending = step_advice.has_failed = False
         step_advice.queried.update(advice.upstream_ids)
         expires_s = advice.answered_s + advice.valid_s - TICKET_EXPIRY_MARGIN_S
         step_advice.valid_until_s = expires_s if advice.tickets else math.inf
@@ -130,6 +133,7 @@
         step_advice = self._steps.get(step)
         if step_advice is not None:
             step_advice.is_request_pending = False
+            step_advice.has_failed = True
             step_advice.retry_at_s = retry_at_s
 
     def find_ticket(self, step: StepId, upstream_id: str, now: float) -> str | None:
--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -25,6 +25,7 @@
 from papayadyke_core.dispatch._preemption import Claims, has_slack
 from papayadyke_core.dispatch._progress import FINAL_STATES, JobProgress, JobState
 from papayadyke_core.dispatch._rank import JobRank
+from papayadyke_core.dispatch._reservations import Reservation, Reservations
 from papayadyke_core.dispatch._round import PlacementRound
 from papayadyke_core.dispatch._run import Run
 from papayadyke_core.dispatch._run_times import RunTimeModel
@@ -72,6 +73,7 @@
         self._unknown_use = UnknownUse(self._schedule.ledger)
         self._team_waits: dict[str, TeamWait] = {}
         self._claims = Claims()
+        self._reservations = Reservations()
         self._next_placement_s = 0.0
         # Whether jobs may have to end by limits that were not known before.
         self._has_new_limits = False
@@ -383,11 +385,16 @@
             self._schedule.ready_steps.values(),
             self.advice_cache,
             self.upstreams,
+            self._reservations.list_held(),
             now=now,
             min_age_s=min_age_s,
             most=most,
         )
 
+    def list_reservations(self) -> list[Reservation]:
+        """Return the upstreams that are kept for gangs, the oldest first."""
+        return self._reservations.list_held()
+
     def count_waiting_tasks(self) -> dict[str, int]:
         """Return how many tasks of each team could start but wait."""
         counts: dict[str, int] = {}
@@ -505,6 +512,7 @@
             unstored_jobs=self._schedule.commits.list_unstored_suspicions(),
             teams=teams,
             claims=self._claims,
+            reservations=self._reservations,
             unanswered_starts=self._schedule.unanswered_starts,
             may_preempt=lambda run, priority: self._may_preempt(run, priority, now),
             urgent_cpu_millis=_estimate_needs(self._urgent_reserves, now),
@@ -513,8 +521,10 @@
         )
         ranked = self._rank_steps(now)
         for step, queue, _ in ranked:
-            is_suspected = step.crashes or step.doubts
-            if is_suspected and placement.place_alone(step, queue):
+            if not (step.crashes or step.doubts):
+                continue
+            factor = self.get_estimate_factor(queue.key)
+            if placement.place_alone(step, queue, factor=factor):
                 self._schedule.update_ready_step(step)
         ordered = teams.order_by_group(ranked, placement.capacity)
         for (step, queue, _), max_tasks in ordered:
@@ -527,6 +537,7 @@
                 step.wait.record(placement.wait_cause, now)
             else:
                 step.wait.end(now)
+        self._reservations.replace(placement.reservations)
         self._search_ahead(placement, now)
         self._team_waits |= teams.waits
         for order in placement.starts:
--- a/packages/core/src/papayadyke_core/dispatch/_gang_waits.py
+++ b/packages/core/src/papayadyke_core/dispatch/_gang_waits.py
@@ -7,6 +7,7 @@
 
 from papayadyke_core.dispatch._advice import AdviceCache
 from papayadyke_core.dispatch._job import StepRun
+from papayadyke_core.dispatch._reservations import Reservation, list_slot_times
 from papayadyke_core.dispatch._spec import StepId
 from papayadyke_core.dispatch._upstream import Upstream
 
@@ -27,6 +28,11 @@
         gang, and those of them with a valid ticket.
     allowed_slots, ticketed_slots : int
         Members for which these upstreams have room now.
+    possible_slots : int
+        Members for which upstreams have room once the runs have ended there that are
+        expected to end; only those that may run the gang, if some are known.
+    reservation : Reservation or None
+        Upstreams that are kept for it.
     """
 
     step_id: StepId
@@ -37,12 +43,15 @@
     ticketed: int
     allowed_slots: int
     ticketed_slots: int
+    possible_slots: int
+    reservation: Reservation | None
 
 
 def list_gang_waits(
     steps: Iterable[StepRun],
     cache: AdviceCache,
     upstreams: Mapping[str, Upstream],
+    reservations: Iterable[Reservation],
     *,
     now: float,
     min_age_s: float,
@@ -56,6 +65,7 @@
         Steps with waiting tasks.
     cache : AdviceCache
     upstreams : mapping of str to Upstream
+    reservations : iterable of Reservation
     now : float
         Seconds, on the dispatcher's clock.
     min_age_s : float
@@ -71,11 +81,19 @@
         and now - step.job.accepted_at_s >= min_age_s
     ]
     gangs.sort(key=lambda step: (step.job.accepted_at_s, step.step_id))
-    return [_describe(step, cache, upstreams, now) for step in gangs[:most]]
+    held = {reservation.step_id: reservation for reservation in reservations}
+    return [
+        _describe(step, cache, upstreams, held.get(step.step_id), now)
+        for step in gangs[:most]
+    ]
 
 
 def _describe(
-    step: StepRun, cache: AdviceCache, upstreams: Mapping[str, Upstream], now: float
+    step: StepRun,
+    cache: AdviceCache,
+    upstreams: Mapping[str, Upstream],
+    reservation: Reservation | None,
+    now: float,
 ) -> GangWait:
     advice = cache.get_or_create(step.step_id)
     usable = {
@@ -83,6 +101,11 @@
         for name in advice.allowed
         if name in upstreams and upstreams[name].may_start(now)
     }
+    possible = [
+        upstream
+        for name, upstream in upstreams.items()
+        if upstream.may_start(now) and (not advice.queried or name in advice.allowed)
+    ]
     ticketed = usable.keys() & set(cache.list_ticketed_upstreams(step.step_id, now))
     return GangWait(
         step.step_id,
@@ -93,6 +116,8 @@
         len(ticketed),
         sum(usable.values()),
         sum(usable[name] for name in ticketed),
+        sum(len(list_slot_times(step, upstream, now)) for upstream in possible),
+        reservation,
     )
 
 
--- a/packages/core/src/papayadyke_core/dispatch/_job.py
+++ b/packages/core/src/papayadyke_core/dispatch/_job.py
@@ -54,6 +54,9 @@
         # kept free for it.
         self.waiting_alone_s: dict[int, float] = {}
         self.kept_free: dict[int, str] = {}
+        # Since when room that is kept for others keeps it from starting, and when that
+        # was last found.
+        self.kept_out_since_s = self.kept_out_seen_s = 0.0
         self.wait = StepWait(job.delays)
 
     @property
@@ -450,6 +453,10 @@
         rows = self.done_occurrences.list_rows()
         return JobProgress(self.state, 0.0, steps, self.spec.team, rows)
 
+    def has_runs(self) -> bool:
+        """Return whether any task of the job may run."""
+        return any(step.live for step in self.steps.values())
+
     def restore_progress(self, progress: JobProgress) -> None:
         """Restore the progress that an earlier decider stored."""
         self.state = self.stored_state = progress.state
--- a/packages/core/src/papayadyke_core/dispatch/_placement.py
+++ b/packages/core/src/papayadyke_core/dispatch/_placement.py
@@ -280,36 +280,3 @@
     if not by_speed:
         return fitting[0][1]
     return max(fitting, key=lambda row: row[0])[1]
-
-
-def reserve_for_gang(
-    step: StepRun, upstreams: list[Upstream], *, by_speed: bool = False
-) -> set[str]:
-    """Return the upstreams to reserve until a gang fits on them.
-
-    Upstreams with the most free slots are chosen first, since they become free the
-    soonest. The set is empty if the gang would not fit even if all were idle.
-
-    Parameters
-    ----------
-    step : StepRun
-    upstreams : list of Upstream
-    by_speed : bool, default=False
-        Whether the fastest comes first of those with as many free slots.
-    """
-    spec = step.spec
-    by_free_slots = sorted(
-        upstreams,
-        key=lambda candidate: (
-            -candidate.free_slots_for(spec),
-            -candidate.speed_class if by_speed else 0,
-        ),
-    )
-    reserved: set[str] = set()
-    slots = 0
-    for upstream in by_free_slots:
-        if slots >= spec.count:
-            return reserved
-        slots += upstream.total_slots_for(spec)
-        reserved.add(upstream.upstream_id)
-    return reserved if slots >= spec.count else set()
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -15,7 +15,6 @@
     list_candidates,
     place_gang,
     place_independent_tasks,
-    reserve_for_gang,
 )
 from papayadyke_core.dispatch._policy import UPSTREAM_ORDERS
 from papayadyke_core.dispatch._pool import Pool, group_by_service
@@ -25,6 +24,8 @@
     choose_victims,
     find_room,
 )
+from papayadyke_core.dispatch._reservation_round import ReservationRound
+from papayadyke_core.dispatch._reservations import Reservation, Reservations
 from papayadyke_core.dispatch._run import PRIME_SUSPECT_LOSSES, Run, RunPhase
 from papayadyke_core.dispatch._settings import DispatchSettings
 from papayadyke_core.dispatch._spec import QueuePolicy, StepId
@@ -64,6 +65,8 @@
         Limits of the teams.
     claims : Claims
         Upstreams that are kept for gangs for which runs were stopped.
+    reservations : Reservations
+        Reservations of the last placement pass.
     unanswered_starts : UnansweredStarts
         Tasks that may start at one upstream only.
     may_preempt : callable
@@ -95,6 +98,7 @@
         unstored_jobs: Set[str],
         teams: TeamRound,
         claims: Claims,
+        reservations: Reservations,
         unanswered_starts: UnansweredStarts,
         may_preempt: Callable[[Run, int], bool],
         urgent_cpu_millis: Mapping[str, float],
@@ -119,8 +123,7 @@
         self._order_upstreams = UPSTREAM_ORDERS[settings.upstream_order]
         self._now = now
         self._pools = group_by_service(upstreams, now, settings.alone_share)
-        self._reserved: set[str] = set()
-        self._reserving_gangs = 0
+        self._reserved = ReservationRound(settings, reservations, now=now)
         self._position = -1
 
     @property
@@ -128,6 +131,11 @@
         """Requests to the advisory service."""
         return self._advice.requests
 
+    @property
+    def reservations(self) -> list[Reservation]:
+        """Upstreams that are kept for gangs."""
+        return self._reserved.reservations
+
     @property
     def capacity(self) -> dict[str, Resources]:
         """Capacity of the upstreams of each service that accept new runs."""
@@ -136,7 +144,7 @@
             for service, pool in self._pools.items()
         }
 
-    def place_alone(self, step: StepRun, queue: QueuePolicy) -> bool:
+    def place_alone(self, step: StepRun, queue: QueuePolicy, *, factor: float) -> bool:
         """Start the prime suspects of a step on idle upstreams; return if any started.
 
         Must be called for all steps before `place`. An upstream that is not idle yet
@@ -167,7 +175,7 @@
             if all(run.spec.is_long_running for run in chosen.runs.values()) and (
                 chosen.free_slots_for(step.spec)
             ):
-                self._start_task(step, queue, index, chosen)
+                self._start_task(step, queue, index, chosen, factor=factor)
                 has_started = True
         return has_started
 
@@ -204,6 +212,10 @@
             return False
         allowed = min(max_tasks, self._teams.count_allowed(step))
         max_tasks = min(allowed, self._count_outside_reserve(step, queue, pool))
+        if max_tasks <= 0 < allowed and self._reserved.may_use_kept_room(
+            step, pool.free_cpu_millis // step.spec.cpu_millis
+        ):
+            max_tasks = 1
         if max_tasks <= 0:
             self.wait_cause = (
                 DelayCause.TEAM_LIMIT if allowed <= 0 else DelayCause.RESERVED_ROOM
@@ -220,7 +232,7 @@
         )
         # A gang that its team's limit holds back must not hold back others.
         may_reserve = (
-            max_tasks > 0 and step.spec.is_gang and self._may_reserve_more(pool)
+            max_tasks > 0 and step.spec.is_gang and self._reserved.may_reserve(pool)
         )
         # The steps of the highest rank get tickets even before they fit.
         may_ask = may_fit or self._position < self._advice_slots
@@ -234,8 +246,7 @@
         if is_large and may_ask:
             self._request_for_gang(step, queue, pool, factor)
         if may_reserve:
-            self._reserving_gangs += 1
-            self._reserved |= self._choose_reserved(step, queue, pool)
+            self._reserve(step, queue, pool)
         return False
 
     def search_ahead(self, step: StepRun, queue: QueuePolicy) -> None:
@@ -265,7 +276,7 @@
             upstream
             for upstream in self._list_eligible(step, queue, pool, lead_s=lead_s)
             if upstream.upstream_id not in claimed
-            and upstream.upstream_id not in self._reserved
+            and upstream.upstream_id not in self._reserved.kept_until_s
         ]
         chosen = choose_victims(
             step,
@@ -289,7 +300,8 @@
         if policy is None or has_claim or not self._advice.may_request(step, policy):
             return
         allowed = self._advice_cache.get_or_create(step.step_id).allowed
-        taken = self._claims.list_claimed(except_for=step.step_id) | self._reserved
+        taken = self._claims.list_claimed(except_for=step.step_id)
+        taken |= self._reserved.kept_until_s.keys()
         usable = [
             upstream
             for name, upstream in pool.members.items()
@@ -320,12 +332,6 @@
         free = pool.free_cpu_millis - max(0.0, kept - pool.urgent_cpu_millis)
         return max(0, int(free // spec.cpu_millis))
 
-    def _may_reserve_more(self, pool: Pool) -> bool:
-        if self._reserving_gangs < self._settings.reserving_gangs:
-            return True
-        max_reserved = self._settings.reserved_share * len(pool.members)
-        return len(self._reserved) < max_reserved
-
     def _place_step(
         self,
         step: StepRun,
@@ -337,15 +343,19 @@
         eligible = self._list_eligible(step, queue, pool, needs_room=True)
         held = self._find_held_tasks(step)
         bound = self._unanswered_starts.find_upstreams(step.step_id)
-        is_short = step.spec.estimate_s * factor <= self._settings.short_task_s
-        reserved = self._claims.list_claimed(except_for=step.step_id)
-        if not is_short:
-            reserved |= self._reserved
+        claimed = self._claims.list_claimed(except_for=step.step_id)
+        blocked = self._reserved.find_blocked(step, factor)
         needs = self._find_speed_needs(step, queue, pool, factor)
         order = prefer_fastest if queue.is_urgent else self._order_upstreams
+        key = order(step, needs)
         candidates = list_candidates(
-            step, eligible, reserved=reserved, key=order(step, needs)
+            step, eligible, reserved=claimed | blocked, key=key
         )
+        if blocked and not _has_room(step, candidates):
+            kept = list_candidates(step, eligible, reserved=claimed, key=key)
+            slots = sum(count for _, count in kept)
+            if self._reserved.may_use_kept_room(step, slots):
+                candidates, max_tasks = kept, 1
         self.wait_cause = self._find_wait_cause(step, queue, pool, candidates, eligible)
         if self._may_wait_for_speed(queue):
             usable = self._list_eligible(step, queue, pool)
@@ -367,7 +377,7 @@
         if not placed and all(index in bound for index in step.waiting):
             self.wait_cause = DelayCause.UNANSWERED_START
         for index, upstream in placed or ():
-            self._start_task(step, queue, index, upstream)
+            self._start_task(step, queue, index, upstream, factor=factor)
             pool.record_start(upstream, step.spec)
         if placed and step.spec.is_gang:
             self._claims.remove(step.step_id)
@@ -412,7 +422,7 @@
             else not eligible
         ):
             return DelayCause.TICKET
-        if self._reserved and not candidates and eligible:
+        if self._reserved.reservations and not candidates and eligible:
             return DelayCause.RESERVED_ROOM
         return DelayCause.ROOM
 
@@ -466,7 +476,13 @@
         )
 
     def _start_task(
-        self, step: StepRun, queue: QueuePolicy, index: int, upstream: Upstream
+        self,
+        step: StepRun,
+        queue: QueuePolicy,
+        index: int,
+        upstream: Upstream,
+        *,
+        factor: float,
     ) -> None:
         task = step.task_id(index)
         name = upstream.upstream_id
@@ -487,6 +503,7 @@
             earlier_losses=step.count_losses(index),
             is_urgent=queue.is_urgent,
             team=step.job.spec.team,
+            expected_s=step.spec.estimate_s * factor / upstream.speed,
         )
         upstream.add(run)
         self._teams.check_start(step)
@@ -518,15 +535,36 @@
             )
         )
 
-    def _choose_reserved(
+    def _reserve(self, step: StepRun, queue: QueuePolicy, pool: Pool) -> None:
+        """Keep upstreams for a gang unless something else than room holds it back."""
+        if self._find_held_tasks(step):
+            return
+        if self._unanswered_starts.find_upstreams(step.step_id):
+            return
+        taken = self._claims.list_claimed(except_for=step.step_id)
+        taken |= self._reserved.kept_until_s.keys()
+        self._reserved.reserve(
+            step,
+            [
+                upstream
+                for upstream in self._list_allowed(step, queue, pool)
+                if upstream.upstream_id not in taken
+            ],
+        )
+
+    def _list_allowed(
         self, step: StepRun, queue: QueuePolicy, pool: Pool
-    ) -> set[str]:
+    ) -> list[Upstream]:
+        """Return the upstreams for which a step has tickets or can get them."""
+        if queue.advice is None:
+            return list(pool.members.values())
         step_advice = self._advice_cache.get_or_create(step.step_id)
-        eligible = [
-            upstream
-            for name, upstream in pool.members.items()
-            if name not in self._reserved
-            and (queue.advice is None or name in step_advice.allowed)
-        ]
-        by_speed = self._settings.learns_run_times
-        return reserve_for_gang(step, eligible, by_speed=by_speed)
+        if step_advice.has_failed:
+            return self._list_eligible(step, queue, pool)
+        return [u for name, u in pool.members.items() if name in step_advice.allowed]
+
+
+def _has_room(step: StepRun, candidates: list[tuple[Upstream, int]]) -> bool:
+    """Return whether a task of a step, or the whole gang, fits on the candidates."""
+    needed = step.spec.count if step.spec.is_gang else 1
+    return sum(slots for _, slots in candidates) >= needed
--- a/packages/core/src/papayadyke_core/dispatch/_run.py
+++ b/packages/core/src/papayadyke_core/dispatch/_run.py
@@ -55,6 +55,8 @@
         Team that the run counts for.
     charged_as : StepSpec or None
         What the run counts against its team, if its own needs are unknown.
+    expected_s : float
+        Expected time from `started_s` to the end, in seconds.
     is_timed : bool
         Whether the time from `started_s` to the end is that of a whole run: it did not
         resume from a checkpoint, was seen from its start, and its end is read at once.
@@ -76,6 +78,7 @@
     stop_confirmed_s: float | None = None
     team: str = ""
     charged_as: StepSpec | None = None
+    expected_s: float = 0.0
     is_timed: bool = True
 
     @property
--- a/packages/core/src/papayadyke_core/dispatch/_tracking.py
+++ b/packages/core/src/papayadyke_core/dispatch/_tracking.py
@@ -297,6 +297,7 @@
             earlier_losses=step.count_losses(index) if step is not None else 0,
             is_urgent=self._is_urgent(step),
             team=self._find_team(running.task.job_id),
+            expected_s=self._estimate_rest_s(step, running),
             is_timed=False,
         )
         if is_unknown:
@@ -315,6 +316,14 @@
             self._schedule.stop_run(run, now, "the run is not needed")
         return run
 
+    def _estimate_rest_s(self, step: StepRun | None, running: RunningRun) -> float:
+        """Return the expected remaining time of a run that was reported first."""
+        if step is None:
+            return 0.0
+        factor = self._schedule.get_estimate_factor(step.job.spec.queue)
+        left_share = min(max(1.0 - running.percent / 100.0, 0.0), 1.0)
+        return step.spec.estimate_s * factor * left_share
+
     def _find_team(self, job_id: str) -> str:
         job = self._schedule.jobs.get(job_id)
         if job is not None:
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_gang_waits.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_gang_waits.py
@@ -61,3 +61,13 @@
     waits = dispatcher.list_gang_waits(3.5, min_age_s=1.0, most=2)
     assert [wait.step_id.job_id for wait in waits] == ["g0", "g1"]
     assert len(dispatcher.list_gang_waits(3.5, min_age_s=1.0, most=9)) == 3
+
+
+def test_gang_that_fits_nowhere_is_told_from_one_that_waits_for_room():
+    """Both waited for room; only one of them could start once runs had ended."""
+    dispatcher = make_dispatcher()
+    for name, members in (("fits", 16), ("never", 17)):
+        submit(dispatcher, name, members, now=0.0)
+    fits, never = dispatcher.list_gang_waits(1.0, min_age_s=0.0, most=9)
+    assert (fits.members, fits.possible_slots) == (16, 16)
+    assert (never.members, never.possible_slots) == (17, 16)
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -59,6 +59,7 @@
     Record,
 )
 from papayadyke_daemon.edge._registry import Registry
+from papayadyke_daemon.edge._reservation_reports import ReservationReporter
 from papayadyke_daemon.edge._roster import RosterWriter, Term
 from papayadyke_daemon.edge._stored_jobs import decode_job_record, read_stored_jobs
 from papayadyke_daemon.edge._takeover_reports import TakeoverReporter
@@ -170,6 +171,7 @@
         self._team_reporter = TeamReporter()
         self._gang_reporter = GangReporter()
         self._takeover_reporter = TakeoverReporter()
+        self._reservation_reporter = ReservationReporter()
         self._learned = LearnedWriter(
             ports.store, self._dispatcher, token=term.token, post=self._mailbox.post
         )
@@ -254,6 +256,7 @@
         self._advisory_pool.stop()
         self._team_reporter.clear()
         self._learned.clear_metrics()
+        self._reservation_reporter.clear_metrics()
         log_event(LOG, "decider: term ended", token=self.term.token)
 
     # Called on any thread
@@ -415,6 +418,7 @@
         self._team_reporter.update(self._dispatcher, now)
         self._gang_reporter.update(self._dispatcher, now)
         self._takeover_reporter.update(self._dispatcher, now)
+        self._reservation_reporter.update(self._dispatcher, now)
         self._learned.update(now)
         self._collect_garbage(now)
         return self._committer.next_commit_s(now + MAX_STEP_INTERVAL_S)
--- a/packages/daemon/src/papayadyke_daemon/edge/_gang_reports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_gang_reports.py
@@ -51,6 +51,8 @@
                     "ticketed": wait.ticketed,
                     "allowed_slots": wait.allowed_slots,
                     "ticketed_slots": wait.ticketed_slots,
+                    "possible_slots": wait.possible_slots,
+                    "keeps_room": wait.reservation is not None,
                 }
                 for wait in waits
             ],
