Keep no upstream idle for a suspect that never fits there

A task under which two upstreams have crashed gets an upstream that is kept free for it until it is idle. Room that tasks hold which last counted as room that becomes free, so an upstream could be kept for 30 s for a task that it never has room for, and its free part idled.

Only upstreams count that have room for the task once the runs have ended that are expected to end, as for gangs. The new test fails on the code before.

--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -25,7 +25,11 @@
     find_room,
 )
 from papayadyke_core.dispatch._reservation_round import ReservationRound
-from papayadyke_core.dispatch._reservations import Reservation, Reservations
+from papayadyke_core.dispatch._reservations import (
+    Reservation,
+    Reservations,
+    list_slot_times,
+)
 from papayadyke_core.dispatch._run import PRIME_SUSPECT_LOSSES, Run, RunPhase
 from papayadyke_core.dispatch._settings import DispatchSettings
 from papayadyke_core.dispatch._spec import QueuePolicy, StepId
@@ -164,7 +168,12 @@
             step.waiting_alone_s.setdefault(index, self._now)
             if pool.max_alone <= 0:
                 continue
-            eligible = self._list_eligible(step, queue, pool)
+            # Room that tasks hold which last does not become free.
+            eligible = [
+                upstream
+                for upstream in self._list_eligible(step, queue, pool)
+                if list_slot_times(step, upstream, self._now)
+            ]
             candidates = list_candidates(step, eligible, reserved=set(), is_idle=True)
             chosen = choose_upstream_apart(step, index, candidates)
             if chosen is None:
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_reservations.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_reservations.py
@@ -28,6 +28,7 @@
     StepId,
     UpstreamReport,
 )
+from papayadyke_core.dispatch._progress import LostContact
 from papayadyke_core.dispatch._reservations import list_slot_times
 
 GANGS, BATCH = "h/gangs/", "h/batch/"
@@ -296,3 +297,17 @@
     step = dispatcher.jobs["gang"].steps[0, 0]
     times_s = list_slot_times(step, dispatcher.upstreams[name], 0.0)
     assert times_s == [pytest.approx(0.0), pytest.approx(6.0, rel=0.1)]
+
+
+def test_no_upstream_is_kept_idle_for_a_suspect_that_never_fits_there():
+    """Guards against an upstream that idles beside a task that lasts, for a suspect."""
+    dispatcher = make_dispatcher()
+    lasting = {"is_long_running": True, "max_per_upstream": 1}
+    submit(dispatcher, "s", BATCH, MEMBERS, label="b", **lasting)
+    assert list_started(dispatcher, 0.05) == {"s"}
+    submit(dispatcher, "suspect", BATCH, 1, cpu_millis=4000, label="b", now=0.1)
+    step = dispatcher.jobs["suspect"].steps[0, 0]
+    step.crashes[0] = [LostContact("x", 1), LostContact("y", 1)]
+    submit(dispatcher, "other", BATCH, 21, label="b", now=0.1)
+    orders = dispatcher.tick(0.2, 0.2).starts
+    assert [order.task.job_id for order in orders] == ["other"] * 21
