Keep no room for urgent work that never fits

The CPU kept free for urgent work follows the urgent tasks that arrive. Tasks that fit on no upstream, by their CPU, memory, accelerators or label, counted as well, so that a stream of jobs that can never be done kept up to the whole urgent share of a fleet idle.

They do not count any more. Three new cases fail on the code before; another test shows that a job of which nothing runs starts after 1.5 s beside room that is kept for urgent work.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -31,7 +31,7 @@
 from papayadyke_core.dispatch._run_times import RunTimeModel
 from papayadyke_core.dispatch._schedule import Schedule
 from papayadyke_core.dispatch._settings import DispatchSettings
-from papayadyke_core.dispatch._spec import Catalog, StagedJobSpec, StepId
+from papayadyke_core.dispatch._spec import Catalog, StagedJobSpec, StepId, StepSpec
 from papayadyke_core.dispatch._takeover import Takeover, TakeoverEnd, TakeoverWait
 from papayadyke_core.dispatch._team_round import RankedStep, TeamRound, TeamWait
 from papayadyke_core.dispatch._tracking import RunTracker
@@ -566,11 +566,24 @@
         reserve = self._urgent_reserves.setdefault(queue.service, UrgentReserve())
         factor = self.get_estimate_factor(spec.queue)
         for step in spec.steps:
+            if not self._fits_somewhere(step, queue.service):
+                # No room is kept for work that never starts.
+                continue
             run_s = step.estimate_s * factor
             fast.add_arrival(step.count, step.cpu_millis, run_s, now=now)
             if not step.is_gang and self.settings.urgent_share:
                 reserve.add_arrival(step.count, step.cpu_millis, run_s, now=now)
 
+    def _fits_somewhere(self, step: StepSpec, service: str) -> bool:
+        """Return whether a listed upstream may run a task of a step when it is idle."""
+        return any(
+            upstream.entry.service == service
+            and upstream.is_listed
+            and (not step.label or step.label in upstream.entry.labels)
+            and upstream.total_slots_for(step) > 0
+            for upstream in self.upstreams.values()
+        )
+
     def _begin_team_round(self, now: float) -> TeamRound:
         teams = self.catalog.teams
         if teams is not None:
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_urgent_reserve.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_urgent_reserve.py
@@ -77,3 +77,39 @@
         dispatcher.cancel(f"check{number}", 1.0)
     submit(dispatcher, "flood", BATCH, make_step(40, estimate_s=9.0), now=1.0)
     assert len(dispatcher.tick(1.0, 1.0).starts) == 16
+
+
+@pytest.mark.parametrize(
+    "needs",
+    [{"cpu_millis": 5000}, {"label": "gone"}, {"accelerators": 1}],
+    ids=["cpu", "label", "accelerators"],
+)
+def test_no_room_is_kept_for_urgent_work_that_never_fits(needs):
+    """Guards against room that idles while urgent jobs come that can never be done."""
+    dispatcher = make_dispatcher(upstreams=4, cores=4, urgent_share=0.5)
+    for number in range(10):
+        step = make_step(estimate_s=0.6, **needs)
+        submit(dispatcher, f"check{number}", URGENT, step, now=0.1 * number)
+    submit(dispatcher, "flood", BATCH, make_step(40, estimate_s=9.0), now=1.0)
+    assert len(dispatcher.tick(1.0, 1.0).starts) == 16
+
+
+def test_job_that_runs_nothing_is_not_kept_out_for_long_by_urgent_work():
+    """Guards against a job that waits for seconds beside room for it twice over."""
+    dispatcher = make_busy(urgent_share=0.5)
+    for number in range(10):
+        dispatcher.cancel(f"check{number}", 1.0)
+    submit(dispatcher, "flood", BATCH, make_step(40, estimate_s=9.0), now=1.0)
+    assert len(dispatcher.tick(1.0, 1.0).starts) == 11
+    started = []
+    for tick in range(35):
+        now = 1.0 + 0.1 * tick
+        name = f"later-check{tick}"
+        submit(dispatcher, name, URGENT, make_step(estimate_s=0.6), now=now)
+        dispatcher.cancel(name, now)
+        if tick == 3:
+            submit(dispatcher, "other", BATCH, make_step(4, estimate_s=9.0), now=now)
+        orders = dispatcher.tick(now, now)
+        started += [(now, job) for job in list_started_jobs(orders) if job == "other"]
+    (first,) = started
+    assert 1.5 <= first[0] - 1.3 <= 2.0
