Bound the time that gangs without room take in a placement pass

A gang that reserves nothing was looked at in each pass, with a look at all runs of all upstreams it may use. It is now looked at twice a second, and not at all as long as it would not fit on idle upstreams. The line of waiting gangs stops counting at the size of the gang.

--- a/packages/core/src/papayadyke_core/dispatch/_gang_waits.py
+++ b/packages/core/src/papayadyke_core/dispatch/_gang_waits.py
@@ -7,7 +7,7 @@
 
 from papayadyke_core.dispatch._advice import AdviceCache
 from papayadyke_core.dispatch._job import StepRun
-from papayadyke_core.dispatch._reservations import Reservation, list_slot_times
+from papayadyke_core.dispatch._reservations import Reservation, count_possible_slots
 from papayadyke_core.dispatch._spec import StepId
 from papayadyke_core.dispatch._upstream import Upstream
 
@@ -30,7 +30,8 @@
         Members for which these upstreams have room now.
     possible_slots : int
         Members for which upstreams have room once the runs have ended there that are
-        expected to end; only those that may run the gang, if some are known.
+        expected to end; only those that may run the gang, if some are known. A gang
+        with fewer than `members` cannot start.
     reservation : Reservation or None
         Upstreams that are kept for it.
     """
@@ -101,11 +102,11 @@
         for name in advice.allowed
         if name in upstreams and upstreams[name].may_start(now)
     }
-    possible = [
+    possible = (
         upstream
         for name, upstream in upstreams.items()
         if upstream.may_start(now) and (not advice.queried or name in advice.allowed)
-    ]
+    )
     ticketed = usable.keys() & set(cache.list_ticketed_upstreams(step.step_id, now))
     return GangWait(
         step.step_id,
@@ -116,7 +117,7 @@
         len(ticketed),
         sum(usable.values()),
         sum(usable[name] for name in ticketed),
-        sum(len(list_slot_times(step, upstream, now)) for upstream in possible),
+        count_possible_slots(step, possible, now=now),
         reservation,
     )
 
--- a/packages/core/src/papayadyke_core/dispatch/_reservation_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_reservation_round.py
@@ -20,6 +20,9 @@
 # while there is room for it `KEPT_OUT_ROOM` times over.
 MAX_KEPT_OUT_S = 1.5
 KEPT_OUT_ROOM = 2
+# Seconds until upstreams are looked for again that a gang may fit on: a look takes 20 us
+# for an upstream with eight runs, and many gangs may wait that never fit.
+RETRY_S = 0.5
 # Seconds after which a step that was not kept out again counts as not kept out.
 KEPT_OUT_GAP_S = 0.5
 
@@ -67,6 +70,8 @@
         upstreams : iterable of Upstream
             Upstreams that the gang may use and that are not kept for others.
         """
+        if self._now < step.next_reservation_s:
+            return
         found = find_reservation(
             step,
             upstreams,
@@ -74,6 +79,7 @@
             by_speed=self._settings.learns_run_times,
         )
         if found is None:
+            step.next_reservation_s = self._now + RETRY_S
             return
         upstream_ids, starts_s = found
         since_s = self._former.find_since(step.step_id)
--- a/packages/core/src/papayadyke_core/dispatch/_reservations.py
+++ b/packages/core/src/papayadyke_core/dispatch/_reservations.py
@@ -98,11 +98,9 @@
         become free are left out.
     """
     spec = step.spec
-    if spec.label and spec.label not in upstream.entry.labels:
+    most = _count_idle_slots(spec, upstream)
+    if not most:
         return []
-    most = upstream.total_slots_for(spec)
-    if spec.max_per_upstream:
-        most = min(most, spec.max_per_upstream)
     free = upstream.free_slots_for(spec)
     if spec.max_per_upstream:
         free = min(free, spec.max_per_upstream - count_live(step, upstream))
@@ -159,6 +157,9 @@
         to end.
     """
     spec = step.spec
+    upstreams = list(upstreams)
+    if sum(_count_idle_slots(spec, upstream) for upstream in upstreams) < spec.count:
+        return None
     by_free_slots = sorted(
         upstreams,
         key=lambda candidate: (
@@ -180,6 +181,28 @@
     return None
 
 
+def count_possible_slots(
+    step: StepRun, upstreams: Iterable[Upstream], *, now: float
+) -> int:
+    """Return for how many members of a gang there is room, or will be.
+
+    Parameters
+    ----------
+    step : StepRun
+        A gang.
+    upstreams : iterable of Upstream
+        Upstreams that may run it.
+    now : float
+        Seconds, on the dispatcher's clock.
+    """
+    slots = 0
+    for upstream in upstreams:
+        slots += len(list_slot_times(step, upstream, now))
+        if slots >= step.spec.count:
+            return step.spec.count
+    return slots
+
+
 def find_blocking(
     kept_until_s: Mapping[str, float], *, run_s: float, now: float
 ) -> set[str]:
@@ -197,6 +220,14 @@
     return {name for name, until_s in kept_until_s.items() if now + run_s > until_s}
 
 
+def _count_idle_slots(spec: StepSpec, upstream: Upstream) -> int:
+    """Return how many tasks of a step may run on an upstream when it is idle."""
+    if spec.label and spec.label not in upstream.entry.labels:
+        return 0
+    slots = upstream.total_slots_for(spec)
+    return min(slots, spec.max_per_upstream) if spec.max_per_upstream else slots
+
+
 def _count_slots(
     spec: StepSpec, cpu_millis: int, memory_mb: int, accelerators: int
 ) -> int:
@@ -217,6 +248,7 @@
 __all__ = [
     "Reservation",
     "Reservations",
+    "count_possible_slots",
     "find_blocking",
     "find_reservation",
     "find_run_end_s",
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -257,6 +257,7 @@
         self._team_reporter.clear()
         self._learned.clear_metrics()
         self._reservation_reporter.clear_metrics()
+        self._registry.clear_metrics()
         log_event(LOG, "decider: term ended", token=self.term.token)
 
     # Called on any thread
--- a/packages/daemon/src/papayadyke_daemon/edge/_registry.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_registry.py
@@ -87,6 +87,10 @@
             self.forget(entry.upstream_id)
         return named
 
+    def clear_metrics(self) -> None:
+        """Remove the gauge, which another VM sets from now on."""
+        METRICS.remove_gauge("papayadyke_unused_entries")
+
     def _try_to_decode(
         self, upstream_id: str, data: bytes
     ) -> Result[UpstreamEntry, str]:
