Keep no job out of room for long, and let work end beside a suspect's upstream

- Room for a job of one task was counted up to one task, so that such a job never had room for two and was kept out for good.
Room is counted beyond the tasks of the step.
- An upstream was kept for up to 30 s for a task under which two had crashed, beside runs that lasted longer, and its free part idled.
It is kept only if it is expected to be idle within that time, and work that ends before runs there.

--- a/packages/core/src/papayadyke_core/dispatch/_placement.py
+++ b/packages/core/src/papayadyke_core/dispatch/_placement.py
@@ -58,6 +58,37 @@
     return candidates
 
 
+def count_room(
+    step: StepRun, upstreams: Iterable[Upstream], *, excluded: Set[str], most: int
+) -> int:
+    """Return for how many tasks there is room now, also beyond those of the step.
+
+    Parameters
+    ----------
+    step : StepRun
+    upstreams : iterable of Upstream
+        Upstreams that may run tasks of the step now.
+    excluded : set of str
+        Ids of upstreams that do not count.
+    most : int
+        Number up to which they are counted.
+    """
+    spec = step.spec
+    slots = 0
+    for upstream in upstreams:
+        if upstream.upstream_id in excluded:
+            continue
+        if spec.label and spec.label not in upstream.entry.labels:
+            continue
+        free = upstream.free_slots_for(spec, most=most)
+        if spec.max_per_upstream:
+            free = min(free, spec.max_per_upstream - count_live(step, upstream))
+        slots += max(0, free)
+        if slots >= most:
+            return most
+    return slots
+
+
 def count_live(step: StepRun, upstream: Upstream) -> int:
     """Return the number of runs of a step that hold resources at an upstream."""
     step_id = step.step_id
--- a/packages/core/src/papayadyke_core/dispatch/_reservation_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_reservation_round.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
 from papayadyke_core.dispatch._job import StepRun
 from papayadyke_core.dispatch._pool import Pool
@@ -20,8 +20,8 @@
 # while there is room for it `KEPT_OUT_ROOM` times over.
 MAX_KEPT_OUT_S = 1.5
 KEPT_OUT_ROOM = 2
-# Seconds until upstreams are looked for again that a gang may fit on: a look takes 20 us
-# for an upstream with eight runs, and many gangs may wait that never fit.
+# Seconds until upstreams are looked for again that a gang may fit on: a look at one with
+# eight runs takes 20 us, and many gangs may wait that never fit.
 RETRY_S = 0.5
 # Seconds after which a step that was not kept out again counts as not kept out.
 KEPT_OUT_GAP_S = 0.5
@@ -43,6 +43,8 @@
     reservations : list of Reservation
     kept_until_s : dict of str to float
         When the gang is expected to fit for which an upstream is kept, by upstream.
+    idle_until_s : dict of str to float
+        When an upstream is expected to be idle that is kept for a suspect, by upstream.
     """
 
     def __init__(
@@ -50,10 +52,20 @@
     ) -> None:
         self.reservations: list[Reservation] = []
         self.kept_until_s: dict[str, float] = {}
+        self.idle_until_s: dict[str, float] = {}
         self._settings = settings
         self._former = former
         self._now = now
 
+    @property
+    def upstream_ids(self) -> Set[str]:
+        """Upstreams that are kept for gangs or suspects."""
+        return self.kept_until_s.keys() | self.idle_until_s.keys()
+
+    def keep_idle(self, upstream_id: str, idle_s: float) -> None:
+        """Keep an upstream for a suspect, until it is idle at a time, in seconds."""
+        self.idle_until_s[upstream_id] = idle_s
+
     def may_reserve(self, pool: Pool) -> bool:
         """Return whether another gang may reserve members of a pool."""
         if len(self.reservations) < self._settings.reserving_gangs:
@@ -97,7 +109,8 @@
     def find_blocked(self, step: StepRun, factor: float) -> set[str]:
         """Return the kept upstreams that a step may not use.
 
-        It may use those on which its tasks are expected to end before the gang fits.
+        It may use those on which its tasks are expected to end before the gang fits or
+        the suspect has the upstream to itself. Short tasks do not hold up a gang.
 
         Parameters
         ----------
@@ -108,26 +121,25 @@
         run_s = step.spec.estimate_s * factor
         if step.spec.is_long_running:
             run_s = math.inf
-        elif run_s <= self._settings.short_task_s:
-            return set()
-        return find_blocking(self.kept_until_s, run_s=run_s, now=self._now)
+        blocked = find_blocking(self.idle_until_s, run_s=run_s, now=self._now)
+        if run_s > self._settings.short_task_s:
+            blocked |= find_blocking(self.kept_until_s, run_s=run_s, now=self._now)
+        return blocked
 
-    def may_use_kept_room(self, step: StepRun, slots: int) -> bool:
+    def count_needed(self, step: StepRun) -> int:
+        """Return for how many tasks there must be room that a step is kept out of."""
+        return KEPT_OUT_ROOM * (step.spec.count if step.spec.is_gang else 1)
+
+    def may_use_kept_room(self, step: StepRun) -> bool:
         """Return whether a step has been kept out for so long that it may start.
 
-        That holds if nothing of its job runs, or if its tasks last, and there has been
-        room for it several times over.
+        That holds if nothing of its job runs, or if its tasks last.
 
         Parameters
         ----------
         step : StepRun
-            A step that finds no room that is not kept.
-        slots : int
-            Tasks for which there is room with that which is kept.
+            A step that finds room for `count_needed` tasks, and all of it is kept.
         """
-        needed = KEPT_OUT_ROOM * (step.spec.count if step.spec.is_gang else 1)
-        if slots < needed:
-            return False
         if not step.spec.is_long_running and step.job.has_runs():
             return False
         if self._now - step.kept_out_seen_s > KEPT_OUT_GAP_S:
--- a/packages/core/src/papayadyke_core/dispatch/_reservations.py
+++ b/packages/core/src/papayadyke_core/dispatch/_reservations.py
@@ -81,6 +81,12 @@
     return now + max(-overdue_s, overdue_s, MIN_REMAINING_S)
 
 
+def find_idle_s(upstream: Upstream, now: float) -> float:
+    """Return when an upstream is expected to run only tasks that last."""
+    ends_s = (find_run_end_s(run, now) for run in upstream.runs.values())
+    return max((end_s for end_s in ends_s if not math.isinf(end_s)), default=now)
+
+
 def list_slot_times(step: StepRun, upstream: Upstream, now: float) -> list[float]:
     """Return when each slot for tasks of a step is expected to be free at an upstream.
 
@@ -250,6 +256,7 @@
     "Reservations",
     "count_possible_slots",
     "find_blocking",
+    "find_idle_s",
     "find_reservation",
     "find_run_end_s",
     "list_slot_times",
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -12,6 +12,7 @@
 from papayadyke_core.dispatch._messages import AdviceRequest, StartOrder
 from papayadyke_core.dispatch._placement import (
     choose_upstream_apart,
+    count_room,
     list_candidates,
     place_gang,
     place_independent_tasks,
@@ -28,6 +29,7 @@
 from papayadyke_core.dispatch._reservations import (
     Reservation,
     Reservations,
+    find_idle_s,
     list_slot_times,
 )
 from papayadyke_core.dispatch._run import PRIME_SUSPECT_LOSSES, Run, RunPhase
@@ -168,26 +170,36 @@
             step.waiting_alone_s.setdefault(index, self._now)
             if pool.max_alone <= 0:
                 continue
-            # Room that tasks hold which last does not become free.
-            eligible = [
-                upstream
-                for upstream in self._list_eligible(step, queue, pool)
-                if list_slot_times(step, upstream, self._now)
-            ]
-            candidates = list_candidates(step, eligible, reserved=set(), is_idle=True)
-            chosen = choose_upstream_apart(step, index, candidates)
+            chosen = self._choose_alone(step, queue, pool, index)
             if chosen is None:
                 continue
             pool.max_alone -= 1
-            pool.remove(chosen.upstream_id)
             step.kept_free[index] = chosen.upstream_id
-            if all(run.spec.is_long_running for run in chosen.runs.values()) and (
-                chosen.free_slots_for(step.spec)
-            ):
-                self._start_task(step, queue, index, chosen, factor=factor)
-                has_started = True
+            idle_s = find_idle_s(chosen, self._now)
+            if idle_s > self._now or not chosen.free_slots_for(step.spec):
+                self._reserved.keep_idle(chosen.upstream_id, idle_s)
+                continue
+            pool.remove(chosen.upstream_id)
+            self._start_task(step, queue, index, chosen, factor=factor)
+            has_started = True
         return has_started
 
+    def _choose_alone(
+        self, step: StepRun, queue: QueuePolicy, pool: Pool, index: int
+    ) -> Upstream | None:
+        """Return the upstream that is, or will be in time, idle for a prime suspect."""
+        until_s = step.waiting_alone_s[index] + MAX_ALONE_WAIT_S
+        # Room that tasks hold which last does not become free.
+        eligible = [
+            upstream
+            for upstream in self._list_eligible(step, queue, pool)
+            if upstream.upstream_id not in self._reserved.idle_until_s
+            and find_idle_s(upstream, self._now) <= until_s
+            and list_slot_times(step, upstream, self._now)
+        ]
+        candidates = list_candidates(step, eligible, reserved=set(), is_idle=True)
+        return choose_upstream_apart(step, index, candidates)
+
     def place(
         self, step: StepRun, queue: QueuePolicy, *, factor: float, max_tasks: int
     ) -> bool:
@@ -221,9 +233,7 @@
             return False
         allowed = min(max_tasks, self._teams.count_allowed(step))
         max_tasks = min(allowed, self._count_outside_reserve(step, queue, pool))
-        if max_tasks <= 0 < allowed and self._reserved.may_use_kept_room(
-            step, pool.free_cpu_millis // step.spec.cpu_millis
-        ):
+        if max_tasks <= 0 < allowed and self._is_kept_out_of_reserve(step, pool):
             max_tasks = 1
         if max_tasks <= 0:
             self.wait_cause = (
@@ -285,7 +295,7 @@
             upstream
             for upstream in self._list_eligible(step, queue, pool, lead_s=lead_s)
             if upstream.upstream_id not in claimed
-            and upstream.upstream_id not in self._reserved.kept_until_s
+            and upstream.upstream_id not in self._reserved.upstream_ids
         ]
         chosen = choose_victims(
             step,
@@ -310,7 +320,7 @@
             return
         allowed = self._advice_cache.get_or_create(step.step_id).allowed
         taken = self._claims.list_claimed(except_for=step.step_id)
-        taken |= self._reserved.kept_until_s.keys()
+        taken |= self._reserved.upstream_ids
         usable = [
             upstream
             for name, upstream in pool.members.items()
@@ -341,6 +351,11 @@
         free = pool.free_cpu_millis - max(0.0, kept - pool.urgent_cpu_millis)
         return max(0, int(free // spec.cpu_millis))
 
+    def _is_kept_out_of_reserve(self, step: StepRun, pool: Pool) -> bool:
+        """Return whether room for urgent work has kept a step out for too long."""
+        needed = self._reserved.count_needed(step) * step.spec.cpu_millis
+        return pool.free_cpu_millis >= needed and self._reserved.may_use_kept_room(step)
+
     def _place_step(
         self,
         step: StepRun,
@@ -361,10 +376,11 @@
             step, eligible, reserved=claimed | blocked, key=key
         )
         if blocked and not _has_room(step, candidates):
-            kept = list_candidates(step, eligible, reserved=claimed, key=key)
-            slots = sum(count for _, count in kept)
-            if self._reserved.may_use_kept_room(step, slots):
-                candidates, max_tasks = kept, 1
+            needed = self._reserved.count_needed(step)
+            room = count_room(step, eligible, excluded=claimed, most=needed)
+            if room == needed and self._reserved.may_use_kept_room(step):
+                candidates = list_candidates(step, eligible, reserved=claimed, key=key)
+                max_tasks = 1
         self.wait_cause = self._find_wait_cause(step, queue, pool, candidates, eligible)
         if self._may_wait_for_speed(queue):
             usable = self._list_eligible(step, queue, pool)
@@ -431,7 +447,7 @@
             else not eligible
         ):
             return DelayCause.TICKET
-        if self._reserved.reservations and not candidates and eligible:
+        if self._reserved.upstream_ids and not candidates and eligible:
             return DelayCause.RESERVED_ROOM
         return DelayCause.ROOM
 
@@ -551,7 +567,7 @@
         if self._unanswered_starts.find_upstreams(step.step_id):
             return
         taken = self._claims.list_claimed(except_for=step.step_id)
-        taken |= self._reserved.kept_until_s.keys()
+        taken |= self._reserved.upstream_ids
         self._reserved.reserve(
             step,
             [
--- a/packages/core/src/papayadyke_core/dispatch/_upstream.py
+++ b/packages/core/src/papayadyke_core/dispatch/_upstream.py
@@ -116,8 +116,15 @@
         """Unused CPU, in thousandths of a core."""
         return self.entry.cpu_millis - self.used_cpu_millis
 
-    def free_slots_for(self, step: StepSpec) -> int:
-        """Return how many more tasks of a step fit beside the current runs."""
+    def free_slots_for(self, step: StepSpec, *, most: int | None = None) -> int:
+        """Return how many more tasks of a step fit beside the current runs.
+
+        Parameters
+        ----------
+        step : StepSpec
+        most : int or None
+            Number up to which they are counted; None for the tasks of the step.
+        """
         entry = self.entry
         cpu_millis = entry.cpu_millis - self.used_cpu_millis
         memory_mb = entry.memory_mb - self.used_memory_mb
@@ -125,7 +132,7 @@
         if cpu_millis < 0 or memory_mb < 0 or accelerators < 0:
             # The capacity has shrunk below what the runs need.
             return 0
-        slots = step.count
+        slots = step.count if most is None else most
         if step.cpu_millis and not step.fills_spare:
             slots = min(slots, cpu_millis // step.cpu_millis)
         if step.memory_mb:
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_reservations.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_reservations.py
@@ -311,3 +311,32 @@
     submit(dispatcher, "other", BATCH, 21, label="b", now=0.1)
     orders = dispatcher.tick(0.2, 0.2).starts
     assert [order.task.job_id for order in orders] == ["other"] * 21
+
+
+def test_short_work_runs_on_an_upstream_that_is_kept_for_a_suspect():
+    """Guards against room that idles while the suspect waits for other runs to end."""
+    dispatcher = make_dispatcher()
+    running = {"cpu_millis": 3000, "label": "b", "estimate_s": 20.0}
+    submit(dispatcher, "long", BATCH, MEMBERS, **running)
+    assert list_started(dispatcher, 0.05) == {"long"}
+    submit(dispatcher, "suspect", BATCH, 1, label="b", now=0.1)
+    step = dispatcher.jobs["suspect"].steps[0, 0]
+    step.crashes[0] = [LostContact("x", 1), LostContact("y", 1)]
+    submit(dispatcher, "other", BATCH, MEMBERS, label="b", estimate_s=5.0, now=0.1)
+    submit(dispatcher, "later", BATCH, MEMBERS, label="b", estimate_s=40.0, now=0.1)
+    orders = dispatcher.tick(0.2, 0.2).starts
+    assert [order.task.job_id for order in orders] == ["other"] * MEMBERS
+
+
+def test_no_upstream_is_kept_for_a_suspect_beside_runs_that_outlast_its_wait():
+    """Guards against an upstream that is kept for 30 s and then is not idle either."""
+    dispatcher = make_dispatcher()
+    running = {"cpu_millis": 3000, "label": "b", "estimate_s": 60.0}
+    submit(dispatcher, "long", BATCH, MEMBERS, **running)
+    assert list_started(dispatcher, 0.05) == {"long"}
+    submit(dispatcher, "suspect", BATCH, 1, label="b", now=0.1)
+    step = dispatcher.jobs["suspect"].steps[0, 0]
+    step.crashes[0] = [LostContact("x", 1), LostContact("y", 1)]
+    submit(dispatcher, "other", BATCH, MEMBERS, label="b", estimate_s=90.0, now=0.1)
+    orders = dispatcher.tick(0.2, 0.2).starts
+    assert [order.task.job_id for order in orders] == ["other"] * MEMBERS
