--- a/packages/core/src/papayadyke_core/dispatch/_reservation_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_reservation_round.py
@@ -20,8 +20,8 @@
 # while there is room for it `KEPT_OUT_ROOM` times over.
 MAX_KEPT_OUT_S = 1.5
 KEPT_OUT_ROOM = 2
-# Seconds until upstreams are looked for again that a gang may fit on: a look at one with
-# eight runs takes 20 us, and many gangs may wait that never fit.
+# Seconds until upstreams are looked for again on which a gang may fit: many gangs may
+# wait that never fit, and a look at an upstream with eight runs takes 20 us.
 RETRY_S = 0.5
 # Seconds after which a step that was not kept out again counts as not kept out.
 KEPT_OUT_GAP_S = 0.5
