--- a/packages/daemon/src/papayadyke_daemon/edge/_takeover_reports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_takeover_reports.py
@@ -33,7 +33,10 @@
         if now < self._next_s:
             return
         wait = dispatcher.describe_takeover_wait(now)
-        if wait is None or wait.waited_s < MIN_WAIT_S:
+        if wait is None:
+            return
+        if wait.waited_s < MIN_WAIT_S:
+            self._next_s = now + MIN_WAIT_S - wait.waited_s
             return
         self._next_s = now + REPORT_INTERVAL_S
         log_event(
