Do not let long work run in room that is kept for a gang

Letting in tasks that are expected to end before the gang fits held gangs up, as run times are often longer than estimated.

What ends before a suspect has its upstream to itself still runs there.

--- a/packages/core/src/papayadyke_core/dispatch/_reservation_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_reservation_round.py
@@ -41,8 +41,8 @@
     Attributes
     ----------
     reservations : list of Reservation
-    kept_until_s : dict of str to float
-        When the gang is expected to fit for which an upstream is kept, by upstream.
+    kept : set of str
+        Upstreams that are kept for gangs.
     idle_until_s : dict of str to float
         When an upstream is expected to be idle that is kept for a suspect, by upstream.
     """
@@ -51,7 +51,7 @@
         self, settings: DispatchSettings, former: Reservations, *, now: float
     ) -> None:
         self.reservations: list[Reservation] = []
-        self.kept_until_s: dict[str, float] = {}
+        self.kept: set[str] = set()
         self.idle_until_s: dict[str, float] = {}
         self._settings = settings
         self._former = former
@@ -60,7 +60,7 @@
     @property
     def upstream_ids(self) -> Set[str]:
         """Upstreams that are kept for gangs or suspects."""
-        return self.kept_until_s.keys() | self.idle_until_s.keys()
+        return self.kept | self.idle_until_s.keys()
 
     def keep_idle(self, upstream_id: str, idle_s: float) -> None:
         """Keep an upstream for a suspect, until it is idle at a time, in seconds."""
@@ -71,7 +71,7 @@
         if len(self.reservations) < self._settings.reserving_gangs:
             return True
         max_kept = self._settings.reserved_share * len(pool.members)
-        return len(self.kept_until_s) < max_kept
+        return len(self.kept) < max_kept
 
     def reserve(self, step: StepRun, upstreams: Iterable[Upstream]) -> None:
         """Keep upstreams for a gang that is expected to fit there.
@@ -104,13 +104,13 @@
                 self._now if since_s is None else since_s,
             )
         )
-        self.kept_until_s |= dict.fromkeys(upstream_ids, starts_s)
+        self.kept |= upstream_ids
 
     def find_blocked(self, step: StepRun, factor: float) -> set[str]:
         """Return the kept upstreams that a step may not use.
 
-        It may use those on which its tasks are expected to end before the gang fits or
-        the suspect has the upstream to itself. Short tasks do not hold up a gang.
+        Short tasks do not hold up a gang, and tasks that end before a suspect has an
+        upstream to itself do not hold up the suspect.
 
         Parameters
         ----------
@@ -123,7 +123,7 @@
             run_s = math.inf
         blocked = find_blocking(self.idle_until_s, run_s=run_s, now=self._now)
         if run_s > self._settings.short_task_s:
-            blocked |= find_blocking(self.kept_until_s, run_s=run_s, now=self._now)
+            blocked |= self.kept
         return blocked
 
     def count_needed(self, step: StepRun) -> int:
--- a/packages/core/src/papayadyke_core/dispatch/_reservations.py
+++ b/packages/core/src/papayadyke_core/dispatch/_reservations.py
@@ -1,8 +1,7 @@
 """Upstreams that are kept for waiting gangs, and when each gang fits there.
 
 Room is kept only on upstreams that the gang may use, and only if it fits there once the
-runs have ended that are expected to end. Other tasks may use it meanwhile if they are
-expected to end before.
+runs have ended that are expected to end.
 """
 
 from __future__ import annotations
@@ -210,20 +209,20 @@
 
 
 def find_blocking(
-    kept_until_s: Mapping[str, float], *, run_s: float, now: float
+    idle_until_s: Mapping[str, float], *, run_s: float, now: float
 ) -> set[str]:
-    """Return the kept upstreams on which a task would still run when a gang fits.
+    """Return the kept upstreams on which a task would still run when they are needed.
 
     Parameters
     ----------
-    kept_until_s : mapping of str to float
-        When the gang of each kept upstream is expected to fit.
+    idle_until_s : mapping of str to float
+        When each kept upstream is expected to be idle but for the task.
     run_s : float
         Expected run time of the task, in seconds.
     now : float
         Seconds, on the dispatcher's clock.
     """
-    return {name for name, until_s in kept_until_s.items() if now + run_s > until_s}
+    return {name for name, until_s in idle_until_s.items() if now + run_s > until_s}
 
 
 def _count_idle_slots(spec: StepSpec, upstream: Upstream) -> int:
