Look less often at how long a step is kept out of kept room

Each placement pass counted the room of all upstreams for each step that kept room keeps out.

Only the kept upstreams are counted, and a step is looked at every 0.05 s.

--- a/packages/core/src/papayadyke_core/dispatch/_job.py
+++ b/packages/core/src/papayadyke_core/dispatch/_job.py
@@ -57,6 +57,7 @@
         # Since when room that is kept for others keeps it from starting, and when that
         # was last found.
         self.kept_out_since_s = self.kept_out_seen_s = 0.0
+        self.next_kept_out_look_s = 0.0
         # When upstreams may be looked for that are to be kept for it.
         self.next_reservation_s = 0.0
         self.wait = StepWait(job.delays)
--- a/packages/core/src/papayadyke_core/dispatch/_placement.py
+++ b/packages/core/src/papayadyke_core/dispatch/_placement.py
@@ -58,9 +58,7 @@
     return candidates
 
 
-def count_room(
-    step: StepRun, upstreams: Iterable[Upstream], *, excluded: Set[str], most: int
-) -> int:
+def count_room(step: StepRun, upstreams: Iterable[Upstream], *, most: int) -> int:
     """Return for how many tasks there is room now, also beyond those of the step.
 
     Parameters
@@ -68,16 +66,12 @@
     step : StepRun
     upstreams : iterable of Upstream
         Upstreams that may run tasks of the step now.
-    excluded : set of str
-        Ids of upstreams that do not count.
     most : int
         Number up to which they are counted.
     """
     spec = step.spec
     slots = 0
     for upstream in upstreams:
-        if upstream.upstream_id in excluded:
-            continue
         if spec.label and spec.label not in upstream.entry.labels:
             continue
         free = upstream.free_slots_for(spec, most=most)
--- a/packages/core/src/papayadyke_core/dispatch/_reservation_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_reservation_round.py
@@ -25,6 +25,7 @@
 RETRY_S = 0.5
 # Seconds after which a step that was not kept out again counts as not kept out.
 KEPT_OUT_GAP_S = 0.5
+KEPT_OUT_LOOK_S = 0.05  # seconds between two looks for how long a step is kept out
 
 
 class ReservationRound:
@@ -126,6 +127,17 @@
             blocked |= self.kept
         return blocked
 
+    def is_look_due(self, step: StepRun) -> bool:
+        """Return whether to look now for how long a step has been kept out.
+
+        Looking for each step in each placement pass made a pass of 300 waiting steps
+        take 27 ms in place of 15 ms.
+        """
+        if self._now < step.next_kept_out_look_s:
+            return False
+        step.next_kept_out_look_s = self._now + KEPT_OUT_LOOK_S
+        return True
+
     def count_needed(self, step: StepRun) -> int:
         """Return for how many tasks there must be room that a step is kept out of."""
         return KEPT_OUT_ROOM * (step.spec.count if step.spec.is_gang else 1)
--- a/packages/core/src/papayadyke_core/dispatch/_round.py
+++ b/packages/core/src/papayadyke_core/dispatch/_round.py
@@ -375,10 +375,14 @@
         candidates = list_candidates(
             step, eligible, reserved=claimed | blocked, key=key
         )
-        if blocked and not _has_room(step, candidates):
+        is_kept_out = blocked and not _has_room(step, candidates)
+        if is_kept_out and self._reserved.is_look_due(step):
             needed = self._reserved.count_needed(step)
-            room = count_room(step, eligible, excluded=claimed, most=needed)
-            if room == needed and self._reserved.may_use_kept_room(step):
+            kept_out = blocked - claimed
+            kept = [u for u in eligible if u.upstream_id in kept_out]
+            room = sum(slots for _, slots in candidates)
+            room += count_room(step, kept, most=needed)
+            if room >= needed and self._reserved.may_use_kept_room(step):
                 candidates = list_candidates(step, eligible, reserved=claimed, key=key)
                 max_tasks = 1
         self.wait_cause = self._find_wait_cause(step, queue, pool, candidates, eligible)
