--- a/packages/core/src/papayadyke_core/dispatch/tests/test_reservations.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_reservations.py
@@ -37,7 +37,7 @@
 LONG_S = 9.0
 
 
-def make_dispatcher(*, advice=None, labels="b", **settings):
+def make_dispatcher(*, advice=None, **settings):
     """Return a dispatcher with a small upstream of kind a, and seven of kind b."""
     queues = {
         GANGS: QueuePolicy("g", "h", "/gangs/", "service", 1, 3, 9.0, 60.0, advice),
