--- a/review/lab3.py
+++ b/review/lab3.py
@@ -29,6 +29,7 @@
 SERVICE = "service-1"
 QUEUE_HOST = "queue.example"
 PREFIX = "/jobs1/"
+OTHER_PREFIX = "/jobs2/"
 HEARTBEAT_S = 1.5
 GRACE_S = 6.0
 
@@ -206,12 +207,14 @@
     """One life of a worker, which runs in a process of its own.
 
     It prints one JSON line for each of its events. `spec` of a job is a JSON text;
-    its `work_ms` is how long each task runs.
+    its `work_ms` is how long each task runs, and `how` the way in which it ends, if it
+    is not "done".
     """
 
-    def __init__(self, worker_id, host, port, cores):
+    def __init__(self, worker_id, host, port, cores, late=""):
         self.worker_id = worker_id
         self.cores = cores
+        self.late = late  # task whose first attempt gets no answer
         self.born = int(time.time() * 1000)
         self.origin = time.monotonic()
         self.lock = threading.Condition()
@@ -241,6 +244,11 @@
         if expected and expected != self.worker_id:
             return 421, {}
         with self.lock:
+            is_first = body.get("attempt") == 1
+            if path == "/api/run-start" and is_first and body["task"] == self.late:
+                self.late = ""
+                self.tell("late", task=body["task"], attempt=body["attempt"], body=body)
+                return None
             status, fields = self._carry_out(path, body)
             return status, {"clock_ms": self.clock_ms(), "born": self.born, **fields}
 
@@ -287,7 +295,8 @@
         spec = json.loads(body["spec"])
         now = time.monotonic()
         self.runs[task] = {"attempt": attempt, "ends": now + spec["work_ms"] / 1000,
-                           "began": now, "percent": 0}
+                           "began": now, "percent": 0,
+                           "how": spec.get("how", "done")}
         self.tell("start", task=task, attempt=attempt, token=body["fencing_token"])
         return 200, {}
 
@@ -313,18 +322,79 @@
                     whole = run["ends"] - run["began"]
                     run["percent"] = int(100 * (now - run["began"]) / whole)
                     if now >= run["ends"]:
-                        self._end(task, "done")
+                        self._end(task, run["how"])
                     elif lapsed:
                         self._end(task, "lapsed")
 
 
-def run_worker(worker_id, host, port, cores):
-    life = WorkerLife(worker_id, host, int(port), int(cores))
+def run_worker(worker_id, host, port, cores, late=""):
+    life = WorkerLife(worker_id, host, int(port), int(cores), late)
     for sequence in itertools.count(1):
         life.tell("beat", address=life.address, cores=life.cores, sequence=sequence)
         time.sleep(HEARTBEAT_S)
 
 
+class Link:
+    """The way from the VMs to a worker; a cut is silent, and drops what is sent."""
+
+    def __init__(self, host, target):
+        self.is_cut = False
+        self._target = target.rpartition(":")[0], int(target.rpartition(":")[2])
+        self._listener = socket.create_server((host, 0), backlog=128)
+        self.address = f"{host}:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            client, _ = self._listener.accept()
+            threading.Thread(target=self._connect, args=(client,), daemon=True).start()
+
+    def _connect(self, client):
+        if self.is_cut:
+            self._hang(client)
+            return
+        try:
+            server = socket.create_connection(self._target, timeout=1.0)
+        except OSError:
+            reset(client)
+            return
+        server.settimeout(None)
+        for sock in (client, server):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        threading.Thread(target=self._pump, args=(client, server), daemon=True).start()
+        self._pump(server, client)
+
+    def _pump(self, source, sink):
+        try:
+            while True:
+                data = source.recv(65536)
+                if self.is_cut:
+                    # What was under way is lost; the connection stays silent.
+                    self._hang(source)
+                    return
+                if not data:
+                    break
+                sink.sendall(data)
+        except OSError:
+            pass
+        if not self.is_cut:
+            reset(source)
+            reset(sink)
+
+    def _hang(self, sock):
+        while self.is_cut:
+            time.sleep(0.05)
+        reset(sock)
+
+
+def reset(sock):
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
+    sock.close()
+
+
 class Lab:
     """All processes of one script, what they did, and the record of it."""
 
@@ -339,6 +409,7 @@
         self.processes = []
         self.workers = {}
         self.dead = set()  # lives of workers that were killed
+        self.killed_at = {}
         self.random = random.Random(seed)
         # The program's port of metrics is fixed, so each VM has an address of its own.
         net = f"127.{self.random.randrange(20, 250)}.{os.getpid() % 250 + 1}"
@@ -358,14 +429,21 @@
 
     # The configuration
 
-    def put_config(self, version=7, **route):
+    def put_config(self, version=7, *, has_first=True, second=None, **route):
+        """Put a configuration with two routes to one service, or the second only.
+
+        `second` holds what differs on the second route.
+        """
         routes = [
             {
-                "name": "r-1", "host": QUEUE_HOST, "prefix": PREFIX,
+                "name": name, "host": QUEUE_HOST, "prefix": prefix,
                 "kind": "non_idempotent", "timeout_ms": 3000,
                 "target_latency_ms": 1000, "priority": 1, "service": SERVICE,
-                "max_attempts": 2, "stretch": 2.2, **route,
+                "max_attempts": 2, "stretch": 2.2, **route, **other,
             }
+            for name, prefix, other in (("r-1", PREFIX, {}),
+                                        ("r-2", OTHER_PREFIX, second or {}))
+            if has_first or prefix != PREFIX
         ]
         services = [
             {
@@ -379,7 +457,8 @@
         config = {"version": version, "routes": routes, "services": services,
                   "limits": limits}
         self.store.put("op/config", json.dumps(config).encode())
-        self.note(f"operator: configuration {version}")
+        names = [row["name"] for row in routes]
+        self.note(f"operator: configuration {version}, routes {names}")
 
     # Edge VMs, by the command of the deploy file
 
@@ -434,16 +513,19 @@
 
     # Workers
 
-    def start_worker(self, worker_id, *, cores=64, port=0):
+    def start_worker(self, worker_id, *, cores=64, port=0, late=""):
+        """Start a worker; the first order to start the task `late` gets no answer."""
         host = f"{self.net}.200"
         process = subprocess.Popen(
-            [sys.executable, __file__, "worker", worker_id, host, str(port), str(cores)],
+            [sys.executable, __file__, "worker", worker_id, host, str(port), str(cores),
+             late],
             stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, stdin=subprocess.DEVNULL,
             text=True,
         )
         self.processes.append(process)
+        old = self.workers.get(worker_id, {})
         worker = {"process": process, "address": "", "beat": time.monotonic(),
-                  "cores": cores, "entry": None}
+                  "cores": cores, "entry": None, "link": old.get("link")}
         self.workers[worker_id] = worker
         threading.Thread(target=self._read, args=(worker_id, worker), daemon=True).start()
 
@@ -455,8 +537,11 @@
             if kind == "beat":
                 worker["address"] = event["address"]
                 worker["beat"] = time.monotonic()
+                if worker["link"] is None:
+                    worker["link"] = Link(f"{self.net}.201", event["address"])
                 entry = {
-                    "service": SERVICE, "address": event["address"], "zone": "zone-1",
+                    "service": SERVICE, "address": worker["link"].address,
+                    "zone": "zone-1",
                     "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
                     "capacity": {"cpu": event["cores"] * 1000, "mem_mb": 262144,
                                  "gpu": 0},
@@ -471,7 +556,7 @@
                 worker["address"] = event["address"]
             with self.lock:
                 self.events.append(event)
-            if kind in ("start", "end", "noted"):
+            if kind in ("start", "end", "noted", "late"):
                 self.note(f"worker {worker_id}: {kind} {event['task']} "
                           f"run {event['attempt']} {event.get('how', '')}".rstrip())
         self.note(f"worker {worker_id}: process ended")
@@ -493,9 +578,25 @@
         process.send_signal(signal.SIGKILL)
         process.wait()
         with self.lock:
-            self.dead.add((worker_id, self.born_of(worker_id)))
+            life = worker_id, self.born_of(worker_id)
+            self.dead.add(life)
+            self.killed_at[life] = self.now()
         self.note(f"disruption: worker {worker_id} killed")
 
+    def cut_worker(self, worker_id, is_cut=True):
+        """Cut a worker off from all VMs, or end that."""
+        self.workers[worker_id]["link"].is_cut = is_cut
+        self.note(f"disruption: worker {worker_id} "
+                  + ("is cut off from the VMs" if is_cut else "is reached again"))
+
+    def carry_out_late(self, worker_id, body):
+        """Have the present life of a worker carry out an order that got no answer."""
+        host, _, port = self.workers[worker_id]["address"].rpartition(":")
+        status, fields = request(host, int(port), "POST", "/api/run-start", body,
+                                 headers={"X-Expect-Instance": worker_id})
+        self.note(f"worker {worker_id}: late order of {body['task']} "
+                  f"run {body['attempt']} -> {status} {json.dumps(fields)}")
+
     def restart_worker(self, worker_id):
         """Start a killed worker again, at its address and under its id."""
         old = self.workers[worker_id]
@@ -543,19 +644,20 @@
             self.note(f"client: {method} {path} at {vm} -> {status} {json.dumps(fields)}")
         return status, fields
 
-    def submit(self, job_id, steps, *, work_ms, vms=None):
+    def submit(self, job_id, steps, *, work_ms, how="done", vms=None, prefix=PREFIX):
         """Hand a job in at one VM after the other until it is accepted."""
-        body = {"spec": json.dumps({"work_ms": work_ms}), "job_steps": steps}
+        spec = json.dumps({"work_ms": work_ms, "how": how})
+        body = {"spec": spec, "job_steps": steps}
         for vm in itertools.islice(itertools.cycle(vms or self.vms), 8):
-            status, _ = self.send(vm, "POST", PREFIX + job_id, body)
+            status, _ = self.send(vm, "POST", prefix + job_id, body)
             if 200 <= status < 300:
                 return True
             time.sleep(0.3)
         return False
 
-    def state(self, job_id, *, quiet=True):
+    def state(self, job_id, *, quiet=True, prefix=PREFIX):
         for vm in self.vms:
-            status, fields = self.send(vm, "GET", PREFIX + job_id, quiet=quiet)
+            status, fields = self.send(vm, "GET", prefix + job_id, quiet=quiet)
             if status in (200, 410):
                 return fields.get("state", "410") if status == 200 else "410"
         return "none"
