--- a/review/lab3.py
+++ b/review/lab3.py
@@ -93,6 +93,11 @@
         self.history = []
         self.leases = {}
         self.lease_ids = itertools.count(1000)
+        # Returns for a write how many seconds later it is done, without an answer, or
+        # None if it is done at once and answered.
+        self.choose_delay = lambda body: None
+        self.tell = lambda text: None
+        self.writes = self.late_writes = 0
         self.server = serve(host, 0, self.call)
         self.address = f"{host}:{self.server.server_address[1]}"
         threading.Thread(target=self._expire_loop, daemon=True).start()
@@ -127,6 +132,16 @@
 
     def call(self, method, path, query, body, headers):
         name, _, tail = path.removeprefix("/api/").partition("/")
+        if name == "kv-txn":
+            self.writes += 1
+            delay = self.choose_delay(body)
+            if delay is not None:
+                self.late_writes += 1
+                timer = threading.Timer(delay, self._write_late, (body,))
+                timer.daemon = True
+                timer.start()
+                time.sleep(30)  # nothing further comes on this connection
+                return None
         with self.lock:
             if name == "kv-key":
                 item = self.items.get(query["key"])
@@ -174,6 +189,12 @@
                 return 200, {"events": events, "at": self.revision}
             self.lock.wait(left)
 
+    def _write_late(self, body):
+        with self.lock:
+            status, _ = self._transact(body)
+        keys = [row["key"] for row in body.get("writes", [])]
+        self.tell(f"store: late write of {keys} -> {status}")
+
     def _transact(self, body):
         expected = body.get("expected_rev", [])
         current = [self.items.get(row["key"]) for row in expected]
@@ -417,6 +438,7 @@
         # The program's port of metrics is fixed, so each VM has an address of its own.
         net = f"127.{self.random.randrange(20, 250)}.{os.getpid() % 250 + 1}"
         self.store = Store(f"{net}.1")
+        self.store.tell = self.note
         self.net = net
         self.vms = {}
         for number in range(vms):
