--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""One of twenty services fails right after each start, and a sound job comes last."""
+"""An order gets no answer and is carried out late, by the next life of its worker."""
 
 import sys
 import time
@@ -6,87 +6,91 @@
 
 sys.dont_write_bytecode = True
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from lab3 import Unable, run_case  # noqa: E402
+from lab3 import OTHER_PREFIX, Unable, run_case  # noqa: E402
 
-WORKERS = 8
+WORKERS = [f"i-{number:010x}" for number in range(8)]
 CORES = 64
-SOUND = [f"5c0e7a21d94b3{number:03x}" for number in range(18)]
-HOPELESS = "0badc0de0badc0de"
-LAST = "7743ec88f6216eee"
-SERVICE_CPU = 2000
-LAST_CPU, LAST_WORK_MS = 4000, 1000
-LONG_MS = 10_000_000
-FINISH_S, LOST_S = 14.0, 3.0
+JOB = "5c0e7a21d94b36f8"
+TASK = f"{JOB}.0.0.0"
+LONG, SHORTER, URGENT = "1000000000000001", "1000000000000002", "1000000000000003"
+WORK_MS = 9_000
+# Seconds after the order that got no answer.
+CUT_S, CRASH_S, LATE_S, HEAL_S = 6.2, 6.6, 8.5, 11.7
+END_S = 25.0
 
 
-def starts(lab, task):
-    with lab.lock:
-        return [e["at"] for e in lab.events
-                if e["event"] == "start" and e.get("task") == task]
+def step(cpu, work_ms, count=1):
+    return [{"count": count, "cpu": cpu, "mem_mb": 8000, "estimate_ms": work_ms}]
 
 
-def wait_for_quiet(lab):
-    """Wait until the failing service has not been started for 6 s, after 26 s of it."""
-    began = lab.now()
-    while lab.now() < began + 75.0:
-        at = starts(lab, f"{HOPELESS}.0.0.0")
-        if at and at[-1] > began + 26.0 and lab.now() > at[-1] + 6.0:
-            return
-        time.sleep(0.1)
-    raise Unable("the failing service is started all the time")
+def find_runs(lab):
+    """Return worker, life, start and end of each run of the task."""
+    runs = {}
+    with lab.lock:
+        events, killed = list(lab.events), dict(lab.killed_at)
+    for event in events:
+        if event.get("task") != TASK or event["event"] not in ("start", "end"):
+            continue
+        key = event["worker"], event["born"], event["attempt"]
+        if event["event"] == "start":
+            runs[key] = [event["at"], killed.get(key[:2], lab.now())]
+        else:
+            runs[key][1] = event["at"]
+    return runs
 
 
 def play(lab):
     for name in lab.vms:
         lab.start_vm(name)
-    for number in range(WORKERS):
-        lab.start_worker(f"i-{number:010x}", cores=CORES)
-    lab.put_config()
+    for worker in WORKERS:
+        lab.start_worker(worker, cores=CORES, late=TASK if lab.trouble else "")
+    lab.put_config(second={"priority": 0})
     lab.wait_ready()
+    time.sleep(3.0)
+    # The fleet is busy: all workers but one are full, and that one has room for the task.
+    count = len(WORKERS) - 2
+    accepted = lab.submit(LONG, step(60_000, 60_000, count), work_ms=60_000)
+    accepted &= lab.submit(SHORTER, step(60_000, 12_000), work_ms=12_000)
+    tasks = [f"{LONG}.0.0.{number}" for number in range(count)] + [f"{SHORTER}.0.0.0"]
+    lab.wait(lambda: all(lab.runs_of(task) for task in tasks), 10,
+             "the first jobs do not run")
     time.sleep(2.0)
-    service = {"count": 1, "cpu": SERVICE_CPU, "mem_mb": 4000, "long_running": True}
-    for job_id in SOUND:
-        if not lab.submit(job_id, [service], work_ms=LONG_MS):
-            raise Unable("a job was not accepted")
-    lab.wait(lambda: all(lab.runs_of(f"{j}.0.0.0") for j in SOUND), 20,
-             "the services do not run")
+    accepted &= lab.submit(JOB, step(40_000, WORK_MS), work_ms=WORK_MS)
     if lab.trouble:
-        accepted = lab.submit(HOPELESS, [service], work_ms=50, how="failed")
+        lab.wait(lambda: any(e["event"] == "late" for e in list(lab.events)), 5,
+                 "the task was not ordered")
+        order = next(e for e in lab.events if e["event"] == "late")
+        victim, began = order["worker"], order["at"]
     else:
-        accepted = lab.submit(HOPELESS, [service], work_ms=LONG_MS)
+        lab.wait(lambda: lab.runs_of(TASK), 5, "the task was not ordered")
+        began = lab.now()
+    # An urgent job takes the room that the unanswered order has not used.
+    accepted &= lab.submit(URGENT, step(60_000, 30_000), work_ms=30_000,
+                           prefix=OTHER_PREFIX)
     if not accepted:
         raise Unable("a job was not accepted")
     if lab.trouble:
-        wait_for_quiet(lab)
-    else:
-        time.sleep(10.0)
-    step = {"count": 1, "cpu": LAST_CPU, "mem_mb": 8000, "estimate_ms": LAST_WORK_MS}
-    if not lab.submit(LAST, [step], work_ms=LAST_WORK_MS):
-        raise Unable("the last job was not accepted")
-    end = lab.now()
-    lab.note("the traffic ends")
-    lab.sleep_until(end + FINISH_S)
-    state = lab.state(LAST, quiet=False)
-    at = starts(lab, f"{LAST}.0.0.0")
-    running = [job for job in (*SOUND, HOPELESS) if lab.runs_of(f"{job}.0.0.0")]
-    used = len(running) * SERVICE_CPU
-    total = WORKERS * CORES * 1000
-    lab.note(f"at {FINISH_S} s after the end of the traffic: {LAST} is {state}, "
-             f"started at {at}; in use {used} of {total} thousandths of a core; "
-             f"all {WORKERS} workers run and answer")
-    with lab.lock:
-        failed = [e["worker"] for e in lab.events
-                  if e["event"] == "end" and e["how"] == "failed"]
-    lab.note(f"starts of the failing service: {len(failed)}, on {len(set(failed))} workers")
-    for line in lab.logs("set aside"):
-        lab.note(line)
-    if not at:
-        return [f"LOST: {LAST} was accepted {FINISH_S} s ago and has nothing running, "
-                f"for {LOST_S} s and longer, with room for it many times over and under "
-                "half of the capacity in use"]
-    if state != "complete":
-        raise Unable(f"the job is shown as {state!r}")
-    return []
+        lab.sleep_until(began + CUT_S)
+        lab.cut_worker(victim)
+        lab.sleep_until(began + CRASH_S)
+        lab.crash_worker(victim)
+        lab.restart_worker(victim)
+        lab.sleep_until(began + LATE_S)
+        lab.carry_out_late(victim, order["body"])
+        lab.sleep_until(began + HEAL_S)
+        lab.cut_worker(victim, is_cut=False)
+    lab.sleep_until(began + END_S)
+    runs = find_runs(lab)
+    for (worker, _, attempt), (start, end) in runs.items():
+        lab.note(f"run {attempt} of {TASK} on {worker}: {start:.3f} s to {end:.3f} s")
+    if not runs:
+        raise Unable("the task has not run")
+    spans = sorted(runs.values())
+    return [
+        f"TWICE: two runs of {TASK} at the same time for {min(end, other) - start:.3f} s"
+        for (_, end), (start, other) in zip(spans, spans[1:])
+        if start < end
+    ]
 
 
 run_case(Path(__file__).resolve().parent, play)
