--- a/review/lab3.py
+++ b/review/lab3.py
@@ -32,6 +32,7 @@
 OTHER_PREFIX = "/jobs2/"
 HEARTBEAT_S = 1.5
 CHECKPOINT_S = 2.0
+METRICS_PORT, FIRST_PORT = 9464, 7720
 VALUE_BYTES = 1_048_576
 GRACE_S = 6.0
 
@@ -439,7 +440,7 @@
 class Lab:
     """All processes of one script, what they did, and the record of it."""
 
-    def __init__(self, folder, *, vms=3, seed=1, has_links=True):
+    def __init__(self, folder, *, vms=3, has_links=True):
         """`has_links` tells whether workers can be cut off."""
         self.has_links = has_links
         self.folder = Path(folder)
@@ -455,9 +456,7 @@
         self.quiet_job = ""  # job whose runs are too many for the record
         self.dead = set()  # lives of workers that were killed
         self.killed_at = {}
-        self.random = random.Random(seed)
-        # The program's port of metrics is fixed, so each VM has an address of its own.
-        net = f"127.{self.random.randrange(20, 250)}.{os.getpid() % 250 + 1}"
+        net = find_free_net(vms)
         self.store = Store(f"{net}.1")
         self.store.tell = self.note
         self.net = net
@@ -516,11 +515,10 @@
     def start_vm(self, name):
         vm = self.vms[name]
         host = vm["host"]
-        first = 7720
         settings = self.temp / f"{name}.conf"
         settings.write_text(SETTINGS.format(
             name=name, host=host, frontend=vm["frontend"], readiness=vm["readiness"],
-            control=vm["control"], first=first, last=first + 15,
+            control=vm["control"], first=FIRST_PORT, last=FIRST_PORT + 15,
             store=self.store.address, value_bytes=VALUE_BYTES,
         ))
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG")
@@ -775,6 +773,29 @@
         connection.close()
 
 
+def find_free_net(vms):
+    """Return the first three numbers of loopback addresses that nothing uses.
+
+    The program's port of metrics is fixed, so each VM has an address of its own.
+    """
+    for _ in range(50):
+        net = f"127.{random.randrange(20, 250)}.{random.randrange(1, 250)}"
+        sockets = []
+        try:
+            for number in range(vms):
+                for port in (METRICS_PORT, FIRST_PORT):
+                    sock = socket.socket()
+                    sockets.append(sock)
+                    sock.bind((f"{net}.{10 + number}", port))
+            return net
+        except OSError:
+            continue
+        finally:
+            for sock in sockets:
+                sock.close()
+    raise Unable("no loopback addresses are free")
+
+
 def free_ports(host, count):
     sockets = [socket.socket() for _ in range(count)]
     try:
