Keep stored records within a value, and a refused one from holding up others

Cause: the progress of a job is one value, with a checkpoint for each task that is not done, and its size was not looked at. The store refused it; that counted as a failing store, so that one commit at a time was sent, and the refused record was part of every second one.

Ruled out: a slow store (each failure is an answer with status 400), and ends that are stored and not acknowledged (three of ten jobs are active). The log of a failed commit did not name the record; it does now.

The roster names services once where it would be too large. 'rejected' is an outcome of the store of its own: it is no doubt about the store, and its jobs have commits of their own. Large records do not share commits, which are spaced by their size. The stand-ins refuse large values.

The new tests fail without the bounds.

--- a/packages/core/src/papayadyke_core/dispatch/__init__.py
+++ b/packages/core/src/papayadyke_core/dispatch/__init__.py
@@ -35,6 +35,7 @@
     decode_progress,
     encode_progress,
 )
+from papayadyke_core.dispatch._record_size import estimate_record_bytes
 from papayadyke_core.dispatch._reservations import Reservation
 from papayadyke_core.dispatch._retry import choose_retry_after
 from papayadyke_core.dispatch._run_times import RunTimeModel
@@ -105,4 +106,5 @@
     "encode_learned",
     "encode_progress",
     "estimate_job_bytes",
+    "estimate_record_bytes",
 ]
--- a/packages/core/src/papayadyke_core/dispatch/_commits.py
+++ b/packages/core/src/papayadyke_core/dispatch/_commits.py
@@ -1,22 +1,21 @@
 """Which progress is to be stored, and which ends may then be acknowledged.
 
 The ends of jobs are stored before the progress of open jobs, since callers wait for
-them. Several commits may be in progress at a time, each of other jobs.
+them. Several commits may be in progress at a time, each of other jobs. A job whose
+record is large, or was refused, has commits of its own.
 """
 
 from __future__ import annotations
 
+import logging
 from collections import deque
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
 from papayadyke_core.dispatch._job import StagedJob
 from papayadyke_core.dispatch._messages import Commit
-from papayadyke_core.dispatch._progress import (
-    FINAL_STATES,
-    JobState,
-    encode_progress,
-)
+from papayadyke_core.dispatch._progress import FINAL_STATES, JobState
+from papayadyke_core.dispatch._record_size import EncodedProgress, encode_within
 from papayadyke_core.dispatch._settings import DispatchSettings
 from papayadyke_core.dispatch._unread import UnreadJobEnds
 from papayadyke_core.dispatch._upstream import Upstream
@@ -25,6 +24,11 @@
 # job also the removal of the job and of its cancellation.
 OPEN_JOB_ENTRIES = 2
 ENDED_JOB_ENTRIES = 4
+SHARED_RECORD_BYTES = 16_000  # most bytes of a record that shares a commit with others
+# Seconds before a refused record is sent again; doubled each time, up to the maximum.
+REFUSAL_PAUSE_S, MAX_REFUSAL_PAUSE_S = 0.5, 30.0
+
+LOG = logging.getLogger(__name__)
 
 
 @dataclass(slots=True)
@@ -47,6 +51,22 @@
     ends: dict[str, tuple[int, list[tuple[int, str]]]] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class _Refusal:
+    """Record of a job that the store has refused.
+
+    Parameters
+    ----------
+    retry_s : float
+        When it is sent again, in seconds.
+    pause_s : float
+        Seconds between the last two attempts.
+    """
+
+    retry_s: float
+    pause_s: float
+
+
 class CommitTracker:
     """Collect changed jobs into commits.
 
@@ -78,6 +98,13 @@
         self._dirty_jobs: dict[str, None] = {}
         self._in_progress: dict[int, _CommitInProgress] = {}
         self._committing_jobs: set[str] = set()
+        # Jobs that the store has refused, alone or together with others.
+        self._refusals: dict[str, _Refusal] = {}
+        self._refused_commits: set[int] = set()
+        # Jobs whose record was large when it was last encoded.
+        self._large_jobs: set[str] = set()
+        # Changed jobs whose progress does not fit; they wait for another change.
+        self._oversized_jobs: set[str] = set()
         self._commits = 0
         # Ends that are processed and not acknowledged, by upstream in their order.
         self._unacknowledged: dict[str, deque[tuple[int, str]]] = {}
@@ -91,6 +118,7 @@
 
     def mark_dirty(self, job_id: str) -> None:
         """Have the progress of a job stored."""
+        self._oversized_jobs.discard(job_id)
         self._dirty_jobs.setdefault(job_id)
 
     def record_suspicion(self, job_ids: set[str]) -> None:
@@ -116,19 +144,18 @@
         """Forget the ends of an upstream, which no longer lists them."""
         self._unacknowledged.pop(upstream_id, None)
 
-    def begin(self, unread_ends: UnreadJobEnds) -> Commit | None:
+    def begin(self, unread_ends: UnreadJobEnds, now: float = 0.0) -> Commit | None:
         """Return the next commit, or None if there is nothing to commit."""
-        job_ids = self._select_dirty_jobs()
-        for job_id in job_ids:
-            del self._dirty_jobs[job_id]
         begun = _CommitInProgress()
+        encoded = self._encode_dirty_jobs(now)
+        progress = {
+            job_id: record.data
+            for job_id, record in encoded.items()
+            if record.data is not None
+        }
+        left_out = self._record_left_out(encoded)
+        begun.states = {job_id: self._jobs[job_id].state for job_id in progress}
         acknowledged_ends = self._take_acknowledgements(begun, unread_ends)
-        progress: dict[str, bytes] = {}
-        for job_id in job_ids:
-            job = self._jobs.get(job_id)
-            if job is not None:
-                progress[job_id] = encode_progress(job.snapshot_progress())
-                begun.states[job_id] = job.state
         if not progress and not acknowledged_ends:
             return None
         begun.suspicions = self._unstored_suspicions & progress.keys()
@@ -139,13 +166,39 @@
         ended_job_ids = [
             job_id for job_id, state in begun.states.items() if state in FINAL_STATES
         ]
-        return Commit(progress, acknowledged_ends, tuple(ended_job_ids), self._commits)
+        return Commit(
+            progress, acknowledged_ends, tuple(ended_job_ids), self._commits, left_out
+        )
+
+    def isolate(self, commit: Commit, now: float) -> None:
+        """Record that the store refuses a commit in progress as it is.
+
+        Each of its jobs has commits of its own from now on. Of a single job the next
+        one waits, as it is likely to be refused as well.
+
+        Parameters
+        ----------
+        commit : Commit
+        now : float
+            Current time in seconds.
+        """
+        self._refused_commits.add(commit.number)
+        is_alone = len(commit.progress) == 1
+        for job_id in commit.progress:
+            refusal = self._refusals.setdefault(job_id, _Refusal(now, 0.0))
+            if is_alone:
+                refusal.pause_s = min(
+                    max(REFUSAL_PAUSE_S, 2.0 * refusal.pause_s), MAX_REFUSAL_PAUSE_S
+                )
+                refusal.retry_s = now + refusal.pause_s
 
     def finish(self, commit: Commit, *, is_stored: bool) -> list[str]:
         """Finish a commit in progress; return the jobs whose end it stored."""
         begun = self._in_progress.pop(commit.number)
         self._committing_jobs -= begun.states.keys()
-        self.is_store_failing = not is_stored
+        is_refused = commit.number in self._refused_commits
+        self._refused_commits.discard(commit.number)
+        self.is_store_failing = not is_stored and not is_refused
         if not is_stored:
             self._unstored_suspicions |= begun.suspicions
             for job_id in begun.states:
@@ -164,6 +217,8 @@
                 upstream.acknowledged_end_number = max(
                     upstream.acknowledged_end_number, number
                 )
+        for job_id in begun.states:
+            self._refusals.pop(job_id, None)
         return self._record_stored_states(begun.states)
 
     def has_suspicions(self, commit: Commit) -> bool:
@@ -208,19 +263,72 @@
 
     def _is_waiting(self, job_id: str) -> bool:
         """Return whether progress of a job is in no stored commit nor in the next."""
-        return job_id in self._dirty_jobs or job_id in self._committing_jobs
+        return (
+            job_id in self._dirty_jobs
+            or job_id in self._committing_jobs
+            or job_id in self._oversized_jobs
+        )
 
-    def _select_dirty_jobs(self) -> list[str]:
-        """Return the jobs whose progress fits in one commit, ended jobs first."""
-        job_ids: list[str] = []
+    def _encode_dirty_jobs(self, now: float) -> dict[str, EncodedProgress]:
+        """Return the progress of the jobs that fit in one commit, ended jobs first."""
+        progress: dict[str, EncodedProgress] = {}
         entries = 0
         for is_final, cost in ((True, ENDED_JOB_ENTRIES), (False, OPEN_JOB_ENTRIES)):
-            for job_id in self._iterate_dirty(is_final=is_final):
+            for job_id in list(self._iterate_dirty(is_final=is_final)):
                 if entries + cost > self._settings.max_commit_entries:
-                    return job_ids
+                    return self._take_dirty(progress)
+                refusal = self._refusals.get(job_id)
+                if refusal is not None and now < refusal.retry_s:
+                    continue
+                is_alone = refusal is not None or job_id in self._large_jobs
+                if is_alone and progress:
+                    # It is the first one of a later commit.
+                    continue
+                record = self._encode(job_id)
+                if record is None or record.data is None:
+                    continue
+                if is_alone or len(record.data) > SHARED_RECORD_BYTES:
+                    if progress:
+                        continue
+                    return self._take_dirty({job_id: record})
                 entries += cost
-                job_ids.append(job_id)
-        return job_ids
+                progress[job_id] = record
+        return self._take_dirty(progress)
+
+    def _encode(self, job_id: str) -> EncodedProgress | None:
+        """Return the record of a dirty job; None if the job is unknown."""
+        job = self._jobs.get(job_id)
+        if job is None:
+            del self._dirty_jobs[job_id]
+            return None
+        encoded = encode_within(job, self._settings.max_record_bytes)
+        self._large_jobs.discard(job_id)
+        if encoded.data is not None and len(encoded.data) > SHARED_RECORD_BYTES:
+            self._large_jobs.add(job_id)
+        if encoded.data is None:
+            del self._dirty_jobs[job_id]
+            self._oversized_jobs.add(job_id)
+            LOG.error("dispatch: the progress of job %s is too large to store", job_id)
+        return encoded
+
+    def _take_dirty(
+        self, progress: dict[str, EncodedProgress]
+    ) -> dict[str, EncodedProgress]:
+        for job_id in progress:
+            del self._dirty_jobs[job_id]
+        return progress
+
+    def _record_left_out(
+        self, encoded: Mapping[str, EncodedProgress]
+    ) -> dict[str, int]:
+        """Return the number of checkpoints that jobs lack for the first time."""
+        left_out = {}
+        for job_id, record in encoded.items():
+            job = self._jobs[job_id]
+            if record.left_out and not job.lacks_checkpoints:
+                job.lacks_checkpoints = True
+                left_out[job_id] = record.left_out
+        return left_out
 
     def _iterate_dirty(self, *, is_final: bool) -> Iterator[str]:
         """Yield the dirty jobs that are in no commit and have ended, or have not."""
--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -437,12 +437,16 @@
         """Whether the end of a job waits for a commit."""
         return self._schedule.commits.has_ended_jobs
 
-    def begin_commit(self) -> Commit | None:
+    def begin_commit(self, now: float = 0.0) -> Commit | None:
         """Return the next commit, or None if there is nothing to commit.
 
         Earlier commits may still be in progress; this one is of other jobs.
         """
-        return self._schedule.commits.begin(self._takeover.unread_ends)
+        return self._schedule.commits.begin(self._takeover.unread_ends, now)
+
+    def isolate_commit(self, commit: Commit, now: float) -> None:
+        """Record that the store refuses a commit; `finish_commit` has to follow."""
+        self._schedule.commits.isolate(commit, now)
 
     def finish_commit(self, commit: Commit, *, is_stored: bool) -> list[str]:
         """Finish a commit in progress; return the jobs whose end it stored."""
--- a/packages/core/src/papayadyke_core/dispatch/_job.py
+++ b/packages/core/src/papayadyke_core/dispatch/_job.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from papayadyke_core.dispatch._delays import JobDelays, StepWait
 from papayadyke_core.dispatch._index_set import IndexSet
 from papayadyke_core.dispatch._progress import (
     FINAL_STATES,
+    MAX_FAILED_TASKS,
     JobProgress,
     JobState,
     LostContact,
     StepProgress,
+    group_failed,
 )
 from papayadyke_core.dispatch._remaining import JobEstimates, estimate_job
 from papayadyke_core.dispatch._run import Run
@@ -186,8 +190,18 @@
         if index not in self.done:
             self.waiting.add(index)
 
-    def snapshot_progress(self) -> StepProgress | None:
-        """Return the progress to store, or None if there is none yet."""
+    def snapshot_progress(
+        self, checkpoints: Mapping[int, str] | None = None
+    ) -> StepProgress | None:
+        """Return the progress to store, or None if there is none yet.
+
+        Parameters
+        ----------
+        checkpoints : mapping of int to str, optional
+            Checkpoints to store, by the number of the task; by default all.
+        """
+        if checkpoints is None:
+            checkpoints = self.checkpoints
         runs = {
             index: LostContact(run.upstream_id, run.incarnation)
             for index in sorted(self.recorded_runs)
@@ -199,21 +213,23 @@
         if not (
             self.done
             or self.failed
-            or self.checkpoints
+            or checkpoints
             or self.crashes
             or self.doubts
             or runs
             or unanswered
         ):
             return None
+        is_grouped = len(self.failed) > MAX_FAILED_TASKS
         return StepProgress(
             self.done.list_rows(),
-            dict(self.failed),
-            dict(self.checkpoints),
+            {} if is_grouped else dict(self.failed),
+            dict(checkpoints),
             dict(self.crashes),
             dict(self.doubts),
             runs,
             unanswered,
+            group_failed(self.failed) if is_grouped else [],
         )
 
     def restore_progress(self, progress: StepProgress) -> None:
@@ -226,8 +242,8 @@
             self.job.record_step_done(self.step_id.occurrence)
         self.job.invalidate_estimates()
         self.failed = {
-            i: list(n)
-            for i, n in progress.failed.items()
+            i: n
+            for i, n in progress.read_failed(self.spec.count).items()
             if i in valid and i not in self.done
         }
         self.checkpoints = {
@@ -276,6 +292,8 @@
         self.is_held_over = False
         # Before this time it is stored where its tasks run.
         self.record_runs_until_s = 0.0
+        # Whether checkpoints have been left out of its stored progress.
+        self.lacks_checkpoints = False
         # Steps that depend on each step.
         self._dependents: list[list[int]] = [[] for _ in spec.steps]
         for number, step in enumerate(spec.steps):
@@ -444,14 +462,27 @@
             cached = self._cached_estimates = estimate_job(self, run_times)
         return cached
 
-    def snapshot_progress(self) -> JobProgress:
-        """Return the progress to store."""
+    def snapshot_progress(
+        self, checkpoints: Mapping[tuple[int, int], Mapping[int, str]] | None = None
+    ) -> JobProgress:
+        """Return the progress to store.
+
+        Parameters
+        ----------
+        checkpoints : mapping of (int, int) to mapping of int to str, optional
+            Checkpoints to store, by occurrence and step; by default all.
+        """
         if self.is_final:
             return JobProgress(self.state, self.ended_s, team=self.spec.team)
+
+        def chosen(step: StepRun) -> Mapping[int, str] | None:
+            key = step.step_id.occurrence, step.step_id.step
+            return None if checkpoints is None else checkpoints.get(key, {})
+
         steps = {
             f"{occurrence}.{number}": progress
             for (occurrence, number), step in self.steps.items()
-            if (progress := step.snapshot_progress()) is not None
+            if (progress := step.snapshot_progress(chosen(step))) is not None
         }
         rows = self.done_occurrences.list_rows()
         return JobProgress(self.state, 0.0, steps, self.spec.team, rows)
--- a/packages/core/src/papayadyke_core/dispatch/_messages.py
+++ b/packages/core/src/papayadyke_core/dispatch/_messages.py
@@ -258,9 +258,13 @@
         Jobs that the progress ends; their other stored records may be removed.
     number : int
         Number of the commit in its term.
+    left_out : dict of str to int
+        Number of checkpoints that are left out for their size, by job; only of jobs of
+        which none was left out before.
     """
 
     progress: dict[str, bytes]
     acknowledged_ends: dict[str, tuple[int, int]]
     ended_job_ids: tuple[str, ...] = ()
     number: int = 0
+    left_out: dict[str, int] = field(default_factory=dict)
--- a/packages/core/src/papayadyke_core/dispatch/_progress.py
+++ b/packages/core/src/papayadyke_core/dispatch/_progress.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from enum import StrEnum
 
 import msgspec
 
-from papayadyke_core.dispatch._index_set import IndexRows
+from papayadyke_core.dispatch._index_set import IndexRows, IndexSet
+
+MAX_FAILED_TASKS = 1_000  # from which on tasks are stored by their failed attempts
 
 
 class JobState(StrEnum):
@@ -61,6 +64,9 @@
     unanswered : dict of int to str
         Upstream of each task whose start got no answer and may still be carried out;
         empty for several.
+    failed_rows : list of (list of int, list of int or (int, int))
+        Failed attempts and the tasks that have them, as in `done`, in place of `failed`
+        if these are many.
     """
 
     done: IndexRows = []
@@ -70,6 +76,15 @@
     doubts: dict[int, list[LostContact]] = {}
     runs: dict[int, LostContact] = {}
     unanswered: dict[int, str] = {}
+    failed_rows: list[tuple[list[int], IndexRows]] = []
+
+    def read_failed(self, stop: int) -> dict[int, list[int]]:
+        """Return the failed attempts of each task below `stop`."""
+        failed = {index: list(n) for index, n in self.failed.items() if index < stop}
+        for attempts, rows in self.failed_rows:
+            for index in IndexSet.from_rows(rows, stop):
+                failed[index] = list(attempts)
+        return failed
 
 
 class JobProgress(msgspec.Struct):
@@ -96,6 +111,22 @@
     done_occurrences: IndexRows = []
 
 
+def group_failed(
+    failed: Mapping[int, list[int]],
+) -> list[tuple[list[int], IndexRows]]:
+    """Return the sets of failed attempts, and the tasks that have each of them."""
+    groups: dict[tuple[int, ...], list[int]] = {}
+    for index, attempts in failed.items():
+        groups.setdefault(tuple(attempts), []).append(index)
+    rows = []
+    for numbers, indexes in groups.items():
+        tasks = IndexSet()
+        for index in sorted(indexes):
+            tasks.add(index)
+        rows.append((list(numbers), tasks.list_rows()))
+    return rows
+
+
 def encode_progress(progress: JobProgress) -> bytes:
     """Encode progress as a stored record."""
     return msgspec.json.encode(progress)
--- a/packages/core/src/papayadyke_core/dispatch/_settings.py
+++ b/packages/core/src/papayadyke_core/dispatch/_settings.py
@@ -73,6 +73,8 @@
         Maximum number of store entries in one commit. They must fit in one
         transaction, which holds 32, together with the condition that this VM is
         still the decider.
+    max_record_bytes : int
+        Most bytes of the stored progress of a job.
     quota_overrun : float
         Fraction by which a gang that is all that its team runs may exceed the limit of
         the team.
@@ -118,6 +120,7 @@
     record_runs_s: float = 60.0
     urgent_share: float = 0.0
     max_commit_entries: int = 31
+    max_record_bytes: int = 786_432
     quota_overrun: float = 0.1
     learns_run_times: bool = True
     evens_gang_speeds: bool = True
--- a/packages/core/src/papayadyke_core/dispatch/_tracking.py
+++ b/packages/core/src/papayadyke_core/dispatch/_tracking.py
@@ -440,6 +440,9 @@
         attempts = step.failed.setdefault(index, [])
         if ended.attempt in attempts:
             return
+        if step.spec.is_long_running:
+            # Its attempts have no limit; the last one tells whether an end is new.
+            attempts.clear()
         attempts.append(ended.attempt)
         job = step.job
         self._schedule.commits.mark_dirty(job.job_id)
--- a/packages/daemon/src/papayadyke_daemon/edge/_committer.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_committer.py
@@ -35,6 +35,8 @@
 # an answer then stores some 200 ends of jobs a second, and 25 with one thread.
 MAX_COMMITS_IN_PROGRESS = 8
 COMMIT_RETRY_S = 0.15  # seconds before the next commit after a failed one
+# Average of the records that one VM commits: a tenth of a link of 375 Mbit/s.
+COMMIT_BYTES_PER_S = 4_000_000
 
 
 class Committer:
@@ -53,6 +55,8 @@
         Called with a commit and whether it was stored.
     step_down : callable
         Called with a reason when another VM is the decider.
+    on_rejected : callable
+        Called before `on_finished` with a commit that the store does not take as it is.
     """
 
     def __init__(
@@ -63,12 +67,14 @@
         post: Callable[[Callable[[], None]], None],
         on_finished: Callable[[Commit, bool], None],
         step_down: Callable[[str], None],
+        on_rejected: Callable[[Commit], None] = lambda commit: None,
     ) -> None:
         self._store = store
         self._token = token
         self._post = post
         self._on_finished = on_finished
         self._step_down = step_down
+        self._on_rejected = on_rejected
         self._revisions: dict[str, int] = {}
         self._commits: queue.SimpleQueue[Commit | None] = queue.SimpleQueue()
         self._in_progress = 0
@@ -112,7 +118,8 @@
     def begin(self, commit: Commit) -> None:
         """Store a commit in the background."""
         self._in_progress += 1
-        self._next_s = max(self._next_s, read_clock() + COMMIT_INTERVAL_S)
+        pause_s = max(COMMIT_INTERVAL_S, _count_bytes(commit) / COMMIT_BYTES_PER_S)
+        self._next_s = max(self._next_s, read_clock() + pause_s)
         if commit.progress:
             self._commits.put(commit)
         else:
@@ -159,23 +166,31 @@
 
     def _finish(self, commit: Commit, stored: Result[int, StoreError]) -> None:
         self._in_progress -= 1
+        error = stored.err_value if isinstance(stored, Err) else None
+        is_rejected = error is not None and error.kind is StoreErrorKind.REJECTED
         if commit.progress:
-            self._is_failing = isinstance(stored, Err)
-        if isinstance(stored, Err):
-            error = stored.err_value
+            self._is_failing = error is not None and not is_rejected
+        if error is not None:
+            largest = max(commit.progress, key=lambda name: len(commit.progress[name]))
             log_event(
                 LOG,
                 "decider: commit failed",
                 kind=error.kind,
                 why=error.detail,
                 jobs=len(commit.progress),
+                bytes=_count_bytes(commit),
+                largest_job=largest,
+                largest_bytes=len(commit.progress[largest]),
             )
             if error.kind is StoreErrorKind.CONFLICT:
                 self._update_revisions(error.current_records)
-            self._next_s = read_clock() + COMMIT_RETRY_S
+            if is_rejected:
+                self._on_rejected(commit)
+            else:
+                self._next_s = read_clock() + COMMIT_RETRY_S
         else:
-            self._revisions.update(dict.fromkeys(commit.progress, stored.ok_value))
-        self._on_finished(commit, isinstance(stored, Ok))
+            self._revisions.update(dict.fromkeys(commit.progress, stored.unwrap()))
+        self._on_finished(commit, error is None)
 
     def _update_revisions(self, current: tuple[Record, ...]) -> None:
         for record in current:
@@ -185,3 +200,7 @@
             elif record.key.startswith(PROGRESS_PREFIX):
                 job_id = record.key.removeprefix(PROGRESS_PREFIX)
                 self._revisions[job_id] = record.revision
+
+
+def _count_bytes(commit: Commit) -> int:
+    return sum(len(data) for data in commit.progress.values())
--- a/packages/daemon/src/papayadyke_daemon/edge/_contact.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_contact.py
@@ -49,7 +49,12 @@
 NEVER_S = float("-inf")
 # Failures with which the store has answered the call.
 ANSWERS = frozenset(
-    {StoreErrorKind.CONFLICT, StoreErrorKind.NO_LEASE, StoreErrorKind.COMPACTED}
+    {
+        StoreErrorKind.CONFLICT,
+        StoreErrorKind.REJECTED,
+        StoreErrorKind.NO_LEASE,
+        StoreErrorKind.COMPACTED,
+    }
 )
 T = TypeVar("T")
 
--- a/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_daemon.py
@@ -127,6 +127,7 @@
                 self._job_memory,
             ),
             quota_overrun=cfg.quota_overrun,
+            max_value_bytes=cfg.max_value_bytes,
         )
         self._peer_server = PeerServer(
             f"{cfg.host}:{cfg.peers_port}", self._answer_peer
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -33,6 +33,7 @@
     log_crashes,
     log_ends,
     log_job_end,
+    log_left_out,
     log_losses,
     log_starts,
     log_stop,
@@ -132,6 +133,7 @@
                 quota_overrun=cfg.quota_overrun,
                 learns_run_times=cfg.learns_run_times,
                 urgent_share=cfg.urgent_share,
+                max_record_bytes=cfg.max_value_bytes,
             ),
             term=term.number,
             now=read_clock(),
@@ -157,12 +159,16 @@
             post=self._mailbox.post,
             on_finished=self._handle_commit_result,
             step_down=step_down,
+            on_rejected=lambda commit: self._dispatcher.isolate_commit(
+                commit, read_clock()
+            ),
         )
         self._next_step_s = 0.0
         self._next_garbage_s = read_clock() + GARBAGE_INTERVAL_S
         self._roster = RosterWriter(
             ports.store,
             term=term,
+            max_bytes=cfg.max_value_bytes,
             post=self._mailbox.post,
             on_stored=self._mark_recorded,
         )
@@ -171,7 +177,11 @@
         self._takeover_reporter = TakeoverReporter()
         self._reservation_reporter = ReservationReporter()
         self._learned = LearnedWriter(
-            ports.store, self._dispatcher, token=term.token, post=self._mailbox.post
+            ports.store,
+            self._dispatcher,
+            token=term.token,
+            max_bytes=cfg.max_value_bytes,
+            post=self._mailbox.post,
         )
         self._housekeeper = Housekeeper(ports.store, token=term.token)
         self._agent_callbacks = AgentCallbacks(
@@ -602,9 +612,10 @@
         if not self._committer.may_begin(now):
             return
         while True:
-            commit = self._dispatcher.begin_commit()
+            commit = self._dispatcher.begin_commit(now)
             if commit is None:
                 return
+            log_left_out(commit)
             self._committer.begin(commit)
             # Callers wait for the ends of jobs; progress of open jobs may wait.
             if not (
--- a/packages/daemon/src/papayadyke_daemon/edge/_decision_log.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decision_log.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable, Mapping
 
 from papayadyke_core.dispatch import (
+    Commit,
     DelayCause,
     EndedRun,
     LossCause,
@@ -24,6 +25,19 @@
 LOG = logging.getLogger(__name__)
 
 
+def log_left_out(commit: Commit) -> None:
+    """Log the jobs of whose checkpoints some are stored no longer, for their size."""
+    for job_id, count in commit.left_out.items():
+        log_event(
+            LOG,
+            "decider: checkpoints left out of the stored progress",
+            request=job_id,
+            checkpoints=count,
+            bytes=len(commit.progress[job_id]),
+        )
+        METRICS.count("papayadyke_jobs_without_all_checkpoints")
+
+
 def log_starts(
     starts: Iterable[StartOrder],
     jobs: Mapping[str, StagedJob],
--- a/packages/daemon/src/papayadyke_daemon/edge/_intake.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_intake.py
@@ -16,6 +16,7 @@
     JobState,
     StagedJobSpec,
     decode_progress,
+    estimate_record_bytes,
 )
 from papayadyke_core.verdicts import Verdict
 from papayadyke_daemon.edge._contact import StoreContact
@@ -107,6 +108,8 @@
     dependencies : IntakeDependencies
     quota_overrun : float
         Fraction by which a gang that runs alone may exceed the limit of its team.
+    max_value_bytes : int
+        Most bytes of a value in the store.
     """
 
     def __init__(
@@ -116,11 +119,13 @@
         dependencies: IntakeDependencies,
         *,
         quota_overrun: float = 0.1,
+        max_value_bytes: int = 786_432,
     ) -> None:
         self.catalog: Catalog | None = None
         # Whether a configuration that was in force has named teams.
         self.has_known_teams = False
         self.quota_overrun = quota_overrun
+        self._max_value_bytes = max_value_bytes
         self._clients = clients
         self._dependencies = dependencies
         self.notifier = DeciderNotifier(
@@ -187,9 +192,13 @@
         return outcome
 
     def _check_room(self, spec: StagedJobSpec) -> StoreResult | None:
-        """Return the refusal of a job for which there is no memory, else None."""
+        """Return the refusal of a job for which there is no room, else None."""
         memory = self._dependencies.job_memory
-        if memory is None or memory.has_room(spec):
+        outcome = IntakeOutcome.NO_ROOM
+        sizes = len(encode_record(spec)), estimate_record_bytes(spec)
+        if max(sizes) > self._max_value_bytes:
+            outcome = IntakeOutcome.TOO_LARGE
+        elif memory is None or memory.has_room(spec):
             return None
         # A job that is stored already was accepted, and must not be refused.
         status = self._find_status(spec.job_id)
@@ -197,7 +206,7 @@
             return None
         if status is not None:
             return StoreResult(IntakeOutcome.REFUSED)
-        return StoreResult(IntakeOutcome.NO_ROOM)
+        return StoreResult(outcome)
 
     def _qualify(self, job_id: str, outcome: IntakeOutcome) -> IntakeOutcome:
         """Return the outcome of an attempt, given the earlier ones of this VM.
@@ -208,7 +217,11 @@
         if outcome is IntakeOutcome.CANCELLED:
             # No earlier attempt can take effect either.
             self._uncertain_jobs.pop(job_id, None)
-        refusals = (IntakeOutcome.REFUSED, IntakeOutcome.NO_ROOM)
+        refusals = (
+            IntakeOutcome.REFUSED,
+            IntakeOutcome.NO_ROOM,
+            IntakeOutcome.TOO_LARGE,
+        )
         if outcome in refusals and job_id in self._uncertain_jobs:
             return IntakeOutcome.UNKNOWN
         if outcome is IntakeOutcome.UNKNOWN:
--- a/packages/daemon/src/papayadyke_daemon/edge/_job_store.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_job_store.py
@@ -268,6 +268,8 @@
                 return StoreResult(
                     IntakeOutcome.ACCEPTED, existing_records=error.current_records
                 )
+            if error.kind is StoreErrorKind.REJECTED:
+                break
             if error.kind is StoreErrorKind.UNKNOWN:
                 outcome = IntakeOutcome.UNKNOWN
         return StoreResult(outcome)
--- a/packages/daemon/src/papayadyke_daemon/edge/_keys.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_keys.py
@@ -36,10 +36,13 @@
     upstreams : dict of str to (str, str)
         Address and service of each upstream that may have runs, by its id. An
         upstream may keep running after its registry entry has been removed.
+    by_service : dict of str to (dict of str to str)
+        Addresses by service and id, in place of `upstreams` where these are many.
     """
 
     terms: int = 0
     upstreams: dict[str, tuple[str, str]] = {}
+    by_service: dict[str, dict[str, str]] = {}
 
 
 def encode_record(record: object) -> bytes:
@@ -58,9 +61,28 @@
     return msgspec.json.decode(data, type=StagedJobSpec)
 
 
+def encode_roster(record: RosterRecord, max_bytes: int) -> bytes:
+    """Encode a roster for the store, in at most `max_bytes` if it can be.
+
+    Services are named once if the roster is too large otherwise. Earlier builds do not
+    read that form.
+    """
+    data = encode_record(record)
+    if len(data) <= max_bytes:
+        return data
+    by_service: dict[str, dict[str, str]] = {}
+    for upstream_id, (address, service) in record.upstreams.items():
+        by_service.setdefault(service, {})[upstream_id] = address
+    return encode_record(RosterRecord(record.terms, {}, by_service))
+
+
 def decode_roster(data: bytes) -> RosterRecord:
     """Decode a stored roster."""
-    return msgspec.json.decode(data, type=RosterRecord)
+    record = msgspec.json.decode(data, type=RosterRecord)
+    for service, addresses in record.by_service.items():
+        for upstream_id, address in addresses.items():
+            record.upstreams[upstream_id] = address, service
+    return RosterRecord(record.terms, record.upstreams)
 
 
 def decode_decider(data: bytes) -> DeciderRecord:
--- a/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_leadership.py
@@ -21,6 +21,7 @@
     decode_decider,
     decode_roster,
     encode_record,
+    encode_roster,
 )
 from papayadyke_daemon.edge._logs import log_event
 from papayadyke_daemon.edge._metrics import METRICS
@@ -410,7 +411,7 @@
         written = store.write(
             [
                 Write(DECIDER_KEY, encode_record(own_record), granted.ok_value),
-                Write(ROSTER_KEY, encode_record(new_roster)),
+                Write(ROSTER_KEY, encode_roster(new_roster, self.cfg.max_value_bytes)),
             ],
             expected=[(DECIDER_KEY, expected_revision), (ROSTER_KEY, revision)],
         )
--- a/packages/daemon/src/papayadyke_daemon/edge/_learned.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_learned.py
@@ -31,7 +31,6 @@
 # Average of the writes; a VM may use 12 KB/s in all. Larger records are written less
 # often: that of 18,000 upstreams, about 600 KB, every five minutes.
 WRITE_BYTES_PER_S = 2_000
-MAX_RECORD_BYTES = 1_000_000  # of one value in the store
 MAX_METRIC_QUEUES = 20
 LOGGED_CHANGE = 4 / 3  # change of a queue's ratio from which it is logged: a third
 FACTOR_METRIC = "papayadyke_estimate_factor"
@@ -48,6 +47,8 @@
     dispatcher : Dispatcher
     token : int
         Fencing token of the decider.
+    max_bytes : int
+        Most bytes of a value in the store; a larger record is not stored.
     post : callable
         Schedules a function on the decider's thread.
     """
@@ -58,9 +59,11 @@
         dispatcher: Dispatcher,
         *,
         token: int,
+        max_bytes: int,
         post: Callable[[Callable[[], None]], None],
     ) -> None:
         self._store = store
+        self._max_bytes = max_bytes
         self._dispatcher = dispatcher
         self._token = token
         self._post = post
@@ -122,7 +125,7 @@
         try:
             data = encode_learned(learned)
             size = len(data)
-            if size > MAX_RECORD_BYTES:
+            if size > self._max_bytes:
                 stored = Err(StoreError(StoreErrorKind.NOT_DONE, f"{size} bytes"))
                 return
             stored = self._store.write(
--- a/packages/daemon/src/papayadyke_daemon/edge/_outcomes.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_outcomes.py
@@ -15,7 +15,8 @@
     `OTHER_TEAM` it is not stored, because the job's id is that of another team's job.
     After `NO_ROOM` it is not stored, because there is no memory for another job, and
     after `OWNER_UNKNOWN`, because the configuration does not tell who may cancel it.
-    After `CANCELLED` it is not stored, because it was cancelled before it was.
+    After `TOO_LARGE` it is not stored, because its records would not fit into values of
+    the store, and after `CANCELLED`, because it was cancelled before it was stored.
     """
 
     ACCEPTED = "accepted"
@@ -26,6 +27,7 @@
     NO_ROOM = "no_room"
     OWNER_UNKNOWN = "owner_unknown"
     CANCELLED = "cancelled"
+    TOO_LARGE = "too_large"
 
 
 # Outcomes of a relay that hold whatever the relaying VM has tried itself.
--- a/packages/daemon/src/papayadyke_daemon/edge/_ports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_ports.py
@@ -26,13 +26,16 @@
 
     After `NOT_DONE` the call had no effect. After `UNKNOWN` it may have taken
     effect, or may still do so later. After `CONFLICT` it had no effect, because a
-    key was not at the expected revision. `NO_LEASE` means that the lease has ended,
-    `COMPACTED` that the store no longer keeps the changes after a revision.
+    key was not at the expected revision. After `REJECTED` it had no effect, nor would
+    it have any if it were repeated, such as one with a value that is too large.
+    `NO_LEASE` means that the lease has ended, `COMPACTED` that the store no longer
+    keeps the changes after a revision.
     """
 
     NOT_DONE = "not_done"
     UNKNOWN = "unknown"
     CONFLICT = "conflict"
+    REJECTED = "rejected"
     NO_LEASE = "no_lease"
     COMPACTED = "compacted"
 
@@ -278,6 +281,8 @@
         Whether the decider learns run times by queue and step, and speeds by upstream.
     job_bytes : int or None
         Memory that jobs may take on the VM that decides; None for no limit.
+    max_value_bytes : int
+        Most bytes of a value in the store.
     """
 
     vm: str
@@ -306,3 +311,4 @@
     log_level: str = field(default="INFO")
     learns_run_times: bool = True
     job_bytes: int | None = None
+    max_value_bytes: int = 786_432
--- a/packages/daemon/src/papayadyke_daemon/edge/_roster.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_roster.py
@@ -20,9 +20,10 @@
     DECIDER_KEY,
     ROSTER_KEY,
     RosterRecord,
-    encode_record,
+    encode_roster,
 )
 from papayadyke_daemon.edge._logs import log_event
+from papayadyke_daemon.edge._metrics import METRICS
 from papayadyke_daemon.edge._ports import (
     RecordStore,
     StoreError,
@@ -32,6 +33,9 @@
 
 LOG = logging.getLogger(__name__)
 
+# Bytes of a row of an encoded roster in addition to the id and the address, and of its
+# other fields.
+ROW_BYTES, OTHER_BYTES = 6, 4_096
 ROSTER_RETRY_S = 0.15  # seconds before a roster that could not be stored is retried
 
 
@@ -62,6 +66,9 @@
     ----------
     store : RecordStore
     term : Term
+    max_bytes : int
+        Most bytes of a value in the store. Upstreams that the roster has no room for
+        get no work.
     post : callable
         Schedules a function on the decider's thread.
     on_stored : callable
@@ -73,10 +80,12 @@
         store: RecordStore,
         *,
         term: Term,
+        max_bytes: int,
         post: Callable[[Callable[[], None]], None],
         on_stored: Callable[[], None],
     ) -> None:
         self._store = store
+        self._max_bytes = max_bytes
         self._token = term.token
         self._terms = term.number + 1
         self._post = post
@@ -88,6 +97,7 @@
         self._is_outdated = False
         self._is_write_active = False
         self._next_s = 0.0
+        self._left_out = 0
 
     def names(self, entry: UpstreamEntry) -> bool:
         """Return whether the stored roster names an upstream as it is listed."""
@@ -108,6 +118,7 @@
             for name, upstream in upstreams.items()
             if upstream.is_recorded or upstream.may_have_runs
         }
+        rows = self._fit(rows)
         self._keep_stored(rows)
         threading.Thread(
             target=self.write, args=(rows,), name="roster", daemon=True
@@ -121,12 +132,28 @@
             # The second condition keeps an earlier write that is carried out late from
             # replacing this one.
             stored = self._store.write(
-                [Write(ROSTER_KEY, encode_record(record))],
+                [Write(ROSTER_KEY, encode_roster(record, self._max_bytes))],
                 expected=[(DECIDER_KEY, self._token), (ROSTER_KEY, self._revision)],
             )
         finally:
             self._post(lambda: self._handle_result(rows, stored))
 
+    def _fit(self, rows: dict[str, tuple[str, str]]) -> dict[str, tuple[str, str]]:
+        """Return the rows that fit; those that are stored already come first."""
+        room = self._max_bytes - OTHER_BYTES
+        fitting = {}
+        for name in sorted(rows, key=lambda name: name not in self._stored):
+            room -= len(name) + len(rows[name][0]) + ROW_BYTES
+            if room < 0:
+                break
+            fitting[name] = rows[name]
+        left_out = len(rows) - len(fitting)
+        if left_out != self._left_out:
+            self._left_out = left_out
+            log_event(LOG, "decider: upstreams not in the roster", left_out=left_out)
+            METRICS.set_gauge("papayadyke_upstreams_without_room", left_out)
+        return fitting
+
     def _keep_stored(self, rows: Mapping[str, tuple[str, str]]) -> None:
         """Forget the rows that a write removes, as its answer may be lost."""
         self._stored = {
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/deciders.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/deciders.py
@@ -60,6 +60,7 @@
     connect=lambda entry: IdleUpstream(),
     decode=decode_upstream,
     has_valid_lease=lambda: True,
+    **changes,
 ) -> Decider:
     """Return a decider that may issue orders; nothing is loaded or started.
 
@@ -74,13 +75,15 @@
         Port functions for the client of an upstream and for its registry entry.
     has_valid_lease : callable
         Returns whether the lease of the decider has not lapsed.
+    **changes
+        Settings of the VM that differ from those of `make_settings`.
     """
     ports = make_ports(store)
     object.__setattr__(ports, "connect_upstream", connect)
     object.__setattr__(ports, "decode_upstream", decode)
     past = roster or RosterRecord()
     return Decider(
-        make_settings(),
+        make_settings(**changes),
         ports,
         PeerClients(),
         term=Term(token or store.revision, past.terms, past),
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/fake_store.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/fake_store.py
@@ -21,7 +21,8 @@
 
     While `fault` is set, every call returns an error of that kind. A write that
     fails so still takes effect if `takes_effect` is set. `lose_next_answer` loses the
-    answer to one write that takes effect.
+    answer to one write that takes effect. Values of more than `max_value_bytes` are
+    rejected.
     """
 
     def __init__(self):
@@ -31,6 +32,7 @@
         self.fault: StoreErrorKind | None = None
         self.takes_effect = False
         self.lose_next_answer = False
+        self.max_value_bytes = 1_048_576
         self.calls = 0
         # A watch must not see the revision of a write without its records.
         self._lock = threading.Lock()
@@ -81,6 +83,8 @@
     def _write(self, writes, expected, removed):
         if self.fault is not None and not self.takes_effect:
             return self._error()
+        if any(len(write.value) > self.max_value_bytes for write in writes):
+            return Err(StoreError(StoreErrorKind.REJECTED))
         for key, revision in expected:
             record = self.records.get(key)
             if (record.revision if record else 0) != revision:
--- a/packages/daemon/src/papayadyke_daemon/edge/tests/test_committer.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/tests/test_committer.py
@@ -6,7 +6,7 @@
 from result import Ok
 
 from papayadyke_core.dispatch import Commit
-from papayadyke_daemon.edge import StoreErrorKind, Write
+from papayadyke_daemon.edge import StoreErrorKind, Write, _committer, read_clock
 from papayadyke_daemon.edge._committer import MAX_COMMITS_IN_PROGRESS, Committer
 from papayadyke_daemon.edge._keys import (
     CANCEL_PREFIX,
@@ -125,3 +125,27 @@
     for _ in range(MAX_COMMITS_IN_PROGRESS):
         running.posted.get(timeout=5.0)()
     assert running.finished == [True] * MAX_COMMITS_IN_PROGRESS
+
+
+def test_rejected_commit_does_not_hold_up_the_next_ones():
+    """A record that the store refuses is no sign of a store that fails."""
+    running = RunningCommitter()
+    running.store.max_value_bytes = 10
+    rejected: list[Commit] = []
+    running.committer._on_rejected = rejected.append
+    large = Commit({"large": b"x" * 11}, {})
+    assert not running.commit(large)
+    assert rejected == [large]
+    for number in range(MAX_COMMITS_IN_PROGRESS):
+        assert running.committer.has_capacity
+        running.committer.begin(Commit({f"job{number}": b"progress"}, {}))
+
+
+def test_large_commits_are_spaced_by_their_size(monkeypatch):
+    """Large records must not take the whole link of the VM."""
+    running = RunningCommitter()
+    now = read_clock()
+    monkeypatch.setattr(_committer, "read_clock", lambda: now)
+    running.committer.begin(Commit({"large": b"x" * 800_000}, {}))
+    assert not running.committer.may_begin(now + 0.19)
+    assert running.committer.may_begin(now + 0.21)
