--- a/packages/core/src/papayadyke_core/dispatch/tests/test_record_size.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_record_size.py
@@ -125,7 +125,7 @@
 @pytest.mark.parametrize("end", [RunEnd.FAILED, RunEnd.DONE])
 def test_ends_of_many_tasks_in_no_order_fit(end):
     """Failed attempts must be stored, as they are counted after a takeover."""
-    tasks = 12_000
+    tasks = 24_000
     dispatcher = make_dispatcher()
     orders = start(dispatcher, "wide", tasks)
     ended = [(TaskId("wide", 0, 0, n), end) for n in range(0, tasks, 2)]
@@ -144,13 +144,13 @@
 def test_doubts_about_many_runs_fit():
     """An upstream that was lost under many tasks must not enlarge their record."""
     dispatcher = make_dispatcher()
-    orders = start(dispatcher, "wide", 4_000)
+    orders = start(dispatcher, "wide", 8_000)
     done = [(TaskId("wide", 0, 0, 7), RunEnd.DONE)]
     report(dispatcher, orders, ended=done)
     dispatcher.mark_unreachable("u0", 1.5)
     (commit,) = begin_commits(dispatcher)
     assert len(commit.progress["wide"]) <= MAX_BYTES
-    step = restore(commit.progress["wide"], make_job("wide", make_step(4_000)))
+    step = restore(commit.progress["wide"], make_job("wide", make_step(8_000)))
     assert list(step.steps[0, 0].done) == [7]
 
 
