Wait for an unanswered start as long as it may come late, by the registry

The start got no answer and was carried out 8.5 s later, behind a cut, by the next life of its upstream; the task was started elsewhere 10.9 s after the order.

Cause: a silent upstream was waited for as long as a call that is carried out on time grants a lease, 10.8 s. The call may come 12 s late, and what a later life starts has a lease of 10 s more.

Ruled out: a release by a poll, a stop or a restart (the upstream was silent until 11.7 s after the order), and a start that did not count as unanswered (the task was bound to its upstream for 10.8 s). 'decider: unanswered start is over' tells the cause and the seconds from now on.

Change: the wait at a silent upstream is 22.8 s from the last call that grants a lease, and 24 s after a takeover. An upstream that is gone from the registry, read without a gap, is waited for until the start cannot be carried out, 12 s; tasks that last wait for the ordinary lease and a second without the entry.

Tests of silent upstreams asked for a start after 10.8 or 12 s.

--- a/packages/core/src/papayadyke_core/dispatch/__init__.py
+++ b/packages/core/src/papayadyke_core/dispatch/__init__.py
@@ -54,6 +54,7 @@
 )
 from papayadyke_core.dispatch._takeover import TakeoverEnd, TakeoverWait
 from papayadyke_core.dispatch._team_round import TeamWait
+from papayadyke_core.dispatch._unanswered import UnansweredCause, UnansweredEnd
 from papayadyke_core.dispatch._upstream import Upstream
 
 __all__ = [
@@ -96,6 +97,8 @@
     "TaskCrash",
     "TaskId",
     "TeamWait",
+    "UnansweredCause",
+    "UnansweredEnd",
     "Upstream",
     "UpstreamEntry",
     "UpstreamReport",
--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -35,6 +35,7 @@
 from papayadyke_core.dispatch._takeover import Takeover, TakeoverEnd, TakeoverWait
 from papayadyke_core.dispatch._team_round import RankedStep, TeamRound, TeamWait
 from papayadyke_core.dispatch._tracking import RunTracker
+from papayadyke_core.dispatch._unanswered import UnansweredEnd
 from papayadyke_core.dispatch._unknown_use import UnknownUse
 from papayadyke_core.dispatch._upstream import Upstream
 from papayadyke_core.dispatch._urgent_reserve import UrgentReserve
@@ -68,7 +69,9 @@
         self.attempt_floor = term * ATTEMPTS_PER_TERM
         self.advice_slots = settings.advice_slots
         self._schedule = Schedule(settings)
-        self._takeover = Takeover(settings, term=term, now=now)
+        self._takeover = Takeover(
+            settings, self._schedule.registry_view, term=term, now=now
+        )
         self._tracker = RunTracker(self._schedule, self._takeover)
         self._unknown_use = UnknownUse(self._schedule.ledger)
         self._team_waits: dict[str, TeamWait] = {}
@@ -77,6 +80,8 @@
         self._next_placement_s = 0.0
         # Whether jobs may have to end by limits that were not known before.
         self._has_new_limits = False
+        # Whether tasks that last may start before a takeover has ended.
+        self._may_start_lasting = False
         # Room that is kept free for urgent work by service, and room on the fastest
         # upstreams that other work leaves to it while there is room elsewhere.
         self._urgent_reserves: dict[str, UrgentReserve] = {}
@@ -159,6 +164,7 @@
         upstream.entry = entry
         upstream.is_recorded = is_recorded
         upstream.is_listed = True
+        upstream.unlisted_since_s = None
         upstream.departs_s = None
         if entry.is_draining and entry.remaining_s is not None:
             upstream.departs_s = now + entry.remaining_s
@@ -171,11 +177,18 @@
             upstream.is_recorded = True
             self._schedule.needs_placement = True
 
-    def mark_upstream_unlisted(self, upstream_id: str) -> None:
+    def mark_upstream_unlisted(self, upstream_id: str, now: float = 0.0) -> None:
         """Mark an upstream as unlisted; its possible runs still count."""
         upstream = self.upstreams.get(upstream_id)
-        if upstream is not None:
+        if upstream is not None and upstream.is_listed:
             upstream.is_listed = False
+            upstream.unlisted_since_s = now
+
+    def record_registry_read(
+        self, sent_s: float, now: float, *, is_answered: bool
+    ) -> None:
+        """Record a read of the registry; see `RegistryView.record_read`."""
+        self._schedule.registry_view.record_read(sent_s, now, is_answered=is_answered)
 
     def remove_unused_upstreams(self, now: float) -> list[str]:
         """Remove unlisted upstreams that cannot run anything; return their ids."""
@@ -367,6 +380,10 @@
         lost_runs, self._schedule.lost_runs = self._schedule.lost_runs, []
         return lost_runs
 
+    def take_unanswered_ends(self) -> list[UnansweredEnd]:
+        """Remove and return the unanswered starts that hold back no task any longer."""
+        return self._schedule.unanswered_starts.take_ended()
+
     def take_task_crashes(self) -> list[TaskCrash]:
         """Remove and return the crashes that were counted since the last call."""
         task_crashes, self._tracker.task_crashes = self._tracker.task_crashes, []
@@ -417,6 +434,10 @@
         """
         if self._takeover.lift_barrier(self.upstreams, now):
             self._schedule.needs_placement = True
+        self._may_start_lasting = (
+            self._takeover.barrier_s is not None
+            and self._takeover.may_start_lasting(self.upstreams, now)
+        )
         self._end_handover(now)
         if self.run_times is not None:
             self.run_times.now_s = now
@@ -490,11 +511,14 @@
         stored = progress.steps.get(f"{step.step_id.occurrence}.{step.step_id.step}")
         if stored is None:
             return
-        until_s = now + self.settings.handover_s + self.settings.late_call_s
+        sent_s = now + self.settings.handover_s
         for index, upstream_id in stored.unanswered.items():
             if index in step.waiting:
                 self._schedule.unanswered_starts.add_earlier(
-                    step.task_id(index), upstream_id, until_s=until_s
+                    step.task_id(index),
+                    upstream_id,
+                    sent_s=sent_s,
+                    is_lasting=step.spec.is_long_running,
                 )
 
     # Placement
@@ -603,7 +627,9 @@
 
     def _is_held(self, step: StepRun) -> bool:
         """Return whether a step may still run under an earlier decider."""
-        return self._takeover.barrier_s is not None and step.job.is_held_over
+        if self._takeover.barrier_s is None or not step.job.is_held_over:
+            return False
+        return not (step.spec.is_long_running and self._may_start_lasting)
 
     def _search_ahead(self, placement: PlacementRound, now: float) -> None:
         """Look for the upstreams of steps that a takeover holds back, oldest first.
--- a/packages/core/src/papayadyke_core/dispatch/_schedule.py
+++ b/packages/core/src/papayadyke_core/dispatch/_schedule.py
@@ -15,6 +15,7 @@
 from papayadyke_core.dispatch._occurrences import OccurrenceWindow
 from papayadyke_core.dispatch._progress import JobState
 from papayadyke_core.dispatch._rank import find_objective_s
+from papayadyke_core.dispatch._registry_view import RegistryView
 from papayadyke_core.dispatch._run import Run, RunPhase
 from papayadyke_core.dispatch._run_times import RunTimeModel
 from papayadyke_core.dispatch._settings import DispatchSettings
@@ -58,7 +59,8 @@
         self.upstreams: dict[str, Upstream] = {}
         self.ledger = TeamLedger()
         self.advice_cache = AdviceCache()
-        self.unanswered_starts = UnansweredStarts(settings)
+        self.registry_view = RegistryView(settings)
+        self.unanswered_starts = UnansweredStarts(settings, self.registry_view)
         self.run_times: RunTimeModel | MovingAverages = (
             RunTimeModel() if settings.learns_run_times else MovingAverages()
         )
@@ -285,6 +287,11 @@
         """Return the time after which an unreachable upstream cannot have a run."""
         if run.phase is RunPhase.RUNNING:
             return upstream.lease_until_s
+        is_lasting = run.spec.is_long_running
+        if self.registry_view.is_gone(upstream, is_lasting=is_lasting):
+            return max(
+                upstream.lease_until_s, run.started_s + self.settings.longest_lease_s
+            )
         # The upstream may have restarted unnoticed before the start arrived; the time
         # in the order was then one of a clock that had started anew.
         held_until_s = run.started_s + self.settings.longest_hold_s
--- a/packages/core/src/papayadyke_core/dispatch/_settings.py
+++ b/packages/core/src/papayadyke_core/dispatch/_settings.py
@@ -24,6 +24,11 @@
     late_call_s : float
         Longest time after which an upstream carries out a call that it has not
         answered.
+    lapse_s : float
+        Time of silence after which the registry removes an upstream. One that has been
+        absent from it for as long counts as gone.
+    lasting_gone_s : float
+        The same for a task that lasts, which must be started again sooner.
     handover_s : float
         Time after a takeover in which the previous decider may still start jobs that
         it had received before, unless every upstream has answered the new decider.
@@ -102,6 +107,8 @@
     lease_drift: float = 0.03
     lease_call_delay_s: float = 0.5
     late_call_s: float = 12.0
+    lapse_s: float = 4.5
+    lasting_gone_s: float = 1.0
     handover_s: float = 1.2
     late_read_s: float = 2.0
     status_kept_s: float = 120.0
@@ -140,3 +147,12 @@
         """Upper bound of a lease that was sent to an unknown incarnation."""
         hold_s = max(self.max_hold_s, self.lease_s)
         return hold_s * (1 + self.lease_drift) + self.lease_call_delay_s
+
+    @property
+    def longest_late_hold_s(self) -> float:
+        """Upper bound of the time from sending a call to the end of its lease.
+
+        Another incarnation than that for which it was meant may carry it out, at the
+        last moment, and grant the longest lease.
+        """
+        return self.late_call_s + self.longest_hold_s
--- a/packages/core/src/papayadyke_core/dispatch/_takeover.py
+++ b/packages/core/src/papayadyke_core/dispatch/_takeover.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from papayadyke_core.dispatch._job import StagedJob
+from papayadyke_core.dispatch._registry_view import RegistryView
 from papayadyke_core.dispatch._settings import DispatchSettings
 from papayadyke_core.dispatch._unread import UnreadJobEnds
 from papayadyke_core.dispatch._upstream import Upstream
@@ -37,7 +38,7 @@
     waited_s : float
         Seconds since the takeover.
     left_s : float
-        Seconds after which silent upstreams are no longer waited for.
+        Seconds after which silent upstreams are no longer waited for, at the latest.
     silent_upstreams : tuple of str
         Upstreams that have not listed their runs.
     unlisted_ends : tuple of str
@@ -76,6 +77,8 @@
     Parameters
     ----------
     settings : DispatchSettings
+    registry_view : RegistryView
+        Tells which upstreams are gone.
     term : int
         Number of earlier deciders.
     now : float
@@ -84,8 +87,8 @@
     Attributes
     ----------
     barrier_s : float or None
-        Until then runs under leases of the previous decider may be unknown; None once
-        all are known.
+        Until then runs under leases of the previous decider may be unknown, at the
+        latest; None once all are known.
     handover_end_s : float
         Until then the previous decider may grant leases.
     has_earlier_terms : bool
@@ -96,7 +99,16 @@
     unread_ends : UnreadJobEnds
     """
 
-    def __init__(self, settings: DispatchSettings, *, term: int, now: float) -> None:
+    def __init__(
+        self,
+        settings: DispatchSettings,
+        registry_view: RegistryView,
+        *,
+        term: int,
+        now: float,
+    ) -> None:
+        self._settings = settings
+        self._registry_view = registry_view
         self.barrier_s: float | None = None
         self.has_earlier_terms = term > 0
         self._began_s = now
@@ -110,10 +122,10 @@
         self.stopped_teams: set[str] = set()
         if term:
             self.unread_until_s = self.handover_end_s + settings.late_read_s
-            # The previous decider may grant leases until the end of the handover. Runs
-            # under them may be unknown until the last of these leases has expired. An
-            # upstream that restarted shortly before may hold them the longest.
-            self.barrier_s = self.handover_end_s + settings.longest_hold_s
+            # The previous decider may send orders until the end of the handover. A
+            # silent upstream that has restarted may carry them out late, and hold the
+            # runs for the longest lease.
+            self.barrier_s = self.handover_end_s + settings.longest_late_hold_s
 
     def record_ended_job(
         self, job_id: str, *, team: str = "", may_run: bool = False
@@ -139,7 +151,7 @@
         """Lift the barrier once no earlier start can be unknown; return if it did."""
         if self.barrier_s is None:
             return False
-        if list_awaited(upstreams) and now < self.barrier_s:
+        if now < self._find_wait_end_s(upstreams):
             return False
         if any(has_unknown_ends(upstream, now) for upstream in upstreams.values()):
             # Tasks that they have done are not known to be, however long it takes.
@@ -153,6 +165,30 @@
         self._end = TakeoverEnd(now - self._began_s, tuple(silent))
         return True
 
+    def may_start_lasting(self, upstreams: Mapping[str, Upstream], now: float) -> bool:
+        """Return whether tasks that last may start before the barrier is lifted.
+
+        They do not wait for orders that upstreams may carry out late that are gone.
+        """
+        if now < self.handover_end_s + self._settings.longest_lease_s:
+            return False
+        if any(has_unknown_ends(upstream, now) for upstream in upstreams.values()):
+            return False
+        return all(
+            self._registry_view.is_gone(upstreams[name], is_lasting=True)
+            for name in list_awaited(upstreams)
+        )
+
+    def _find_wait_end_s(self, upstreams: Mapping[str, Upstream]) -> float:
+        """Return until when silent upstreams are waited for, in seconds."""
+        assert self.barrier_s is not None
+        awaited = [upstreams[name] for name in list_awaited(upstreams)]
+        if not awaited:
+            return 0.0
+        if all(self._registry_view.is_gone(u, is_lasting=False) for u in awaited):
+            return self.handover_end_s + self._settings.late_call_s
+        return self.barrier_s
+
     def describe_wait(
         self, upstreams: Mapping[str, Upstream], now: float
     ) -> TakeoverWait | None:
@@ -162,7 +198,7 @@
         unlisted = [name for name, u in upstreams.items() if has_unknown_ends(u, now)]
         return TakeoverWait(
             now - self._began_s,
-            max(0.0, self.barrier_s - now),
+            max(0.0, self._find_wait_end_s(upstreams) - now),
             tuple(list_awaited(upstreams)),
             tuple(unlisted),
         )
--- a/packages/core/src/papayadyke_core/dispatch/_tracking.py
+++ b/packages/core/src/papayadyke_core/dispatch/_tracking.py
@@ -60,6 +60,7 @@
         if upstream is not None:
             until_s = sent_s + self._schedule.settings.longest_lease_s
             upstream.lease_until_s = max(upstream.lease_until_s, until_s)
+            upstream.last_call_s = max(upstream.last_call_s, sent_s)
 
     def process_report(
         self, upstream_id: str, report: UpstreamReport, now: float
@@ -147,7 +148,7 @@
         elif outcome is StartOutcome.UNKNOWN:
             if run.phase is RunPhase.ORDERED:
                 run.phase, run.phase_since_s = RunPhase.UNCERTAIN, now
-                self._record_unanswered_start(run)
+                self._record_unanswered_start(upstream, run)
             self._lose_contact(upstream, now)
             self._doubt_run(run, now)
         else:
@@ -172,8 +173,10 @@
             # so answers to repeated stops must not outdate such polls.
             run.stop_confirmed_s = now
 
-    def _record_unanswered_start(self, run: Run) -> None:
-        self._schedule.unanswered_starts.add(run)
+    def _record_unanswered_start(self, upstream: Upstream, run: Run) -> None:
+        # The order may have waited before it was sent.
+        sent_s = max(run.started_s, upstream.last_call_s)
+        self._schedule.unanswered_starts.add(run, sent_s)
         job = self._schedule.jobs.get(run.task.job_id)
         if job is not None and not job.is_final:
             self._schedule.commits.mark_dirty(job.job_id)
--- a/packages/core/src/papayadyke_core/dispatch/_upstream.py
+++ b/packages/core/src/papayadyke_core/dispatch/_upstream.py
@@ -35,6 +35,8 @@
         # An entry may change while runs are charged to the service.
         self._service = entry.service
         self.is_listed = True
+        # Since when the registry does not list it; None while it does.
+        self.unlisted_since_s: float | None = None
         # Whether a successor would know of the upstream and ask it for its runs.
         self.is_recorded = True
         self.departs_s: float | None = None
@@ -47,6 +49,8 @@
         self.has_answered = False
         self.has_reported = False
         self.lease_until_s = 0.0
+        # When the last call that grants a lease was sent.
+        self.last_call_s = 0.0
         self.last_end_number = 0
         self.acknowledged_end_number = 0
         self.runs: dict[tuple[TaskId, int], Run] = {}
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_delays.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_delays.py
@@ -68,7 +68,7 @@
     world.take_over()
     world.submit(make_job("j"), may_have_started=True)
     settings = world.dispatcher.settings
-    barrier_s = settings.handover_s + settings.longest_hold_s
+    barrier_s = settings.handover_s + settings.longest_late_hold_s
     world.run(barrier_s + 2.0)
     waited_s = get_delays(world, "j").get(DelayCause.TAKEOVER)
     assert waited_s == pytest.approx(barrier_s, abs=0.2)
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_dispatcher.py
@@ -156,9 +156,11 @@
     name = world.running()[0][0]
     world.upstreams[name].is_disconnected = True
     world.take_over()
-    world.run(11.8, after_s=30.0)
+    settings = world.dispatcher.settings
+    wait_s = settings.handover_s + settings.longest_late_hold_s
+    world.run(wait_s - 0.2, after_s=60.0)
     assert world.starts == 1
-    world.run(0.6, after_s=30.0)
+    world.run(0.6, after_s=60.0)
     assert world.starts == 2
 
 
@@ -254,7 +256,7 @@
     world.take_over()
     world.submit(make_job("j"), may_have_started=True)
     settings = world.dispatcher.settings
-    world.run(settings.handover_s + settings.longest_hold_s - 0.2)
+    world.run(settings.handover_s + settings.longest_late_hold_s - 0.2)
     assert not world.running()
     world.run(0.5)
     assert [name for name, _, _ in world.running()] == ["b"]
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_lives_of_an_upstream.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_lives_of_an_upstream.py
@@ -253,6 +253,152 @@
     assert list_starts(dispatcher, over_s + MARGIN_S) == [other]
 
 
+# Upstreams that are gone from the registry
+
+
+def lose_upstream(dispatcher, name, at_s, *, unlisted_s):
+    """Lose contact with an upstream, whose entry is removed at a later time."""
+    dispatcher.mark_unreachable(name, at_s)
+    return lambda now: (
+        dispatcher.mark_upstream_unlisted(name, now) if now >= unlisted_s else None
+    )
+
+
+def find_start_s(dispatcher, *, begin_s, end_s, unlist, is_read=lambda now: True):
+    """Return when a task is started while the upstream b reports; None if it is not."""
+    for tick in range(round(begin_s * 10), round(end_s * 10)):
+        now = tick / 10
+        unlist(now)
+        dispatcher.record_registry_read(now, now, is_answered=is_read(now))
+        report(dispatcher, "b", now)
+        if dispatcher.tick(now, now).starts:
+            return now
+    return None
+
+
+def order_at_a(spec):
+    """Have a start at the upstream a get no answer, with all calls at 0.1 s."""
+    dispatcher = make_dispatcher(upstreams=("a",))
+    report(dispatcher, "a", 0.0)
+    dispatcher.record_registry_read(0.0, 0.0, is_answered=True)
+    dispatcher.submit(spec, now=0.0)
+    (order,) = dispatcher.tick(ORDERED_S, ORDERED_S).starts
+    dispatcher.add_or_update_upstream(make_entry("b", cores=1))
+    dispatcher.record_lease("a", ORDERED_S)
+    dispatcher.process_start_outcome(order, StartOutcome.UNKNOWN, 0.2)
+    return dispatcher
+
+
+# An upstream is lost as the order arrives, and its entry lapses 3 to 4.5 s later.
+@pytest.mark.parametrize("unlisted_s", [3.0, 4.5])
+def test_lasting_task_of_an_upstream_that_is_gone_starts_again_in_time(unlisted_s):
+    """A service waited for 10.8 s for an upstream that was lost for good."""
+    dispatcher = order_at_a(LASTING)
+    unlist = lose_upstream(dispatcher, "a", 0.3, unlisted_s=unlisted_s)
+    start_s = find_start_s(dispatcher, begin_s=0.3, end_s=30.0, unlist=unlist)
+    assert start_s is not None
+    assert SETTINGS.longest_lease_s < start_s < 7.0
+
+
+def test_task_of_an_upstream_that_is_gone_waits_for_its_start_only():
+    """A longer wait kept jobs from running 17 s after the end of the traffic."""
+    dispatcher = order_at_a(SPEC)
+    unlist = lose_upstream(dispatcher, "a", 0.3, unlisted_s=4.5)
+    start_s = find_start_s(dispatcher, begin_s=0.3, end_s=30.0, unlist=unlist)
+    assert start_s is not None
+    assert ORDERED_S + LATE_S < start_s < 14.0
+
+
+@pytest.mark.parametrize("spec", [SPEC, LASTING])
+def test_upstream_that_is_back_behind_a_cut_is_not_gone(spec):
+    """The entry tells that a later life may have carried the start out."""
+    dispatcher = order_at_a(spec)
+
+    def unlist(now):
+        if now == 4.5:
+            dispatcher.mark_upstream_unlisted("a", now)
+        elif now == 5.0:
+            entry = replace(make_entry("a", cores=1), incarnation=NEW)
+            dispatcher.add_or_update_upstream(entry, now)
+
+    dispatcher.mark_unreachable("a", 0.3)
+    start_s = find_start_s(dispatcher, begin_s=0.3, end_s=30.0, unlist=unlist)
+    assert start_s is not None
+    assert start_s > ORDERED_S + LATE_S + HOLD_S
+
+
+@pytest.mark.parametrize("is_lasting", [False, True])
+@pytest.mark.parametrize("back_s", [4.0, 9.0])
+def test_entry_that_is_missing_after_an_outage_of_the_store_is_waited_for(
+    is_lasting, back_s
+):
+    """Entries that lapse while the store is away are back two seconds later."""
+    dispatcher = order_at_a(LASTING if is_lasting else SPEC)
+    unlist = lose_upstream(dispatcher, "a", 0.3, unlisted_s=1.0)
+    start_s = find_start_s(
+        dispatcher,
+        begin_s=0.3,
+        end_s=40.0,
+        unlist=unlist,
+        is_read=lambda now: not 0.5 < now < back_s,
+    )
+    assert start_s is not None
+    wait_s = SETTINGS.lasting_gone_s if is_lasting else SETTINGS.lapse_s
+    assert back_s + 2.0 + wait_s <= start_s + 0.2 < back_s + 14.0
+
+
+def test_upstream_does_not_count_as_gone_by_a_list_that_is_not_read():
+    """What the registry told before an outage says nothing of the time since."""
+    dispatcher = order_at_a(LASTING)
+    unlist = lose_upstream(dispatcher, "a", 0.3, unlisted_s=3.0)
+    start_s = find_start_s(
+        dispatcher,
+        begin_s=0.3,
+        end_s=22.0,
+        unlist=unlist,
+        is_read=lambda now: now < 3.5,
+    )
+    assert start_s is None
+
+
+def test_answer_that_waited_through_a_pause_does_not_show_that_an_upstream_is_gone():
+    """A paused process took the time of its pause for a time without the entry."""
+    dispatcher = order_at_a(LASTING)
+    dispatcher.mark_unreachable("a", 0.3)
+    dispatcher.record_registry_read(0.4, 0.4, is_answered=True)
+    dispatcher.mark_upstream_unlisted("a", 0.5)
+    report(dispatcher, "b", 12.0)
+    dispatcher.record_registry_read(0.5, 12.0, is_answered=True)
+    assert not list_starts(dispatcher, 12.0)
+
+
+@pytest.mark.parametrize("spec", [SPEC, LASTING])
+def test_successor_does_not_wait_for_the_longest_hold_of_an_upstream_that_is_gone(spec):
+    """A service waited 13 s, as a takeover waited for an upstream lost with the VM."""
+    successor = make_successor(spec=spec)
+    successor.record_registry_read(0.0, 0.0, is_answered=True)
+
+    def unlist(now):
+        if now >= 3.0:
+            successor.mark_upstream_unlisted("a", now)
+
+    start_s = find_start_s(successor, begin_s=0.1, end_s=30.0, unlist=unlist)
+    assert start_s is not None
+    if spec is LASTING:
+        assert HANDOVER_S + SETTINGS.longest_lease_s < start_s < 7.5
+    else:
+        assert HANDOVER_S + LATE_S <= start_s < 14.0
+
+
+def test_lasting_task_of_an_earlier_term_waits_for_a_silent_upstream_that_is_listed():
+    """A service ran twice: its upstream was cut off, and not lost."""
+    successor = make_successor(spec=LASTING)
+    successor.record_registry_read(0.0, 0.0, is_answered=True)
+    end_s = HANDOVER_S + LATE_S + HOLD_S - EARLY_S
+    start_s = find_start_s(successor, begin_s=0.1, end_s=end_s, unlist=lambda now: None)
+    assert start_s is None
+
+
 # Unanswered starts of an earlier term
 
 
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_load_patterns.py
@@ -591,7 +591,7 @@
     tickets = dict.fromkeys(request.upstream_ids, "ticket")
     answer = Advice(request.step, request.upstream_ids, tickets, 2.0, 0.8)
     dispatcher.process_advice(answer)
-    for tenths in range(8, 125):
+    for tenths in range(8, 245):
         now = tenths / 10
         report(now)
         orders = dispatcher.tick(now, now)
@@ -601,7 +601,7 @@
     # It may start now, and requests the tickets of the upstreams that it knows.
     (request,) = orders.advice
     assert set(request.upstream_ids) <= tickets.keys()
-    assert now >= settings.handover_s + settings.longest_hold_s
+    assert now >= settings.handover_s + settings.longest_late_hold_s
     tickets = dict.fromkeys(request.upstream_ids, "ticket")
     dispatcher.process_advice(
         Advice(request.step, request.upstream_ids, tickets, 2.0, now)
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_restarts_and_handovers.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_restarts_and_handovers.py
@@ -25,6 +25,8 @@
 from papayadyke_core.dispatch.tests.fake_upstream import FakeUpstream
 
 OLD, NEW = 1, 2  # incarnations of an upstream
+# Seconds after the end of the traffic in which each task has to run, at the latest.
+FINISH_S = 14.0 + 3.0
 TASK = TaskId("j", 0, 0, 0)
 
 
@@ -109,8 +111,9 @@
     dispatcher.record_lease(order.upstream_id, 0.1)
     dispatcher.process_start_outcome(order, StartOutcome.UNKNOWN, 0.2)
     dispatcher.mark_unreachable(order.upstream_id)
-    assert not dispatcher.tick(9.9, 9.9).starts
-    assert len(dispatcher.tick(11.0, 11.0).starts) == 1
+    for at_s in (9.9, 11.0, 22.8):
+        assert not dispatcher.tick(at_s, at_s).starts
+    assert len(dispatcher.tick(23.2, 23.2).starts) == 1
 
 
 # Starts that got no answer, and that a later incarnation may still carry out
@@ -140,9 +143,9 @@
     dispatcher = make_dispatcher()
     order = stop_unanswered_start(dispatcher)
     dispatcher.mark_unreachable(order.upstream_id, 0.55)
-    for at_s in (0.6, 10.9):
+    for at_s in (0.6, 10.9, 22.8):
         assert not dispatcher.tick(at_s, at_s).starts
-    (repeated,) = dispatcher.tick(11.2, 11.2).starts
+    (repeated,) = dispatcher.tick(23.2, 23.2).starts
     assert repeated.upstream_id != order.upstream_id
 
 
@@ -150,16 +153,20 @@
     """Guards against a task that waits for an upstream while another one is idle."""
     dispatcher = make_dispatcher()
     order = first = stop_unanswered_start(dispatcher)
-    at_s = 0.6
+    at_s, last_s = 0.6, 0.1
     while order.upstream_id == first.upstream_id:
-        (order,) = dispatcher.tick(at_s, at_s).starts
-        dispatcher.process_start_outcome(order, StartOutcome.UNKNOWN, at_s + 0.6)
-        report(dispatcher, order.upstream_id, at_s + 0.7)
-        for stop in dispatcher.tick(at_s + 0.7, at_s + 0.7).stops:
-            dispatcher.process_stop_answer(stop, at_s + 0.7)
-        at_s += 1.0
-        report(dispatcher, order.upstream_id, at_s)
-        assert at_s < 14.0
+        assert at_s < FINISH_S
+        report(dispatcher, first.upstream_id, at_s)
+        orders = dispatcher.tick(at_s, at_s)
+        for stop in orders.stops:
+            dispatcher.process_stop_answer(stop, at_s)
+        for order in orders.starts:
+            dispatcher.process_start_outcome(order, StartOutcome.UNKNOWN, at_s + 0.2)
+            if order.upstream_id == first.upstream_id:
+                last_s = at_s
+        at_s += 0.3
+    # None of the starts may be carried out any more.
+    assert at_s > last_s + dispatcher.settings.late_call_s
 
 
 def test_restart_of_the_upstream_does_not_free_a_task_whose_start_got_no_answer():
@@ -231,12 +238,12 @@
         age_s=0.0,
         now=0.0,
     )
-    for tenth in range(1, 120):
+    for tenth in range(1, 239):
         now = tenth / 10
         for name in {"a", "b", "c"} - {order.upstream_id}:
             report(successor, name, now)
         assert not successor.tick(now, now).starts
-    now = 12.4
+    now = 24.3
     assert len(successor.tick(now, now).starts) == 1
 
 
@@ -384,9 +391,9 @@
     """Guards against a second start while the run at the silent upstream goes on."""
     report(successor, "b", 0.1)
     successor.submit(make_job("j"), now=0.2, may_have_started=True)
-    for tenth in range(2, 118):
+    for tenth in range(2, 239):
         assert not successor.tick(tenth / 10, tenth / 10).starts
-    assert len(successor.tick(12.1, 12.1).starts) == 1
+    assert len(successor.tick(24.2, 24.2).starts) == 1
 
 
 def test_successor_counts_with_the_longest_lease_after_its_first_contact(successor):
@@ -468,7 +475,7 @@
     world.upstreams["b"].is_disconnected = True
     world.take_over()
     settings = world.dispatcher.settings
-    world.run(settings.handover_s + settings.longest_hold_s + 0.2)
+    world.run(settings.handover_s + settings.longest_late_hold_s + 0.2)
     world.submit(make_job("j"), may_have_started=True)
     del world.upstreams["b"]
     world.take_over()
@@ -488,5 +495,5 @@
     world.run(3.0, after_s=60.0)
     world.take_over()
     settings = world.dispatcher.settings
-    world.run(settings.handover_s + settings.longest_hold_s - 0.2, after_s=60.0)
+    world.run(settings.handover_s + settings.longest_late_hold_s - 0.2, after_s=60.0)
     assert all(name == "a" for name, _, _ in world.running())
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_team_limits.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_team_limits.py
@@ -97,7 +97,7 @@
         world.step()
         assert len(world.list_team_runs("a")) <= 4
     assert len(world.list_team_runs("b")) == 4
-    world.run(10.0)
+    world.run(world.dispatcher.settings.longest_late_hold_s)
     assert world.get_state("later") is JobState.COMPLETE
 
 
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from papayadyke_core.dispatch import (
     Advice,
@@ -38,6 +38,7 @@
     log_starts,
     log_stop,
     log_takeover_end,
+    log_unanswered_ends,
 )
 from papayadyke_daemon.edge._early_cancels import EarlyCancels
 from papayadyke_daemon.edge._fence import UpstreamFences
@@ -128,6 +129,7 @@
                 lease_s=cfg.lease_s,
                 max_hold_s=cfg.max_hold_s,
                 late_call_s=cfg.late_call_s,
+                lapse_s=cfg.lapse_s,
                 status_kept_s=cfg.status_kept_s,
                 stop_s=cfg.stop_s,
                 quota_overrun=cfg.quota_overrun,
@@ -217,7 +219,9 @@
     def load(self, catalog: Catalog) -> bool:
         """Read the stored state, without any thread; return whether that succeeded."""
         self._dispatcher.set_catalog(catalog)
+        sent_s = read_clock()
         registry = list_prefix(self._ports.store, self._ports.registry_prefix)
+        self._record_registry_read(sent_s, isinstance(registry, Ok))
         # Read progress last: the commit of a job's end removes its intake record and
         # stores its progress, so a job that ends in between is read as ended.
         intake = list_prefix(self._ports.store, INTAKE_PREFIX)
@@ -233,7 +237,7 @@
             self._dispatcher.add_or_update_upstream(
                 UpstreamEntry(name, service, address)
             )
-            self._dispatcher.mark_upstream_unlisted(name)
+            self._dispatcher.mark_upstream_unlisted(name, read_clock())
         for record in registry.ok_value.records:
             self._apply_registry_record(record)
         for name, upstream in self._dispatcher.upstreams.items():
@@ -408,6 +412,7 @@
         orders = self._dispatcher.tick(now, time.time())
         self._handle_takeover_end(self._dispatcher.take_takeover_end())
         log_losses(self._dispatcher.take_lost_runs())
+        log_unanswered_ends(self._dispatcher.take_unanswered_ends())
         for request in orders.advice:
             self._advisory_pool.submit(request)
         log_starts(
@@ -515,7 +520,7 @@
         if entry is not None:
             self._apply_entry(entry, revision=record.revision)
         elif upstream is not None and upstream.is_listed:
-            self._dispatcher.mark_upstream_unlisted(upstream_id)
+            self._dispatcher.mark_upstream_unlisted(upstream_id, read_clock())
             log_event(LOG, "decider: upstream unlisted", upstream=upstream_id)
 
     def _apply_entry(self, entry: UpstreamEntry, *, revision: int = 0) -> None:
@@ -714,6 +719,15 @@
             on_listing=lambda records: self._mailbox.post(
                 lambda: self._apply_listing(prefix, records)
             ),
+            on_answered=None if prefix == INTAKE_PREFIX else self._post_registry_read,
+        )
+
+    def _post_registry_read(self, sent_s: float, is_answered: bool) -> None:
+        self._mailbox.post(lambda: self._record_registry_read(sent_s, is_answered))
+
+    def _record_registry_read(self, sent_s: float, is_answered: bool) -> None:
+        self._dispatcher.record_registry_read(
+            sent_s, read_clock(), is_answered=is_answered
         )
 
     def _apply_listing(self, prefix: str, records: list[Record]) -> None:
@@ -721,7 +735,7 @@
         if prefix == self._ports.registry_prefix:
             names = {record.key.removeprefix(prefix) for record in records}
             for name in self._dispatcher.upstreams.keys() - names:
-                self._dispatcher.mark_upstream_unlisted(name)
+                self._dispatcher.mark_upstream_unlisted(name, read_clock())
             for name in self._registry.list_ids() - names:
                 self._registry.forget(name)
             for record in records:
--- a/packages/daemon/src/papayadyke_daemon/edge/_decision_log.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decision_log.py
@@ -18,6 +18,7 @@
     StopOrder,
     TakeoverEnd,
     TaskCrash,
+    UnansweredEnd,
 )
 from papayadyke_daemon.edge._logs import log_event
 from papayadyke_daemon.edge._metrics import METRICS
@@ -25,6 +26,23 @@
 LOG = logging.getLogger(__name__)
 
 
+def log_unanswered_ends(ends: Iterable[UnansweredEnd]) -> None:
+    """Log the unanswered starts that hold back their tasks no longer."""
+    for end in ends:
+        METRICS.count("papayadyke_unanswered_starts", cause=end.cause)
+        if end.waited_s is not None:
+            METRICS.observe("papayadyke_unanswered_start_seconds", end.waited_s)
+        log_event(
+            LOG,
+            "decider: unanswered start is over",
+            request=end.task.job_id,
+            task=end.task,
+            upstreams=end.upstream_ids,
+            cause=end.cause,
+            waited_s=None if end.waited_s is None else round(end.waited_s, 3),
+        )
+
+
 def log_left_out(commit: Commit) -> None:
     """Log the jobs of whose checkpoints some are stored no longer, for their size."""
     for job_id, count in commit.left_out.items():
--- a/packages/daemon/src/papayadyke_daemon/edge/_ports.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_ports.py
@@ -253,6 +253,8 @@
     late_call_s : float
         Longest time after which an upstream carries out a call that it has not
         answered.
+    lapse_s : float
+        Time of silence after which the registry removes an upstream.
     stop_s : float
         Longest time that an upstream takes to stop a run.
     drain_s : float
@@ -298,6 +300,7 @@
     lease_s: float = 5.0
     max_hold_s: float = 10.0
     late_call_s: float = 12.0
+    lapse_s: float = 4.5
     stop_s: float = 0.4
     drain_s: float = 3.0
     grace_s: float = 6.0
