Take an upstream for gone only if the registry has no entry of it

An entry that cannot be read, or whose service is not named, leaves its upstream unlisted as well; after a second without contact a task that lasts would have counted it as gone.

--- a/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
+++ b/packages/core/src/papayadyke_core/dispatch/_dispatcher.py
@@ -177,11 +177,25 @@
             upstream.is_recorded = True
             self._schedule.needs_placement = True
 
-    def mark_upstream_unlisted(self, upstream_id: str, now: float = 0.0) -> None:
-        """Mark an upstream as unlisted; its possible runs still count."""
+    def mark_upstream_unlisted(
+        self, upstream_id: str, now: float = 0.0, *, has_entry: bool = False
+    ) -> None:
+        """Mark an upstream as unlisted; its possible runs still count.
+
+        Parameters
+        ----------
+        upstream_id : str
+        now : float
+        has_entry : bool, default=False
+            Whether the registry has an entry of it, which names no upstream to use.
+        """
         upstream = self.upstreams.get(upstream_id)
-        if upstream is not None and upstream.is_listed:
-            upstream.is_listed = False
+        if upstream is None:
+            return
+        upstream.is_listed = False
+        if has_entry:
+            upstream.unlisted_since_s = None
+        elif upstream.unlisted_since_s is None:
             upstream.unlisted_since_s = now
 
     def record_registry_read(
--- a/packages/core/src/papayadyke_core/dispatch/_upstream.py
+++ b/packages/core/src/papayadyke_core/dispatch/_upstream.py
@@ -35,7 +35,7 @@
         # An entry may change while runs are charged to the service.
         self._service = entry.service
         self.is_listed = True
-        # Since when the registry does not list it; None while it does.
+        # Since when the registry has no entry of it; None while it has one.
         self.unlisted_since_s: float | None = None
         # Whether a successor would know of the upstream and ask it for its runs.
         self.is_recorded = True
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_lives_of_an_upstream.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_lives_of_an_upstream.py
@@ -347,6 +347,19 @@
     assert back_s + 2.0 + wait_s <= start_s + 0.2 < back_s + 14.0
 
 
+@pytest.mark.parametrize("entry_is_back", [False, True])
+def test_upstream_with_an_unusable_entry_is_not_gone(entry_is_back):
+    """An entry that cannot be read was taken for one that was removed."""
+    dispatcher = order_at_a(LASTING)
+    dispatcher.mark_unreachable("a", 0.3)
+
+    def unlist(now):
+        dispatcher.mark_upstream_unlisted("a", now, has_entry=now > 1.0 * entry_is_back)
+
+    start_s = find_start_s(dispatcher, begin_s=0.3, end_s=22.0, unlist=unlist)
+    assert start_s is None
+
+
 def test_upstream_does_not_count_as_gone_by_a_list_that_is_not_read():
     """What the registry told before an outage says nothing of the time since."""
     dispatcher = order_at_a(LASTING)
--- a/packages/daemon/src/papayadyke_daemon/edge/_decider.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_decider.py
@@ -519,9 +519,18 @@
             )
         if entry is not None:
             self._apply_entry(entry, revision=record.revision)
-        elif upstream is not None and upstream.is_listed:
-            self._dispatcher.mark_upstream_unlisted(upstream_id, read_clock())
-            log_event(LOG, "decider: upstream unlisted", upstream=upstream_id)
+        elif upstream is not None:
+            has_entry = record.value is not None
+            if upstream.is_listed:
+                log_event(
+                    LOG,
+                    "decider: upstream unlisted",
+                    upstream=upstream_id,
+                    has_entry=has_entry,
+                )
+            self._dispatcher.mark_upstream_unlisted(
+                upstream_id, read_clock(), has_entry=has_entry
+            )
 
     def _apply_entry(self, entry: UpstreamEntry, *, revision: int = 0) -> None:
         upstream_id = entry.upstream_id
