--- a/packages/core/src/papayadyke_core/dispatch/tests/test_record_size.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_record_size.py
@@ -263,7 +263,8 @@
 
 def test_large_record_is_encoded_at_intervals_by_its_size():
     """The record of a job of 100,000 tasks took a quarter of a core to encode."""
-    dispatcher = make_dispatcher()
+    settings = replace(SETTINGS, max_record_bytes=800_000)
+    dispatcher = make_dispatcher(settings=settings)
     orders = start(dispatcher, "large", 1_000)
     small = start(dispatcher, "small", 50)
     size = 0
