Give a large or refused record a commit beside ever new ends

Ends of jobs come first in a commit, and a job whose record is large, or was refused, has a commit of its own only when no other job precedes it. While other jobs end all the time, an open job with a large record was therefore never stored: its tasks would run again after a takeover, and the ends that its upstreams list were never acknowledged.

Ruled out: the pause between large records, which only delays the next one, and ended jobs, which move to the front as others are stored.

After three shared commits in a row for which such a job has waited, the next commit is its own. What is kept of a refused or large record is also forgotten with its job, and a refused end no longer counts as one that other commits must hurry for.

--- a/packages/core/src/papayadyke_core/dispatch/_commits.py
+++ b/packages/core/src/papayadyke_core/dispatch/_commits.py
@@ -9,7 +9,7 @@
 
 import logging
 from collections import deque
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from papayadyke_core.dispatch._job import StagedJob
@@ -25,6 +25,8 @@
 OPEN_JOB_ENTRIES = 2
 ENDED_JOB_ENTRIES = 4
 SHARED_RECORD_BYTES = 16_000  # most bytes of a record that shares a commit with others
+# Commits in a row that jobs may share while another job waits for one of its own.
+MAX_SHARED_COMMITS = 3
 # Average of the large records of one open job. Encoding 100,000 tasks takes 28 ms.
 LARGE_RECORD_BYTES_PER_S = 500_000
 # Seconds before a refused record is sent again; doubled each time, up to the maximum.
@@ -108,6 +110,8 @@
         self._large_jobs: dict[str, float] = {}
         # Changed jobs whose progress does not fit; they wait for another change.
         self._oversized_jobs: set[str] = set()
+        # Shared commits for which another job has waited.
+        self._shared_commits = 0
         self._commits = 0
         # Ends that are processed and not acknowledged, by upstream in their order.
         self._unacknowledged: dict[str, deque[tuple[int, str]]] = {}
@@ -116,8 +120,14 @@
 
     @property
     def has_ended_jobs(self) -> bool:
-        """Whether the end of a job waits for a commit."""
-        return any(True for _ in self._iterate_dirty(is_final=True))
+        """Whether the end of a job waits for a commit, and was not refused before."""
+        return any(
+            job_id not in self._committing_jobs
+            and job_id not in self._refusals
+            and job_id in self._jobs
+            and self._jobs[job_id].is_final
+            for job_id in self._dirty_jobs
+        )
 
     def mark_dirty(self, job_id: str) -> None:
         """Have the progress of a job stored."""
@@ -273,43 +283,73 @@
         )
 
     def _encode_dirty_jobs(self, now: float) -> dict[str, EncodedProgress]:
-        """Return the progress of the jobs that fit in one commit, ended jobs first."""
+        """Return the progress of the jobs that fit in one commit, ended jobs first.
+
+        A job that has commits of its own precedes them after some shared commits.
+        """
+        job_ids = self._list_due(now)
+        if self._shared_commits >= MAX_SHARED_COMMITS:
+            job_ids.sort(key=lambda job_id: not self._is_alone(job_id))
         progress: dict[str, EncodedProgress] = {}
         entries = 0
-        for is_final, cost in ((True, ENDED_JOB_ENTRIES), (False, OPEN_JOB_ENTRIES)):
-            for job_id in list(self._iterate_dirty(is_final=is_final)):
-                if entries + cost > self._settings.max_commit_entries:
-                    return self._take_dirty(progress)
-                refusal = self._refusals.get(job_id)
-                if refusal is not None and now < refusal.retry_s:
-                    continue
-                is_alone = refusal is not None or job_id in self._large_jobs
-                if is_alone and progress:
-                    # It is the first one of a later commit.
-                    continue
-                if not is_final and now < self._large_jobs.get(job_id, 0.0):
-                    continue
-                record = self._encode(job_id)
-                if record is None or record.data is None:
+        is_one_waiting = False
+        for job_id in job_ids:
+            is_final = self._jobs[job_id].is_final
+            cost = ENDED_JOB_ENTRIES if is_final else OPEN_JOB_ENTRIES
+            if entries + cost > self._settings.max_commit_entries:
+                break
+            if progress and self._is_alone(job_id):
+                is_one_waiting = True
+                continue
+            record = self._encode(job_id)
+            if record.data is None:
+                continue
+            if self._is_alone(job_id):
+                if progress:
+                    is_one_waiting = True
                     continue
-                if is_alone or len(record.data) > SHARED_RECORD_BYTES:
-                    if progress:
-                        continue
-                    if job_id in self._large_jobs:
-                        pause_s = len(record.data) / LARGE_RECORD_BYTES_PER_S
-                        self._large_jobs[job_id] = now + pause_s
-                    return self._take_dirty({job_id: record})
-                entries += cost
-                progress[job_id] = record
+                if job_id in self._large_jobs:
+                    pause_s = len(record.data) / LARGE_RECORD_BYTES_PER_S
+                    self._large_jobs[job_id] = now + pause_s
+                self._shared_commits = 0
+                return self._take_dirty({job_id: record})
+            entries += cost
+            progress[job_id] = record
+        self._shared_commits = self._shared_commits + 1 if is_one_waiting else 0
         return self._take_dirty(progress)
 
-    def _encode(self, job_id: str) -> EncodedProgress | None:
-        """Return the record of a dirty job; None if the job is unknown."""
-        job = self._jobs.get(job_id)
-        if job is None:
-            del self._dirty_jobs[job_id]
-            return None
-        encoded = encode_within(job, self._settings.max_record_bytes)
+    def _is_alone(self, job_id: str) -> bool:
+        """Return whether a job has commits of its own."""
+        return job_id in self._refusals or job_id in self._large_jobs
+
+    def _list_due(self, now: float) -> list[str]:
+        """Return the dirty jobs that a commit may hold now, ended jobs first."""
+        ended, unfinished = [], []
+        for job_id in list(self._dirty_jobs):
+            job = self._jobs.get(job_id)
+            if job is None:
+                self._forget(job_id)
+                continue
+            refusal = self._refusals.get(job_id)
+            if job_id in self._committing_jobs or (
+                refusal is not None and now < refusal.retry_s
+            ):
+                continue
+            if job.is_final:
+                ended.append(job_id)
+            elif now >= self._large_jobs.get(job_id, 0.0):
+                unfinished.append(job_id)
+        return ended + unfinished
+
+    def _forget(self, job_id: str) -> None:
+        """Forget a dirty job that has been removed."""
+        del self._dirty_jobs[job_id]
+        self._refusals.pop(job_id, None)
+        self._large_jobs.pop(job_id, None)
+
+    def _encode(self, job_id: str) -> EncodedProgress:
+        """Return the record of a dirty job."""
+        encoded = encode_within(self._jobs[job_id], self._settings.max_record_bytes)
         self._large_jobs.pop(job_id, None)
         if encoded.data is not None and len(encoded.data) > SHARED_RECORD_BYTES:
             self._large_jobs[job_id] = 0.0
@@ -337,12 +377,3 @@
                 job.lacks_checkpoints = True
                 left_out[job_id] = record.left_out
         return left_out
-
-    def _iterate_dirty(self, *, is_final: bool) -> Iterator[str]:
-        """Yield the dirty jobs that are in no commit and have ended, or have not."""
-        for job_id in self._dirty_jobs:
-            if job_id in self._committing_jobs:
-                continue
-            job = self._jobs.get(job_id)
-            if (job is not None and job.is_final) == is_final:
-                yield job_id
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_record_size.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_record_size.py
@@ -284,3 +284,44 @@
     # The end of the job does not wait.
     dispatcher.cancel("large", 3.0)
     assert "large" in dispatcher.begin_commit(3.0).progress
+
+
+def test_large_record_is_stored_beside_ever_new_ends_of_other_jobs():
+    """A commit held the ends of small jobs each time, so a large open job had none."""
+    dispatcher = make_dispatcher()
+    large = start(dispatcher, "large", 1_000)
+    report(dispatcher, large, checkpoint="y" * 100)
+    stored: list[str] = []
+    for number in range(12):
+        dispatcher._schedule.commits.mark_dirty("large")
+        job_id = f"small{number}"
+        start(dispatcher, job_id, 1)
+        dispatcher.cancel(job_id, 1.0)
+        commit = dispatcher.begin_commit(1.0 + 0.05 * number)
+        stored += commit.progress
+        dispatcher.finish_commit(commit, is_stored=True)
+    assert "large" in stored
+    # The ends of jobs have most of the commits.
+    assert len(set(stored)) >= 10
+
+
+@pytest.mark.parametrize("refused", ["open", "ended"])
+def test_refused_record_is_sent_again_beside_ever_new_ends(refused):
+    """A record that the store refused once must not wait until no job ends."""
+    dispatcher = make_dispatcher()
+    orders = start(dispatcher, "bad", 2)
+    report(dispatcher, orders, ended=[(TaskId("bad", 0, 0, 0), RunEnd.DONE)])
+    if refused == "ended":
+        dispatcher.cancel("bad", 1.0)
+    commit = dispatcher.begin_commit(1.0)
+    dispatcher.isolate_commit(commit, 1.0)
+    dispatcher.finish_commit(commit, is_stored=False)
+    stored: list[str] = []
+    for number in range(30):
+        job_id = f"small{number}"
+        start(dispatcher, job_id, 1)
+        dispatcher.cancel(job_id, 1.0)
+        commit = dispatcher.begin_commit(1.0 + 0.05 * number)
+        stored += commit.progress
+        dispatcher.finish_commit(commit, is_stored=True)
+    assert "bad" in stored
