--- a/packages/daemon/src/papayadyke_daemon/edge/_committer.py
+++ b/packages/daemon/src/papayadyke_daemon/edge/_committer.py
@@ -35,7 +35,7 @@
 # an answer then stores some 200 ends of jobs a second, and 25 with one thread.
 MAX_COMMITS_IN_PROGRESS = 8
 COMMIT_RETRY_S = 0.15  # seconds before the next commit after a failed one
-# Average of the records that one VM commits: a tenth of a link of 375 Mbit/s.
+# Average of the records that one VM commits, in bytes per second.
 COMMIT_BYTES_PER_S = 4_000_000
 
 
