Acknowledge an end beside an unanswered start once that is over

Callers saw a job as complete, and its task ran again. Its first start had got no answer and was stopped; a second one at the same upstream was done and acknowledged. The upstream then restarted behind a cut, and its next incarnation, which knows neither the stop nor the end, carried the first start out.

Ruled out: waiting with the second start until the first one is over, which holds back each task whose start got no answer for 12 s, also at upstreams that answer; and fencing the next incarnation, which a cut prevents.

An end `done` or `failed` of a task with an unanswered start at the same upstream is now acknowledged once that start is over, at most 12 s after it was sent and a list later. Until then the upstream lists the end, and if it restarts the end is gone with it, so that no acknowledged end is followed by a start. The state of the job is stored and shown at once. Ends after it wait as well, as an acknowledgement names the last one, but none waits once 250 of the upstream do: it lists at most 500.

A successor does not know of such starts beside the ends of jobs that had ended; that is open.

--- a/packages/core/src/papayadyke_core/dispatch/_commits.py
+++ b/packages/core/src/papayadyke_core/dispatch/_commits.py
@@ -13,10 +13,12 @@
 from dataclasses import dataclass, field
 
 from papayadyke_core.dispatch._job import StagedJob
-from papayadyke_core.dispatch._messages import Commit
+from papayadyke_core.dispatch._messages import Commit, EndedRun, RunEnd
 from papayadyke_core.dispatch._progress import FINAL_STATES, JobState
 from papayadyke_core.dispatch._record_size import EncodedProgress, encode_within
 from papayadyke_core.dispatch._settings import DispatchSettings
+from papayadyke_core.dispatch._spec import TaskId
+from papayadyke_core.dispatch._unanswered import UnansweredStarts
 from papayadyke_core.dispatch._unread import UnreadJobEnds
 from papayadyke_core.dispatch._upstream import Upstream
 
@@ -29,6 +31,9 @@
 MAX_SHARED_COMMITS = 3
 # Average of the large records of one open job. Encoding 100,000 tasks takes 28 ms.
 LARGE_RECORD_BYTES_PER_S = 500_000
+# Ends of one upstream from which on none waits for an unanswered start of its task: an
+# upstream lists at most 500 ends that are not acknowledged.
+MAX_WAITING_ENDS = 250
 # Seconds before a refused record is sent again; doubled each time, up to the maximum.
 REFUSAL_PAUSE_S, MAX_REFUSAL_PAUSE_S = 0.5, 30.0
 
@@ -93,11 +98,13 @@
         settings: DispatchSettings,
         jobs: Mapping[str, StagedJob],
         upstreams: Mapping[str, Upstream],
+        unanswered_starts: UnansweredStarts,
     ) -> None:
         self.is_store_failing = False
         self._settings = settings
         self._jobs = jobs
         self._upstreams = upstreams
+        self._unanswered_starts = unanswered_starts
         # Jobs to store, in the order in which they changed.
         self._dirty_jobs: dict[str, None] = {}
         self._in_progress: dict[int, _CommitInProgress] = {}
@@ -115,6 +122,9 @@
         self._commits = 0
         # Ends that are processed and not acknowledged, by upstream in their order.
         self._unacknowledged: dict[str, deque[tuple[int, str]]] = {}
+        # Tasks of those that are done or have failed beside an unanswered start, by
+        # upstream and number.
+        self._ends_beside_starts: dict[str, dict[int, TaskId]] = {}
         # Jobs whose doubts or crashes are in no stored or begun commit.
         self._unstored_suspicions: set[str] = set()
 
@@ -148,14 +158,21 @@
         begun = [commit.suspicions for commit in self._in_progress.values()]
         return self._unstored_suspicions.union(*begun)
 
-    def record_end(self, upstream_id: str, number: int, job_id: str) -> None:
+    def record_end(self, upstream_id: str, ended: EndedRun) -> None:
         """Record an end that is to be acknowledged once its job is stored."""
         ends = self._unacknowledged.setdefault(upstream_id, deque())
-        ends.append((number, job_id))
+        ends.append((ended.number, ended.task.job_id))
+        if ended.end in (
+            RunEnd.DONE,
+            RunEnd.FAILED,
+        ) and self._unanswered_starts.has_start(ended.task, upstream_id):
+            tasks = self._ends_beside_starts.setdefault(upstream_id, {})
+            tasks[ended.number] = ended.task
 
     def forget_ends(self, upstream_id: str) -> None:
         """Forget the ends of an upstream, which no longer lists them."""
         self._unacknowledged.pop(upstream_id, None)
+        self._ends_beside_starts.pop(upstream_id, None)
 
     def begin(self, unread_ends: UnreadJobEnds, now: float = 0.0) -> Commit | None:
         """Return the next commit, or None if there is nothing to commit."""
@@ -255,7 +272,9 @@
 
         An end may be acknowledged only once the progress that it caused is stored, so
         those of jobs that wait for another commit, and all after them, are left. So are
-        all ends of an upstream while a commit in progress covers earlier ones.
+        all ends of an upstream while a commit in progress covers earlier ones, and
+        those of tasks with an unanswered start at the upstream: if it restarts, the
+        start may be carried out after them.
         """
         acknowledged_ends = {}
         covered = [commit.ends for commit in self._in_progress.values()]
@@ -266,6 +285,7 @@
             if any(name in earlier for earlier in covered):
                 continue
             limit = unread_ends.limit_acknowledgement(name, upstream.last_end_number)
+            limit = min(limit, self._find_last_settled(name, limit))
             taken = []
             while ends and ends[0][0] <= limit and not self._is_waiting(ends[0][1]):
                 taken.append(ends.popleft())
@@ -274,6 +294,23 @@
                 acknowledged_ends[name] = (upstream.incarnation, taken[-1][0])
         return acknowledged_ends
 
+    def _find_last_settled(self, upstream_id: str, number: int) -> int:
+        """Return the highest end, up to `number`, before one beside a start."""
+        tasks = self._ends_beside_starts.get(upstream_id)
+        if not tasks:
+            return number
+        for settled in [
+            earlier
+            for earlier, task in tasks.items()
+            if not self._unanswered_starts.has_start(task, upstream_id)
+        ]:
+            del tasks[settled]
+        if not tasks:
+            del self._ends_beside_starts[upstream_id]
+        elif len(self._unacknowledged[upstream_id]) < MAX_WAITING_ENDS:
+            return min(number, min(tasks) - 1)
+        return number
+
     def _is_waiting(self, job_id: str) -> bool:
         """Return whether progress of a job is in no stored commit nor in the next."""
         return (
--- a/packages/core/src/papayadyke_core/dispatch/_schedule.py
+++ b/packages/core/src/papayadyke_core/dispatch/_schedule.py
@@ -64,7 +64,9 @@
         self.run_times: RunTimeModel | MovingAverages = (
             RunTimeModel() if settings.learns_run_times else MovingAverages()
         )
-        self.commits = CommitTracker(settings, self.jobs, self.upstreams)
+        self.commits = CommitTracker(
+            settings, self.jobs, self.upstreams, self.unanswered_starts
+        )
         self.ready_steps: dict[StepId, StepRun] = {}
         self.window = OccurrenceWindow(settings.early_start_s)
         # Jobs with failed runs, which a configuration may end.
--- a/packages/core/src/papayadyke_core/dispatch/_tracking.py
+++ b/packages/core/src/papayadyke_core/dispatch/_tracking.py
@@ -102,9 +102,7 @@
         )
         for ended in new_ends:
             upstream.last_end_number = ended.number
-            self._schedule.commits.record_end(
-                upstream_id, ended.number, ended.task.job_id
-            )
+            self._schedule.commits.record_end(upstream_id, ended)
             if self._takeover.may_be_unread(ended.task.job_id, self._schedule.jobs):
                 self._takeover.unread_ends.add(upstream_id, ended)
             else:
--- a/packages/core/src/papayadyke_core/dispatch/_unanswered.py
+++ b/packages/core/src/papayadyke_core/dispatch/_unanswered.py
@@ -191,6 +191,10 @@
         """Return whether unanswered starts were sent to an upstream."""
         return upstream_id in self._tasks
 
+    def has_start(self, task: TaskId, upstream_id: str) -> bool:
+        """Return whether an unanswered start of a task was sent to an upstream."""
+        return task in self._tasks.get(upstream_id, ())
+
     def settle_run(self, task: TaskId, attempt: int) -> None:
         """Record that an upstream lists a run or its end."""
         start = self._find(task)
--- a/packages/core/src/papayadyke_core/dispatch/tests/test_lives_of_an_upstream.py
+++ b/packages/core/src/papayadyke_core/dispatch/tests/test_lives_of_an_upstream.py
@@ -704,3 +704,46 @@
     world.upstreams[name].is_disconnected = False
     world.run(5.0, after_s=0.2)
     assert world.get_state("j") is JobState.COMPLETE
+
+
+def test_end_beside_an_unanswered_start_is_acknowledged_once_that_is_over():
+    """An acknowledged end forbids each later start, also one that is on the way."""
+    world = make_world("a")
+    lose_start_in_world(world, late_s=12.0)
+    sent_s = world.now
+    world.run(3.0, after_s=0.2)
+    assert world.get_state("j") is JobState.COMPLETE
+    step_until(world, sent_s + LATE_S - EARLY_S)
+    assert "a" not in world.acknowledged
+    step_until(world, sent_s + LATE_S + 2.5)
+    assert world.acknowledged["a"] == (1, 1)
+
+
+def list_ends_beside_lost_start(count, end=RunEnd.DONE):
+    """Return a dispatcher whose upstream lists ends, the second one beside a start."""
+    dispatcher = make_dispatcher(upstreams=("a",))
+    report(dispatcher, "a", 0.0)
+    dispatcher.submit(SPEC, now=0.0)
+    (lost,) = dispatcher.tick(ORDERED_S, ORDERED_S).starts
+    dispatcher.record_lease("a", ORDERED_S)
+    dispatcher.process_start_outcome(lost, StartOutcome.UNKNOWN, 0.2)
+    other = TASK._replace(job_id="other")
+    ended = [EndedRun(n, other, n, RunEnd.DONE) for n in range(1, count + 1)]
+    ended[1] = EndedRun(2, TASK, lost.attempt + 1, end)
+    report(dispatcher, "a", 1.0, ended=ended)
+    return dispatcher
+
+
+@pytest.mark.parametrize("end", [RunEnd.DONE, RunEnd.FAILED])
+def test_ends_before_one_beside_an_unanswered_start_are_acknowledged(end):
+    dispatcher = list_ends_beside_lost_start(10, end)
+    assert dispatcher.begin_commit(1.0).acknowledged_ends == {"a": (OLD, 1)}
+
+
+@pytest.mark.parametrize(("count", "last"), [(249, 1), (250, 250)])
+def test_ends_do_not_wait_beside_an_unanswered_start_until_the_list_is_full(
+    count, last
+):
+    """An upstream lists 500 ends at a time; a full list tells of no later ones."""
+    dispatcher = list_ends_beside_lost_start(count)
+    assert dispatcher.begin_commit(1.0).acknowledged_ends == {"a": (OLD, last)}
